Settle the borders of the components

Cause: five parts are to be built side by side and need fixed interfaces. Ruled out: one shared HTTP layer per crate, which would stand five times. Conclusion: the crates compile on their own, so work can go on in parallel.

--- /dev/null
+++ b/components/errors/src/event.rs
@@ -0,0 +1,138 @@
+use slog::{KV, Record, Result, Serializer};
+
+/// A numbered log event. As a slog key-value it adds `event` (number) and `name` to a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Stable number; the thousands digit is the subsystem.
+    pub number: u16,
+    /// Stable snake_case name.
+    pub name: &'static str,
+    /// What the line means, for the catalogue.
+    pub meaning: &'static str,
+}
+
+impl KV for Event {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> Result {
+        serializer.emit_u16("event", self.number)?;
+        serializer.emit_str("name", self.name)
+    }
+}
+
+const fn event(number: u16, name: &'static str, meaning: &'static str) -> Event {
+    Event {
+        number,
+        name,
+        meaning,
+    }
+}
+
+/// The events, one constant each. Use as `slog::info!(log, "text"; events::PLACED, "key" => value)`.
+pub mod events {
+    use super::{Event, event};
+
+    pub const HOST_STARTED: Event = event(1001, "host_started", "The entry host accepts connections.");
+    pub const HOST_STOPPED: Event = event(
+        1002,
+        "host_stopped",
+        "The entry host has finished all work and ends.",
+    );
+    pub const DRAIN_STARTED: Event = event(
+        1003,
+        "drain_started",
+        "The host reports not ready and finishes open work.",
+    );
+    pub const CONNECTION_FAILED: Event = event(
+        1004,
+        "connection_failed",
+        "A caller's connection ended with an error.",
+    );
+
+    pub const REFUSED: Event = event(
+        2001,
+        "request_refused",
+        "A request was refused before it reached a target.",
+    );
+    pub const PLACED: Event = event(
+        2002,
+        "request_placed",
+        "A target was chosen; gives cost terms and rejected candidates.",
+    );
+    pub const ANSWERED: Event = event(2003, "request_answered", "The whole answer went to the caller.");
+    pub const ATTEMPT_FAILED: Event = event(
+        2004,
+        "attempt_failed",
+        "One try at a target failed; says what is known about it.",
+    );
+    pub const OUTCOME_UNKNOWN: Event = event(
+        2005,
+        "outcome_unknown",
+        "A call was sent and its result is not known.",
+    );
+    pub const CALLER_GONE: Event = event(
+        2006,
+        "caller_gone",
+        "The caller closed the connection before the end.",
+    );
+
+    pub const NOTE_STAGED: Event = event(
+        3001,
+        "note_staged",
+        "The host holds a staged release note and obeys it too.",
+    );
+    pub const NOTE_IN_FORCE: Event = event(
+        3002,
+        "note_in_force",
+        "A release note became the head on this host.",
+    );
+    pub const NOTE_REJECTED: Event = event(3003, "note_rejected", "A release note could not be applied.");
+    pub const HEAD_UNCONFIRMED: Event = event(
+        3004,
+        "head_unconfirmed",
+        "The host can not confirm the head of the notes.",
+    );
+
+    pub const LIST_READ: Event = event(4001, "list_read", "The platform's list of hosts changed.");
+    pub const LIST_DISTRUSTED: Event = event(
+        4002,
+        "list_distrusted",
+        "Too many hosts vanished at once; the last good list stays in use.",
+    );
+    pub const PLATFORM_FAILED: Event = event(4003, "platform_failed", "A call to the platform failed.");
+    pub const PLATFORM_BACK: Event = event(4004, "platform_back", "The platform answers again.");
+}
+
+/// Every event, ordered by number.
+pub const ALL_EVENTS: &[Event] = &[
+    events::HOST_STARTED,
+    events::HOST_STOPPED,
+    events::DRAIN_STARTED,
+    events::CONNECTION_FAILED,
+    events::REFUSED,
+    events::PLACED,
+    events::ANSWERED,
+    events::ATTEMPT_FAILED,
+    events::OUTCOME_UNKNOWN,
+    events::CALLER_GONE,
+    events::NOTE_STAGED,
+    events::NOTE_IN_FORCE,
+    events::NOTE_REJECTED,
+    events::HEAD_UNCONFIRMED,
+    events::LIST_READ,
+    events::LIST_DISTRUSTED,
+    events::PLATFORM_FAILED,
+    events::PLATFORM_BACK,
+];
+
+#[cfg(test)]
+mod tests {
+    use super::ALL_EVENTS;
+
+    #[test]
+    fn numbers_grow_and_names_are_unique() {
+        assert!(ALL_EVENTS.windows(2).all(|w| w[0].number < w[1].number));
+        let mut names: Vec<_> = ALL_EVENTS.iter().map(|e| e.name).collect();
+        names.sort_unstable();
+        names.dedup();
+        assert_eq!(names.len(), ALL_EVENTS.len());
+    }
+}
--- /dev/null
+++ b/components/errors/src/lib.rs
@@ -0,0 +1,9 @@
+//! Types shared by every crate: honest outcomes, problem documents and numbered log events.
+
+mod event;
+mod outcome;
+mod problem;
+
+pub use event::{ALL_EVENTS, Event, events};
+pub use outcome::{OUTCOME_HEADER, Outcome, ParseOutcomeError};
+pub use problem::{Problem, ProblemKind};
--- /dev/null
+++ b/components/http/src/body.rs
@@ -0,0 +1,72 @@
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use futures_lite::StreamExt;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::Frame;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::HttpError;
+
+/// Body of a request or response that this crate sends.
+pub type Body = BoxBody<Bytes, HttpError>;
+
+/// The sending half of a [`channel_body`]. Dropping it ends the body; sending an error cuts it.
+pub type BodySender = async_channel::Sender<Result<Bytes, HttpError>>;
+
+/// A body without content.
+pub fn empty_body() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed()
+}
+
+/// A body that is known in full.
+pub fn full_body(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
+/// A JSON body.
+///
+/// ```
+/// let body = http_io::json_body(&["a", "b"]);
+/// ```
+pub fn json_body(value: &impl Serialize) -> Body {
+    full_body(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// A body fed through a channel that holds at most `capacity` chunks.
+pub fn channel_body(capacity: usize) -> (BodySender, Body) {
+    let (tx, rx) = async_channel::bounded(capacity);
+    let frames = rx.map(|chunk: Result<Bytes, HttpError>| chunk.map(Frame::data));
+    (tx, BodyExt::boxed(StreamBody::new(frames)))
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+/// [`HttpError::TooLarge`] over the limit, [`HttpError::Interrupted`] when the body breaks off.
+pub async fn read_limited<B>(body: B, limit: usize) -> Result<Bytes, Report<HttpError>>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Report::new(HttpError::TooLarge { limit })),
+        Err(_) => Err(Report::new(HttpError::Interrupted)),
+    }
+}
+
+/// Reads a JSON body of at most `limit` bytes.
+///
+/// # Errors
+/// As [`read_limited`], and [`HttpError::Malformed`] for what is not the expected JSON.
+pub async fn read_json<T, B>(body: B, limit: usize) -> Result<T, Report<HttpError>>
+where
+    T: DeserializeOwned,
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let bytes = read_limited(body, limit).await?;
+    serde_json::from_slice(&bytes).change_context(HttpError::Malformed)
+}
--- /dev/null
+++ b/components/http/src/client.rs
@@ -0,0 +1,237 @@
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::body::{json_body, read_json};
+use crate::pool::Pool;
+use crate::{Body, Executor, HttpError, empty_body};
+
+/// Limits of a [`Client`].
+#[derive(Debug, Clone)]
+pub struct ClientConfig {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time from sending a request to the head of its response.
+    pub response_timeout: Duration,
+    /// Age at which an idle connection is not used again.
+    pub max_idle: Duration,
+    /// Most idle connections kept for one address.
+    pub idle_per_address: usize,
+    /// Longest JSON body accepted, in bytes.
+    pub max_json_bytes: usize,
+}
+
+impl Default for ClientConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            response_timeout: Duration::from_secs(2),
+            max_idle: Duration::from_secs(20),
+            idle_per_address: 256,
+            max_json_bytes: 64 << 20,
+        }
+    }
+}
+
+/// An HTTP client that keeps connections open. Its connections run on the given executor.
+#[derive(Clone)]
+pub struct Client {
+    /// Runs the connections.
+    ex: Executor,
+    /// Limits.
+    cfg: Arc<ClientConfig>,
+    /// Idle connections.
+    pool: Arc<Pool>,
+}
+
+/// A response body that returns its connection to the pool after the last frame.
+pub struct PooledBody {
+    /// The body as hyper reads it.
+    inner: Incoming,
+    /// Where the connection goes after the end.
+    home: Option<(Arc<Pool>, SocketAddr, SendRequest<Body>)>,
+}
+
+impl Client {
+    /// Builds a client whose connections run on `ex`.
+    pub fn new(ex: Executor, cfg: ClientConfig) -> Self {
+        let pool = Arc::new(Pool::new(cfg.idle_per_address, cfg.max_idle));
+        Self {
+            ex,
+            cfg: Arc::new(cfg),
+            pool,
+        }
+    }
+
+    /// Sends a request on an idle connection, or on a new one if none is left.
+    ///
+    /// # Errors
+    /// [`HttpError::is_not_sent`] tells whether the peer can have seen any of the request.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        req: Request<Body>,
+    ) -> Result<Response<PooledBody>, Report<HttpError>> {
+        match self.pool.take(addr) {
+            Some(sender) => match self.exchange(addr, sender, req).await {
+                Ok(res) => Ok(res),
+                Err((e, Some(req))) if e.is_not_sent() => self.send_fresh(addr, req).await,
+                Err((e, _)) => Err(Report::new(e)),
+            },
+            None => self.send_fresh(addr, req).await,
+        }
+    }
+
+    /// Sends a request on a new connection.
+    ///
+    /// # Errors
+    /// As [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        addr: SocketAddr,
+        req: Request<Body>,
+    ) -> Result<Response<PooledBody>, Report<HttpError>> {
+        let sender = self.connect(addr).await?;
+        self.exchange(addr, sender, req)
+            .await
+            .map_err(|(e, _)| Report::new(e))
+    }
+
+    /// Drops the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.pool.forget(addr);
+    }
+
+    /// Sends a JSON request and reads a JSON response with status 200.
+    ///
+    /// # Errors
+    /// As [`Client::send`], [`HttpError::Status`] for another status, [`HttpError::Malformed`] for other content.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<&impl Serialize>,
+    ) -> Result<T, Report<HttpError>> {
+        let req = json_request(addr, method, path, body)?;
+        let res = self.send(addr, req).await?;
+        if !res.status().is_success() {
+            return Err(Report::new(HttpError::Status(res.status().as_u16())));
+        }
+        let read = read_json(res.into_body(), self.cfg.max_json_bytes);
+        read.or(timeout(self.cfg.response_timeout)).await
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Body>, Report<HttpError>> {
+        let open = async {
+            let stream = TcpStream::connect(addr)
+                .await
+                .change_context(HttpError::Connect)?;
+            stream.set_nodelay(true).change_context(HttpError::Connect)?;
+            http1::handshake(FuturesIo::new(stream))
+                .await
+                .change_context(HttpError::Connect)
+        };
+        let late = async {
+            smol::Timer::after(self.cfg.connect_timeout).await;
+            Err(Report::new(HttpError::Connect))
+        };
+        let (sender, conn) = open.or(late).await?;
+        self.ex.spawn(conn).detach();
+        Ok(sender)
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        mut sender: SendRequest<Body>,
+        req: Request<Body>,
+    ) -> Result<Response<PooledBody>, (HttpError, Option<Request<Body>>)> {
+        let answer = async {
+            sender
+                .try_send_request(req)
+                .await
+                .map_err(|mut e| match e.take_message() {
+                    Some(req) => (HttpError::NotSent, Some(req)),
+                    None => (HttpError::Interrupted, None),
+                })
+        };
+        let late = async {
+            smol::Timer::after(self.cfg.response_timeout).await;
+            Err((HttpError::TimedOut, None))
+        };
+        let (parts, inner) = answer.or(late).await?.into_parts();
+        let home = Some((self.pool.clone(), addr, sender));
+        Ok(Response::from_parts(parts, PooledBody { inner, home }))
+    }
+}
+
+impl hyper::body::Body for PooledBody {
+    type Data = Bytes;
+    type Error = HttpError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, HttpError>>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.inner).poll_frame(cx);
+        match polled {
+            Poll::Ready(None) => {
+                if let Some((pool, addr, sender)) = this.home.take() {
+                    pool.put(addr, sender);
+                }
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(_))) => {
+                this.home = None;
+                Poll::Ready(Some(Err(HttpError::Interrupted)))
+            }
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        false
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+async fn timeout<T>(after: Duration) -> Result<T, Report<HttpError>> {
+    smol::Timer::after(after).await;
+    Err(Report::new(HttpError::TimedOut))
+}
+
+fn json_request(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<&impl Serialize>,
+) -> Result<Request<Body>, Report<HttpError>> {
+    let host = HeaderValue::from_str(&addr.to_string()).change_context(HttpError::Malformed)?;
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", host)
+        .header("content-type", "application/json")
+        .body(body.map_or_else(empty_body, |value| json_body(value)))
+        .change_context(HttpError::Malformed)
+}
--- /dev/null
+++ b/components/http/src/lib.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 over `hyper` on `smol`: a pooled client and a server that joins its connections.
+
+mod body;
+mod client;
+mod error;
+mod pool;
+mod server;
+mod sse;
+
+pub use body::{Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited};
+pub use client::{Client, ClientConfig};
+pub use error::HttpError;
+pub use server::{Handler, HandlerFuture, Server, ServerConfig, Shutdown, shutdown_channel};
+pub use sse::{SseEvent, SseReader};
+
+/// An executor that one thread runs; clones share it.
+pub type Executor = std::sync::Arc<smol::Executor<'static>>;
--- /dev/null
+++ b/components/http/src/pool.rs
@@ -0,0 +1,75 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use hyper::client::conn::http1::SendRequest;
+
+use crate::Body;
+
+/// A connection that waits for its next request.
+struct Idle {
+    /// Handle that sends requests on the connection.
+    sender: SendRequest<Body>,
+    /// When the last exchange ended.
+    since: Instant,
+}
+
+/// Idle connections by address, newest last.
+pub(crate) struct Pool {
+    /// The connections.
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Most idle connections kept for one address.
+    per_address: usize,
+    /// Age at which an idle connection is not used again.
+    max_idle: Duration,
+}
+
+impl Pool {
+    pub(crate) fn new(per_address: usize, max_idle: Duration) -> Self {
+        Self {
+            idle: Mutex::default(),
+            per_address,
+            max_idle,
+        }
+    }
+
+    /// Takes the connection that was used last and is still open.
+    pub(crate) fn take(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut idle = self.lock();
+        let list = idle.get_mut(&addr)?;
+        while let Some(conn) = list.pop() {
+            if conn.since.elapsed() < self.max_idle && conn.sender.is_ready() {
+                return Some(conn.sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request to the address.
+    pub(crate) fn put(&self, addr: SocketAddr, sender: SendRequest<Body>) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let list = idle.entry(addr).or_default();
+        if list.len() >= self.per_address {
+            list.remove(0);
+        }
+        list.push(Idle {
+            sender,
+            since: Instant::now(),
+        });
+    }
+
+    /// Drops every idle connection to an address.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/http/src/server.rs
@@ -0,0 +1,149 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::{Body, Executor, HttpError};
+
+/// The answer of a [`Handler`].
+pub type HandlerFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// Answers one request.
+pub type Handler = Arc<dyn Fn(Request<Incoming>) -> HandlerFuture + Send + Sync>;
+
+/// Resolves once its sender is dropped; clones wait for the same moment.
+pub type Shutdown = async_channel::Receiver<()>;
+
+/// A pair whose second half resolves when the first is dropped.
+pub fn shutdown_channel() -> (async_channel::Sender<()>, Shutdown) {
+    async_channel::bounded(1)
+}
+
+/// Limits of a [`Server`] on what callers send.
+#[derive(Debug, Clone)]
+pub struct ServerConfig {
+    /// Longest time for the head of a request.
+    pub header_timeout: Duration,
+    /// Most headers in a request.
+    pub max_headers: usize,
+    /// Largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            header_timeout: Duration::from_secs(10),
+            max_headers: 64,
+            max_head_bytes: 16 << 10,
+        }
+    }
+}
+
+/// A listening HTTP server.
+pub struct Server {
+    /// Accepts the connections.
+    listener: TcpListener,
+    /// Limits on what callers send.
+    cfg: ServerConfig,
+}
+
+impl Server {
+    /// Listens on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    /// [`HttpError::Listen`] if the address can not be had.
+    pub fn bind(addr: SocketAddr, cfg: ServerConfig) -> Result<Self, Report<HttpError>> {
+        let listener = std::net::TcpListener::bind(addr).change_context(HttpError::Listen)?;
+        Self::from_std(listener, cfg)
+    }
+
+    /// Uses a listener that is open already, for example one shared by several threads.
+    ///
+    /// # Errors
+    /// [`HttpError::Listen`] if the listener can not be made non-blocking.
+    pub fn from_std(listener: std::net::TcpListener, cfg: ServerConfig) -> Result<Self, Report<HttpError>> {
+        let listener = smol::Async::new(listener)
+            .change_context(HttpError::Listen)?
+            .into();
+        Ok(Self { listener, cfg })
+    }
+
+    /// The address that the server listens on.
+    ///
+    /// # Errors
+    /// [`HttpError::Listen`] if the socket is gone.
+    pub fn local_addr(&self) -> Result<SocketAddr, Report<HttpError>> {
+        self.listener.local_addr().change_context(HttpError::Listen)
+    }
+
+    /// Serves until `stop` resolves, then finishes every open request and joins the connections.
+    pub async fn run(self, ex: Executor, handler: Handler, stop: Shutdown) {
+        let mut tasks = Vec::new();
+        while let Some(stream) = self.accept_until(&stop).await {
+            let serve = serve_connection(stream, self.cfg.clone(), handler.clone(), stop.clone());
+            tasks.push(ex.spawn(serve));
+            tasks.retain(|t| !t.is_finished());
+        }
+        drop(self.listener);
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    async fn accept_until(&self, stop: &Shutdown) -> Option<TcpStream> {
+        let accept = async {
+            loop {
+                match self.listener.accept().await {
+                    Ok((stream, _)) => return Some(stream),
+                    // Out of file descriptors: wait for connections to end.
+                    Err(_) => smol::Timer::after(Duration::from_millis(10)).await,
+                };
+            }
+        };
+        accept.or(stopped(stop)).await
+    }
+}
+
+async fn stopped<T>(stop: &Shutdown) -> Option<T> {
+    let _ = stop.recv().await;
+    None
+}
+
+async fn serve_connection(stream: TcpStream, cfg: ServerConfig, handler: Handler, stop: Shutdown) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(cfg.header_timeout)
+        .max_headers(cfg.max_headers)
+        .max_buf_size(cfg.max_head_bytes.max(8 << 10))
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let ended = async {
+        let _ = conn.as_mut().await;
+        true
+    };
+    let stop = async {
+        let _ = stop.recv().await;
+        false
+    };
+    if !ended.or(stop).await {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
--- /dev/null
+++ b/components/http/src/sse.rs
@@ -0,0 +1,126 @@
+use bytes::{Buf, Bytes, BytesMut};
+use error_stack::Report;
+use http_body_util::BodyExt;
+
+use crate::HttpError;
+
+/// Longest line accepted in an event stream, in bytes.
+const MAX_LINE_BYTES: usize = 1 << 20;
+
+/// One server-sent event.
+///
+/// ```
+/// let event = http_io::SseEvent { id: Some("7".into()), data: "hello".into() };
+/// assert_eq!(event.to_bytes().as_ref(), b"id: 7\ndata: hello\n\n");
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SseEvent {
+    /// The `id` field.
+    pub id: Option<String>,
+    /// The `data` field; must hold no line break.
+    pub data: String,
+}
+
+impl SseEvent {
+    /// The event as it goes over the wire.
+    pub fn to_bytes(&self) -> Bytes {
+        let id_len = self.id.as_ref().map_or(0, |id| id.len() + 5);
+        let mut buf = Vec::with_capacity(id_len + self.data.len() + 8);
+        if let Some(id) = &self.id {
+            buf.extend_from_slice(b"id: ");
+            buf.extend_from_slice(id.as_bytes());
+            buf.push(b'\n');
+        }
+        buf.extend_from_slice(b"data: ");
+        buf.extend_from_slice(self.data.as_bytes());
+        buf.extend_from_slice(b"\n\n");
+        Bytes::from(buf)
+    }
+}
+
+/// Reads server-sent events from a body.
+pub struct SseReader<B> {
+    /// The body.
+    body: B,
+    /// Bytes read and not yet parsed.
+    buf: BytesMut,
+}
+
+impl<B: hyper::body::Body<Data = Bytes> + Unpin> SseReader<B> {
+    /// Starts reading at the head of a body.
+    pub fn new(body: B) -> Self {
+        Self {
+            body,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// The next event, or `None` at the end of the body.
+    ///
+    /// # Errors
+    /// [`HttpError::Interrupted`] when the body breaks off, [`HttpError::TooLarge`] for an endless line.
+    pub async fn next(&mut self) -> Result<Option<SseEvent>, Report<HttpError>> {
+        let mut event = SseEvent::default();
+        let mut seen = false;
+        loop {
+            let Some(line) = self.line().await? else {
+                return if seen {
+                    Err(Report::new(HttpError::Interrupted))
+                } else {
+                    Ok(None)
+                };
+            };
+            if line.is_empty() {
+                if seen {
+                    return Ok(Some(event));
+                }
+                continue;
+            }
+            seen |= read_field(&mut event, &line);
+        }
+    }
+
+    async fn line(&mut self) -> Result<Option<Bytes>, Report<HttpError>> {
+        let mut searched = 0;
+        loop {
+            if let Some(end) = self.buf[searched..].iter().position(|b| *b == b'\n') {
+                let mut line = self.buf.split_to(searched + end).freeze();
+                self.buf.advance(1);
+                if line.last() == Some(&b'\r') {
+                    line.truncate(line.len() - 1);
+                }
+                return Ok(Some(line));
+            }
+            searched = self.buf.len();
+            if searched > MAX_LINE_BYTES {
+                return Err(Report::new(HttpError::TooLarge {
+                    limit: MAX_LINE_BYTES,
+                }));
+            }
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(Report::new(HttpError::Interrupted)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buf.extend_from_slice(&data);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Stores a field of an event; false for comments and fields that are not used.
+fn read_field(event: &mut SseEvent, line: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(line);
+    let Some((name, value)) = text.split_once(':') else {
+        return false;
+    };
+    let value = value.strip_prefix(' ').unwrap_or(value);
+    match name {
+        "id" => event.id = Some(value.to_owned()),
+        "data" => event.data.push_str(value),
+        _ => return false,
+    }
+    true
+}
--- /dev/null
+++ b/components/platform/src/objects.rs
@@ -0,0 +1,13 @@
+use bytes::Bytes;
+use error_stack::Report;
+
+use crate::{BoxFuture, PlatformError};
+
+/// The platform's object store.
+pub trait ObjectStore: Send + Sync {
+    /// Stores an object under a key.
+    fn put(&self, key: String, content: Bytes) -> BoxFuture<'_, Result<(), Report<PlatformError>>>;
+
+    /// Reads an object; `None` if there is none.
+    fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Bytes>, Report<PlatformError>>>;
+}
--- /dev/null
+++ b/components/policy/src/lib.rs
@@ -0,0 +1,10 @@
+//! Pure decisions: no clock, no I/O, no threads. Each decision returns a value that explains itself.
+
+mod baseline;
+mod placement;
+
+pub use baseline::LeastLoaded;
+pub use placement::{
+    Candidate, CandidateKey, Chosen, CostTerms, Fetch, Placement, PlacementRequest, PlacementView, Placer,
+    Rejected, RejectedReason, TargetState,
+};
--- /dev/null
+++ b/components/targets/src/error.rs
@@ -0,0 +1,50 @@
+use http_io::HttpError;
+
+/// Why a call to a target failed, with what is known about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum TargetError {
+    /// No byte of the request reached the target.
+    #[error("the request was not sent")]
+    NotSent,
+    /// The target says that it did not run the request; the value is its HTTP status.
+    #[error("the target refused the request with status {0}")]
+    Refused(u16),
+    /// The connection broke after the request was sent.
+    #[error("the connection broke after the request was sent")]
+    Interrupted,
+    /// The target was silent for too long.
+    #[error("the target was silent for too long")]
+    TimedOut,
+    /// The answer belongs to another request or attempt.
+    #[error("the answer belongs to another request")]
+    Crossed,
+    /// The answer ended without its end marker or with a wrong count.
+    #[error("the answer is not whole")]
+    CutShort,
+    /// The target no longer has the weight version of the answer.
+    #[error("the weight version is not loaded")]
+    VersionGone,
+    /// The answer can not be read.
+    #[error("the answer can not be read")]
+    Malformed,
+}
+
+impl TargetError {
+    /// Whether it is certain that the target did not run the request.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::Refused(_) | Self::VersionGone)
+    }
+}
+
+impl From<HttpError> for TargetError {
+    fn from(e: HttpError) -> Self {
+        match e {
+            e if e.is_not_sent() => Self::NotSent,
+            HttpError::TimedOut => Self::TimedOut,
+            HttpError::Status(status) => Self::Refused(status),
+            HttpError::Malformed | HttpError::TooLarge { .. } => Self::Malformed,
+            _ => Self::Interrupted,
+        }
+    }
+}
--- /dev/null
+++ b/components/utils/src/digest.rs
@@ -0,0 +1,76 @@
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A BLAKE3 hash of 32 bytes, written as hexadecimal text.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest([u8; 32]);
+
+/// The text is not 64 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("a digest is 64 hexadecimal digits")]
+pub struct ParseDigestError;
+
+impl Digest {
+    /// The raw bytes.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl From<[u8; 32]> for Digest {
+    fn from(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = ParseDigestError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl FromStr for Digest {
+    type Err = ParseDigestError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        blake3::Hash::from_hex(s)
+            .map(|hash| Self(*hash.as_bytes()))
+            .map_err(|_| ParseDigestError)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Hashes bytes with BLAKE3.
+///
+/// ```
+/// let text = utils::digest(b"sack").to_string();
+/// assert_eq!(text.len(), 64);
+/// assert_eq!(text.parse(), Ok(utils::digest(b"sack")));
+/// ```
+pub fn digest(bytes: &[u8]) -> Digest {
+    Digest(*blake3::hash(bytes).as_bytes())
+}
--- /dev/null
+++ b/components/utils/src/lib.rs
@@ -0,0 +1,14 @@
+//! Identifiers, clocks and hashing that every crate uses.
+
+mod clock;
+mod digest;
+mod ids;
+mod rendezvous;
+
+pub use clock::{Clock, ManualClock, Monotonic, SystemClock};
+pub use digest::{Digest, ParseDigestError, digest};
+pub use ids::{
+    Attempt, Epoch, FailureDomainId, HostId, Incarnation, ModelId, NoteVersion, RegionId, RequestId,
+    ServiceId, TargetId, WeightVersion, WorkspaceId,
+};
+pub use rendezvous::{rendezvous_order, rendezvous_score};
