Claim calls that must not be repeated before they are sent

Cause: a grant or an order must run at most once, through lost answers of the table service, pauses and dead hosts. Change: the ledger's pure rules, interpreted from claim.yaml; group commit that takes refused rows out and sends the rest again; a circuit breaker; a writer task and handles for the traffic threads that clean up when dropped. Ruled out: taking over a dead host's claim on a target's word that it has not seen the call, and removing the rows of claims that were given up. Conclusion: the daemon needs a target's answer and a liveness view to use it.

--- a/components/charts/src/claim.rs
+++ b/components/charts/src/claim.rs
@@ -92,6 +92,11 @@
         })
     }
 
+    /// The chart.
+    pub fn chart(&self) -> &Chart {
+        &self.chart
+    }
+
     /// A machine in the initial state.
     pub fn machine(&self) -> Machine {
         Machine::new(Arc::clone(&self.chart))
--- a/components/charts/src/request.rs
+++ b/components/charts/src/request.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// The chart.
+    pub fn chart(&self) -> &Chart {
+        &self.chart
+    }
+
     /// A machine in the initial state.
     pub fn machine(&self) -> Machine {
         Machine::new(Arc::clone(&self.chart))
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -73,6 +73,16 @@
         "caller_gone",
         "The caller closed the connection before the end.",
     );
+    pub const LEDGER_CLOSED: Event = event(
+        2100,
+        "ledger_closed",
+        "The table service did not answer; calls that must not be repeated are refused.",
+    );
+    pub const LEDGER_BACK: Event = event(
+        2101,
+        "ledger_back",
+        "The table service answers again; waiting settlements are written.",
+    );
 
     pub const NOTE_STAGED: Event = event(
         3001,
@@ -113,6 +123,8 @@
     events::ATTEMPT_FAILED,
     events::OUTCOME_UNKNOWN,
     events::CALLER_GONE,
+    events::LEDGER_CLOSED,
+    events::LEDGER_BACK,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
--- /dev/null
+++ b/components/ledger/tests/batch.rs
@@ -0,0 +1,71 @@
+//! Writes that share a transaction.
+
+use ledger::{AttemptId, Batch, Batcher, ClaimRow, ClaimState, Holder, RowWrite, WriteResult};
+use platform::{Expect, MemoryTable};
+
+fn insert(key: &str, attempt: u128) -> RowWrite {
+    RowWrite {
+        key: key.to_owned(),
+        expect: Expect::Absent,
+        row: ClaimRow {
+            attempt: AttemptId(attempt),
+            holder: Holder {
+                host: "entry-1".into(),
+                incarnation: 1,
+            },
+            target: "desk-1".into(),
+            body: utils::digest(b""),
+            valid_ms: 1,
+            state: ClaimState::Claimed,
+        },
+    }
+}
+
+#[test]
+fn two_writes_of_one_row_never_share_a_transaction() {
+    let mut batcher = Batcher::default();
+    for attempt in 0..3 {
+        batcher.push(insert("a", attempt), attempt);
+        batcher.push(insert(&format!("b{attempt}"), attempt), 10 + attempt);
+    }
+    let sizes = [
+        take(&mut batcher).len(),
+        take(&mut batcher).len(),
+        take(&mut batcher).len(),
+    ];
+    assert_eq!(sizes, [4, 1, 1]);
+    assert!(batcher.is_empty());
+}
+
+#[test]
+fn one_refused_write_does_not_refuse_the_others() {
+    let table = MemoryTable::default();
+    let mut batcher = Batcher::default();
+    batcher.push(insert("b", 1), 1);
+    let (first, _) = settle(&table, take(&mut batcher));
+    assert_eq!(first, [(1, WriteResult::Applied(1))]);
+    for (i, key) in ["a", "b", "c"].into_iter().enumerate() {
+        batcher.push(insert(key, 10), i);
+    }
+    let (refused, rest) = settle(&table, take(&mut batcher));
+    assert!(matches!(&refused[..], [(1, WriteResult::Refused(Some(found)))] if found.version == 1));
+    let (applied, rest) = settle(&table, rest.expect("rest"));
+    assert_eq!(
+        applied,
+        [(0, WriteResult::Applied(2)), (2, WriteResult::Applied(2))]
+    );
+    assert!(rest.is_none());
+}
+
+type Settled = (Vec<(usize, WriteResult)>, Option<ledger::Batch<usize>>);
+
+fn settle(table: &MemoryTable, batch: ledger::Batch<usize>) -> Settled {
+    let committed = table.apply(&batch.transaction());
+    batch.settle(Ok(committed), |_: &Holder| true)
+}
+
+fn take<T>(batcher: &mut Batcher<T>) -> Batch<T> {
+    let mut batch = Batch::default();
+    batcher.fill(&mut batch, 64);
+    batch
+}
--- /dev/null
+++ b/components/ledger/tests/driver.rs
@@ -0,0 +1,220 @@
+//! The ledger's writer and handles on a table service with faults.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ledger::{Begun, CallEnd, Ended, HeldClaim, LedgerHandle, NewCall, RefusedReason, Verdict};
+use smol::LocalExecutor;
+use support::{Fault, FaultyTable, call, host, reply};
+use utils::{Clock, ManualClock, SystemClock};
+
+async fn held(handle: &LedgerHandle, new: NewCall) -> HeldClaim {
+    match handle.begin(new).await {
+        Begun::Held(claim) => claim,
+        Begun::Ask(_) => panic!("a question instead of a claim"),
+        Begun::Told(verdict) => panic!("{verdict:?} instead of a claim"),
+    }
+}
+
+async fn told(handle: &LedgerHandle, new: NewCall) -> Verdict {
+    match handle.begin(new).await {
+        Begun::Told(verdict) => verdict,
+        Begun::Held(_) => panic!("a claim instead of a verdict"),
+        Begun::Ask(_) => panic!("a question instead of a verdict"),
+    }
+}
+
+fn answered(claim: HeldClaim, text: &str) -> Verdict {
+    let Ok(sent) = claim.dispatch() else {
+        panic!("the claim has lapsed");
+    };
+    match sent.end(CallEnd::Answered(reply(text))) {
+        Ended::Told(verdict) => verdict,
+        Ended::Ask(_) => panic!("a question instead of a verdict"),
+    }
+}
+
+/// Waits until every settlement is written.
+async fn settled(handle: &LedgerHandle) {
+    while handle.stats().backlog.load(Ordering::Relaxed) > 0 {
+        smol::Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+fn system_clock() -> Arc<dyn Clock> {
+    Arc::new(SystemClock::new())
+}
+
+#[test]
+fn a_settled_answer_is_replayed_at_every_host_and_another_body_is_refused() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let (first, task) = host(&ex, &table, &clock, "entry-1");
+        let (second, other_task) = host(&ex, &table, &clock, "entry-2");
+        let claim = held(&first, call("7", 1, "20 bales")).await;
+        assert_eq!(told(&second, call("7", 2, "20 bales")).await, Verdict::InProgress);
+        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+        settled(&first).await;
+        assert_eq!(
+            told(&second, call("7", 3, "20 bales")).await,
+            Verdict::Reply(reply("order 7"))
+        );
+        let reused = Verdict::Refused(RefusedReason::KeyReused);
+        assert_eq!(told(&second, call("7", 4, "99 bales")).await, reused);
+        drop((first, second));
+        task.await;
+        other_task.await;
+    }));
+}
+
+#[test]
+fn nine_hosts_with_the_same_key_at_once_hold_one_claim() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let hosts: Vec<_> = (0..9)
+            .map(|i| host(&ex, &table, &clock, &format!("entry-{i}")))
+            .collect();
+        let mut tries = Vec::new();
+        for (i, (handle, _)) in hosts.iter().enumerate() {
+            for again in 0..2 {
+                let handle = handle.clone();
+                let new = call("7", (2 * i + again) as u128, "20 bales");
+                tries.push(ex.spawn(async move { handle.begin(new).await }));
+            }
+        }
+        let mut begun = Vec::new();
+        for one in tries {
+            begun.push(one.await);
+        }
+        assert_eq!(begun.iter().filter(|b| matches!(b, Begun::Held(_))).count(), 1);
+        let in_progress = |b: &&Begun| matches!(b, Begun::Told(Verdict::InProgress));
+        assert_eq!(begun.iter().filter(in_progress).count(), 17);
+    }));
+}
+
+#[test]
+fn a_lost_answer_is_read_back() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let (handle, _task) = host(&ex, &table, &clock, "entry-1");
+        table.set(Fault::LoseOne);
+        let claim = held(&handle, call("7", 1, "20 bales")).await;
+        assert_eq!(handle.stats().reads.load(Ordering::Relaxed), 1);
+        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+    }));
+}
+
+#[test]
+fn with_the_table_out_of_reach_calls_are_refused_and_settlements_wait() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let (handle, task) = host(&ex, &table, &clock, "entry-1");
+        let claim = held(&handle, call("7", 1, "20 bales")).await;
+        table.set(Fault::Silent);
+        let _ = answered(claim, "order 7");
+        let refused = Verdict::Refused(RefusedReason::StoreUnavailable);
+        for attempt in 2..50 {
+            let key = attempt.to_string();
+            assert_eq!(told(&handle, call(&key, attempt, "1 bale")).await, refused);
+        }
+        assert!(handle.stats().backlog.load(Ordering::Relaxed) > 0);
+        assert!(handle.stats().transactions.load(Ordering::Relaxed) <= 3);
+        table.set(Fault::None);
+        settled(&handle).await;
+        let replayed = told(&handle, call("7", 60, "20 bales")).await;
+        assert_eq!(replayed, Verdict::Reply(reply("order 7")));
+        let _ = answered(held(&handle, call("2", 61, "1 bale")).await, "order 2");
+        drop(handle);
+        task.await;
+    }));
+}
+
+#[test]
+fn a_paused_holder_does_not_send() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let manual = Arc::new(ManualClock::default());
+        let clock: Arc<dyn Clock> = manual.clone();
+        let table = Arc::new(FaultyTable::default());
+        let (handle, _task) = host(&ex, &table, &clock, "entry-1");
+        let claim = held(&handle, call("7", 1, "20 bales")).await;
+        manual.advance(Duration::from_secs(2));
+        let lapsed = claim.dispatch().err();
+        assert_eq!(lapsed, Some(Verdict::Refused(RefusedReason::Lapsed)));
+        manual.advance(Duration::from_secs(60));
+        let claim = held_soon(&handle, &manual, 2).await;
+        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+    }));
+}
+
+/// Tries until the claim that was given up is written as such.
+async fn held_soon(handle: &LedgerHandle, clock: &ManualClock, first_attempt: u128) -> HeldClaim {
+    for attempt in first_attempt..first_attempt + 1_000 {
+        clock.advance(Duration::from_millis(10));
+        if let Begun::Held(claim) = handle.begin(call("7", attempt, "20 bales")).await {
+            return claim;
+        }
+    }
+    panic!("the claim was not given up");
+}
+
+#[test]
+fn what_is_dropped_is_cleaned_up() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let (handle, _task) = host(&ex, &table, &clock, "entry-1");
+        drop(held(&handle, call("7", 1, "20 bales")).await);
+        settled(&handle).await;
+        let claim = held(&handle, call("7", 2, "20 bales")).await;
+        drop(claim.dispatch().ok());
+        settled(&handle).await;
+        let Begun::Ask(question) = handle.begin(call("7", 3, "20 bales")).await else {
+            panic!("the target is not asked");
+        };
+        assert_eq!(question.answer(None), Verdict::Unknown);
+        let Begun::Ask(question) = handle.begin(call("7", 4, "20 bales")).await else {
+            panic!("the target is not asked");
+        };
+        assert_eq!(
+            question.answer(Some(reply("order 7"))),
+            Verdict::Reply(reply("order 7"))
+        );
+        settled(&handle).await;
+        let replayed = told(&handle, call("7", 5, "20 bales")).await;
+        assert_eq!(replayed, Verdict::Reply(reply("order 7")));
+    }));
+}
+
+#[test]
+fn calls_of_the_same_moment_share_transactions() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let (table, clock) = (Arc::new(FaultyTable::default()), system_clock());
+        let (handle, _task) = host(&ex, &table, &clock, "entry-1");
+        let mut calls = Vec::new();
+        for i in 0..512u128 {
+            let handle = handle.clone();
+            calls.push(ex.spawn(async move {
+                let claim = held(&handle, call(&i.to_string(), i, "1 bale")).await;
+                answered(claim, "done")
+            }));
+        }
+        for one in calls {
+            assert_eq!(one.await, Verdict::Reply(reply("done")));
+        }
+        settled(&handle).await;
+        let transactions = handle.stats().transactions.load(Ordering::Relaxed);
+        let rows = handle.stats().rows.load(Ordering::Relaxed);
+        println!("512 calls: {transactions} transactions, {rows} rows");
+        assert_eq!(rows, 1_024);
+        assert!(transactions < 512);
+    }));
+}
