--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -1,5 +1,9 @@
 //! Small specifications of the core protocols, explored to the full reachable set.
 
+mod at_most_once;
 mod explore;
 
+pub use at_most_once::{
+    AtMostOnce, CallInvariant, CallMutant, World as CallWorld, WorldAction as CallAction,
+};
 pub use explore::{Counterexample, Explored, Spec, explore, fewest_steps};
