--- /dev/null
+++ b/components/entry/src/control/mod.rs
@@ -0,0 +1,88 @@
+//! The control thread: owns the control state and publishes views.
+
+mod poll;
+mod state;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use futures_lite::FutureExt;
+use http_io::{Client, ClientConfig, Executor, Shutdown};
+use platform::HttpPlatform;
+
+use crate::observe::Observation;
+use crate::operators;
+use crate::shared::Shared;
+use state::ControlState;
+
+/// Inputs that wait for the control loop.
+const QUEUE_LENGTH: usize = 1_024;
+
+/// Runs the control thread until `stop` resolves.
+pub(crate) fn run(
+    shared: Arc<Shared>,
+    operators: TcpListener,
+    observations: async_channel::Receiver<Observation>,
+    stop: Shutdown,
+) {
+    let ex: Executor = Arc::new(smol::Executor::new());
+    smol::block_on(ex.run(control(shared, operators, observations, stop, ex.clone())));
+}
+
+async fn control(
+    shared: Arc<Shared>,
+    operators: TcpListener,
+    observations: async_channel::Receiver<Observation>,
+    stop: Shutdown,
+    ex: Executor,
+) {
+    let cfg = ClientConfig {
+        response_timeout: shared.settings.platform.timeout(),
+        ..ClientConfig::default()
+    };
+    let client = Client::new(ex.clone(), cfg);
+    let platform = Arc::new(HttpPlatform::new(
+        client.clone(),
+        shared.settings.platform.address,
+    ));
+    let (tx, inputs) = async_channel::bounded(QUEUE_LENGTH);
+    let front = ex.spawn(operators::serve(
+        shared.clone(),
+        operators,
+        ex.clone(),
+        stop.clone(),
+    ));
+    let pollers = [
+        ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
+        ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
+        ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
+    ];
+    let mut state = ControlState::new(shared);
+    let work = async {
+        loop {
+            let input = async { inputs.recv().await.ok().map(Work::Input) };
+            let seen = async { observations.recv().await.ok().map(Work::Observation) };
+            match input.or(seen).await {
+                Some(Work::Input(input)) => state.apply(input),
+                Some(Work::Observation(observation)) => state.observe(&observation),
+                None => return,
+            }
+        }
+    };
+    let stopped = async {
+        let _ = stop.recv().await;
+    };
+    work.or(stopped).await;
+    for poller in pollers {
+        poller.cancel().await;
+    }
+    front.await;
+}
+
+/// What the control loop takes next.
+enum Work {
+    /// News from a poller.
+    Input(state::Input),
+    /// News from a traffic thread.
+    Observation(Observation),
+}
--- /dev/null
+++ b/components/entry/src/control/poll.rs
@@ -0,0 +1,133 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use errors::events;
+use http_io::{Client, Executor};
+use notes::Declared;
+use platform::{HostList, HttpPlatform, PlatformError, TableService};
+use rand::RngExt;
+use slog::{info, warn};
+use targets::{Engine, HttpEngine};
+use utils::TargetId;
+
+use super::state::Input;
+use crate::shared::Shared;
+
+/// Key of the row that holds what is declared.
+const DECLARED_KEY: &str = "notes/declared";
+/// Time between two load reports of a target.
+const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Sends inputs to the control loop.
+pub(crate) type Inputs = async_channel::Sender<Input>;
+
+/// Reads the platform's list again and again.
+pub(crate) async fn poll_list(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
+    let mut health = Health::new(&shared, "list");
+    let interval = Duration::from_millis(shared.settings.platform.list_interval_ms);
+    loop {
+        if let Some(list) = health.note(platform.list().await)
+            && tx.send(Input::List(list)).await.is_err()
+        {
+            return;
+        }
+        smol::Timer::after(jittered(interval)).await;
+    }
+}
+
+/// Reads what is declared again and again.
+pub(crate) async fn poll_declared(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
+    let mut health = Health::new(&shared, "declared");
+    let interval = Duration::from_millis(shared.settings.platform.head_interval_ms);
+    loop {
+        let rows = health.note(platform.read(vec![DECLARED_KEY.to_owned()]).await);
+        if let Some(row) = rows.and_then(|rows| rows.into_iter().next().flatten()) {
+            match serde_json::from_value::<Declared>(row.value) {
+                Ok(declared) => {
+                    if tx.send(Input::Declared(declared)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) => {
+                    warn!(shared.log, "what is declared can not be read"; events::NOTE_REJECTED, "error" => %e);
+                }
+            }
+        }
+        smol::Timer::after(jittered(interval)).await;
+    }
+}
+
+/// Reads the load of every known engine again and again.
+pub(crate) async fn poll_loads(shared: Arc<Shared>, client: Client, ex: Executor, tx: Inputs) {
+    let mut running: HashMap<TargetId, smol::Task<()>> = HashMap::new();
+    loop {
+        let view = shared.view.load_full();
+        running
+            .retain(|id, task| !task.is_finished() && view.placement.targets.values().any(|t| t.id == *id));
+        for candidate in view.placement.targets.values() {
+            if !running.contains_key(&candidate.id) {
+                let engine = HttpEngine::new(client.clone(), candidate.address);
+                let task = ex.spawn(poll_load(candidate.id.clone(), engine, tx.clone()));
+                running.insert(candidate.id.clone(), task);
+            }
+        }
+        smol::Timer::after(LOAD_INTERVAL).await;
+    }
+}
+
+async fn poll_load(id: TargetId, engine: HttpEngine, tx: Inputs) {
+    loop {
+        let report = engine.load().await.ok();
+        if tx.send(Input::Load(id.clone(), report)).await.is_err() {
+            return;
+        }
+        smol::Timer::after(jittered(LOAD_INTERVAL)).await;
+    }
+}
+
+/// Logs when calls to the platform begin to fail and when they work again.
+struct Health<'a> {
+    /// For the log.
+    shared: &'a Shared,
+    /// What is read.
+    what: &'static str,
+    /// Whether the last call failed.
+    failing: bool,
+}
+
+impl<'a> Health<'a> {
+    fn new(shared: &'a Shared, what: &'static str) -> Self {
+        Self {
+            shared,
+            what,
+            failing: false,
+        }
+    }
+
+    fn note<T>(&mut self, result: Result<T, Report<PlatformError>>) -> Option<T> {
+        match result {
+            Ok(value) => {
+                if self.failing {
+                    info!(self.shared.log, "platform answers"; events::PLATFORM_BACK, "what" => self.what);
+                }
+                self.failing = false;
+                Some(value)
+            }
+            Err(e) => {
+                if !self.failing {
+                    warn!(self.shared.log, "platform call failed"; events::PLATFORM_FAILED,
+                        "what" => self.what, "error" => %e.current_context());
+                }
+                self.failing = true;
+                None
+            }
+        }
+    }
+}
+
+/// An interval changed by up to a tenth, so that hosts spread out.
+fn jittered(interval: Duration) -> Duration {
+    interval.mul_f64(rand::rng().random_range(0.9..1.1))
+}
--- /dev/null
+++ b/components/entry/src/control/state.rs
@@ -0,0 +1,220 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use errors::events;
+use notes::Declared;
+use platform::{HostRole, HostState, ListedHost};
+use policy::{Candidate, CandidateKey, PlacementView, TargetState};
+use slog::info;
+use targets::{LoadReport, TargetError};
+use utils::TargetId;
+
+use crate::observe::Observation;
+use crate::shared::Shared;
+use crate::view::{ServiceTarget, Serving, View, index_keys};
+
+/// Load reports missed in a row after which a target counts as suspect.
+const MISSED_REPORTS: u32 = 3;
+
+/// News for the control state.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// The platform's list.
+    List(Vec<ListedHost>),
+    /// What is declared.
+    Declared(Declared),
+    /// A target's load, or `None` if it did not answer.
+    Load(TargetId, Option<LoadReport>),
+}
+
+/// All control state of a host. Lives on the control thread.
+pub(crate) struct ControlState {
+    /// Where views are published.
+    shared: Arc<Shared>,
+    /// The last list.
+    list: Vec<ListedHost>,
+    /// What is declared.
+    declared: Arc<Declared>,
+    /// API keys.
+    keys: Arc<std::collections::HashMap<utils::Digest, utils::WorkspaceId>>,
+    /// Engines; keys stay the same while an engine is listed.
+    engines: PlacementView,
+    /// Keys of the engines by name.
+    keys_by_id: BTreeMap<TargetId, CandidateKey>,
+    /// Reports missed in a row.
+    missed: BTreeMap<TargetId, u32>,
+}
+
+impl ControlState {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            list: Vec::new(),
+            declared: Arc::default(),
+            keys: Arc::default(),
+            engines: PlacementView::default(),
+            keys_by_id: BTreeMap::new(),
+            missed: BTreeMap::new(),
+        }
+    }
+
+    /// Takes news and publishes a new view if something changed.
+    pub(crate) fn apply(&mut self, input: Input) {
+        match input {
+            Input::List(list) => self.take_list(list),
+            Input::Declared(declared) => self.take_declared(declared),
+            Input::Load(id, report) => self.take_load(&id, report),
+        }
+        self.publish();
+    }
+
+    /// Takes what a traffic thread saw.
+    pub(crate) fn observe(&mut self, observation: &Observation) {
+        match observation {
+            Observation::Sent { key, tokens } => {
+                if let Some(candidate) = self.engines.targets.get_mut(*key) {
+                    candidate.sent_since_tokens += u64::from(*tokens);
+                    candidate.open += 1;
+                }
+            }
+            Observation::Ended { key, failure } => {
+                if let Some(candidate) = self.engines.targets.get_mut(*key) {
+                    candidate.open = candidate.open.saturating_sub(1);
+                    if *failure == Some(TargetError::NotSent) {
+                        candidate.state = suspect(candidate.state);
+                    }
+                }
+            }
+        }
+        self.publish();
+    }
+
+    fn take_list(&mut self, list: Vec<ListedHost>) {
+        if list == self.list {
+            return;
+        }
+        info!(self.shared.log, "list changed"; events::LIST_READ, "entries" => list.len());
+        let listed = |id: &TargetId| list.iter().any(|h| h.role == HostRole::Engine && h.id == *id);
+        let gone: Vec<_> = self.keys_by_id.keys().filter(|id| !listed(id)).cloned().collect();
+        for id in gone {
+            if let Some(key) = self.keys_by_id.remove(&id) {
+                self.engines.targets.remove(key);
+            }
+        }
+        for host in list.iter().filter(|h| h.role == HostRole::Engine) {
+            self.take_engine(host);
+        }
+        self.list = list;
+    }
+
+    fn take_engine(&mut self, host: &ListedHost) {
+        let state = match host.state {
+            HostState::Live => TargetState::Live,
+            HostState::Leaving => TargetState::Leaving,
+        };
+        let known = self
+            .keys_by_id
+            .get(&host.id)
+            .and_then(|key| self.engines.targets.get_mut(*key));
+        match known {
+            Some(candidate) => {
+                candidate.address = host.address;
+                candidate.state = state;
+            }
+            None => {
+                let key = self.engines.targets.insert(new_candidate(host, state));
+                self.keys_by_id.insert(host.id.clone(), key);
+            }
+        }
+    }
+
+    fn take_declared(&mut self, declared: Declared) {
+        if declared.version <= self.declared.version {
+            return;
+        }
+        info!(self.shared.log, "release note in force"; events::NOTE_IN_FORCE, "version" => declared.version);
+        self.keys = Arc::new(index_keys(&declared));
+        self.declared = Arc::new(declared);
+    }
+
+    fn take_load(&mut self, id: &TargetId, report: Option<LoadReport>) {
+        let Some(candidate) = self
+            .keys_by_id
+            .get(id)
+            .and_then(|key| self.engines.targets.get_mut(*key))
+        else {
+            return;
+        };
+        let Some(report) = report else {
+            let missed = self.missed.entry(id.clone()).or_default();
+            *missed += 1;
+            if *missed >= MISSED_REPORTS {
+                candidate.state = suspect(candidate.state);
+            }
+            return;
+        };
+        self.missed.remove(id);
+        if candidate.state == TargetState::Suspect {
+            candidate.state = TargetState::Live;
+        }
+        candidate.versions = report.versions;
+        candidate.queued_prompt_tokens = report.queued_prompt_tokens;
+        candidate.running = report.running;
+        candidate.slots = report.slots;
+        candidate.prefill_tokens_per_second = report.prefill_tokens_per_second;
+        candidate.reported_at = self.shared.clock.now().saturating_sub(report.age);
+        candidate.sent_since_tokens = 0;
+    }
+
+    fn publish(&self) {
+        let services = self.list.iter().filter(|h| h.role == HostRole::Service);
+        let view = View {
+            declared: self.declared.clone(),
+            keys: self.keys.clone(),
+            placement: self.engines.clone(),
+            services: services.map(service_target).collect(),
+            serving: if self.declared.version > 0 {
+                Serving::Yes
+            } else {
+                Serving::NoNote
+            },
+        };
+        self.shared.view.store(Arc::new(view));
+    }
+}
+
+fn suspect(state: TargetState) -> TargetState {
+    match state {
+        TargetState::Leaving => TargetState::Leaving,
+        TargetState::Live | TargetState::Suspect => TargetState::Suspect,
+    }
+}
+
+fn new_candidate(host: &ListedHost, state: TargetState) -> Candidate {
+    Candidate {
+        id: host.id.clone(),
+        address: host.address,
+        region: host.region.clone(),
+        failure_domain: host.failure_domain.clone(),
+        state,
+        versions: Vec::new(),
+        queued_prompt_tokens: 0,
+        running: 0,
+        slots: 0,
+        prefill_tokens_per_second: 0.0,
+        reported_at: std::time::Duration::ZERO,
+        sent_since_tokens: 0,
+        open: 0,
+    }
+}
+
+fn service_target(host: &ListedHost) -> ServiceTarget {
+    ServiceTarget {
+        id: host.id.clone(),
+        services: host.serves.clone(),
+        address: host.address,
+        region: host.region.clone(),
+        failure_domain: host.failure_domain.clone(),
+        state: host.state,
+    }
+}
--- /dev/null
+++ b/components/entry/src/daemon.rs
@@ -0,0 +1,157 @@
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use config::Settings;
+use error_stack::{Report, ResultExt};
+use errors::events;
+use http_io::{Shutdown, shutdown_channel};
+use policy::LeastLoaded;
+use slog::{Logger, info, o};
+use utils::{Clock, SystemClock};
+
+use crate::EntryError;
+use crate::control;
+use crate::metrics::Metrics;
+use crate::observe::Observer;
+use crate::outcomes::Outcomes;
+use crate::resume::Sealer;
+use crate::shared::Shared;
+use crate::traffic;
+use crate::view::ViewCell;
+
+/// Addresses that a running host listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// A running entry host: one control thread and several traffic threads.
+pub struct Daemon {
+    /// State of all threads.
+    shared: Arc<Shared>,
+    /// Where the host listens.
+    addresses: Addresses,
+    /// Dropped to end the traffic threads.
+    stop_traffic: async_channel::Sender<()>,
+    /// Dropped to end the control thread.
+    stop_control: async_channel::Sender<()>,
+    /// The traffic threads.
+    traffic: Vec<JoinHandle<()>>,
+    /// The control thread.
+    control: JoinHandle<()>,
+}
+
+impl Daemon {
+    /// Starts the threads of an entry host.
+    ///
+    /// # Errors
+    /// [`EntryError::Listen`] for an address that is taken; nothing runs then.
+    pub fn start(settings: Settings, log: Logger) -> Result<Self, Report<EntryError>> {
+        let callers = bind(settings.listen.callers)?;
+        let operators = bind(settings.listen.operators)?;
+        let addresses = Addresses {
+            callers: local(&callers)?,
+            operators: local(&operators)?,
+        };
+        let (observer, observations) = Observer::new();
+        let shared = Arc::new(build_shared(settings, log, observer)?);
+        let (stop_control, control_stopped) = shutdown_channel();
+        let (stop_traffic, traffic_stopped) = shutdown_channel();
+        let control = spawn("control", {
+            let shared = shared.clone();
+            move || control::run(shared, operators, observations, control_stopped)
+        })?;
+        let traffic = spawn_traffic(&shared, &callers, &traffic_stopped)?;
+        info!(shared.log, "accepting connections"; events::HOST_STARTED,
+            "callers" => %addresses.callers, "operators" => %addresses.operators);
+        Ok(Self {
+            shared,
+            addresses,
+            stop_traffic,
+            stop_control,
+            traffic,
+            control,
+        })
+    }
+
+    /// Where the host listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Reports not ready, waits until the balancer has noticed, finishes all open work and joins the threads.
+    ///
+    /// # Errors
+    /// [`EntryError::Panicked`] if a thread did not end by itself.
+    pub fn drain(self) -> Result<(), Report<EntryError>> {
+        self.shared.draining.store(true, Ordering::Release);
+        info!(self.shared.log, "draining"; events::DRAIN_STARTED,
+            "open_streams" => self.shared.open_streams.load(Ordering::Acquire));
+        std::thread::sleep(Duration::from_millis(
+            self.shared.settings.timeouts.drain_notice_ms,
+        ));
+        drop(self.stop_traffic);
+        for thread in self.traffic {
+            thread.join().map_err(|_| EntryError::Panicked)?;
+        }
+        drop(self.stop_control);
+        self.control.join().map_err(|_| EntryError::Panicked)?;
+        info!(self.shared.log, "stopped"; events::HOST_STOPPED);
+        Ok(())
+    }
+}
+
+fn build_shared(settings: Settings, log: Logger, observer: Observer) -> Result<Shared, Report<EntryError>> {
+    let log = log.new(o!("host" => settings.host.id.to_string()));
+    Ok(Shared {
+        incarnation: rand::random(),
+        clock: Arc::new(SystemClock::new()) as Arc<dyn Clock>,
+        log,
+        metrics: Metrics::new()?,
+        view: ViewCell::default(),
+        placer: Arc::new(LeastLoaded),
+        sealer: Sealer::new(settings.secrets.resume),
+        observer,
+        outcomes: Outcomes::default(),
+        draining: AtomicBool::new(false),
+        open_streams: AtomicUsize::new(0),
+        settings,
+    })
+}
+
+fn spawn_traffic(
+    shared: &Arc<Shared>,
+    callers: &TcpListener,
+    stop: &Shutdown,
+) -> Result<Vec<JoinHandle<()>>, Report<EntryError>> {
+    let mut threads = Vec::new();
+    for i in 0..shared.settings.threads.traffic {
+        let listener = callers.try_clone().change_context(EntryError::Thread)?;
+        let (shared, stop) = (shared.clone(), stop.clone());
+        threads.push(spawn(&format!("traffic-{i}"), move || {
+            traffic::run(shared, listener, stop)
+        })?);
+    }
+    Ok(threads)
+}
+
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Report<EntryError>> {
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .change_context(EntryError::Thread)
+}
+
+fn bind(addr: SocketAddr) -> Result<TcpListener, Report<EntryError>> {
+    TcpListener::bind(addr).change_context(EntryError::Listen(addr))
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, Report<EntryError>> {
+    listener.local_addr().change_context(EntryError::Thread)
+}
--- /dev/null
+++ b/components/entry/src/error.rs
@@ -0,0 +1,17 @@
+/// Why an entry host can not start or end cleanly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum EntryError {
+    /// An address of the settings can not be listened on.
+    #[error("can not listen on {0}")]
+    Listen(std::net::SocketAddr),
+    /// The metrics can not be set up.
+    #[error("can not set up the metrics")]
+    Metrics,
+    /// A thread can not be started.
+    #[error("can not start a thread")]
+    Thread,
+    /// A thread ended by a panic.
+    #[error("a thread ended by a panic")]
+    Panicked,
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,16 @@
+//! The entry daemon: takes requests from callers, places them and relays the answers.
 
+mod control;
+mod daemon;
+mod error;
+mod metrics;
+mod observe;
+mod operators;
+mod outcomes;
+mod resume;
+mod shared;
+mod traffic;
+mod view;
+
+pub use daemon::{Addresses, Daemon};
+pub use error::EntryError;
--- /dev/null
+++ b/components/entry/src/observe.rs
@@ -0,0 +1,58 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use policy::CandidateKey;
+use targets::TargetError;
+
+/// Observations that wait for the control thread.
+const QUEUE_LENGTH: usize = 4_096;
+
+/// What a traffic thread tells the control thread.
+#[derive(Debug, Clone)]
+pub(crate) enum Observation {
+    /// A draft was sent to a target.
+    Sent {
+        /// The target.
+        key: CandidateKey,
+        /// Prompt tokens sent.
+        tokens: u32,
+    },
+    /// A draft ended at a target.
+    Ended {
+        /// The target.
+        key: CandidateKey,
+        /// Why it failed, if it did.
+        failure: Option<TargetError>,
+    },
+}
+
+/// The traffic threads' end of the channel to the control thread. A full channel drops and counts.
+#[derive(Debug)]
+pub(crate) struct Observer {
+    /// Sends to the control thread.
+    tx: async_channel::Sender<Observation>,
+    /// Observations that were dropped.
+    dropped: AtomicU64,
+}
+
+impl Observer {
+    pub(crate) fn new() -> (Self, async_channel::Receiver<Observation>) {
+        let (tx, rx) = async_channel::bounded(QUEUE_LENGTH);
+        (
+            Self {
+                tx,
+                dropped: AtomicU64::new(0),
+            },
+            rx,
+        )
+    }
+
+    pub(crate) fn tell(&self, observation: Observation) {
+        if self.tx.try_send(observation).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/components/entry/src/operators.rs
@@ -0,0 +1,116 @@
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_io::{Body, Executor, Handler, Server, ServerConfig, Shutdown, full_body, json_body};
+use hyper::{Request, Response};
+use serde::Serialize;
+
+use crate::shared::Shared;
+use crate::view::Serving;
+
+/// What `GET /v1/state` answers.
+#[derive(Serialize)]
+struct State<'a> {
+    /// Name of the host.
+    host: &'a str,
+    /// Run of the process.
+    incarnation: String,
+    /// Version of the release notes in force here.
+    note_version: u64,
+    /// Whether the host takes new work.
+    serving: Serving,
+    /// Whether the host is on its way out.
+    draining: bool,
+    /// Streams that are open.
+    open_streams: usize,
+    /// Engines and their state.
+    engines: Vec<(&'a str, policy::TargetState)>,
+    /// Plain services.
+    services: Vec<&'a str>,
+    /// Observations that the control thread never saw.
+    observations_dropped: u64,
+}
+
+/// Serves the operators' address until `stop` resolves.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, ex: Executor, stop: Shutdown) {
+    let Ok(server) = Server::from_std(listener, ServerConfig::default()) else {
+        return;
+    };
+    let handler: Handler = Arc::new(move |req| {
+        let shared = shared.clone();
+        Box::pin(async move { answer(&shared, &req) })
+    });
+    server.run(ex, handler, stop).await;
+}
+
+fn answer<B>(shared: &Shared, req: &Request<B>) -> Response<Body> {
+    let path = req.uri().path();
+    match path {
+        "/healthz" => text(200, "text/plain", "ok\n"),
+        "/readyz" => ready(shared),
+        "/metrics" => text(200, "text/plain; version=0.0.4", shared.metrics.text()),
+        "/v1/state" => json(&state(shared)),
+        _ => match path.strip_prefix("/v1/decisions/") {
+            Some(id) => decision(shared, id),
+            None => text(404, "text/plain", "not found\n"),
+        },
+    }
+}
+
+fn ready(shared: &Shared) -> Response<Body> {
+    if shared.is_draining() {
+        return text(503, "text/plain", "draining\n");
+    }
+    match shared.view.load().serving {
+        Serving::Yes => text(200, "text/plain", "ready\n"),
+        Serving::NoNote => text(503, "text/plain", "no release note read yet\n"),
+    }
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    let mut res = Response::new(json_body(value));
+    let content_type = hyper::header::HeaderValue::from_static("application/json");
+    res.headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    res
+}
+
+fn decision(shared: &Shared, id: &str) -> Response<Body> {
+    let found = u128::from_str_radix(id, 16)
+        .ok()
+        .and_then(|id| shared.outcomes.get(id));
+    match found {
+        Some(remembered) => json(&remembered),
+        None => text(404, "text/plain", "this host does not remember the request\n"),
+    }
+}
+
+fn state(shared: &Shared) -> impl Serialize {
+    let view = shared.view.load();
+    serde_json::json!(State {
+        host: &shared.settings.host.id,
+        incarnation: format!("{:016x}", shared.incarnation),
+        note_version: view.declared.version,
+        serving: view.serving,
+        draining: shared.is_draining(),
+        open_streams: shared.open_streams.load(std::sync::atomic::Ordering::Acquire),
+        engines: view
+            .placement
+            .targets
+            .values()
+            .map(|t| (&*t.id, t.state))
+            .collect(),
+        services: view.services.iter().map(|s| &*s.id).collect(),
+        observations_dropped: shared.observer.dropped(),
+    })
+}
+
+fn text(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Response<Body> {
+    let mut res = Response::new(full_body(body));
+    *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    let content_type = hyper::header::HeaderValue::from_static(content_type);
+    res.headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    res
+}
--- /dev/null
+++ b/components/entry/src/resume.rs
@@ -0,0 +1,156 @@
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use data_encoding::BASE64URL_NOPAD;
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+use utils::{Attempt, Digest, ModelId, RequestId, WeightVersion, WorkspaceId};
+
+/// Bytes of the authentication tag at the end of a token.
+const TAG_BYTES: usize = 16;
+/// Age after which a token is refused.
+pub(crate) const TOKEN_LIFETIME: Duration = Duration::from_secs(15 * 60);
+
+/// Why a resume token is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub(crate) enum TokenError {
+    /// The token was not made with the shared secret, or was changed.
+    #[error("the token is not authentic")]
+    Forged,
+    /// The token belongs to another workspace.
+    #[error("the token belongs to another workspace")]
+    Foreign,
+    /// The token is too old.
+    #[error("the token has expired")]
+    Expired,
+}
+
+/// Where a stream stands; goes to the caller as the `id` of each event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ResumePoint {
+    /// Identifier of the request.
+    pub request_id: RequestId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Model that runs.
+    pub model: ModelId,
+    /// Weight version that runs.
+    pub weight_version: WeightVersion,
+    /// Engine that runs the draft.
+    pub address: SocketAddr,
+    /// Number of the last try.
+    pub attempt: Attempt,
+    /// Tokens that the caller has after this event.
+    pub offset: u32,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Whether the answer is in the chat format.
+    pub chat: bool,
+    /// When the draft began, in seconds since 1970.
+    pub began: u64,
+}
+
+/// Makes and checks resume tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct Sealer {
+    /// Key of the BLAKE3 tags.
+    key: Digest,
+}
+
+impl Sealer {
+    pub(crate) fn new(key: Digest) -> Self {
+        Self { key }
+    }
+
+    /// The token of a point.
+    pub(crate) fn seal(&self, point: &ResumePoint) -> String {
+        let mut bytes = postcard::to_stdvec(point).unwrap_or_default();
+        let tag = blake3::keyed_hash(self.key.as_bytes(), &bytes);
+        bytes.extend_from_slice(&tag.as_bytes()[..TAG_BYTES]);
+        BASE64URL_NOPAD.encode(&bytes)
+    }
+
+    /// The point of a token that a caller of `workspace` sent.
+    ///
+    /// # Errors
+    /// [`TokenError`] if the token is not to be trusted.
+    pub(crate) fn open(
+        &self,
+        token: &str,
+        workspace: &str,
+        now: SystemTime,
+    ) -> Result<ResumePoint, Report<TokenError>> {
+        let bytes = BASE64URL_NOPAD
+            .decode(token.as_bytes())
+            .change_context(TokenError::Forged)?;
+        let body_len = bytes.len().checked_sub(TAG_BYTES).ok_or(TokenError::Forged)?;
+        let (body, tag) = bytes.split_at(body_len);
+        let expected = blake3::keyed_hash(self.key.as_bytes(), body);
+        if !bool::from(expected.as_bytes()[..TAG_BYTES].ct_eq(tag)) {
+            return Err(Report::new(TokenError::Forged));
+        }
+        let point: ResumePoint = postcard::from_bytes(body).change_context(TokenError::Forged)?;
+        if &*point.workspace != workspace {
+            return Err(Report::new(TokenError::Foreign));
+        }
+        let began = SystemTime::UNIX_EPOCH + Duration::from_secs(point.began);
+        let age = now.duration_since(began).unwrap_or_default();
+        if age > TOKEN_LIFETIME {
+            return Err(Report::new(TokenError::Expired));
+        }
+        Ok(point)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn point() -> ResumePoint {
+        ResumePoint {
+            request_id: 7,
+            workspace: "mill".into(),
+            model: "quotes".into(),
+            weight_version: 3,
+            address: ([127, 0, 0, 1], 9000).into(),
+            attempt: 1,
+            offset: 12,
+            max_tokens: 64,
+            chat: false,
+            began: 1_000,
+        }
+    }
+
+    fn at(seconds: u64) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(seconds)
+    }
+
+    #[test]
+    fn opens_what_it_sealed() {
+        let sealer = Sealer::new(utils::digest(b"secret"));
+        let token = sealer.seal(&point());
+        assert_eq!(sealer.open(&token, "mill", at(1_010)).unwrap(), point());
+    }
+
+    #[test]
+    fn refuses_forged_foreign_and_expired_tokens() {
+        let sealer = Sealer::new(utils::digest(b"secret"));
+        let token = sealer.seal(&point());
+        let other = Sealer::new(utils::digest(b"other"));
+        let error = |r: Result<ResumePoint, Report<TokenError>>| *r.unwrap_err().current_context();
+        assert_eq!(error(other.open(&token, "mill", at(1_010))), TokenError::Forged);
+        assert_eq!(
+            error(sealer.open(&token[1..], "mill", at(1_010))),
+            TokenError::Forged
+        );
+        assert_eq!(error(sealer.open("", "mill", at(1_010))), TokenError::Forged);
+        assert_eq!(error(sealer.open(&token, "yard", at(1_010))), TokenError::Foreign);
+        assert_eq!(
+            error(sealer.open(&token, "mill", at(1_000 + 15 * 60 + 1))),
+            TokenError::Expired
+        );
+    }
+}
--- /dev/null
+++ b/components/entry/src/traffic/drafts.rs
@@ -0,0 +1,343 @@
+use std::time::Duration;
+
+use errors::{Outcome, ProblemKind, events};
+use futures_lite::FutureExt;
+use http_io::{Body, SseEvent};
+use hyper::{Method, Response};
+use policy::{Chosen, Placement, PlacementRequest};
+use slog::{info, warn};
+use targets::{DraftEvent, DraftRequest, DraftStream, Engine, HttpEngine, TargetError};
+use utils::{Monotonic, TargetId, WeightVersion};
+
+use super::failure::Failure;
+use super::openai::{ChatBody, CompletionBody, Prompt, Writer};
+use super::relay::Relay;
+use super::respond::id_text;
+use super::route::{Received, check_serving};
+use super::{Context, respond};
+use crate::observe::Observation;
+use crate::outcomes::Remembered;
+use crate::resume::ResumePoint;
+
+/// Bytes of prompt text that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Most tries for one draft, over all targets.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// A draft on its way.
+pub(crate) struct Draft {
+    /// The thread's context.
+    pub cx: Context,
+    /// The request.
+    pub received: Received,
+    /// What goes to the engine.
+    pub req: DraftRequest,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether the answer is in the chat format.
+    pub chat: bool,
+    /// When the request came.
+    pub began: Monotonic,
+    /// When the first token is due.
+    pub due: Monotonic,
+    /// Targets that failed.
+    pub excluded: Vec<TargetId>,
+    /// Whether a target may have run the request.
+    pub sent: bool,
+}
+
+/// A draft whose first event arrived.
+pub(crate) struct Opened {
+    /// Where it runs.
+    pub chosen: Chosen,
+    /// Its events.
+    pub stream: Box<dyn DraftStream>,
+    /// The first event.
+    pub first: DraftEvent,
+}
+
+/// Answers a completion request, or resumes a stream.
+pub(crate) async fn answer(cx: &Context, received: Received) -> Result<Response<Body>, Failure> {
+    if received.method != Method::POST {
+        return Err(Failure::refused(ProblemKind::MethodNotAllowed, "use POST"));
+    }
+    if let Some(token) = received.headers.get("last-event-id") {
+        let token = token.to_str().unwrap_or_default().to_owned();
+        return super::relay::resume(cx, received, &token).await;
+    }
+    check_serving(&received.view)?;
+    let prompt = parse(&received)?;
+    let draft = Draft::new(cx, received, prompt)?;
+    draft.run().await
+}
+
+fn parse(received: &Received) -> Result<Prompt, Failure> {
+    let malformed = |e: serde_json::Error| Failure::refused(ProblemKind::MalformedRequest, e.to_string());
+    if received.path == "/v1/chat/completions" {
+        let body: ChatBody = serde_json::from_slice(&received.body).map_err(malformed)?;
+        return Ok(body.into());
+    }
+    let body: CompletionBody = serde_json::from_slice(&received.body).map_err(malformed)?;
+    Ok(body.into())
+}
+
+impl Draft {
+    fn new(cx: &Context, mut received: Received, prompt: Prompt) -> Result<Self, Failure> {
+        received.body = bytes::Bytes::new();
+        let declared = &received.view.declared;
+        let found = declared.deployments.get_key_value(prompt.model.as_str());
+        let Some((model, deployment)) = found.filter(|(_, d)| d.is_open_to(&received.workspace)) else {
+            return Err(Failure::refused(ProblemKind::UnknownModel, prompt.model));
+        };
+        let prompt_tokens = u32::try_from(prompt.text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
+        let limit = cx.shared.settings.limits.prompt_tokens;
+        if prompt_tokens > limit {
+            let detail = format!("{prompt_tokens} tokens; at most {limit} are allowed");
+            return Err(Failure::refused(ProblemKind::PromptTooLong, detail));
+        }
+        let began = cx.shared.clock.now();
+        let priority = declared
+            .workspaces
+            .get(&received.workspace)
+            .map_or(0, |w| w.priority);
+        let req = DraftRequest {
+            request_id: received.id,
+            attempt: 0,
+            workspace: received.workspace.clone(),
+            model: model.clone(),
+            weight_version: deployment.weight_version,
+            prompt_tokens,
+            prompt: prompt.text,
+            pieces: Vec::new(),
+            max_tokens: prompt.max_tokens.clamp(1, deployment.max_tokens),
+            priority,
+            offset: 0,
+            continued: String::new(),
+            resume_only: false,
+        };
+        let due = began + deployment.first_token_deadline();
+        let (cx, stream, chat) = (cx.clone(), prompt.stream, prompt.chat);
+        Ok(Self {
+            cx,
+            received,
+            req,
+            stream,
+            chat,
+            began,
+            due,
+            excluded: Vec::new(),
+            sent: false,
+        })
+    }
+
+    async fn run(mut self) -> Result<Response<Body>, Failure> {
+        let Some(guard) = self.cx.shared.open_stream() else {
+            return Err(Failure::refused(
+                ProblemKind::TooManyStreams,
+                "this host has too many open streams",
+            ));
+        };
+        let opened = self.open().await?;
+        let (id, note) = (id_text(self.received.id), self.received.view.declared.version);
+        if !self.stream {
+            let relay = Relay::new(self, opened, guard);
+            let whole = relay.collect().await?;
+            let mut res = respond::json(&(), Outcome::Ran, &id, note);
+            *res.body_mut() = http_io::full_body(whole);
+            return Ok(res);
+        }
+        let relay = Relay::new(self, opened, guard);
+        Ok(respond::stream(relay.into_body(), &id, note))
+    }
+
+    /// Places and sends the draft until one target's first event arrives.
+    pub(crate) async fn open(&mut self) -> Result<Opened, Failure> {
+        loop {
+            let chosen = self.place()?;
+            let tried = self.try_at(&chosen, false).await;
+            let failure = match tried {
+                Ok((stream, first)) => {
+                    return Ok(Opened {
+                        chosen,
+                        stream,
+                        first,
+                    });
+                }
+                Err(failure) => failure,
+            };
+            self.note_failure(&chosen, failure);
+            if self.req.attempt >= MAX_ATTEMPTS || self.cx.shared.clock.now() >= self.due {
+                return Err(self.failed("no target answered"));
+            }
+        }
+    }
+
+    /// Sends the draft to one target and waits for its first event.
+    pub(crate) async fn try_at(
+        &mut self,
+        chosen: &Chosen,
+        new_connection: bool,
+    ) -> Result<(Box<dyn DraftStream>, DraftEvent), TargetError> {
+        self.req.attempt += 1;
+        let engine = HttpEngine::new(self.cx.engines.clone(), chosen.address);
+        let shared = &self.cx.shared;
+        shared.observer.tell(Observation::Sent {
+            key: chosen.key,
+            tokens: self.req.prompt_tokens,
+        });
+        let limit = Duration::from_millis(shared.settings.timeouts.first_event_ms);
+        let req = self.req.clone();
+        let open = async {
+            let mut stream = if new_connection {
+                engine.draft_on_new_connection(req).await
+            } else {
+                engine.draft(req).await
+            }
+            .map_err(|e| *e.current_context())?;
+            let first = stream.next().await.map_err(|e| *e.current_context())?;
+            first.map(|first| (stream, first)).ok_or(TargetError::CutShort)
+        };
+        let late = async {
+            smol::Timer::after(limit).await;
+            Err(TargetError::TimedOut)
+        };
+        open.or(late).await
+    }
+
+    /// Records that a try failed and keeps its target out of the next placement.
+    pub(crate) fn note_failure(&mut self, chosen: &Chosen, failure: TargetError) {
+        self.sent |= !failure.is_not_run();
+        self.excluded.push(chosen.target.clone());
+        let shared = &self.cx.shared;
+        shared.metrics.attempt("failed");
+        shared.observer.tell(Observation::Ended {
+            key: chosen.key,
+            failure: Some(failure),
+        });
+        warn!(shared.log, "attempt failed"; events::ATTEMPT_FAILED,
+            "request" => id_text(self.received.id), "attempt" => self.req.attempt,
+            "target" => &*chosen.target, "failure" => %failure);
+    }
+
+    /// The failure of the whole request, with what is known about its tries.
+    pub(crate) fn failed(&self, detail: &str) -> Failure {
+        let failure = if self.sent {
+            Failure::unknown
+        } else {
+            Failure::refused
+        };
+        failure(
+            if self.sent {
+                ProblemKind::TargetFailed
+            } else {
+                ProblemKind::NoTarget
+            },
+            detail,
+        )
+    }
+
+    /// Chooses a target on the view of now.
+    pub(crate) fn place(&self) -> Result<Chosen, Failure> {
+        let shared = &self.cx.shared;
+        let view = shared.view.load();
+        let now = shared.clock.now();
+        let (workspace, model) = (&self.req.workspace, &self.req.model);
+        let cost = view
+            .declared
+            .workspaces
+            .get(workspace)
+            .map(|w| w.cost)
+            .unwrap_or_default();
+        let req = PlacementRequest {
+            workspace,
+            model,
+            weight_version: self.req.weight_version,
+            pieces: &self.req.pieces,
+            prompt_tokens: self.req.prompt_tokens,
+            region: &shared.settings.host.region,
+            excluded: &self.excluded,
+            time_left: self.due.saturating_sub(now),
+            first_token_weight: cost.first_token,
+            recomputed_weight: cost.recomputed,
+            link_weight: cost.link,
+            seed: self.received.id as u64 ^ shared.incarnation,
+        };
+        let rules = &view.declared;
+        let allowed = |c: &policy::Candidate| rules.allows(workspace, model, &c.region, &c.failure_domain);
+        let placement = shared.placer.place(&view.placement, &req, &allowed, now);
+        self.log_placement(&placement);
+        placement
+            .chosen
+            .ok_or_else(|| self.failed("no live target serves the model at this version"))
+    }
+
+    fn log_placement(&self, placement: &Placement) {
+        let shared = &self.cx.shared;
+        let explained = serde_json::to_value(placement).unwrap_or_default();
+        info!(shared.log, "request placed"; events::PLACED,
+            "request" => id_text(self.received.id), "attempt" => self.req.attempt + 1, "placement" => %explained);
+        self.remember("placed", self.failed("").outcome, Some(explained));
+    }
+
+    /// Keeps the request's state for whoever asks for it.
+    pub(crate) fn remember(
+        &self,
+        state: &'static str,
+        outcome: Outcome,
+        placement: Option<serde_json::Value>,
+    ) {
+        let workspace = self.received.workspace.clone();
+        let outcomes = &self.cx.shared.outcomes;
+        let placement = placement.or_else(|| outcomes.get(self.received.id).and_then(|r| r.placement));
+        outcomes.record(
+            self.received.id,
+            Remembered {
+                workspace,
+                state,
+                outcome,
+                placement,
+            },
+        );
+    }
+
+    /// Writes the objects of the answer.
+    pub(crate) fn writer(&self) -> Writer {
+        Writer {
+            id: format!("cmpl-{}", id_text(self.received.id)),
+            model: self.req.model.to_string(),
+            created: self.wall_seconds(),
+            chat: self.chat,
+        }
+    }
+
+    /// Seconds since 1970.
+    pub(crate) fn wall_seconds(&self) -> u64 {
+        let since = self.cx.shared.clock.wall().duration_since(std::time::UNIX_EPOCH);
+        since.unwrap_or_default().as_secs()
+    }
+
+    /// Where the stream stands after `offset` tokens.
+    pub(crate) fn resume_point(&self, chosen: &Chosen, version: WeightVersion, offset: u32) -> ResumePoint {
+        ResumePoint {
+            request_id: self.received.id,
+            workspace: self.req.workspace.clone(),
+            model: self.req.model.clone(),
+            weight_version: version,
+            address: chosen.address,
+            attempt: self.req.attempt,
+            offset,
+            max_tokens: self.req.max_tokens,
+            chat: self.chat,
+            began: self.wall_seconds(),
+        }
+    }
+}
+
+/// The event that tells a caller that the stream ends early.
+pub(crate) fn error_event(failure: &Failure, id: &str) -> SseEvent {
+    let problem = serde_json::json!({ "error": failure.problem(id) });
+    SseEvent {
+        id: None,
+        data: problem.to_string(),
+    }
+}
--- /dev/null
+++ b/components/entry/src/traffic/mod.rs
@@ -0,0 +1,76 @@
+//! The traffic threads: each accepts connections and serves them on its own executor.
+
+mod calls;
+mod drafts;
+mod failure;
+mod openai;
+mod relay;
+mod respond;
+mod route;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
+use platform::HttpPlatform;
+
+use crate::shared::Shared;
+
+/// What a traffic thread needs to answer requests.
+#[derive(Clone)]
+pub(crate) struct Context {
+    /// State of all threads.
+    pub shared: Arc<Shared>,
+    /// Sends drafts to engines.
+    pub engines: Client,
+    /// Sends calls to plain services.
+    pub services: Client,
+    /// The platform.
+    pub platform: Arc<HttpPlatform>,
+}
+
+/// Longest time for a plain service's answer, whatever the release note says.
+const LONGEST_CALL: Duration = Duration::from_secs(60);
+
+/// Serves callers until `stop` resolves and every open request is finished.
+pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, stop: Shutdown) {
+    let limits = &shared.settings.limits;
+    let cfg = ServerConfig {
+        header_timeout: Duration::from_millis(shared.settings.timeouts.header_ms),
+        max_headers: limits.headers,
+        max_head_bytes: limits.head_bytes,
+    };
+    let Ok(server) = Server::from_std(listener, cfg) else {
+        return;
+    };
+    let ex: Executor = Arc::new(smol::Executor::new());
+    let cx = Context::new(shared, &ex);
+    let handler: Handler = Arc::new(move |req| {
+        let cx = cx.clone();
+        Box::pin(async move { route::answer(cx, req).await })
+    });
+    smol::block_on(ex.run(server.run(ex.clone(), handler, stop)));
+}
+
+impl Context {
+    fn new(shared: Arc<Shared>, ex: &Executor) -> Self {
+        let client = |response_timeout| {
+            Client::new(
+                ex.clone(),
+                ClientConfig {
+                    response_timeout,
+                    ..ClientConfig::default()
+                },
+            )
+        };
+        let first_event = Duration::from_millis(shared.settings.timeouts.first_event_ms);
+        let platform = client(shared.settings.platform.timeout());
+        Self {
+            platform: Arc::new(HttpPlatform::new(platform, shared.settings.platform.address)),
+            engines: client(first_event),
+            services: client(LONGEST_CALL),
+            shared,
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/traffic/route.rs
@@ -0,0 +1,174 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::{Outcome, ProblemKind, events};
+use futures_lite::FutureExt;
+use http_io::{Body, HttpError, read_limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderMap};
+use hyper::{Method, Request, Response};
+use slog::info;
+use utils::{RequestId, WorkspaceId};
+
+use super::failure::Failure;
+use super::respond::id_text;
+use super::{Context, calls, drafts, respond};
+use crate::outcomes::Remembered;
+use crate::view::{Serving, View};
+
+/// A request with its caller known.
+pub(crate) struct Received {
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// View under which the request is served.
+    pub view: std::sync::Arc<View>,
+    /// Method.
+    pub method: Method,
+    /// Path with its leading slash.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(cx: Context, req: Request<Incoming>) -> Response<Body> {
+    let id: RequestId = rand::random();
+    let view = cx.shared.view.load_full();
+    let note = view.declared.version;
+    let kind = kind_of(req.uri().path());
+    match serve(&cx, id, view, req).await {
+        Ok(res) => res,
+        Err(failure) => {
+            let id_text = id_text(id);
+            info!(cx.shared.log, "request ended without answer"; event_of(&failure),
+                "request" => &id_text, "problem" => failure.kind.name(),
+                "outcome" => failure.outcome.as_str(), "detail" => &failure.detail);
+            cx.shared.metrics.request(kind, failure.outcome);
+            respond::problem(&failure.problem(&id_text), note)
+        }
+    }
+}
+
+async fn serve(
+    cx: &Context,
+    id: RequestId,
+    view: std::sync::Arc<View>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path().to_owned();
+    let workspace = authenticate(&view, &parts.headers)?;
+    if let Some(wanted) = path.strip_prefix("/v1/requests/") {
+        return look_up(cx, &view, &workspace, wanted);
+    }
+    let body = read_body(cx, body).await?;
+    let received = Received {
+        id,
+        workspace,
+        view,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+    };
+    match received.path.as_str() {
+        "/v1/completions" | "/v1/chat/completions" => drafts::answer(cx, received).await,
+        path if path.starts_with("/v1/services/") => calls::answer(cx, received).await,
+        _ => Err(Failure::refused(
+            ProblemKind::NotFound,
+            "see the documentation for the paths",
+        )),
+    }
+}
+
+/// Fails if the host must not take new work.
+pub(crate) fn check_serving(view: &View) -> Result<(), Failure> {
+    match view.serving {
+        Serving::Yes => Ok(()),
+        Serving::NoNote => Err(Failure::refused(
+            ProblemKind::NotServing,
+            "this host has not read a release note yet",
+        )),
+    }
+}
+
+fn authenticate(view: &View, headers: &HeaderMap) -> Result<WorkspaceId, Failure> {
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.strip_prefix("Bearer "));
+    let Some(key) = key else {
+        return Err(Failure::refused(
+            ProblemKind::UnknownApiKey,
+            "send Authorization: Bearer with an API key",
+        ));
+    };
+    if view.serving == Serving::NoNote {
+        check_serving(view)?;
+    }
+    match view.workspace_of(key) {
+        Some((id, _)) => Ok(id.clone()),
+        None => Err(Failure::refused(
+            ProblemKind::UnknownApiKey,
+            "no workspace has this API key",
+        )),
+    }
+}
+
+async fn read_body(cx: &Context, body: Incoming) -> Result<Bytes, Failure> {
+    let settings = &cx.shared.settings;
+    let late = async {
+        smol::Timer::after(Duration::from_millis(settings.timeouts.body_ms)).await;
+        Err(HttpError::TimedOut.into())
+    };
+    let read = read_limited(body, settings.limits.body_bytes).or(late).await;
+    read.map_err(|e| match e.current_context() {
+        HttpError::TooLarge { limit } => Failure::refused(
+            ProblemKind::BodyTooLarge,
+            format!("at most {limit} bytes are allowed"),
+        ),
+        HttpError::TimedOut => Failure::refused(ProblemKind::SlowSender, "the body did not arrive in time"),
+        _ => Failure::refused(ProblemKind::MalformedRequest, "the body broke off"),
+    })
+}
+
+fn look_up(
+    cx: &Context,
+    view: &View,
+    workspace: &WorkspaceId,
+    wanted: &str,
+) -> Result<Response<Body>, Failure> {
+    let found = RequestId::from_str_radix(wanted, 16)
+        .ok()
+        .and_then(|id| cx.shared.outcomes.get(id));
+    match found {
+        Some(remembered) if remembered.workspace == *workspace => {
+            let Remembered { state, outcome, .. } = remembered;
+            let answer = serde_json::json!({ "request_id": wanted, "state": state, "outcome": outcome });
+            Ok(respond::json(&answer, outcome, wanted, view.declared.version))
+        }
+        _ => Err(Failure::unknown(
+            ProblemKind::NotFound,
+            "this host does not know the request",
+        )),
+    }
+}
+
+fn kind_of(path: &str) -> &'static str {
+    match path {
+        "/v1/completions" | "/v1/chat/completions" => "draft",
+        path if path.starts_with("/v1/services/") => "call",
+        _ => "other",
+    }
+}
+
+fn event_of(failure: &Failure) -> errors::Event {
+    match failure.outcome {
+        Outcome::NotRun => events::REFUSED,
+        Outcome::Ran | Outcome::MayHaveRun => events::OUTCOME_UNKNOWN,
+    }
+}
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -74,6 +74,8 @@
         "The caller closed the connection before the end.",
     );
 
+    pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
+
     pub const NOTE_STAGED: Event = event(
         3001,
         "note_staged",
@@ -113,6 +115,7 @@
     events::ATTEMPT_FAILED,
     events::OUTCOME_UNKNOWN,
     events::CALLER_GONE,
+    events::RESUMED,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
@@ -123,9 +126,34 @@
     events::PLATFORM_BACK,
 ];
 
+/// The catalogue of all events as a Markdown table; `docs/EVENTS.md` holds the same text.
+///
+/// ```
+/// assert!(errors::event_catalogue().contains("| 1001 | `host_started` |"));
+/// ```
+pub fn event_catalogue() -> String {
+    let mut text = String::from("| Number | Name | Meaning |\n| --- | --- | --- |\n");
+    for event in ALL_EVENTS {
+        text.push_str(&format!(
+            "| {} | `{}` | {} |\n",
+            event.number, event.name, event.meaning
+        ));
+    }
+    text
+}
+
 #[cfg(test)]
 mod tests {
-    use super::ALL_EVENTS;
+    use super::{ALL_EVENTS, event_catalogue};
+
+    #[test]
+    fn the_documented_catalogue_is_this_one() {
+        let page = include_str!("../../../docs/EVENTS.md");
+        assert!(
+            page.ends_with(&event_catalogue()),
+            "write the output of `laburnumtally events` into docs/EVENTS.md"
+        );
+    }
 
     #[test]
     fn numbers_grow_and_names_are_unique() {
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -4,6 +4,6 @@
 mod outcome;
 mod problem;
 
-pub use event::{ALL_EVENTS, Event, events};
+pub use event::{ALL_EVENTS, Event, event_catalogue, events};
 pub use outcome::{OUTCOME_HEADER, Outcome, ParseOutcomeError};
 pub use problem::{Problem, ProblemKind};
--- a/components/http/src/body.rs
+++ b/components/http/src/body.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use futures_lite::StreamExt;
-use http_body_util::combinators::BoxBody;
+use futures_lite::{Stream, StreamExt};
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
@@ -10,19 +10,21 @@
 use crate::HttpError;
 
 /// Body of a request or response that this crate sends.
-pub type Body = BoxBody<Bytes, HttpError>;
+pub type Body = UnsyncBoxBody<Bytes, HttpError>;
 
 /// The sending half of a [`channel_body`]. Dropping it ends the body; sending an error cuts it.
 pub type BodySender = async_channel::Sender<Result<Bytes, HttpError>>;
 
 /// A body without content.
 pub fn empty_body() -> Body {
-    Empty::new().map_err(|never| match never {}).boxed()
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A body that is known in full.
 pub fn full_body(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// A JSON body.
@@ -37,8 +39,13 @@
 /// A body fed through a channel that holds at most `capacity` chunks.
 pub fn channel_body(capacity: usize) -> (BodySender, Body) {
     let (tx, rx) = async_channel::bounded(capacity);
-    let frames = rx.map(|chunk: Result<Bytes, HttpError>| chunk.map(Frame::data));
-    (tx, BodyExt::boxed(StreamBody::new(frames)))
+    (tx, stream_body(rx))
+}
+
+/// A body whose chunks come from a stream; the connection that sends the body drives the stream.
+pub fn stream_body(chunks: impl Stream<Item = Result<Bytes, HttpError>> + Send + 'static) -> Body {
+    let frames = chunks.map(|chunk| chunk.map(Frame::data));
+    BodyExt::boxed_unsync(StreamBody::new(frames))
 }
 
 /// Reads a whole body of at most `limit` bytes.
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -7,7 +7,9 @@
 mod server;
 mod sse;
 
-pub use body::{Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited};
+pub use body::{
+    Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited, stream_body,
+};
 pub use client::{Client, ClientConfig};
 pub use error::HttpError;
 pub use server::{Handler, HandlerFuture, Server, ServerConfig, Shutdown, shutdown_channel};
--- a/components/targets/src/engine.rs
+++ b/components/targets/src/engine.rs
@@ -33,6 +33,12 @@
     /// Tokens of the answer that the caller already has.
     #[serde(default)]
     pub offset: u32,
+    /// Text of those tokens, for an engine that did not compute them; empty when resuming at the engine that did.
+    #[serde(default)]
+    pub continued: String,
+    /// Only resume a draft that the engine still holds; never start one.
+    #[serde(default)]
+    pub resume_only: bool,
 }
 
 /// First event of a draft.
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,48 @@
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Serves prompts that return after long gaps.
+#[derive(Debug)]
+#[derive(Parser)]
+#[command(name = "laburnumtally", version)]
+pub(crate) struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The subcommands, one file each in `cmd`.
+#[derive(Debug)]
+#[derive(Subcommand)]
+pub(crate) enum Command {
+    /// Run an entry host until SIGTERM or SIGINT.
+    Serve(ServeArgs),
+    /// Check settings, or explain every field.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Print the numbered log events.
+    Events,
+}
+
+/// Arguments of `serve`.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct ServeArgs {
+    /// Settings of the host, YAML.
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+}
+
+/// Subcommands of `config`.
+#[derive(Debug)]
+#[derive(Subcommand)]
+pub(crate) enum ConfigCommand {
+    /// Check a file of settings; exits with 2 if it is not usable.
+    Check {
+        /// Settings of a host, YAML.
+        file: PathBuf,
+    },
+    /// Print every field with its unit, default and allowed values.
+    Explain,
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,9 @@
+//! The subcommands; each only wires components together.
+
+mod config;
+mod events;
+mod serve;
+
+pub(crate) use config::{check_config, explain_config};
+pub(crate) use events::events;
+pub(crate) use serve::serve;
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,44 @@
+use async_signal::{Signal, Signals};
+use config::{LogFormat, Settings};
+use entry::Daemon;
+use error_stack::{Report, ResultExt};
+use futures_lite::StreamExt;
+use slog::{Drain, Logger, o};
+
+use crate::cli::ServeArgs;
+use crate::exit::CommandError;
+
+/// Log lines that wait for the writer thread.
+const LOG_QUEUE: usize = 16_384;
+
+/// Runs an entry host until a signal asks it to end.
+pub(crate) fn serve(args: &ServeArgs) -> Result<(), Report<CommandError>> {
+    let settings = Settings::load(&args.config).change_context(CommandError::Usage)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(CommandError::Failed)?;
+    let (log, guard) = logger(settings.log.format);
+    let daemon = Daemon::start(settings, log).change_context(CommandError::Failed)?;
+    let _ = smol::block_on(signals.next());
+    let done = daemon.drain().change_context(CommandError::Failed);
+    drop(guard);
+    done
+}
+
+/// A logger to standard error; its lines are written until the guard is dropped.
+fn logger(format: LogFormat) -> (Logger, slog_async::AsyncGuard) {
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            background(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+        LogFormat::Json => background(slog_json::Json::default(std::io::stderr()).fuse()),
+    }
+}
+
+fn background(
+    drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static,
+) -> (Logger, slog_async::AsyncGuard) {
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(LOG_QUEUE)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!()), guard)
+}
--- /dev/null
+++ b/src/exit.rs
@@ -0,0 +1,44 @@
+use std::process::ExitCode;
+
+use error_stack::Report;
+
+/// Exit code for arguments, settings or notes that are not usable.
+const EXIT_USAGE: u8 = 2;
+/// Exit code for a failure while running.
+const EXIT_FAILED: u8 = 1;
+
+/// Why a command failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub(crate) enum CommandError {
+    /// Arguments, settings or notes are not usable; nothing was started.
+    #[error("not usable")]
+    Usage,
+    /// The command failed while it ran.
+    #[error("failed")]
+    Failed,
+}
+
+/// Prints the causes of a failure, outermost first, and gives the exit code.
+pub(crate) fn code_of(done: Result<(), Report<CommandError>>) -> ExitCode {
+    let Err(report) = done else {
+        return ExitCode::SUCCESS;
+    };
+    for (depth, cause) in causes(&report).iter().enumerate() {
+        let lead = if depth == 0 { "error: " } else { "  caused by: " };
+        eprintln!("{lead}{cause}");
+    }
+    match report.current_context() {
+        CommandError::Usage => ExitCode::from(EXIT_USAGE),
+        CommandError::Failed => ExitCode::from(EXIT_FAILED),
+    }
+}
+
+fn causes(report: &Report<CommandError>) -> Vec<String> {
+    let frames = report.frames().filter_map(|frame| match frame.kind() {
+        error_stack::FrameKind::Context(context) => Some(context.to_string()),
+        error_stack::FrameKind::Attachment(_) => None,
+    });
+    // The outermost context only selects the exit code.
+    frames.skip(1).collect()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,21 @@
-fn main() {}
+//! Command line of laburnumtally.
+
+mod cli;
+mod cmd;
+mod exit;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use cli::{Cli, Command, ConfigCommand};
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Serve(args) => cmd::serve(&args),
+        Command::Config(ConfigCommand::Check { file }) => cmd::check_config(&file),
+        Command::Config(ConfigCommand::Explain) => cmd::explain_config(),
+        Command::Events => cmd::events(),
+    };
+    exit::code_of(done)
+}
