--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -7,6 +7,7 @@
 use utils::{FailureDomainId, HostId, RegionId};
 
 use crate::ConfigError;
+use crate::check::{check, syntax};
 
 /// All settings of an entry host.
 #[derive(Debug, Clone, PartialEq)]
@@ -187,13 +188,8 @@
     /// # Errors
     /// As [`Settings::load`].
     pub fn parse(text: &str, file: &str) -> Result<Self, Report<ConfigError>> {
-        serde_saphyr::from_str(text).map_err(|e| {
-            let problem = e.to_string();
-            Report::new(ConfigError::Syntax {
-                file: file.to_owned(),
-                problem,
-            })
-        })
+        check(text, file)?;
+        serde_saphyr::from_str(text).map_err(|e| syntax(file, &e))
     }
 }
 
