Replace a silent connection by a new one to the same target

Cause: a connection that went silent cost the whole wait for a first event, and then counted against a target that was well; the HTTP client detached its connection tasks. Change: a wait without progress asks the same target, on a new connection, to go on with the draft that it holds; only a target that holds nothing gets the draft again. A connection owns its driver task, so dropping it closes the socket and nothing is left to join. Ruled out: a longer wait for queued drafts; a probe tells the same in one progress timeout. Conclusion: silence is a property of a connection until a new one is silent.

--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -21,8 +21,13 @@
 
 /// Bytes of prompt text that count as one token.
 const BYTES_PER_TOKEN: usize = 4;
-/// Most tries for one draft, over all targets.
-const MAX_ATTEMPTS: u32 = 4;
+/// Most targets tried for one draft.
+const MAX_TARGETS: u32 = 4;
+/// Status with which an engine says that it does not hold a draft.
+const STATUS_NOT_HELD: u16 = 404;
+
+/// A stream and the event that was read from it first.
+type FirstEvent = (Box<dyn DraftStream>, DraftEvent);
 
 /// A draft on its way.
 pub(crate) struct Draft {
@@ -152,10 +157,13 @@
 
     /// Places and sends the draft until one target's first event arrives.
     pub(crate) async fn open(&mut self) -> Result<Opened, Failure> {
-        loop {
+        for _ in 0..MAX_TARGETS {
             let chosen = self.place()?;
-            let tried = self.try_at(&chosen, false).await;
-            let failure = match tried {
+            self.cx.shared.observer.tell(Observation::Sent {
+                key: chosen.key,
+                tokens: self.req.prompt_tokens,
+            });
+            let failure = match self.wait_for_first(&chosen).await {
                 Ok((stream, first)) => {
                     return Ok(Opened {
                         chosen,
@@ -166,18 +174,41 @@
                 Err(failure) => failure,
             };
             self.note_failure(&chosen, failure);
-            if self.req.attempt >= MAX_ATTEMPTS || self.cx.shared.clock.now() >= self.due {
-                return Err(self.failed("no target answered"));
+            if self.cx.shared.clock.now() >= self.due {
+                break;
             }
         }
+        Err(self.failed("no target answered"))
     }
 
-    /// Sends the draft to one target and waits for its first event.
+    /// Sends the draft to one target. A silent connection is replaced by a new one to the same target, which
+    /// goes on with the draft that the target holds, until the first token is due.
+    async fn wait_for_first(&mut self, chosen: &Chosen) -> Result<FirstEvent, TargetError> {
+        let mut tried = self.try_at(chosen, false).await;
+        loop {
+            match tried {
+                Err(TargetError::TimedOut) if self.cx.shared.clock.now() < self.due => {
+                    self.sent = true;
+                    self.req.resume_only = true;
+                }
+                Err(TargetError::Refused(STATUS_NOT_HELD)) if self.req.resume_only => {
+                    self.req.resume_only = false;
+                }
+                other => {
+                    self.req.resume_only = false;
+                    return other;
+                }
+            }
+            tried = self.try_at(chosen, true).await;
+        }
+    }
+
+    /// Sends the draft to one target on one connection and waits for an event as long as for any progress.
     pub(crate) async fn try_at(
         &mut self,
         chosen: &Chosen,
         new_connection: bool,
-    ) -> Result<(Box<dyn DraftStream>, DraftEvent), TargetError> {
+    ) -> Result<FirstEvent, TargetError> {
         self.req.attempt += 1;
         let engine = HttpEngine::new(self.cx.engines.clone(), chosen.address);
         let shared = &self.cx.shared;
@@ -185,15 +216,14 @@
             key: chosen.key,
             tokens: self.req.prompt_tokens,
         });
-        let limit = Duration::from_millis(shared.settings.timeouts.first_event_ms);
+        let limit = Duration::from_millis(shared.settings.timeouts.progress_ms);
         let req = self.req.clone();
         let open = async {
-            let mut stream = if new_connection {
-                engine.draft_on_new_connection(req).await
-            } else {
-                engine.draft(req).await
-            }
-            .map_err(|e| *e.current_context())?;
+            let opened = match new_connection {
+                true => engine.draft_on_new_connection(req).await,
+                false => engine.draft(req).await,
+            };
+            let mut stream = opened.map_err(|e| *e.current_context())?;
             let first = stream.next().await.map_err(|e| *e.current_context())?;
             first.map(|first| (stream, first)).ok_or(TargetError::CutShort)
         };
--- a/components/entry/src/traffic/relay.rs
+++ b/components/entry/src/traffic/relay.rs
@@ -340,6 +340,10 @@
         ));
     };
     let (mut draft, chosen) = resumed_draft(cx, received, point)?;
+    cx.shared.observer.tell(Observation::Sent {
+        key: chosen.key,
+        tokens: 0,
+    });
     let tried = draft.try_at(&chosen, false).await;
     let (stream, first) = tried.map_err(|failure| Failure {
         kind: if failure == TargetError::VersionGone {
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -8,7 +8,7 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
@@ -17,7 +17,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::{json_body, read_json};
-use crate::pool::Pool;
+use crate::pool::{Connection, Pool};
 use crate::{Body, Executor, HttpError, empty_body};
 
 /// Limits of a [`Client`].
@@ -63,7 +63,7 @@
     /// The body as hyper reads it.
     inner: Incoming,
     /// Where the connection goes after the end.
-    home: Option<(Arc<Pool>, SocketAddr, SendRequest<Body>)>,
+    home: Option<(Arc<Pool>, SocketAddr, Connection)>,
 }
 
 impl Client {
@@ -87,7 +87,7 @@
         req: Request<Body>,
     ) -> Result<Response<PooledBody>, Report<HttpError>> {
         match self.pool.take(addr) {
-            Some(sender) => match self.exchange(addr, sender, req).await {
+            Some(conn) => match self.exchange(addr, conn, req).await {
                 Ok(res) => Ok(res),
                 Err((e, Some(req))) if e.is_not_sent() => self.send_fresh(addr, req).await,
                 Err((e, _)) => Err(Report::new(e)),
@@ -105,8 +105,8 @@
         addr: SocketAddr,
         req: Request<Body>,
     ) -> Result<Response<PooledBody>, Report<HttpError>> {
-        let sender = self.connect(addr).await?;
-        self.exchange(addr, sender, req)
+        let conn = self.connect(addr).await?;
+        self.exchange(addr, conn, req)
             .await
             .map_err(|(e, _)| Report::new(e))
     }
@@ -136,7 +136,7 @@
         read.or(timeout(self.cfg.response_timeout)).await
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Body>, Report<HttpError>> {
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Report<HttpError>> {
         let open = async {
             let stream = TcpStream::connect(addr)
                 .await
@@ -151,18 +151,24 @@
             Err(Report::new(HttpError::Connect))
         };
         let (sender, conn) = open.or(late).await?;
-        self.ex.spawn(conn).detach();
-        Ok(sender)
+        let driver = self.ex.spawn(async move {
+            // Errors reach the exchange through its sender or body.
+            let _ = conn.await;
+        });
+        Ok(Connection {
+            sender,
+            _driver: driver,
+        })
     }
 
     async fn exchange(
         &self,
         addr: SocketAddr,
-        mut sender: SendRequest<Body>,
+        mut conn: Connection,
         req: Request<Body>,
     ) -> Result<Response<PooledBody>, (HttpError, Option<Request<Body>>)> {
         let answer = async {
-            sender
+            conn.sender
                 .try_send_request(req)
                 .await
                 .map_err(|mut e| match e.take_message() {
@@ -175,7 +181,7 @@
             Err((HttpError::TimedOut, None))
         };
         let (parts, inner) = answer.or(late).await?.into_parts();
-        let home = Some((self.pool.clone(), addr, sender));
+        let home = Some((self.pool.clone(), addr, conn));
         Ok(Response::from_parts(parts, PooledBody { inner, home }))
     }
 }
@@ -192,8 +198,8 @@
         let polled = Pin::new(&mut this.inner).poll_frame(cx);
         match polled {
             Poll::Ready(None) => {
-                if let Some((pool, addr, sender)) = this.home.take() {
-                    pool.put(addr, sender);
+                if let Some((pool, addr, conn)) = this.home.take() {
+                    pool.put(addr, conn);
                 }
                 Poll::Ready(None)
             }
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -7,10 +7,18 @@
 
 use crate::Body;
 
+/// An open connection; dropping it closes the socket.
+pub(crate) struct Connection {
+    /// Handle that sends requests on the connection.
+    pub sender: SendRequest<Body>,
+    /// Reads and writes the socket; ends with the connection.
+    pub _driver: smol::Task<()>,
+}
+
 /// A connection that waits for its next request.
 struct Idle {
-    /// Handle that sends requests on the connection.
-    sender: SendRequest<Body>,
+    /// The connection.
+    conn: Connection,
     /// When the last exchange ended.
     since: Instant,
 }
@@ -35,20 +43,20 @@
     }
 
     /// Takes the connection that was used last and is still open.
-    pub(crate) fn take(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+    pub(crate) fn take(&self, addr: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
         let list = idle.get_mut(&addr)?;
-        while let Some(conn) = list.pop() {
-            if conn.since.elapsed() < self.max_idle && conn.sender.is_ready() {
-                return Some(conn.sender);
+        while let Some(idle) = list.pop() {
+            if idle.since.elapsed() < self.max_idle && idle.conn.sender.is_ready() {
+                return Some(idle.conn);
             }
         }
         None
     }
 
     /// Keeps a connection for the next request to the address.
-    pub(crate) fn put(&self, addr: SocketAddr, sender: SendRequest<Body>) {
-        if sender.is_closed() {
+    pub(crate) fn put(&self, addr: SocketAddr, conn: Connection) {
+        if conn.sender.is_closed() {
             return;
         }
         let mut idle = self.lock();
@@ -57,7 +65,7 @@
             list.remove(0);
         }
         list.push(Idle {
-            sender,
+            conn,
             since: Instant::now(),
         });
     }
