Add stand-ins for the platform and the targets

Cause: the whole path needs something to talk to; the platform, the engines, the services and the store hosts are not ours. Change: HTTP servers that speak the protocol of the clients in platform and targets, each with a record of what it did, fault switches that are off by default and seeded, and a clean stop. Engines batch continuously and keep a bounded prefix cache; their text depends on model, version, prompt and index alone, so that any checker can compute it again. http_io gives away its accept and its connection loop, so that a stand-in can put a connection between them that goes silent. Ruled out: a task per generated token; a draft's schedule is computed once, when its prompt starts.

--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -10,7 +10,9 @@
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited};
 pub use client::{Client, ClientConfig};
 pub use error::HttpError;
-pub use server::{Handler, HandlerFuture, Server, ServerConfig, Shutdown, shutdown_channel};
+pub use server::{
+    Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
+};
 pub use sse::{SseEvent, SseReader};
 
 /// An executor that one thread runs; clones share it.
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use futures_lite::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -91,7 +91,8 @@
     /// Serves until `stop` resolves, then finishes every open request and joins the connections.
     pub async fn run(self, ex: Executor, handler: Handler, stop: Shutdown) {
         let mut tasks = Vec::new();
-        while let Some(stream) = self.accept_until(&stop).await {
+        while let Some(stream) = self.accept(&stop).await {
+            let _ = stream.set_nodelay(true);
             let serve = serve_connection(stream, self.cfg.clone(), handler.clone(), stop.clone());
             tasks.push(ex.spawn(serve));
             tasks.retain(|t| !t.is_finished());
@@ -102,7 +103,8 @@
         }
     }
 
-    async fn accept_until(&self, stop: &Shutdown) -> Option<TcpStream> {
+    /// The next connection, or `None` once `stop` resolves.
+    pub async fn accept(&self, stop: &Shutdown) -> Option<TcpStream> {
         let accept = async {
             loop {
                 match self.listener.accept().await {
@@ -121,8 +123,13 @@
     None
 }
 
-async fn serve_connection(stream: TcpStream, cfg: ServerConfig, handler: Handler, stop: Shutdown) {
-    let _ = stream.set_nodelay(true);
+/// Serves one connection until its peer closes it, or until `stop` resolves and its open request is finished.
+pub async fn serve_connection(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    cfg: ServerConfig,
+    handler: Handler,
+    stop: Shutdown,
+) {
     let service = service_fn(move |req| {
         let answer = handler(req);
         async move { Ok::<_, Infallible>(answer.await) }
--- /dev/null
+++ b/components/standins/src/answer.rs
@@ -0,0 +1,78 @@
+use bytes::Bytes;
+use targets::PieceId;
+use utils::WeightVersion;
+
+/// The text that a stand-in engine generates for a prompt. It depends on nothing but its arguments, so that
+/// any host and any checker can compute the right answer again.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Hash of model, version and prompt.
+    seed: [u8; 32],
+}
+
+impl Answer {
+    /// The answer of a model's weight version to a prompt.
+    pub fn new(model: &str, version: WeightVersion, prompt: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(model.len() as u64).to_le_bytes());
+        hasher.update(model.as_bytes());
+        hasher.update(&version.to_le_bytes());
+        hasher.update(prompt.as_bytes());
+        Self {
+            seed: *hasher.finalize().as_bytes(),
+        }
+    }
+
+    /// The answer that comes out when a cache block was damaged.
+    pub(crate) fn damaged(&self) -> Self {
+        Self {
+            seed: *blake3::hash(&self.seed).as_bytes(),
+        }
+    }
+
+    /// The token at a position, from 0.
+    pub fn token(&self, index: u32) -> String {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.seed[..8]);
+        let mixed = mix(u64::from_le_bytes(first) ^ u64::from(index).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        format!(" {:06x}", mixed >> 40)
+    }
+
+    /// The first `tokens` tokens as one text.
+    pub fn text(&self, tokens: u32) -> String {
+        (0..tokens).map(|index| self.token(index)).collect()
+    }
+}
+
+/// The token at a position of the right answer.
+///
+/// ```
+/// let token = standins::expected_token("draft", 1, "a prompt", 0);
+/// assert_eq!(token, standins::Answer::new("draft", 1, "a prompt").token(0));
+/// assert_ne!(token, standins::expected_token("draft", 2, "a prompt", 0));
+/// ```
+pub fn expected_token(model: &str, version: WeightVersion, prompt: &str, index: u32) -> String {
+    Answer::new(model, version, prompt).token(index)
+}
+
+/// The content of a cache piece that a weight version computes, `bytes` long.
+///
+/// ```
+/// let content = standins::expected_content(utils::digest(b"piece"), 1, 100);
+/// assert_eq!(content.len(), 100);
+/// ```
+pub fn expected_content(piece: PieceId, version: WeightVersion, bytes: usize) -> Bytes {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(piece.as_bytes());
+    hasher.update(&version.to_le_bytes());
+    let mut content = vec![0; bytes];
+    hasher.finalize_xof().fill(&mut content);
+    Bytes::from(content)
+}
+
+/// Finalizer of splitmix64.
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/components/standins/src/engine/server.rs
@@ -0,0 +1,327 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use error_stack::Report;
+use futures_lite::FutureExt;
+use futures_lite::future::zip;
+use http_io::{Body, Client, ClientConfig, Executor, HandlerFuture, HttpError};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use targets::{DraftRequest, LoadReport};
+use utils::{Epoch, ModelId, Monotonic, RequestId, WeightVersion};
+
+use super::batch::Batch;
+use super::cache::Cache;
+use super::config::{EngineConfig, EngineFaults};
+use super::draft::{DraftEvents, DraftHits};
+use super::orders::LoadJob;
+use super::record::EngineRecord;
+use crate::reply::{body_json, handled, json, never, segments, status};
+use crate::running::{Control, Running, StandIn, Strike, control_channel, start, unix_micros};
+
+/// Stand-in for a model engine.
+pub struct Engine {
+    /// Settings.
+    cfg: EngineConfig,
+    /// What changes.
+    state: Mutex<State>,
+    /// Start of the time.
+    started: Instant,
+    /// Wakes the batch after a change.
+    kick: async_channel::Sender<()>,
+    /// Ends in the batch's loop.
+    kicked: async_channel::Receiver<()>,
+    /// Queues loads of weights.
+    pub(super) loads: async_channel::Sender<LoadJob>,
+    /// Ends in the loader's loop.
+    pub(super) queued_loads: async_channel::Receiver<LoadJob>,
+    /// Reaches the connections.
+    control: Control,
+    /// Reaches stores and the platform.
+    pub(super) client: Client,
+}
+
+/// What changes in an engine.
+pub(super) struct State {
+    /// Drafts.
+    pub(super) batch: Batch,
+    /// Pieces in memory.
+    pub(super) cache: Cache,
+    /// What it did.
+    pub(super) record: EngineRecord,
+    /// Fault switches.
+    pub(super) faults: EngineFaults,
+    /// Decides about faults.
+    pub(super) rng: ChaCha8Rng,
+    /// Weight version of each model.
+    pub(super) versions: BTreeMap<ModelId, WeightVersion>,
+    /// Role that it was told to take.
+    pub(super) role: String,
+    /// Highest fencing number seen.
+    pub(super) epoch: Epoch,
+    /// The load report that readers see, and when it was taken.
+    sample: Option<(Monotonic, LoadReport)>,
+}
+
+impl Engine {
+    /// Starts an engine that listens on `addr`; port 0 takes a free one.
+    ///
+    /// # Errors
+    /// [`HttpError::Listen`] if the address can not be had.
+    pub fn start(
+        ex: &Executor,
+        addr: SocketAddr,
+        cfg: EngineConfig,
+    ) -> Result<Running<Self>, Report<HttpError>> {
+        let channel = control_channel();
+        let (kick, kicked) = async_channel::bounded(1);
+        let (loads, queued_loads) = async_channel::unbounded();
+        let engine = Arc::new(Self {
+            state: Mutex::new(State::new(&cfg)),
+            cfg,
+            started: Instant::now(),
+            kick,
+            kicked,
+            loads,
+            queued_loads,
+            control: channel.0.clone(),
+            client: Client::new(ex.clone(), ClientConfig::default()),
+        });
+        start(ex, addr, engine, channel)
+    }
+
+    /// The settings.
+    pub fn config(&self) -> &EngineConfig {
+        &self.cfg
+    }
+
+    /// What the engine did so far.
+    pub fn record(&self) -> EngineRecord {
+        self.lock().record.clone()
+    }
+
+    /// Sets the fault switches.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.lock().faults = faults;
+    }
+
+    pub(super) fn now(&self) -> Monotonic {
+        self.started.elapsed()
+    }
+
+    pub(super) async fn sleep_until(&self, at: Monotonic) {
+        let left = at.saturating_sub(self.now());
+        if !left.is_zero() {
+            smol::Timer::after(left).await;
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn route(self: Arc<Self>, req: Request<Incoming>) -> Result<Response<Body>, StatusCode> {
+        let path = req.uri().path().to_owned();
+        let parts = segments(&path);
+        match (req.method().clone(), parts.as_slice()) {
+            (Method::POST, ["v1", "drafts"]) => self.draft(body_json(req).await?).await,
+            (Method::DELETE, ["v1", "drafts", id]) => self.cancel(id),
+            (Method::GET, ["v1", "load"]) => Ok(json(&self.load_report())),
+            (Method::GET, ["v1", "cache", "events", from]) => self.cache_events(from),
+            (Method::GET, ["v1", "cache"]) => Ok(json(&self.lock().cache.snapshot())),
+            (Method::POST, ["v1", "cache", "import"]) => self.import(body_json(req).await?).await,
+            (Method::POST, ["v1", "cache", "export"]) => self.export(body_json(req).await?).await,
+            (Method::POST, ["v1", "orders"]) => Ok(json(&self.take_order(body_json(req).await?))),
+            (Method::GET, ["v1", "record"]) => Ok(json(&self.lock().record)),
+            (Method::GET, ["v1", "faults"]) => Ok(json(&self.lock().faults)),
+            (Method::PUT, ["v1", "faults"]) => {
+                let faults = body_json(req).await?;
+                self.set_faults(faults);
+                Ok(status(StatusCode::NO_CONTENT))
+            }
+            (Method::POST, ["v1", "crash"]) => Ok(self.strike(Strike::Crash)),
+            (Method::POST, ["v1", "silence"]) => Ok(self.strike(Strike::Silence)),
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn strike(&self, strike: Strike) -> Response<Body> {
+        let _ = self.control.try_send(strike);
+        status(StatusCode::NO_CONTENT)
+    }
+
+    async fn draft(self: Arc<Self>, req: DraftRequest) -> Result<Response<Body>, StatusCode> {
+        if self.lock().faults.kills(&req.prompt) {
+            self.strike(Strike::Crash);
+            return never().await;
+        }
+        let (tx, rx) = async_channel::bounded(1);
+        let hits = self.submit(&req, tx)?;
+        let _ = self.kick.try_send(());
+        let events = DraftEvents::new(self, req, rx, hits);
+        Response::builder()
+            .header("content-type", "text/event-stream")
+            .body(events.into_body())
+            .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    /// Puts a draft into the batch, if its weight version is loaded.
+    fn submit(
+        &self,
+        req: &DraftRequest,
+        notice: async_channel::Sender<super::batch::Schedule>,
+    ) -> Result<DraftHits, StatusCode> {
+        let now = self.now();
+        let mut state = self.lock();
+        let loaded = state.versions.get(&req.model) == Some(&req.weight_version);
+        if !loaded && !state.batch.holds(req) && !state.faults.use_any_version {
+            return Err(StatusCode::GONE);
+        }
+        state.batch.submit(req.clone(), notice);
+        state.advance(now, &self.cfg);
+        Ok(state.hits())
+    }
+
+    fn cancel(&self, id: &str) -> Result<Response<Body>, StatusCode> {
+        let id = RequestId::from_str_radix(id, 16).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let mut state = self.lock();
+        let State { batch, cache, .. } = &mut *state;
+        batch.cancel(id, cache);
+        drop(state);
+        let _ = self.kick.try_send(());
+        Ok(json(&()))
+    }
+
+    fn load_report(&self) -> LoadReport {
+        let now = self.now();
+        let mut state = self.lock();
+        state.advance(now, &self.cfg);
+        let is_fresh = |(at, _): &(Monotonic, LoadReport)| now - *at < self.cfg.load_lag;
+        let (at, mut report) = match state.sample.take_if(|sample| is_fresh(sample)) {
+            Some(sample) => sample,
+            None => (now, state.report(&self.cfg)),
+        };
+        state.sample = Some((at, report.clone()));
+        report.age = now - at;
+        report
+    }
+
+    fn cache_events(&self, from: &str) -> Result<Response<Body>, StatusCode> {
+        let from = from.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+        let now = self.now();
+        let mut state = self.lock();
+        state.advance(now, &self.cfg);
+        let lag = self.cfg.event_lag + Duration::from_millis(state.faults.event_lag_ms);
+        // Nothing is old enough before the first lag has passed.
+        let Some(until) = now.checked_sub(lag) else {
+            return Ok(json(&state.cache.events(from, Monotonic::ZERO)));
+        };
+        let mut events = state.cache.events(from, until);
+        let State { faults, rng, .. } = &mut *state;
+        if !events.events.is_empty() && faults.event_gaps.hits(rng) {
+            let lost = events.events.len().div_ceil(2);
+            events.events.drain(..lost);
+            events.first += lost as u64;
+        }
+        Ok(json(&events))
+    }
+
+    /// Moves the batch on as time passes.
+    async fn drive(&self) {
+        loop {
+            let next = {
+                let now = self.now();
+                self.lock().advance(now, &self.cfg)
+            };
+            let kicked = async {
+                let _ = self.kicked.recv().await;
+            };
+            match next {
+                Some(at) => kicked.or(self.sleep_until(at)).await,
+                None => kicked.await,
+            }
+        }
+    }
+}
+
+impl State {
+    fn new(cfg: &EngineConfig) -> Self {
+        Self {
+            batch: Batch::new(),
+            cache: Cache::new(cfg.cache_pieces, unix_micros()),
+            record: EngineRecord::default(),
+            faults: EngineFaults::default(),
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
+            versions: cfg.models.iter().cloned().collect(),
+            role: "both".to_owned(),
+            epoch: 0,
+            sample: None,
+        }
+    }
+
+    pub(super) fn advance(&mut self, now: Monotonic, cfg: &EngineConfig) -> Option<Monotonic> {
+        self.batch.advance(now, cfg, &mut self.cache, &mut self.record)
+    }
+
+    fn hits(&mut self) -> DraftHits {
+        let Self { faults, rng, .. } = self;
+        let delay = if faults.late.hits(rng) {
+            Duration::from_millis(faults.late_ms)
+        } else {
+            Duration::ZERO
+        };
+        DraftHits {
+            delay,
+            cross: faults.cross_answers.hits(rng),
+            cut_short: faults.cut_short.hits(rng),
+            wrong_count: faults.wrong_count.hits(rng),
+            duplicate: faults.duplicate_events.hits(rng),
+        }
+    }
+
+    fn report(&self, cfg: &EngineConfig) -> LoadReport {
+        let occupancy = self.batch.occupancy();
+        let seconds = cfg.time_per_prompt_token.as_secs_f64();
+        LoadReport {
+            queued_prompt_tokens: occupancy.queued_prompt_tokens,
+            running: occupancy.running,
+            waiting: occupancy.waiting,
+            prefill_tokens_per_second: if seconds > 0.0 { 1.0 / seconds } else { 1e9 },
+            slots: cfg.slots,
+            cache_capacity_pieces: cfg.cache_pieces,
+            versions: self.versions.iter().map(|(m, v)| (m.clone(), *v)).collect(),
+            age: Duration::ZERO,
+            incarnation: self.cache.incarnation(),
+            role: self.role.clone(),
+        }
+    }
+}
+
+impl EngineFaults {
+    fn kills(&self, prompt: &str) -> bool {
+        let marker = self.crash_marker.as_deref();
+        marker.is_some_and(|marker| prompt.contains(marker))
+    }
+}
+
+impl StandIn for Engine {
+    fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerFuture {
+        handled(self.route(req))
+    }
+
+    fn crash(&self) {
+        let mut state = self.lock();
+        state.batch = Batch::new();
+        state.cache = Cache::new(self.cfg.cache_pieces, unix_micros());
+        state.sample = None;
+        state.record.crashes.push(unix_micros());
+    }
+
+    async fn background(self: Arc<Self>) {
+        zip(self.drive(), self.load_weights()).await;
+    }
+}
--- /dev/null
+++ b/components/standins/tests/support/mod.rs
@@ -0,0 +1,69 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use error_stack::Report;
+use http_io::{Client, ClientConfig, Executor};
+use targets::{DraftEvent, DraftRequest, DraftStream, TargetError};
+
+/// Runs a test's future on an executor of its own.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce(Executor) -> F) {
+    let ex: Executor = Arc::new(smol::Executor::new());
+    smol::block_on(ex.run(test(ex.clone())));
+}
+
+/// A free port on the loopback address.
+pub(crate) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A client with short waits.
+pub(crate) fn client(ex: &Executor) -> Client {
+    let cfg = ClientConfig {
+        response_timeout: std::time::Duration::from_millis(300),
+        ..ClientConfig::default()
+    };
+    Client::new(ex.clone(), cfg)
+}
+
+/// A draft request of one full piece.
+#[allow(dead_code)]
+pub(crate) fn draft(id: u128, prompt: &str, max_tokens: u32) -> DraftRequest {
+    DraftRequest {
+        request_id: id,
+        attempt: 1,
+        workspace: "mill".into(),
+        model: "draft".into(),
+        weight_version: 1,
+        prompt: prompt.to_owned(),
+        prompt_tokens: 3_000,
+        pieces: vec![utils::digest(prompt.as_bytes())],
+        max_tokens,
+        priority: 0,
+        offset: 0,
+    }
+}
+
+/// Reads a stream to its end.
+#[allow(dead_code)]
+pub(crate) async fn read_all(
+    mut stream: Box<dyn DraftStream>,
+) -> (Vec<DraftEvent>, Result<(), Report<TargetError>>) {
+    let mut events = Vec::new();
+    loop {
+        match stream.next().await {
+            Ok(Some(event)) => events.push(event),
+            Ok(None) => return (events, Ok(())),
+            Err(e) => return (events, Err(e)),
+        }
+    }
+}
+
+/// The text of a stream's tokens.
+#[allow(dead_code)]
+pub(crate) fn text(events: &[DraftEvent]) -> String {
+    events
+        .iter()
+        .filter_map(|e| e.chunk.as_ref())
+        .map(|c| c.text.as_str())
+        .collect()
+}
