Box draft bodies as http_io does

Cause: http_io boxes bodies without Sync since the entry landed. Change: the stand-in's draft body follows.

--- a/components/standins/src/engine/draft.rs
+++ b/components/standins/src/engine/draft.rs
@@ -94,7 +94,7 @@
             let frame = events.next().await?;
             Some((frame.map(Frame::data), events))
         });
-        BodyExt::boxed(StreamBody::new(frames))
+        BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
