Let the engine stand-in hold drafts for callers that come back

Cause: the entry resumes a stream at the engine that runs it without sending the prompt again, and continues it elsewhere with the text so far. Change: the batch keeps its last ended drafts; resume_only is refused with 404 when nothing is held, and never crosses workspaces; a continued text that is not the answer's beginning yields another answer. Conclusion: the clients' tests cover both ways.

--- a/components/standins/src/answer.rs
+++ b/components/standins/src/answer.rs
@@ -4,7 +4,7 @@
 
 /// The text that a stand-in engine generates for a prompt. It depends on nothing but its arguments, so that
 /// any host and any checker can compute the right answer again.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
     /// Hash of model, version and prompt.
     seed: [u8; 32],
@@ -24,7 +24,7 @@
     }
 
     /// The answer that comes out when a cache block was damaged.
-    pub(crate) fn damaged(&self) -> Self {
+    pub(crate) fn damaged(self) -> Self {
         Self {
             seed: *blake3::hash(&self.seed).as_bytes(),
         }
--- a/components/standins/src/engine/batch.rs
+++ b/components/standins/src/engine/batch.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use slotmap::{SlotMap, new_key_type};
 use targets::{DraftRequest, PIECE_TOKENS};
@@ -7,14 +7,18 @@
 use super::cache::{Block, Cache};
 use super::config::EngineConfig;
 use super::record::{DraftRun, EngineRecord, PieceUse};
+use crate::answer::Answer;
 use crate::running::unix_micros;
 
+/// Drafts that are kept after their end, for callers that come back.
+const HELD_DRAFTS: usize = 4_096;
+
 new_key_type! {
     /// A draft in the batch.
     pub(crate) struct DraftKey;
 }
 
-/// When a draft's tokens are ready.
+/// What a draft generates, and when its tokens are ready.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Schedule {
     /// When the prompt was processed.
@@ -23,10 +27,16 @@
     pub(crate) first_index: u32,
     /// Tokens of the prompt that came from cache.
     pub(crate) cached_tokens: u32,
-    /// Whether every block it used was right.
-    pub(crate) intact: bool,
+    /// The tokens.
+    pub(crate) answer: Answer,
+    /// Tokens in the whole answer.
+    pub(crate) max_tokens: u32,
 }
 
+/// A resume names a draft that the engine does not hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NotHeld;
+
 /// Tells a waiting stream its schedule; dropped when the draft is cancelled.
 type Notice = async_channel::Sender<Schedule>;
 
@@ -67,6 +77,10 @@
     decoding: Vec<DraftKey>,
     /// Drafts by request.
     by_request: HashMap<RequestId, DraftKey>,
+    /// Drafts that ended, by request.
+    ended: HashMap<RequestId, (DraftRequest, Schedule)>,
+    /// Their requests, oldest first.
+    ended_order: VecDeque<RequestId>,
     /// Order of arrival.
     arrivals: u64,
 }
@@ -90,25 +104,40 @@
             prefilling: None,
             decoding: Vec::new(),
             by_request: HashMap::new(),
+            ended: HashMap::new(),
+            ended_order: VecDeque::new(),
             arrivals: 0,
         }
     }
 
-    /// Whether a request's draft waits or runs on the weight version that is asked for.
+    /// Whether a draft that `req` can go on with is running or was kept.
     pub(crate) fn holds(&self, req: &DraftRequest) -> bool {
-        let draft = self.by_request.get(&req.request_id);
-        draft.is_some_and(|key| self.drafts[*key].req.weight_version == req.weight_version)
+        let running = self.by_request.get(&req.request_id);
+        running.is_some_and(|key| continues(&self.drafts[*key].req, req))
+            || self
+                .ended
+                .get(&req.request_id)
+                .is_some_and(|(held, _)| continues(held, req))
     }
 
     /// Adds a draft, or a stream to the draft that the request already has; its schedule comes through `notice`.
-    pub(crate) fn submit(&mut self, req: DraftRequest, notice: Notice) {
+    pub(crate) fn submit(&mut self, req: DraftRequest, notice: Notice) -> Result<(), NotHeld> {
         if let Some(key) = self.by_request.get(&req.request_id) {
             let draft = &mut self.drafts[*key];
-            if draft.req.offset <= req.offset && draft.req.weight_version == req.weight_version {
+            if continues(&draft.req, &req) {
                 draft.join(notice);
-                return;
+                return Ok(());
             }
         }
+        if let Some((held, schedule)) = self.ended.get(&req.request_id)
+            && continues(held, &req)
+        {
+            let _ = notice.try_send(*schedule);
+            return Ok(());
+        }
+        if req.resume_only {
+            return Err(NotHeld);
+        }
         let (id, priority) = (req.request_id, req.priority);
         let key = self.drafts.insert(Draft {
             req,
@@ -121,6 +150,7 @@
         self.waiting.insert((priority, self.arrivals), key);
         self.arrivals += 1;
         self.by_request.insert(id, key);
+        Ok(())
     }
 
     /// Stops a request's draft; its streams end without an end event.
@@ -163,11 +193,24 @@
         let is_done = |key: &&DraftKey| self.drafts[**key].until().is_some_and(|until| until <= now);
         let done: Vec<DraftKey> = self.decoding.iter().filter(is_done).copied().collect();
         for key in &done {
-            self.remove(*key, cache);
+            if let Some((mut req, schedule)) = self.remove(*key, cache) {
+                req.prompt = String::new();
+                self.hold(req, schedule);
+            }
         }
         !done.is_empty()
     }
 
+    fn hold(&mut self, req: DraftRequest, schedule: Schedule) {
+        self.ended_order.push_back(req.request_id);
+        self.ended.insert(req.request_id, (req, schedule));
+        if self.ended_order.len() > HELD_DRAFTS
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+    }
+
     fn finish_prefill(&mut self, now: Monotonic, cfg: &EngineConfig, cache: &mut Cache) -> bool {
         let Some(key) = self.prefilling else {
             return false;
@@ -176,7 +219,8 @@
         if draft.until().is_none_or(|until| until > now) {
             return false;
         }
-        let intact = draft.schedule.is_none_or(|s| s.intact);
+        let right = right_answer(&draft.req);
+        let intact = draft.schedule.is_none_or(|s| s.answer == right);
         for piece in &draft.req.pieces {
             let workspace = Some(draft.req.workspace.clone());
             cache.store(now, *piece, workspace, draft.req.weight_version, intact);
@@ -208,14 +252,16 @@
         let blocks = cache.prefix(&draft.req.pieces);
         draft.use_blocks(&blocks, cache, &mut record.uses);
         let cached_tokens = (blocks.len() as u32 * PIECE_TOKENS).min(draft.req.prompt_tokens);
-        let since = now + cfg.time_per_prompt_token * (draft.req.prompt_tokens - cached_tokens);
+        let uncached = draft.req.prompt_tokens - cached_tokens + draft.req.offset;
+        let since = now + cfg.time_per_prompt_token * uncached;
         draft.phase = Phase::Prefilling { until: since };
         record.drafts.push(draft.run(cached_tokens));
         draft.begin(Schedule {
             since,
             first_index: draft.req.offset,
             cached_tokens,
-            intact: blocks.iter().all(|block| block.intact),
+            answer: draft.answer(&blocks),
+            max_tokens: draft.req.max_tokens,
         });
         self.prefilling = Some(key);
         true
@@ -226,10 +272,8 @@
         running.filter_map(|key| self.drafts[*key].until()).min()
     }
 
-    fn remove(&mut self, key: DraftKey, cache: &mut Cache) {
-        let Some(draft) = self.drafts.remove(key) else {
-            return;
-        };
+    fn remove(&mut self, key: DraftKey, cache: &mut Cache) -> Option<(DraftRequest, Schedule)> {
+        let draft = self.drafts.remove(key)?;
         for piece in &draft.req.pieces[..draft.pinned] {
             cache.unpin(piece);
         }
@@ -241,6 +285,7 @@
         if self.by_request.get(&draft.req.request_id) == Some(&key) {
             self.by_request.remove(&draft.req.request_id);
         }
+        draft.schedule.map(|schedule| (draft.req, schedule))
     }
 }
 
@@ -268,6 +313,17 @@
         }
     }
 
+    /// The answer that comes out of these blocks and of what is to be continued.
+    fn answer(&self, blocks: &[Block]) -> Answer {
+        let right = right_answer(&self.req);
+        let continues = self.req.offset == 0 || self.req.continued == right.text(self.req.offset);
+        if continues && blocks.iter().all(|block| block.intact) {
+            right
+        } else {
+            right.damaged()
+        }
+    }
+
     fn join(&mut self, notice: Notice) {
         match self.schedule {
             Some(schedule) => {
@@ -300,3 +356,12 @@
         self.pinned = blocks.len();
     }
 }
+
+fn right_answer(req: &DraftRequest) -> Answer {
+    Answer::new(&req.model, req.weight_version, &req.prompt)
+}
+
+/// Whether a request can go on with the draft of another one.
+fn continues(held: &DraftRequest, req: &DraftRequest) -> bool {
+    held.offset <= req.offset && held.weight_version == req.weight_version && held.workspace == req.workspace
+}
--- a/components/standins/src/engine/config.rs
+++ b/components/standins/src/engine/config.rs
@@ -87,6 +87,4 @@
     pub slow_load_ms: u64,
     /// Imports are used without a check. For tests of the checker.
     pub skip_import_check: bool,
-    /// Every draft starts on the wrong weight version's cache. For tests of the checker.
-    pub use_any_version: bool,
 }
--- a/components/standins/src/engine/draft.rs
+++ b/components/standins/src/engine/draft.rs
@@ -3,9 +3,7 @@
 
 use bytes::Bytes;
 use futures_lite::stream;
-use http_body_util::{BodyExt, StreamBody};
-use http_io::{Body, HttpError, SseEvent};
-use hyper::body::Frame;
+use http_io::{Body, HttpError, SseEvent, stream_body};
 use targets::{DraftChunk, DraftEnd, DraftEvent, DraftRequest, DraftStart};
 use utils::{Monotonic, RequestId};
 
@@ -48,10 +46,8 @@
     request_id: RequestId,
     /// Brings the schedule.
     notice: async_channel::Receiver<Schedule>,
-    /// When tokens are ready.
+    /// What is generated, and when.
     schedule: Schedule,
-    /// The tokens.
-    answer: Answer,
     /// What comes next.
     step: Step,
     /// Faults.
@@ -65,12 +61,12 @@
         notice: async_channel::Receiver<Schedule>,
         hits: DraftHits,
     ) -> Self {
-        let answer = Answer::new(&req.model, req.weight_version, &req.prompt);
         let schedule = Schedule {
             since: Monotonic::ZERO,
             first_index: req.offset,
             cached_tokens: 0,
-            intact: true,
+            answer: Answer::new(&req.model, req.weight_version, &req.prompt),
+            max_tokens: req.max_tokens,
         };
         Self {
             request_id: if hits.cross {
@@ -82,7 +78,6 @@
             req,
             notice,
             schedule,
-            answer,
             step: Step::Start,
             hits,
         }
@@ -90,11 +85,10 @@
 
     /// The body that sends the events as they are ready.
     pub(crate) fn into_body(self) -> Body {
-        let frames = stream::unfold(self, |mut events| async move {
-            let frame = events.next().await?;
-            Some((frame.map(Frame::data), events))
-        });
-        BodyExt::boxed_unsync(StreamBody::new(frames))
+        stream_body(stream::unfold(self, |mut events| async move {
+            let chunk = events.next().await?;
+            Some((chunk, events))
+        }))
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
@@ -117,9 +111,6 @@
         if !self.hits.delay.is_zero() {
             smol::Timer::after(self.hits.delay).await;
         }
-        if !self.schedule.intact {
-            self.answer = self.answer.damaged();
-        }
         self.step = self.step_to(self.req.offset);
         let mut event = self.event();
         event.start = Some(DraftStart {
@@ -143,7 +134,7 @@
         let mut event = self.event();
         event.chunk = Some(DraftChunk {
             index,
-            text: self.answer.token(index),
+            text: self.schedule.answer.token(index),
         });
         event
     }
@@ -152,15 +143,15 @@
         self.step = Step::Done;
         let mut event = self.event();
         event.end = Some(DraftEnd {
-            tokens: self.req.max_tokens + u32::from(self.hits.wrong_count),
+            tokens: self.schedule.max_tokens + u32::from(self.hits.wrong_count),
         });
         event
     }
 
     fn step_to(&self, index: u32) -> Step {
-        if self.hits.cut_short && index >= self.req.max_tokens.div_ceil(2) {
+        if self.hits.cut_short && index >= self.schedule.max_tokens.div_ceil(2) {
             Step::Done
-        } else if index < self.req.max_tokens {
+        } else if index < self.schedule.max_tokens {
             Step::Token(index)
         } else {
             Step::End
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -14,7 +14,7 @@
 use targets::{DraftRequest, LoadReport};
 use utils::{Epoch, ModelId, Monotonic, RequestId, WeightVersion};
 
-use super::batch::Batch;
+use super::batch::{Batch, NotHeld, Schedule};
 use super::cache::Cache;
 use super::config::{EngineConfig, EngineFaults};
 use super::draft::{DraftEvents, DraftHits};
@@ -173,15 +173,16 @@
     fn submit(
         &self,
         req: &DraftRequest,
-        notice: async_channel::Sender<super::batch::Schedule>,
+        notice: async_channel::Sender<Schedule>,
     ) -> Result<DraftHits, StatusCode> {
         let now = self.now();
         let mut state = self.lock();
         let loaded = state.versions.get(&req.model) == Some(&req.weight_version);
-        if !loaded && !state.batch.holds(req) && !state.faults.use_any_version {
+        if !loaded && !state.batch.holds(req) {
             return Err(StatusCode::GONE);
         }
-        state.batch.submit(req.clone(), notice);
+        let submitted = state.batch.submit(req.clone(), notice);
+        submitted.map_err(|NotHeld| StatusCode::NOT_FOUND)?;
         state.advance(now, &self.cfg);
         Ok(state.hits())
     }
--- a/components/standins/tests/clients.rs
+++ b/components/standins/tests/clients.rs
@@ -75,14 +75,21 @@
         assert_eq!(text(&events), expected.text(8));
         assert_eq!(events[0].start.as_ref().unwrap().cached_tokens, 0);
 
-        let mut resumed = draft(1, "hello", 8);
-        (resumed.attempt, resumed.offset) = (2, 5);
-        let (events, end) = read_all(engine.draft(resumed).await.unwrap()).await;
+        let mut resumed = draft(1, "", 8);
+        (resumed.attempt, resumed.offset, resumed.resume_only) = (2, 5, true);
+        let (events, end) = read_all(engine.draft(resumed.clone()).await.unwrap()).await;
         end.unwrap();
-        assert_eq!(
-            text(&events),
-            (5..8).map(|i| expected.token(i)).collect::<String>()
-        );
+        let rest: String = (5..8).map(|i| expected.token(i)).collect();
+        assert_eq!(text(&events), rest);
+        resumed.workspace = "yard".into();
+        let foreign = engine.draft(resumed).await.err().unwrap();
+        assert_eq!(*foreign.current_context(), TargetError::Refused(404));
+
+        let mut moved = draft(2, "hello", 8);
+        (moved.offset, moved.continued) = (5, expected.text(5));
+        let (events, end) = read_all(engine.draft(moved).await.unwrap()).await;
+        end.unwrap();
+        assert_eq!(text(&events), rest);
         assert_eq!(events[0].start.as_ref().unwrap().cached_tokens, 2_048);
 
         let events = engine.cache_events(0).await.unwrap();
--- a/components/standins/tests/support/mod.rs
+++ b/components/standins/tests/support/mod.rs
@@ -40,6 +40,8 @@
         max_tokens,
         priority: 0,
         offset: 0,
+        continued: String::new(),
+        resume_only: false,
     }
 }
 
