--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -12,7 +12,9 @@
 };
 pub use client::{Client, ClientConfig};
 pub use error::HttpError;
-pub use server::{Handler, HandlerFuture, Server, ServerConfig, Shutdown, shutdown_channel};
+pub use server::{
+    Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
+};
 pub use sse::{SseEvent, SseReader};
 
 /// An executor that one thread runs; clones share it.
