Test the whole path over real sockets

Cause: the path stood without a test from caller to target. Change: a small deployment on loopback (platform, engines, ledger, entry hosts, callers) and nine tests: whole answers streamed and not, one run of a call at any host, a note obeyed by every host, a silent connection, a crashed engine, a stream resumed at another host, a drain under 200 streams, bad input.

--- /dev/null
+++ b/components/entry/tests/common/caller.rs
@@ -0,0 +1,161 @@
+use std::net::SocketAddr;
+
+use errors::{OUTCOME_HEADER, Problem};
+use http_io::{Body, Client, SseReader, full_body, json_body, read_limited};
+use hyper::{Method, Request};
+
+/// Longest answer read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// A caller of one entry host.
+pub struct Caller {
+    client: Client,
+    addr: SocketAddr,
+    api_key: String,
+}
+
+/// What a caller got from a stream.
+#[derive(Debug, Default)]
+pub struct Streamed {
+    /// HTTP status.
+    pub status: u16,
+    /// The outcome header.
+    pub outcome: String,
+    /// The text so far.
+    pub text: String,
+    /// Tokens so far.
+    pub tokens: u32,
+    /// The last event's identifier.
+    pub last_id: String,
+    /// Whether the end marker came.
+    pub done: bool,
+    /// The problem, if the answer was one or ended in one.
+    pub problem: Option<Problem>,
+}
+
+/// What a caller got from a call.
+#[derive(Debug)]
+pub struct Answered {
+    /// HTTP status.
+    pub status: u16,
+    /// The outcome header.
+    pub outcome: String,
+    /// Body.
+    pub body: String,
+}
+
+impl Caller {
+    pub fn new(client: Client, addr: SocketAddr, api_key: &str) -> Self {
+        Self {
+            client,
+            addr,
+            api_key: api_key.to_owned(),
+        }
+    }
+
+    /// Reads a streamed completion to its end.
+    pub async fn stream(&self, body: &serde_json::Value, last_id: Option<&str>) -> Streamed {
+        self.stream_until(body, last_id, u32::MAX).await
+    }
+
+    /// Reads a streamed completion until it has `tokens` tokens, then leaves.
+    pub async fn stream_until(
+        &self,
+        body: &serde_json::Value,
+        last_id: Option<&str>,
+        tokens: u32,
+    ) -> Streamed {
+        let mut req = self.request(Method::POST, "/v1/completions");
+        if let Some(id) = last_id {
+            req = req.header("last-event-id", id);
+        }
+        let body = if last_id.is_some() {
+            http_io::empty_body()
+        } else {
+            json_body(body)
+        };
+        let Ok(res) = self.client.send(self.addr, req.body(body).unwrap()).await else {
+            return Streamed::default();
+        };
+        let mut streamed = Streamed {
+            status: res.status().as_u16(),
+            outcome: header(res.headers(), OUTCOME_HEADER),
+            ..Streamed::default()
+        };
+        if streamed.status != 200 {
+            let bytes = read_limited(res.into_body(), MAX_ANSWER_BYTES).await.unwrap();
+            streamed.problem = serde_json::from_slice(&bytes).ok();
+            return streamed;
+        }
+        let mut reader = SseReader::new(res.into_body());
+        while streamed.tokens < tokens {
+            match reader.next().await {
+                Ok(Some(event)) => streamed.take(&event),
+                Ok(None) | Err(_) => break,
+            }
+        }
+        streamed
+    }
+
+    /// Makes a call to the ledger.
+    pub async fn call(&self, path: &str, key: Option<&str>, body: &str) -> Answered {
+        let mut req = self.request(Method::POST, path);
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
+        self.send(req.body(full_body(body.to_owned())).unwrap()).await
+    }
+
+    /// Sends any request.
+    pub async fn send(&self, req: Request<Body>) -> Answered {
+        let res = self.client.send(self.addr, req).await.unwrap();
+        let status = res.status().as_u16();
+        let outcome = header(res.headers(), OUTCOME_HEADER);
+        let body = read_limited(res.into_body(), MAX_ANSWER_BYTES).await.unwrap();
+        Answered {
+            status,
+            outcome,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        }
+    }
+
+    /// The head of a request with the caller's key.
+    pub fn request(&self, method: Method, path: &str) -> hyper::http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.addr.to_string())
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.api_key))
+    }
+}
+
+impl Streamed {
+    fn take(&mut self, event: &http_io::SseEvent) {
+        if event.data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        let value: serde_json::Value = serde_json::from_str(&event.data).unwrap();
+        if let Some(problem) = value.get("error") {
+            self.problem = serde_json::from_value(problem.clone()).ok();
+            return;
+        }
+        if let Some(id) = &event.id {
+            self.last_id.clone_from(id);
+        }
+        let text = value["choices"][0]["text"].as_str().unwrap_or_default();
+        if !text.is_empty() {
+            self.text.push_str(text);
+            self.tokens += 1;
+        }
+    }
+}
+
+fn header(headers: &hyper::HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
--- /dev/null
+++ b/components/entry/tests/common/mod.rs
@@ -0,0 +1,271 @@
+//! A small deployment on loopback: stand-ins, entry hosts and callers.
+
+#![allow(dead_code, unreachable_pub)]
+
+mod caller;
+
+pub use caller::Caller;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::{
+    HostSettings, LimitSettings, ListenSettings, LogSettings, PeerSettings, PlatformSettings, SecretSettings,
+    Settings, ThreadSettings, TimeoutSettings,
+};
+use entry::Daemon;
+use http_io::{Client, ClientConfig, Executor};
+use notes::{Declared, Deployment, PlainService, Workspace};
+use platform::{HostRole, HostState, ListedHost};
+use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
+
+/// API key of the workspace `mill`.
+pub const MILL_KEY: &str = "mill-key";
+/// API key of the workspace `green`.
+pub const GREEN_KEY: &str = "green-key";
+/// The model that every engine serves.
+pub const MODEL: &str = "draft";
+/// The service whose calls may not be repeated.
+pub const LEDGER: &str = "ledger";
+
+/// How a world is built.
+pub struct WorldConfig {
+    /// Engines.
+    pub engines: usize,
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Time for an engine to generate a token.
+    pub time_per_output_token: Duration,
+    /// Longest wait without progress.
+    pub progress: Duration,
+}
+
+impl Default for WorldConfig {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            hosts: 2,
+            time_per_output_token: Duration::from_millis(1),
+            progress: Duration::from_millis(400),
+        }
+    }
+}
+
+/// A running deployment.
+pub struct World {
+    /// Runs the stand-ins and the callers.
+    ex: Executor,
+    /// The platform.
+    pub platform: Running<Platform>,
+    /// Engines.
+    pub engines: Vec<Running<Engine>>,
+    /// The ledger.
+    pub ledger: Running<Service>,
+    /// Entry hosts.
+    pub hosts: Vec<Daemon>,
+    /// Dropped to end the thread of the stand-ins.
+    stop: async_channel::Sender<()>,
+    /// Runs the executor.
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl World {
+    /// Starts everything, declares one model and one service, and waits until every host is ready.
+    pub fn start(cfg: &WorldConfig) -> Self {
+        let ex: Executor = Arc::new(smol::Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let thread = std::thread::spawn({
+            let ex = ex.clone();
+            move || {
+                let _ = smol::block_on(ex.run(stopped.recv()));
+            }
+        });
+        let platform = Platform::start(&ex, loopback(), PlatformConfig::default()).unwrap();
+        let engines: Vec<_> = (0..cfg.engines).map(|i| start_engine(&ex, i, cfg)).collect();
+        let ledger = Service::start(&ex, loopback(), ServiceConfig::default()).unwrap();
+        for (i, engine) in engines.iter().enumerate() {
+            platform.state().set_host(listed(
+                &format!("engine-{i}"),
+                HostRole::Engine,
+                engine.addr(),
+                MODEL,
+            ));
+        }
+        platform
+            .state()
+            .set_host(listed("ledger-0", HostRole::Service, ledger.addr(), LEDGER));
+        let hosts = (0..cfg.hosts)
+            .map(|i| start_host(i, platform.addr(), cfg))
+            .collect();
+        let world = Self {
+            ex,
+            platform,
+            engines,
+            ledger,
+            hosts,
+            stop,
+            thread,
+        };
+        world.declare(&declared(1));
+        world.wait_until_ready();
+        world
+    }
+
+    /// Puts what is declared in force.
+    pub fn declare(&self, declared: &Declared) {
+        let value = serde_json::to_value(declared).unwrap();
+        let write = platform::Write::Put {
+            key: "notes/declared".to_owned(),
+            value,
+        };
+        let tx = platform::Transaction {
+            conditions: Vec::new(),
+            writes: vec![write],
+        };
+        self.platform.state().table().apply(&tx);
+    }
+
+    /// A caller at a host.
+    pub fn caller(&self, host: usize, api_key: &str) -> Caller {
+        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        Caller::new(client, self.hosts[host].addresses().callers, api_key)
+    }
+
+    /// Waits until every host can place a draft.
+    fn wait_until_ready(&self) {
+        for host in 0..self.hosts.len() {
+            let caller = self.caller(host, MILL_KEY);
+            while smol::block_on(caller.stream(&body("warm up", 1), None)).status != 200 {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+
+    /// Drains the hosts and stops the stand-ins.
+    pub fn stop(self) {
+        for host in self.hosts {
+            host.drain().unwrap();
+        }
+        smol::block_on(async {
+            for engine in self.engines {
+                engine.stop().await;
+            }
+            self.ledger.stop().await;
+            self.platform.stop().await;
+        });
+        drop(self.stop);
+        self.thread.join().unwrap();
+    }
+}
+
+/// Body of a streamed completion.
+pub fn body(prompt: &str, max_tokens: u32) -> serde_json::Value {
+    serde_json::json!({ "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true })
+}
+
+/// One model and one service for two workspaces.
+pub fn declared(version: u64) -> Declared {
+    let workspace = |key: &str| Workspace {
+        key_digests: vec![utils::digest(key.as_bytes())],
+        ..Workspace::default()
+    };
+    let deployment = Deployment {
+        weight_version: 1,
+        max_tokens: 100_000,
+        first_token_deadline_ms: 10_000,
+        ..Deployment::default()
+    };
+    let service = PlainService {
+        repeatable: false,
+        timeout_ms: 2_000,
+        workspaces: Vec::new(),
+    };
+    let mut declared = Declared {
+        version,
+        ..Declared::default()
+    };
+    declared.workspaces.insert("mill".into(), workspace(MILL_KEY));
+    declared.workspaces.insert("green".into(), workspace(GREEN_KEY));
+    declared.deployments.insert(MODEL.into(), deployment);
+    declared.services.insert(LEDGER.into(), service);
+    declared
+}
+
+/// A free loopback address.
+pub fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn start_engine(ex: &Executor, i: usize, cfg: &WorldConfig) -> Running<Engine> {
+    let engine = EngineConfig {
+        id: format!("engine-{i}").into(),
+        models: vec![(MODEL.into(), 1)],
+        slots: 512,
+        time_per_output_token: cfg.time_per_output_token,
+        ..EngineConfig::default()
+    };
+    Engine::start(ex, loopback(), engine).unwrap()
+}
+
+fn start_host(i: usize, platform: SocketAddr, cfg: &WorldConfig) -> Daemon {
+    Daemon::start(
+        settings(i, platform, cfg.progress),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    )
+    .unwrap()
+}
+
+/// Settings of a host.
+pub fn settings(i: usize, platform: SocketAddr, progress: Duration) -> Settings {
+    let platform = PlatformSettings {
+        list_interval_ms: 100,
+        head_interval_ms: 100,
+        ..PlatformSettings::new(platform)
+    };
+    Settings {
+        host: HostSettings {
+            id: format!("entry-{i}").into(),
+            region: "region-a".into(),
+            failure_domain: "domain-a".into(),
+        },
+        listen: ListenSettings {
+            callers: loopback(),
+            operators: loopback(),
+            peers: loopback(),
+        },
+        platform,
+        peers: PeerSettings::default(),
+        secrets: SecretSettings {
+            resume: utils::digest(b"resume"),
+            pieces: utils::digest(b"pieces"),
+        },
+        threads: ThreadSettings::default(),
+        limits: LimitSettings {
+            body_bytes: 64 << 10,
+            prompt_tokens: 8_192,
+            ..LimitSettings::default()
+        },
+        timeouts: TimeoutSettings {
+            progress_ms: progress.as_millis() as u64,
+            drain_notice_ms: 10,
+            ..TimeoutSettings::default()
+        },
+        log: LogSettings::default(),
+    }
+}
+
+fn listed(id: &str, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
+    ListedHost {
+        id: id.into(),
+        role,
+        region: "region-a".into(),
+        failure_domain: "domain-a".into(),
+        address,
+        peer_address: None,
+        incarnation: 0,
+        state: HostState::Live,
+        serves: vec![serves.into()],
+        checks_epochs: false,
+    }
+}
--- /dev/null
+++ b/components/entry/tests/path.rs
@@ -0,0 +1,209 @@
+//! The whole path over real sockets, without and with faults.
+
+mod common;
+
+use common::{GREEN_KEY, MILL_KEY, MODEL, World, WorldConfig, body, declared};
+use errors::Outcome;
+use hyper::Method;
+use smol::block_on;
+use standins::Answer;
+
+fn right_answer(prompt: &str, tokens: u32) -> String {
+    Answer::new(MODEL, 1, prompt).text(tokens)
+}
+
+#[test]
+fn a_prompt_streams_back_whole() {
+    let world = World::start(&WorldConfig::default());
+    let streamed = block_on(world.caller(0, MILL_KEY).stream(&body("draft a quote", 20), None));
+    assert_eq!((streamed.status, streamed.outcome.as_str()), (200, "ran"));
+    assert_eq!(streamed.text, right_answer("draft a quote", 20));
+    assert!(streamed.done);
+    world.stop();
+}
+
+#[test]
+fn an_answer_that_is_not_streamed_is_whole() {
+    let world = World::start(&WorldConfig::default());
+    let caller = world.caller(0, MILL_KEY);
+    let json = serde_json::json!({
+        "model": MODEL, "max_tokens": 5, "messages": [{ "role": "user", "content": "sacks" }],
+    });
+    let req = caller
+        .request(Method::POST, "/v1/chat/completions")
+        .body(http_io::json_body(&json))
+        .unwrap();
+    let answered = block_on(caller.send(req));
+    let value: serde_json::Value = serde_json::from_str(&answered.body).unwrap();
+    assert_eq!(
+        value["choices"][0]["message"]["content"],
+        right_answer("user: sacks\n", 5)
+    );
+    assert_eq!(value["usage"]["completion_tokens"], 5);
+    world.stop();
+}
+
+#[test]
+fn a_call_runs_once_at_any_host() {
+    let world = World::start(&WorldConfig::default());
+    let path = "/v1/services/ledger/grants";
+    let first = block_on(world.caller(0, GREEN_KEY).call(path, Some("grant-1"), "plaza"));
+    let again = block_on(world.caller(1, GREEN_KEY).call(path, Some("grant-1"), "plaza"));
+    let other_body = block_on(world.caller(1, GREEN_KEY).call(path, Some("grant-1"), "common"));
+    let no_key = block_on(world.caller(0, GREEN_KEY).call(path, None, "plaza"));
+    assert_eq!((first.status, first.outcome.as_str()), (201, "ran"));
+    assert_eq!(again.body, first.body);
+    assert_eq!((other_body.status, other_body.outcome.as_str()), (422, "not-run"));
+    assert_eq!((no_key.status, no_key.outcome.as_str()), (400, "not-run"));
+    assert_eq!(world.ledger.state().record().runs.len(), 1);
+    world.stop();
+}
+
+#[test]
+fn a_note_is_obeyed_by_every_host() {
+    let world = World::start(&WorldConfig::default());
+    let mut next = declared(2);
+    next.workspaces.remove("mill");
+    world.declare(&next);
+    for host in 0..world.hosts.len() {
+        let caller = world.caller(host, MILL_KEY);
+        while block_on(caller.stream(&body("draft", 1), None)).status != 401 {
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    }
+    world.stop();
+}
+
+#[test]
+fn a_silent_connection_costs_no_second_run() {
+    let world = World::start(&WorldConfig {
+        engines: 1,
+        ..WorldConfig::default()
+    });
+    let caller = world.caller(0, MILL_KEY);
+    let silenced = async {
+        smol::Timer::after(std::time::Duration::from_millis(50)).await;
+        world.engines[0].silence();
+    };
+    let request = body("a long draft", 300);
+    let (streamed, ()) = block_on(futures_lite::future::zip(caller.stream(&request, None), silenced));
+    assert_eq!(streamed.text, right_answer("a long draft", 300));
+    assert!(streamed.done);
+    world.stop();
+}
+
+#[test]
+fn a_crashed_engine_does_not_cut_an_answer() {
+    let world = World::start(&WorldConfig::default());
+    let caller = world.caller(0, MILL_KEY);
+    let crash = async {
+        smol::Timer::after(std::time::Duration::from_millis(50)).await;
+        for engine in &world.engines {
+            let drafts = engine.state().record().drafts;
+            if drafts.iter().any(|d| d.prompt == utils::digest(b"a long draft")) {
+                engine.crash();
+            }
+        }
+    };
+    let request = body("a long draft", 300);
+    let (streamed, ()) = block_on(futures_lite::future::zip(caller.stream(&request, None), crash));
+    assert_eq!(streamed.text, right_answer("a long draft", 300));
+    assert!(streamed.done);
+    world.stop();
+}
+
+#[test]
+fn a_stream_goes_on_at_another_host() {
+    let world = World::start(&WorldConfig::default());
+    let begun = block_on(
+        world
+            .caller(0, MILL_KEY)
+            .stream_until(&body("a long draft", 200), None, 50),
+    );
+    let rest = block_on(
+        world
+            .caller(1, MILL_KEY)
+            .stream(&body("", 0), Some(&begun.last_id)),
+    );
+    assert_eq!(begun.text.clone() + &rest.text, right_answer("a long draft", 200));
+    assert!(rest.done);
+    let foreign = block_on(
+        world
+            .caller(1, GREEN_KEY)
+            .stream(&body("", 0), Some(&begun.last_id)),
+    );
+    assert_eq!((foreign.status, foreign.outcome.as_str()), (400, "not-run"));
+    world.stop();
+}
+
+#[test]
+fn a_drain_cuts_no_stream() {
+    let mut world = World::start(&WorldConfig {
+        hosts: 1,
+        ..WorldConfig::default()
+    });
+    let caller = world.caller(0, MILL_KEY);
+    let host = world.hosts.remove(0);
+    let streams = std::thread::spawn(move || {
+        block_on(async {
+            let request = body("a long draft", 300);
+            let all = (0..200).map(|_| caller.stream(&request, None));
+            let ex = smol::LocalExecutor::new();
+            let tasks: Vec<_> = all.map(|stream| ex.spawn(stream)).collect();
+            ex.run(async {
+                let mut streamed = Vec::new();
+                for task in tasks {
+                    streamed.push(task.await);
+                }
+                streamed
+            })
+            .await
+        })
+    });
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    host.drain().unwrap();
+    for streamed in streams.join().unwrap() {
+        assert_eq!(streamed.text, right_answer("a long draft", 300));
+        assert!(streamed.done);
+    }
+    world.stop();
+}
+
+#[test]
+fn bad_input_is_refused_and_the_host_lives_on() {
+    let world = World::start(&WorldConfig {
+        hosts: 1,
+        ..WorldConfig::default()
+    });
+    let caller = world.caller(0, MILL_KEY);
+    let post = |path: &str, text: String| {
+        let req = caller
+            .request(Method::POST, path)
+            .body(http_io::full_body(text))
+            .unwrap();
+        let answered = block_on(caller.send(req));
+        assert_eq!(answered.outcome, Outcome::NotRun.as_str(), "{path}");
+        answered.status
+    };
+    assert_eq!(post("/v1/completions", "{".to_owned()), 400);
+    assert_eq!(
+        post("/v1/completions", body("x", 1).to_string().replace(MODEL, "none")),
+        404
+    );
+    assert_eq!(
+        post("/v1/completions", body(&"x".repeat(40_000), 1).to_string()),
+        413
+    );
+    assert_eq!(
+        post("/v1/completions", body(&"x".repeat(70_000), 1).to_string()),
+        413
+    );
+    assert_eq!(post("/v1/services/none/x", String::new()), 404);
+    assert_eq!(post("/elsewhere", String::new()), 404);
+    let forged = block_on(caller.stream(&body("", 0), Some("AAAA")));
+    assert_eq!(forged.status, 400);
+    let stranger = block_on(world.caller(0, "no-such-key").stream(&body("x", 1), None));
+    assert_eq!(stranger.status, 401);
+    assert_eq!(block_on(caller.stream(&body("still here", 1), None)).status, 200);
+    world.stop();
+}
