Add membership: heartbeats, liveness of targets, ownership

Change: a state machine `Membership` of the platform's list, heartbeats with nonce echoes, observations and summaries. Hosts probe their neighbours on three rings of the own region and one of all hosts; a host counts as heard from the time at which its probe was sent. Silent hosts are probed through others, suspected, and taken for dead if they do not object. Only hosts of the same region judge a host, so a cut link between regions buries nobody. Too large a loss in a pool is not believed. Owners are kept by rendezvous hashing with only the moved keys computed again. `measure` runs all hosts in virtual time.

Ruled out: random peers out of all hosts (a connection to each of 340 hosts, and two handshakes a second after a start); rendezvous-chosen peers (uneven numbers of receivers); one flag for "leaving" that newer load summaries overwrite (a test showed it lost).

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,1 +1,33 @@
+//! Liveness of hosts and targets, who owns what, and fenced orders, as state machines without I/O.
 
+mod damping;
+mod exchange;
+mod gossip;
+mod heartbeat;
+mod hosts;
+mod input;
+mod measure;
+mod membership;
+mod neighbours;
+mod ownership;
+mod peer;
+mod polling;
+mod pool;
+mod probing;
+mod tag;
+mod target;
+mod view;
+
+pub use damping::Damping;
+pub use heartbeat::{
+    Body, Demand, Heartbeat, HeartbeatError, HostStatus, MAX_PAYLOAD_BYTES, Quarantined, Rumour,
+    TargetSummary, WIRE_OVERHEAD_BYTES,
+};
+pub use input::{Effect, Input, MembershipEvent, Observation};
+pub use measure::{Measure, MeasureOptions, measure};
+pub use membership::{Identity, Membership};
+pub use neighbours::neighbours;
+pub use ownership::{Owners, Ownership, SHARDS, ShardId, shard};
+pub use polling::{Backoff, poll_interval};
+pub use tag::{HostTag, TargetTag, WorkspaceTag};
+pub use view::{HeardHost, HostEntry, MembershipView, TargetEntry, TargetLiveness, Why};
--- /dev/null
+++ b/components/membership/tests/traffic.rs
@@ -0,0 +1,61 @@
+//! Control traffic in virtual time, against the stated bound.
+
+use std::time::Duration;
+
+use membership::{MeasureOptions, Membership, measure};
+use utils::ManualClock;
+
+/// Control traffic of a host in both directions, in bytes a second.
+const MOST_BYTES_PER_SECOND: f64 = 3_000.0;
+
+fn run(hosts: usize, targets: usize) -> membership::Measure {
+    let options = MeasureOptions {
+        hosts,
+        targets,
+        duration: Duration::from_secs(25),
+        seed: 4,
+    };
+    measure(options, &ManualClock::default())
+}
+
+#[test]
+fn traffic_keeps_to_its_bound_with_few_and_many_hosts() {
+    for (hosts, targets) in [(9, 23), (30, 200)] {
+        let measure = run(hosts, targets);
+        assert!(
+            measure.bytes_per_second() <= MOST_BYTES_PER_SECOND,
+            "{hosts}: {measure:?}"
+        );
+        assert!(
+            measure.busiest_per_second <= MOST_BYTES_PER_SECOND,
+            "{hosts}: {measure:?}"
+        );
+        assert_eq!(measure.leaving_learned, hosts);
+        assert!(
+            measure.leaving_last <= Duration::from_secs(3),
+            "{hosts}: {measure:?}"
+        );
+        assert_eq!(measure.dead_learned, hosts - 1);
+    }
+}
+
+#[test]
+fn measure_is_repeatable() {
+    assert_eq!(run(9, 23), run(9, 23));
+}
+
+#[test]
+fn membership_can_be_cloned_and_steps_alike() {
+    let identity = membership::Identity {
+        id: "entry-0".into(),
+        region: "north".into(),
+        incarnation: 1,
+    };
+    let mut left = Membership::new(identity, 3, Duration::ZERO);
+    let mut right = left.clone();
+    let tick = || membership::Input::Tick;
+    assert_eq!(
+        left.step(tick(), Duration::from_secs(1)),
+        right.step(tick(), Duration::from_secs(1))
+    );
+}
