Place prompts by wait, kept cache and links

Cause: placement knew waits only; prompts that return were computed again although a target or a store kept them.

Change: `CacheAware` behind `Placer`. Copies come through the trait `CacheIndex`, which the directory's view implements, so requests and candidates keep their fields. The view gains stores, links, the size of a piece and an index by model. A cost is wait or transfer, whichever ends later, plus processing, recomputed tokens and link bytes, weighted by workspace; doubtful pieces count for half of their worth and never as resident. Near ties are chosen by two draws of the seed. Among more than 64 serving targets only holders and 16 targets of short wait are looked at.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -3,10 +3,15 @@
 mod baseline;
 mod copies;
 mod placement;
+mod placement_choice;
+mod placement_cost;
+mod placement_view;
 
 pub use baseline::LeastLoaded;
 pub use copies::{CacheIndex, Copies, MAX_PIECES, NoCopies, StoreCopy, StoreKey, TargetCopy};
 pub use placement::{
-    Candidate, CandidateKey, Chosen, CostTerms, Fetch, Placement, PlacementRequest, PlacementView, Placer,
-    Rejected, RejectedReason, TargetState,
+    Candidate, CandidateKey, Chosen, CostTerms, Fetch, Placement, PlacementRequest, Placer, Rejected,
+    RejectedReason, TargetState,
 };
+pub use placement_choice::CacheAware;
+pub use placement_view::{LinkView, PlacementView, ServingIndex, StoreView};
--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -2,9 +2,11 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::new_key_type;
 use utils::{Digest, FailureDomainId, ModelId, Monotonic, RegionId, TargetId, WeightVersion, WorkspaceId};
 
+use crate::PlacementView;
+
 new_key_type! {
     /// Key of a candidate in a [`PlacementView`].
     pub struct CandidateKey;
@@ -49,19 +51,12 @@
     pub prefill_tokens_per_second: f64,
     /// When the report was taken.
     pub reported_at: Monotonic,
-    /// Prompt tokens sent by this host since the report.
+    /// Prompt tokens sent since the report, by this host and as far as known by its peers.
     pub sent_since_tokens: u64,
     /// Requests of this host that are open at the target.
     pub open: u32,
 }
 
-/// What a placement is decided on; immutable once published.
-#[derive(Debug, Clone, Default)]
-pub struct PlacementView {
-    /// Targets by key.
-    pub targets: SlotMap<CandidateKey, Candidate>,
-}
-
 /// A prompt that needs a target.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest<'a> {
--- /dev/null
+++ b/components/policy/src/placement_cost.rs
@@ -0,0 +1,248 @@
+use utils::Monotonic;
+
+use crate::placement_view::{PlacementView, StoreView};
+use crate::{Candidate, Copies, CostTerms, PlacementRequest, StoreKey, TargetCopy};
+
+/// Tokens in a full piece.
+const PIECE_TOKENS: u32 = 2_048;
+
+/// Bytes of prompt text for a token.
+const TEXT_BYTES_PER_TOKEN: u64 = 4;
+
+/// Expected share of doubtful pieces that the target has.
+const DOUBTFUL_SHARE: f64 = 0.5;
+
+/// Expected wait for one draft to end at a target whose slots are all in use, in seconds.
+const SLOT_WAIT_SECONDS: f64 = 0.5;
+
+/// Bytes in a megabyte.
+const MEGABYTE: f64 = 1e6;
+
+/// Pieces to read from a store before the prompt runs.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct FetchPlan {
+    /// First piece to read.
+    pub(crate) first: u16,
+    /// Store inside the target's region and how many pieces to read from it.
+    pub(crate) near: Option<(StoreKey, u16)>,
+    /// Store in another region and how many pieces to read from it, after the near ones.
+    pub(crate) far: Option<(StoreKey, u16)>,
+}
+
+/// A run of pieces that one store can give.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    /// The store.
+    store: StoreKey,
+    /// Pieces in a row.
+    pieces: u16,
+    /// Seconds until the first transfer can start.
+    delay: f64,
+    /// Seconds for a piece.
+    piece_seconds: f64,
+}
+
+/// Everything that the costs of one request's candidates share.
+pub(crate) struct CostModel<'a> {
+    pub(crate) view: &'a PlacementView,
+    pub(crate) req: &'a PlacementRequest<'a>,
+    pub(crate) copies: &'a Copies,
+    /// Leading pieces that were computed before, as far as known.
+    pub(crate) known: u16,
+}
+
+/// Expected wait in a target's queue: the report, less what was processed since, and what was sent since.
+pub(crate) fn queue_seconds(candidate: &Candidate, now: Monotonic) -> f64 {
+    let speed = candidate.prefill_tokens_per_second.max(1.0);
+    let age = now.saturating_sub(candidate.reported_at).as_secs_f64();
+    let reported = (candidate.queued_prompt_tokens as f64 / speed - age).max(0.0);
+    let slots = match candidate.running >= candidate.slots.max(1) {
+        true => SLOT_WAIT_SECONDS,
+        false => 0.0,
+    };
+    reported + candidate.sent_since_tokens as f64 / speed + slots
+}
+
+impl<'a> CostModel<'a> {
+    pub(crate) fn new(view: &'a PlacementView, req: &'a PlacementRequest<'a>, copies: &'a Copies) -> Self {
+        let on_targets = copies.targets().iter().map(|c| c.likely).max().unwrap_or(0);
+        let on_stores = copies.stores().iter().map(|c| c.pieces.trailing_ones() as u16);
+        Self {
+            view,
+            req,
+            copies,
+            known: on_stores.max().unwrap_or(0).max(on_targets),
+        }
+    }
+
+    /// The cheapest way to run the prompt at a candidate.
+    pub(crate) fn cheapest(
+        &self,
+        candidate: &Candidate,
+        copy: TargetCopy,
+        now: Monotonic,
+    ) -> (CostTerms, FetchPlan) {
+        let queue = queue_seconds(candidate, now);
+        let mut best = self.cost(candidate, copy, copy.certain, queue, (None, None));
+        if copy.likely > copy.certain {
+            best = cheaper(best, self.cost(candidate, copy, copy.likely, queue, (None, None)));
+        }
+        for first in [copy.certain, copy.likely] {
+            best = cheaper(best, self.with_fetches(candidate, copy, first, queue, best));
+            if copy.likely == copy.certain {
+                break;
+            }
+        }
+        best
+    }
+
+    /// The cheapest way that reads pieces from `first` on.
+    fn with_fetches(
+        &self,
+        candidate: &Candidate,
+        copy: TargetCopy,
+        first: u16,
+        queue: f64,
+        mut best: (CostTerms, FetchPlan),
+    ) -> (CostTerms, FetchPlan) {
+        let near = self.run(candidate, first, true);
+        if let Some(near) = near {
+            for near in [near.first(near.fitting(queue)), near] {
+                best = cheaper(best, self.cost(candidate, copy, first, queue, (Some(near), None)));
+            }
+        }
+        let after = first + near.map_or(0, |n| n.pieces);
+        if let Some(far) = self.run(candidate, after, false) {
+            for far in [far.first(far.fitting(queue)), far] {
+                best = cheaper(best, self.cost(candidate, copy, first, queue, (near, Some(far))));
+            }
+        }
+        best
+    }
+
+    /// The longest run of pieces from `first` on at a store in the target's region, or in another one.
+    fn run(&self, candidate: &Candidate, first: u16, is_near: bool) -> Option<Run> {
+        let runs = self.copies.stores().iter().filter_map(|copy| {
+            let store = self.view.stores.get(copy.store).filter(|s| s.is_usable)?;
+            let pieces = copy.pieces.checked_shr(u32::from(first))?.trailing_ones() as u16;
+            if pieces == 0 || (store.region == candidate.region) != is_near {
+                return None;
+            }
+            let run = self.near_run(copy.store, store, pieces);
+            if is_near {
+                Some(run)
+            } else {
+                self.far_run(candidate, store, run)
+            }
+        });
+        runs.max_by_key(|run| run.pieces)
+    }
+
+    fn near_run(&self, key: StoreKey, store: &StoreView, pieces: u16) -> Run {
+        let rate = store.bytes_per_second.max(1.0);
+        Run {
+            store: key,
+            pieces,
+            delay: store.backlog_bytes as f64 / rate,
+            piece_seconds: self.view.piece_bytes as f64 / rate,
+        }
+    }
+
+    /// Limits a run to what the link between the regions may carry.
+    fn far_run(&self, candidate: &Candidate, store: &StoreView, run: Run) -> Option<Run> {
+        let link = self.view.link(&store.region, &candidate.region)?;
+        let affordable = link.budget_bytes.checked_div(self.view.piece_bytes)?;
+        if !link.is_usable || affordable == 0 {
+            return None;
+        }
+        let rate = link.bytes_per_second.max(1.0);
+        Some(Run {
+            pieces: run.pieces.min(u16::try_from(affordable).unwrap_or(u16::MAX)),
+            delay: run.delay.max(link.backlog_bytes as f64 / rate),
+            piece_seconds: run.piece_seconds.max(self.view.piece_bytes as f64 / rate),
+            ..run
+        })
+    }
+
+    /// Cost of running at a candidate with pieces before `first` taken as cached and then `runs` read.
+    fn cost(
+        &self,
+        candidate: &Candidate,
+        copy: TargetCopy,
+        first: u16,
+        queue: f64,
+        (near, far): (Option<Run>, Option<Run>),
+    ) -> (CostTerms, FetchPlan) {
+        let near = near.filter(|run| run.pieces > 0);
+        let far = far.filter(|run| run.pieces > 0);
+        let runs = [near, far];
+        let fetched: u16 = runs.iter().flatten().map(|r| r.pieces).sum();
+        let fetch_seconds = runs.iter().flatten().map(Run::seconds).fold(0.0, f64::max);
+        let at_risk = if first > copy.certain {
+            first - copy.certain + fetched
+        } else {
+            0
+        };
+        let lost = f64::from(at_risk) * (1.0 - DOUBTFUL_SHARE) * f64::from(PIECE_TOKENS);
+        let covered = first + fetched;
+        let rest = self
+            .req
+            .prompt_tokens
+            .saturating_sub(u32::from(covered) * PIECE_TOKENS);
+        let tokens = f64::from(rest) + lost;
+        let prefill_seconds = tokens / candidate.prefill_tokens_per_second.max(1.0);
+        let recomputed = f64::from(self.known.saturating_sub(covered)) * f64::from(PIECE_TOKENS) + lost;
+        let plan = FetchPlan {
+            first,
+            near: near.map(|run| (run.store, run.pieces)),
+            far: far.map(|run| (run.store, run.pieces)),
+        };
+        let link_bytes = self.link_bytes(candidate, plan.far);
+        let first_token = queue.max(fetch_seconds) + prefill_seconds;
+        let total = first_token * self.req.first_token_weight
+            + recomputed / 1_000.0 * self.req.recomputed_weight
+            + link_bytes as f64 / MEGABYTE * self.req.link_weight;
+        let terms = CostTerms {
+            queue_seconds: queue,
+            fetch_seconds,
+            prefill_seconds,
+            resident_tokens: u32::from(first.min(copy.certain)) * PIECE_TOKENS,
+            fetched_tokens: u32::from(fetched) * PIECE_TOKENS,
+            recomputed_tokens: recomputed as u32,
+            link_bytes,
+            total,
+        };
+        (terms, plan)
+    }
+
+    /// Bytes over the link between regions: the prompt's text, if the target is elsewhere, and pieces read from afar.
+    fn link_bytes(&self, candidate: &Candidate, far: Option<(StoreKey, u16)>) -> u64 {
+        let text = match candidate.region == *self.req.region {
+            true => 0,
+            false => u64::from(self.req.prompt_tokens) * TEXT_BYTES_PER_TOKEN,
+        };
+        text + far.map_or(0, |(_, pieces)| u64::from(pieces) * self.view.piece_bytes)
+    }
+}
+
+impl Run {
+    /// The run's first pieces.
+    fn first(self, pieces: u16) -> Self {
+        Self { pieces, ..self }
+    }
+
+    /// Seconds until all pieces have arrived.
+    fn seconds(&self) -> f64 {
+        self.delay + f64::from(self.pieces) * self.piece_seconds
+    }
+
+    /// Pieces that arrive while the prompt waits anyway.
+    fn fitting(&self, queue: f64) -> u16 {
+        let pieces = ((queue - self.delay) / self.piece_seconds.max(1e-9)).max(0.0);
+        (pieces as u16).min(self.pieces)
+    }
+}
+
+fn cheaper(a: (CostTerms, FetchPlan), b: (CostTerms, FetchPlan)) -> (CostTerms, FetchPlan) {
+    if b.0.total < a.0.total { b } else { a }
+}
