Publish views at most every 10 ms

Cause: each observation of a traffic thread copied and published the whole view; at 3,000 targets that is a copy of every candidate for each request. Change: the control loop applies news at once and publishes at most once in 10 ms while something changed. Conclusion: the publishing cost no longer grows with the request rate.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
@@ -17,6 +18,8 @@
 
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
+/// Time from a change to the view that shows it.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
@@ -57,18 +60,8 @@
         ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let mut state = ControlState::new(shared);
-    let work = async {
-        loop {
-            let input = async { inputs.recv().await.ok().map(Work::Input) };
-            let seen = async { observations.recv().await.ok().map(Work::Observation) };
-            match input.or(seen).await {
-                Some(Work::Input(input)) => state.apply(input),
-                Some(Work::Observation(observation)) => state.observe(&observation),
-                None => return,
-            }
-        }
-    };
+    let state = ControlState::new(shared);
+    let work = run_loop(state, inputs, observations);
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -85,4 +78,39 @@
     Input(state::Input),
     /// News from a traffic thread.
     Observation(Observation),
+    /// It is time to publish what changed.
+    Publish,
+    /// Nothing can come any more.
+    End,
+}
+
+/// Applies news as it comes; publishes at most once an interval, however much comes.
+async fn run_loop(
+    mut state: ControlState,
+    inputs: async_channel::Receiver<state::Input>,
+    observations: async_channel::Receiver<Observation>,
+) {
+    let mut publish_at: Option<Instant> = None;
+    loop {
+        let input = async { inputs.recv().await.map_or(Work::End, Work::Input) };
+        let seen = async { observations.recv().await.map_or(Work::End, Work::Observation) };
+        let due = async {
+            match publish_at {
+                Some(at) => smol::Timer::at(at).await,
+                None => std::future::pending().await,
+            };
+            Work::Publish
+        };
+        match due.or(input).or(seen).await {
+            Work::Input(input) => state.apply(input),
+            Work::Observation(observation) => state.observe(&observation),
+            Work::Publish => {
+                state.publish();
+                publish_at = None;
+                continue;
+            }
+            Work::End => return,
+        }
+        publish_at.get_or_insert_with(|| Instant::now() + PUBLISH_INTERVAL);
+    }
 }
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -58,14 +58,13 @@
         }
     }
 
-    /// Takes news and publishes a new view if something changed.
+    /// Takes news.
     pub(crate) fn apply(&mut self, input: Input) {
         match input {
             Input::List(list) => self.take_list(list),
             Input::Declared(declared) => self.take_declared(declared),
             Input::Load(id, report) => self.take_load(&id, report),
         }
-        self.publish();
     }
 
     /// Takes what a traffic thread saw.
@@ -86,7 +85,6 @@
                 }
             }
         }
-        self.publish();
     }
 
     fn take_list(&mut self, list: Vec<ListedHost>) {
@@ -166,7 +164,8 @@
         candidate.sent_since_tokens = 0;
     }
 
-    fn publish(&self) {
+    /// Publishes a view of the state as it is.
+    pub(crate) fn publish(&self) {
         let services = self.list.iter().filter(|h| h.role == HostRole::Service);
         let view = View {
             declared: self.declared.clone(),
