--- a/components/standins/tests/support/mod.rs
+++ b/components/standins/tests/support/mod.rs
@@ -69,3 +69,15 @@
         .map(|c| c.text.as_str())
         .collect()
 }
+
+/// Sets the fault switches of a stand-in the way an operator does.
+#[allow(dead_code)]
+pub(crate) async fn put_faults(ex: &Executor, addr: SocketAddr, faults: serde_json::Value) -> u16 {
+    let req = hyper::Request::builder()
+        .method("PUT")
+        .uri("/v1/faults")
+        .header("host", addr.to_string())
+        .body(http_io::json_body(&faults))
+        .unwrap();
+    client(ex).send(addr, req).await.unwrap().status().as_u16()
+}
