Check the nine promises from two typed records

Cause: tests, try and load each need to say whether a run kept the promises, and must not say it three ways. Change: crate checker reads what callers saw and what the stand-ins did and counts, for each promise, facts checked and facts broken, with the first cases. Mutation check: a record that keeps all promises is broken in 18 ways, and one run over sockets uses an engine that skips the check of imports; the checker names exactly the broken promises each time.

--- /dev/null
+++ b/components/checker/src/rules/calls.rs
@@ -0,0 +1,92 @@
+use std::collections::BTreeMap;
+
+use errors::Outcome;
+use standins::{CallRun, Receipt};
+use utils::WorkspaceId;
+
+use crate::{CallBody, CallerRequest, Promise, Report, RunRecord, Violation, Work};
+
+/// Identifies a call that may not be repeated: workspace, service and key.
+type CallId = (WorkspaceId, String, String);
+
+/// Checks how often each call ran, and that its caller got its own answer.
+pub(crate) fn check(record: &RunRecord, report: &mut Report) {
+    let runs = runs(record);
+    let repeatable = repeatable(record);
+    for (id, count) in &runs {
+        if !repeatable.contains(id) {
+            report.note(Promise::AtMostOnce, at_most_once(id, *count));
+        }
+    }
+    for req in &record.requests {
+        let Work::Call(body) = &req.work else {
+            continue;
+        };
+        report.note(Promise::WholeAnswers, own_reply(req, body));
+        if req.received.whole {
+            let id = id_of(req, body);
+            report.note(Promise::WholeAnswers, really_ran(req, runs.contains_key(&id)));
+        }
+    }
+}
+
+fn runs(record: &RunRecord) -> BTreeMap<CallId, usize> {
+    let mut runs = BTreeMap::new();
+    for run in record.services.values().flat_map(|service| &service.runs) {
+        *runs.entry(id_of_run(run)).or_default() += 1;
+    }
+    runs
+}
+
+fn repeatable(record: &RunRecord) -> Vec<CallId> {
+    let calls = record.requests.iter().filter_map(|req| match &req.work {
+        Work::Call(body) if body.repeatable => Some(id_of(req, body)),
+        _ => None,
+    });
+    calls.collect()
+}
+
+fn id_of_run(run: &CallRun) -> CallId {
+    let service = run.path.split('/').next().unwrap_or_default();
+    (run.workspace.clone(), service.to_owned(), run.key.clone())
+}
+
+fn id_of(req: &CallerRequest, body: &CallBody) -> CallId {
+    (req.workspace.clone(), body.service.to_string(), body.key.clone())
+}
+
+fn at_most_once((workspace, service, key): &CallId, runs: usize) -> Result<(), Violation> {
+    if runs <= 1 {
+        return Ok(());
+    }
+    Err(Violation::RanAgain {
+        workspace: workspace.clone(),
+        service: service.clone(),
+        key: key.clone(),
+        runs,
+    })
+}
+
+fn own_reply(req: &CallerRequest, body: &CallBody) -> Result<(), Violation> {
+    if !req.received.whole {
+        return Ok(());
+    }
+    let expected = Receipt {
+        workspace: req.workspace.clone(),
+        path: format!("{}/{}", body.service, body.path),
+        key: body.key.clone(),
+        body: body.body,
+    };
+    if req.received.body == expected.to_text() {
+        return Ok(());
+    }
+    Err(Violation::WrongReply { number: req.number })
+}
+
+fn really_ran(req: &CallerRequest, ran: bool) -> Result<(), Violation> {
+    let told = req.exchanges.last().and_then(|exchange| exchange.outcome);
+    if ran || told != Some(Outcome::Ran) {
+        return Ok(());
+    }
+    Err(Violation::NeverRan { number: req.number })
+}
--- /dev/null
+++ b/components/checker/src/rules/outcomes.rs
@@ -0,0 +1,51 @@
+use std::collections::HashMap;
+
+use errors::Outcome;
+use utils::TargetId;
+
+use crate::{CallerRequest, Exchange, Promise, Report, RunRecord, Violation};
+
+/// Checks that no target ran a request of which a caller was told `not-run`.
+pub(crate) fn check(record: &RunRecord, report: &mut Report) {
+    let ran = ran(record);
+    for req in &record.requests {
+        let refused = req
+            .exchanges
+            .iter()
+            .filter(|e| e.outcome == Some(Outcome::NotRun));
+        for exchange in refused {
+            report.note(Promise::TrueNotRun, is_true(req, exchange, &ran));
+        }
+    }
+}
+
+/// Targets by the identifier of the request that they ran.
+fn ran(record: &RunRecord) -> HashMap<String, TargetId> {
+    let mut ran = HashMap::new();
+    for (target, engine) in &record.engines {
+        for run in &engine.drafts {
+            ran.insert(format!("{:032x}", run.request_id), target.clone());
+        }
+    }
+    for (target, service) in &record.services {
+        for run in &service.runs {
+            ran.insert(run.request_id.clone(), target.clone());
+        }
+    }
+    ran
+}
+
+fn is_true(
+    req: &CallerRequest,
+    exchange: &Exchange,
+    ran: &HashMap<String, TargetId>,
+) -> Result<(), Violation> {
+    match ran.get(&exchange.request_id) {
+        Some(target) => Err(Violation::FalseNotRun {
+            number: req.number,
+            request: exchange.request_id.clone(),
+            target: target.clone(),
+        }),
+        None => Ok(()),
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -18,5 +18,5 @@
 pub use odds::Odds;
 pub use platform::{Platform, PlatformConfig, PlatformCounters, PlatformFaults};
 pub use running::{Running, unix_micros};
-pub use service::{CallRun, Service, ServiceConfig, ServiceFaults, ServiceRecord};
+pub use service::{CallRun, Receipt, Service, ServiceConfig, ServiceFaults, ServiceRecord};
 pub use store::{Store, StoreConfig, StoreFaults, StoreRecord};
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -231,12 +231,12 @@
     /// Ends a call; gives its answer.
     async fn finish(&self, run: CallRun) -> String {
         let receipt = Receipt {
-            workspace: &run.workspace,
-            path: &run.path,
-            key: &run.key,
+            workspace: run.workspace.clone(),
+            path: run.path,
+            key: run.key.clone(),
             body: run.body,
         };
-        let body = serde_json::to_string(&receipt).unwrap_or_default();
+        let body = receipt.to_text();
         let outcome = CallOutcome::Ran {
             status: StatusCode::CREATED.as_u16(),
             content_type: "application/json".to_owned(),
@@ -258,12 +258,34 @@
 }
 
 /// What the caller of a ledger gets back; the same for the same call, so that a checker can compute it again.
-#[derive(Serialize)]
-struct Receipt<'a> {
-    workspace: &'a str,
-    path: &'a str,
-    key: &'a str,
-    body: Digest,
+///
+/// ```
+/// let receipt = standins::Receipt {
+///     workspace: "mill".into(),
+///     path: "orders/sacks".to_owned(),
+///     key: "k".to_owned(),
+///     body: utils::digest(b"{}"),
+/// };
+/// assert!(receipt.to_text().starts_with(r#"{"workspace":"mill""#));
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Receipt {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Name of the service and path.
+    pub path: String,
+    /// Idempotency key.
+    pub key: String,
+    /// BLAKE3 hash of the call's body.
+    pub body: Digest,
+}
+
+impl Receipt {
+    /// The body of the answer.
+    pub fn to_text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
 }
 
 impl State {
