Serve callers over TLS when keys are set

Cause: callers outside the balancer's network need an encrypted path. Change: settings `tls.certificate` and `tls.key`; http_io accepts TLS by rustls with a limit on the handshake and offers the PEM loading to others. Conclusion: optional, off without keys.

--- a/components/config/src/fields.rs
+++ b/components/config/src/fields.rs
@@ -174,6 +174,20 @@
         Allowed::PemFile,
         "Private key of this host.",
     ),
+    field(
+        "tls.certificate",
+        "path",
+        "none",
+        Allowed::PemFile,
+        "Certificate chain for callers.",
+    ),
+    field(
+        "tls.key",
+        "path",
+        "none",
+        Allowed::PemFile,
+        "Private key for callers.",
+    ),
     field(
         "secrets.resume",
         "hex",
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -9,5 +9,5 @@
 pub use fields::explain;
 pub use settings::{
     HostSettings, LimitSettings, ListenSettings, LogFormat, LogSettings, PeerSettings, PlatformSettings,
-    SecretSettings, Settings, ThreadSettings, TimeoutSettings,
+    SecretSettings, Settings, ThreadSettings, TimeoutSettings, TlsSettings,
 };
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -23,6 +23,9 @@
     /// Keys for the traffic between entry hosts.
     #[serde(default)]
     pub peers: PeerSettings,
+    /// Keys for the traffic with callers; plain HTTP without them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls: Option<TlsSettings>,
     /// Secrets that all entry hosts of a deployment share.
     pub secrets: SecretSettings,
     /// Threads.
@@ -96,6 +99,17 @@
     pub key: Option<PathBuf>,
 }
 
+/// Keys for the traffic with callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate chain of the host, PEM.
+    pub certificate: PathBuf,
+    /// Private key of the host, PEM.
+    pub key: PathBuf,
+}
+
 /// Secrets that all entry hosts of a deployment share, as 64 hexadecimal digits each.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -7,7 +7,7 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use errors::events;
-use http_io::{Shutdown, shutdown_channel};
+use http_io::{Shutdown, load_acceptor, shutdown_channel};
 use policy::LeastLoaded;
 use slog::{Logger, info, o};
 use utils::{Clock, SystemClock};
@@ -131,11 +131,17 @@
     stop: &Shutdown,
 ) -> Result<Vec<JoinHandle<()>>, Report<EntryError>> {
     let mut threads = Vec::new();
+    let tls = shared
+        .settings
+        .tls
+        .as_ref()
+        .map(|tls| load_acceptor(&tls.certificate, &tls.key));
+    let tls = tls.transpose().change_context(EntryError::Keys)?;
     for i in 0..shared.settings.threads.traffic {
         let listener = callers.try_clone().change_context(EntryError::Thread)?;
-        let (shared, stop) = (shared.clone(), stop.clone());
+        let (shared, stop, tls) = (shared.clone(), stop.clone(), tls.clone());
         threads.push(spawn(&format!("traffic-{i}"), move || {
-            traffic::run(shared, listener, stop)
+            traffic::run(shared, listener, tls, stop)
         })?);
     }
     Ok(threads)
--- a/components/entry/src/error.rs
+++ b/components/entry/src/error.rs
@@ -8,6 +8,9 @@
     /// The metrics can not be set up.
     #[error("can not set up the metrics")]
     Metrics,
+    /// The keys of the settings can not be used.
+    #[error("the keys for callers can not be used")]
+    Keys,
     /// A thread can not be started.
     #[error("can not start a thread")]
     Thread,
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_rustls::TlsAcceptor;
 use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
 use platform::HttpPlatform;
 
@@ -34,12 +35,13 @@
 const LONGEST_CALL: Duration = Duration::from_secs(60);
 
 /// Serves callers until `stop` resolves and every open request is finished.
-pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, stop: Shutdown) {
+pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, tls: Option<TlsAcceptor>, stop: Shutdown) {
     let limits = &shared.settings.limits;
     let cfg = ServerConfig {
         header_timeout: Duration::from_millis(shared.settings.timeouts.header_ms),
         max_headers: limits.headers,
         max_head_bytes: limits.head_bytes,
+        tls,
     };
     let Ok(server) = Server::from_std(listener, cfg) else {
         return;
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -236,6 +236,7 @@
         },
         platform,
         peers: PeerSettings::default(),
+        tls: None,
         secrets: SecretSettings {
             resume: utils::digest(b"resume"),
             pieces: utils::digest(b"pieces"),
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod server;
 mod sse;
+mod tls;
 
 pub use body::{
     Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited, stream_body,
@@ -16,6 +17,7 @@
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
 };
 pub use sse::{SseEvent, SseReader};
+pub use tls::{TlsError, load_acceptor, load_certificates, load_key};
 
 /// An executor that one thread runs; clones share it.
 pub type Executor = std::sync::Arc<smol::Executor<'static>>;
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -7,6 +7,7 @@
 
 use error_stack::{Report, ResultExt};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_rustls::TlsAcceptor;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -31,7 +32,7 @@
 }
 
 /// Limits of a [`Server`] on what callers send.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct ServerConfig {
     /// Longest time for the head of a request.
     pub header_timeout: Duration,
@@ -39,6 +40,8 @@
     pub max_headers: usize,
     /// Largest head of a request, in bytes.
     pub max_head_bytes: usize,
+    /// Encrypts the connections; plain TCP without it.
+    pub tls: Option<TlsAcceptor>,
 }
 
 impl Default for ServerConfig {
@@ -47,6 +50,7 @@
             header_timeout: Duration::from_secs(10),
             max_headers: 64,
             max_head_bytes: 16 << 10,
+            tls: None,
         }
     }
 }
@@ -93,7 +97,7 @@
         let mut tasks = Vec::new();
         while let Some(stream) = self.accept(&stop).await {
             let _ = stream.set_nodelay(true);
-            let serve = serve_connection(stream, self.cfg.clone(), handler.clone(), stop.clone());
+            let serve = serve_accepted(stream, self.cfg.clone(), handler.clone(), stop.clone());
             tasks.push(ex.spawn(serve));
             tasks.retain(|t| !t.is_finished());
         }
@@ -123,6 +127,19 @@
     None
 }
 
+async fn serve_accepted(stream: TcpStream, cfg: ServerConfig, handler: Handler, stop: Shutdown) {
+    let Some(acceptor) = cfg.tls.clone() else {
+        return serve_connection(stream, cfg, handler, stop).await;
+    };
+    let late = async {
+        smol::Timer::after(cfg.header_timeout).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    if let Ok(stream) = acceptor.accept(stream).or(late).await {
+        serve_connection(stream, cfg, handler, stop).await;
+    }
+}
+
 /// Serves one connection until its peer closes it, or until `stop` resolves and its open request is finished.
 pub async fn serve_connection(
     stream: impl AsyncRead + AsyncWrite + Unpin,
