--- /dev/null
+++ b/components/capacity/src/fit.rs
@@ -0,0 +1,63 @@
+use serde::Serialize;
+
+/// A measured value at a size.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct Sample {
+    /// The size.
+    pub size: f64,
+    /// What was measured.
+    pub value: f64,
+}
+
+/// A straight line through samples, by least squares of the relative error.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct Fit {
+    /// Value at size 0.
+    pub at_zero: f64,
+    /// Growth of the value for one more of the size.
+    pub slope: f64,
+    /// Largest distance of a sample from the line, as a share of the sample.
+    pub worst_error: f64,
+}
+
+impl Fit {
+    /// Fits a line. Each sample weighs by the inverse square of its value, so that small sizes count as well.
+    ///
+    /// ```
+    /// use capacity::{Fit, Sample};
+    ///
+    /// let samples = [(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)].map(|(size, value)| Sample { size, value });
+    /// let fit = Fit::new(&samples);
+    /// assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.at(10.0) - 23.0).abs() < 1e-9);
+    /// ```
+    pub fn new(samples: &[Sample]) -> Self {
+        let (mut w, mut wx, mut wy, mut wxx, mut wxy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for Sample { size, value } in samples {
+            let weight = 1.0 / value.abs().max(f64::MIN_POSITIVE.sqrt()).powi(2);
+            w += weight;
+            wx += weight * size;
+            wy += weight * value;
+            wxx += weight * size * size;
+            wxy += weight * size * value;
+        }
+        let slope = (w * wxy - wx * wy) / (w * wxx - wx * wx);
+        let at_zero = (wy - slope * wx) / w;
+        let mut fit = Self {
+            at_zero,
+            slope,
+            worst_error: 0.0,
+        };
+        let errors = samples
+            .iter()
+            .map(|s| ((fit.at(s.size) - s.value) / s.value).abs());
+        fit.worst_error = errors.fold(0.0, f64::max);
+        fit
+    }
+
+    /// The value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.at_zero + self.slope * size
+    }
+}
--- /dev/null
+++ b/components/capacity/src/measure_directory.rs
@@ -0,0 +1,89 @@
+use directory::Directory;
+use policy::{CacheIndex, CandidateKey};
+use slotmap::SlotMap;
+use targets::{CacheSnapshot, PieceId};
+
+use crate::size::{HOSTS, PIECES_PER_PROMPT, PROMPTS, SHARD_COPIES, Scale};
+use crate::{Budget, Meter, Row, Sample};
+
+/// Pieces in a chain.
+const CHAIN: usize = 16;
+/// Bytes at the front of a name that all pieces of a prompt share.
+const FRONT: usize = 2;
+/// Targets that hold each piece.
+const HOLDERS: usize = 2;
+/// Targets over which the chains are spread.
+const TARGETS: usize = 20;
+
+/// Memory of a directory shard and time of a lookup.
+pub(crate) fn measure(scale: Scale, meter: &Meter<'_>) -> Vec<Row> {
+    let mut memory = Vec::new();
+    let mut lookups = Vec::new();
+    for pieces in scale.pieces() {
+        let (directory, bytes) = meter.bytes_of(|| build(pieces));
+        memory.push(Sample {
+            size: pieces as f64,
+            value: bytes,
+        });
+        let view = directory.view();
+        let mut round = 0;
+        let seconds = meter.seconds_of(scale.rounds() * 100, || {
+            round += 1;
+            view.copies(&chain(round * 7_919 % (pieces / CHAIN)))
+        });
+        let naming = meter.seconds_of(scale.rounds() * 100, || chain(round));
+        lookups.push(Sample {
+            size: pieces as f64,
+            value: (seconds - naming).max(1e-9),
+        });
+    }
+    let pieces_per_host = PROMPTS * PIECES_PER_PROMPT * SHARD_COPIES / HOSTS;
+    vec![
+        Row::new(
+            "directory shard",
+            "memory, bytes",
+            "pieces",
+            pieces_per_host,
+            memory,
+        )
+        .with_budget(Budget::Memory)
+        .with_mechanism("rendezvous shards of prompt roots, two hosts each"),
+        Row::new(
+            "directory shard",
+            "lookup of 16 pieces, s",
+            "pieces",
+            pieces_per_host,
+            lookups,
+        )
+        .with_mechanism("sorted segments, one search for a chain"),
+    ]
+}
+
+fn build(pieces: usize) -> Directory {
+    let mut keys = SlotMap::<CandidateKey, ()>::with_key();
+    let mut directory = Directory::default();
+    for target in 0..TARGETS {
+        let held = (0..pieces / CHAIN).filter(|n| (n % TARGETS + TARGETS - target) % TARGETS < HOLDERS);
+        let pieces = held.flat_map(chain).collect();
+        let snapshot = CacheSnapshot {
+            incarnation: 1,
+            next: 0,
+            pieces,
+        };
+        directory.apply_snapshot(keys.insert(()), &snapshot);
+    }
+    directory
+}
+
+/// Distinct names with a common front, as the names of one prompt's pieces have.
+fn chain(number: usize) -> Vec<PieceId> {
+    let root = utils::digest(&number.to_le_bytes());
+    let name = |index: u8| {
+        let mut seed = *root.as_bytes();
+        seed[31] = index;
+        let mut bytes = *utils::digest(&seed).as_bytes();
+        bytes[..FRONT].copy_from_slice(&root.as_bytes()[..FRONT]);
+        PieceId::from(bytes)
+    };
+    (0..CHAIN as u8).map(name).collect()
+}
--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -18,8 +18,12 @@
 
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
-/// Time from a change to the view that shows it.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
+/// Publishing may take one part in this many of a core.
+const PUBLISH_SHARE_INVERSE: u32 = 250;
+/// Shortest time from a change to the view that shows it.
+const SHORTEST_PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time from a change to the view that shows it.
+const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
@@ -84,13 +88,14 @@
     End,
 }
 
-/// Applies news as it comes; publishes at most once an interval, however much comes.
+/// Applies news as it comes; publishes what changed after an interval that grows with the cost of a view.
 async fn run_loop(
     mut state: ControlState,
     inputs: async_channel::Receiver<state::Input>,
     observations: async_channel::Receiver<Observation>,
 ) {
     let mut publish_at: Option<Instant> = None;
+    let mut interval = SHORTEST_PUBLISH_INTERVAL;
     loop {
         let input = async { inputs.recv().await.map_or(Work::End, Work::Input) };
         let seen = async { observations.recv().await.map_or(Work::End, Work::Observation) };
@@ -105,12 +110,37 @@
             Work::Input(input) => state.apply(input),
             Work::Observation(observation) => state.observe(&observation),
             Work::Publish => {
+                let began = Instant::now();
                 state.publish();
+                interval = publish_interval(began.elapsed());
                 publish_at = None;
                 continue;
             }
             Work::End => return,
         }
-        publish_at.get_or_insert_with(|| Instant::now() + PUBLISH_INTERVAL);
+        publish_at.get_or_insert_with(|| Instant::now() + interval);
+    }
+}
+
+/// The interval at which publishing takes its share of a core, within bounds.
+fn publish_interval(cost: Duration) -> Duration {
+    (cost * PUBLISH_SHARE_INVERSE).clamp(SHORTEST_PUBLISH_INTERVAL, LONGEST_PUBLISH_INTERVAL)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn publishing_keeps_to_its_share_of_a_core() {
+        assert_eq!(
+            publish_interval(Duration::from_micros(3)),
+            SHORTEST_PUBLISH_INTERVAL
+        );
+        assert_eq!(
+            publish_interval(Duration::from_millis(1)),
+            Duration::from_millis(250)
+        );
+        assert_eq!(publish_interval(Duration::from_secs(1)), LONGEST_PUBLISH_INTERVAL);
     }
 }
