Add the load tool's traces, callers and latencies

Cause: try, the load command and the benchmarks need the same callers. Change: crate loadgen: seeded traces of returning prompts and ledger calls in the shape of both deployments, open-loop arrivals, callers that come back with Last-Event-ID or the same key, HDR histograms, a comparison with the engine itself, saturation and open streams.

--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -10,7 +10,7 @@
 pub use body::{
     Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited, stream_body,
 };
-pub use client::{Client, ClientConfig};
+pub use client::{Client, ClientConfig, PooledBody};
 pub use error::HttpError;
 pub use server::{
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
--- /dev/null
+++ b/components/load/src/lib.rs
@@ -0,0 +1,22 @@
+//! Load for a running system: seeded traces, callers that come back, latencies and the nine promises.
+
+mod arrival;
+mod caller;
+mod compare;
+mod error;
+mod preset;
+mod prompt;
+mod runner;
+mod saturate;
+mod stats;
+mod table;
+
+pub use arrival::{Arrival, PlannedCall, PlannedDraft, PlannedWork, Trace};
+pub use caller::{Caller, CallerConfig, Entry, Finished, Timing};
+pub use compare::{CompareConfig, Comparison, compare};
+pub use error::LoadError;
+pub use preset::Preset;
+pub use runner::{Play, play};
+pub use saturate::{OpenStreams, Saturation, hold_streams, saturate};
+pub use stats::{Latencies, LatencySummary, Quantiles};
+pub use table::latency_table;
--- /dev/null
+++ b/components/load/src/runner.rs
@@ -0,0 +1,49 @@
+use std::time::{Duration, Instant};
+
+use http_io::Executor;
+
+use crate::{Arrival, Caller, Finished, Trace};
+
+/// What playing a trace is told about.
+pub trait Play: Send + Sync {
+    /// A request ended.
+    fn finished(&self, finished: &Finished) {
+        let _ = finished;
+    }
+}
+
+impl Play for () {}
+
+/// Plays a trace open-loop: each request starts when it is due, however long earlier ones take.
+pub async fn play(
+    ex: &Executor,
+    caller: &Caller,
+    trace: &Trace,
+    watch: std::sync::Arc<dyn Play>,
+) -> Vec<Finished> {
+    let start = Instant::now();
+    let mut tasks = Vec::with_capacity(trace.arrivals.len());
+    for arrival in &trace.arrivals {
+        let due = start + arrival.at;
+        sleep_until(due).await;
+        tasks.push(ex.spawn(one(caller.clone(), arrival.clone(), due, watch.clone())));
+    }
+    let mut all = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        all.push(task.await);
+    }
+    all
+}
+
+async fn one(caller: Caller, arrival: Arrival, due: Instant, watch: std::sync::Arc<dyn Play>) -> Finished {
+    let finished = caller.run(&arrival, due).await;
+    watch.finished(&finished);
+    finished
+}
+
+pub(crate) async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if left > Duration::ZERO {
+        smol::Timer::after(left).await;
+    }
+}
