Let an entry host be aborted as a killed process is

Cause: the trial kills an entry host in its own process; drain finishes all open work, which a kill does not. Change: Server::run_or_abort closes every connection when its signal resolves and joins them; Daemon::abort uses it. Ruled out: dropping the executor; its tasks keep it alive, so that the sockets would stay open.

--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -39,6 +39,8 @@
     addresses: Addresses,
     /// Dropped to end the traffic threads.
     stop_traffic: async_channel::Sender<()>,
+    /// Dropped to end the traffic threads without finishing open work.
+    abort_traffic: async_channel::Sender<()>,
     /// Dropped to end the control thread.
     stop_control: async_channel::Sender<()>,
     /// The traffic threads.
@@ -63,17 +65,19 @@
         let shared = Arc::new(build_shared(settings, log, observer)?);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
+        let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
             move || control::run(shared, operators, observations, control_stopped)
         })?;
-        let traffic = spawn_traffic(&shared, &callers, &traffic_stopped)?;
+        let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
             "callers" => %addresses.callers, "operators" => %addresses.operators);
         Ok(Self {
             shared,
             addresses,
             stop_traffic,
+            abort_traffic,
             stop_control,
             traffic,
             control,
@@ -96,13 +100,28 @@
         std::thread::sleep(Duration::from_millis(
             self.shared.settings.timeouts.drain_notice_ms,
         ));
+        let log = self.shared.log.clone();
+        self.join()?;
+        info!(log, "stopped"; events::HOST_STOPPED);
+        Ok(())
+    }
+
+    /// Closes every connection as it is and joins the threads, as if the process had been killed. For trials.
+    ///
+    /// # Errors
+    /// [`EntryError::Panicked`] if a thread did not end by itself.
+    pub fn abort(self) -> Result<(), Report<EntryError>> {
+        self.abort_traffic.close();
+        self.join()
+    }
+
+    fn join(self) -> Result<(), Report<EntryError>> {
         drop(self.stop_traffic);
         for thread in self.traffic {
             thread.join().map_err(|_| EntryError::Panicked)?;
         }
         drop(self.stop_control);
         self.control.join().map_err(|_| EntryError::Panicked)?;
-        info!(self.shared.log, "stopped"; events::HOST_STOPPED);
         Ok(())
     }
 }
@@ -129,13 +148,14 @@
     shared: &Arc<Shared>,
     callers: &TcpListener,
     stop: &Shutdown,
+    abort: &Shutdown,
 ) -> Result<Vec<JoinHandle<()>>, Report<EntryError>> {
     let mut threads = Vec::new();
     for i in 0..shared.settings.threads.traffic {
         let listener = callers.try_clone().change_context(EntryError::Thread)?;
-        let (shared, stop) = (shared.clone(), stop.clone());
+        let (shared, stop, abort) = (shared.clone(), stop.clone(), abort.clone());
         threads.push(spawn(&format!("traffic-{i}"), move || {
-            traffic::run(shared, listener, stop)
+            traffic::run(shared, listener, stop, abort)
         })?);
     }
     Ok(threads)
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -33,8 +33,8 @@
 /// Longest time for a plain service's answer, whatever the release note says.
 const LONGEST_CALL: Duration = Duration::from_secs(60);
 
-/// Serves callers until `stop` resolves and every open request is finished.
-pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, stop: Shutdown) {
+/// Serves callers until `stop` resolves and every open request is finished, or until `abort` resolves.
+pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, stop: Shutdown, abort: Shutdown) {
     let limits = &shared.settings.limits;
     let cfg = ServerConfig {
         header_timeout: Duration::from_millis(shared.settings.timeouts.header_ms),
@@ -50,7 +50,7 @@
         let cx = cx.clone();
         Box::pin(async move { route::answer(cx, req).await })
     });
-    smol::block_on(ex.run(server.run(ex.clone(), handler, stop)));
+    smol::block_on(ex.run(server.run_or_abort(ex.clone(), handler, stop, abort)));
 }
 
 impl Context {
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -90,16 +90,31 @@
 
     /// Serves until `stop` resolves, then finishes every open request and joins the connections.
     pub async fn run(self, ex: Executor, handler: Handler, stop: Shutdown) {
+        let (_never, abort) = shutdown_channel();
+        self.run_or_abort(ex, handler, stop, abort).await;
+    }
+
+    /// As [`Server::run`]; once `abort` resolves, closes every connection as it is and joins them.
+    pub async fn run_or_abort(self, ex: Executor, handler: Handler, stop: Shutdown, abort: Shutdown) {
         let mut tasks = Vec::new();
-        while let Some(stream) = self.accept(&stop).await {
-            let _ = stream.set_nodelay(true);
-            let serve = serve_connection(stream, self.cfg.clone(), handler.clone(), stop.clone());
-            tasks.push(ex.spawn(serve));
-            tasks.retain(|t| !t.is_finished());
-        }
+        let accept = async {
+            while let Some(stream) = self.accept(&stop).await {
+                let _ = stream.set_nodelay(true);
+                let serve = serve_connection(stream, self.cfg.clone(), handler.clone(), stop.clone());
+                tasks.push(ex.spawn(serve));
+                tasks.retain(|t| !t.is_finished());
+            }
+        };
+        accept.or(resolved(&abort)).await;
         drop(self.listener);
+        let finish = async {
+            for task in &mut tasks {
+                task.await;
+            }
+        };
+        finish.or(resolved(&abort)).await;
         for task in tasks {
-            task.await;
+            task.cancel().await;
         }
     }
 
@@ -118,6 +133,10 @@
     }
 }
 
+async fn resolved(signal: &Shutdown) {
+    let _ = signal.recv().await;
+}
+
 async fn stopped<T>(stop: &Shutdown) -> Option<T> {
     let _ = stop.recv().await;
     None
