--- /dev/null
+++ b/components/policy/src/transfers.rs
@@ -0,0 +1,54 @@
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::hash::Hash;
+
+use utils::Digest;
+
+/// Whether a transfer has to be started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransferStart {
+    /// The caller starts it and reports its end.
+    Start,
+    /// The same transfer is under way; the caller waits for its end.
+    Join,
+}
+
+/// Transfers under way, so that identical ones are made once.
+///
+/// ```
+/// use policy::{TransferStart, Transfers};
+/// let mut transfers = Transfers::<&str>::default();
+/// let piece = utils::digest(b"piece");
+/// assert_eq!(transfers.begin(piece, "engine-1"), TransferStart::Start);
+/// assert_eq!(transfers.begin(piece, "engine-1"), TransferStart::Join);
+/// assert_eq!(transfers.end(piece, "engine-1"), 1);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Transfers<K>(HashMap<(Digest, K), usize>);
+
+impl<K> Default for Transfers<K> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
+
+impl<K: Eq + Hash> Transfers<K> {
+    /// Asks for a piece at a destination.
+    pub fn begin(&mut self, piece: Digest, destination: K) -> TransferStart {
+        match self.0.entry((piece, destination)) {
+            Entry::Occupied(mut joined) => {
+                *joined.get_mut() += 1;
+                TransferStart::Join
+            }
+            Entry::Vacant(free) => {
+                free.insert(0);
+                TransferStart::Start
+            }
+        }
+    }
+
+    /// Takes that a transfer ended and returns how many callers had joined it.
+    pub fn end(&mut self, piece: Digest, destination: K) -> usize {
+        self.0.remove(&(piece, destination)).unwrap_or(0)
+    }
+}
