--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -4,19 +4,25 @@
 mod backoff;
 mod baseline;
 mod copies;
+mod ejection;
 mod limits;
+mod links;
 mod placement;
 mod placement_choice;
 mod placement_cost;
 mod placement_view;
 mod quarantine;
+mod retention;
 mod retry;
+mod transfers;
 
 pub use admission::{FairQueue, Popped, Pushed, Shed, WaitKey, Waiting};
 pub use backoff::Backoff;
 pub use baseline::LeastLoaded;
 pub use copies::{CacheIndex, Copies, MAX_PIECES, NoCopies, StoreCopy, StoreKey, TargetCopy};
+pub use ejection::{ServiceTarget, ServiceTargetKey, ServiceTargets};
 pub use limits::{DemandMeter, TokenBucket, rate_share};
+pub use links::{LinkHealth, LinkMeter, VolumeBudget};
 pub use placement::{
     Candidate, CandidateKey, Chosen, CostTerms, Fetch, Placement, PlacementRequest, Placer, Rejected,
     RejectedReason, TargetState,
@@ -24,4 +30,6 @@
 pub use placement_choice::CacheAware;
 pub use placement_view::{LinkView, PlacementView, ServingIndex, StoreView};
 pub use quarantine::{Crash, Fingerprint, Permit, Quarantine, Suspicion, TryEnd, TryId, fingerprint};
+pub use retention::{Kept, Retention, WriteBack};
 pub use retry::{FailedTry, NextTry, RetryBudget, RetryDecision, StopReason, next_try};
+pub use transfers::{TransferStart, Transfers};
