Replace hosts at random in the quarantine test and hand tries over

Cause: the test replaced hosts at fixed moments that never met a suspect's second try. At random moments one of 8,000 bad requests crashed 3 targets: its sender and then its owner were replaced within 250 ms. Change: a new owner adopts the tries that its second host has mirrored. Ruled out: the row alone; it names suspects' tries and not first ones.

--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -240,6 +240,17 @@
         self.orphans.push((request, run));
     }
 
+    /// Takes over, as the new owner of what `owns` names, the tries that a backup has mirrored for the old one.
+    pub fn adopt(&mut self, backup: &Self, owns: impl Fn(&Fingerprint) -> bool) {
+        for (request, run) in backup.orphans.iter().filter(|(request, _)| owns(request)) {
+            if self.running.contains_key(request) {
+                self.orphans.push((*request, run.clone()));
+            } else {
+                self.running.insert(*request, run.clone());
+            }
+        }
+    }
+
     /// Notes how a try ended. Returns what peers and the table service must know before the request runs again.
     pub fn end(&mut self, request: Fingerprint, id: &TryId, end: &TryEnd) -> Option<Suspicion> {
         if self.running.get(&request).is_some_and(|r| r.id == *id) {
--- a/components/policy/tests/quarantine.rs
+++ b/components/policy/tests/quarantine.rs
@@ -18,6 +18,8 @@
 const CRASH_TICKS: u64 = 8;
 /// Ticks until a target is back.
 const RESTART_TICKS: u64 = 60;
+/// Mean ticks between two replaced hosts.
+const REPLACE_TICKS: u64 = 100;
 /// Callers that send each bad request at the same moment.
 const EAGER_CALLERS: usize = 9;
 /// Longest that a try keeps equal ones waiting.
@@ -112,7 +114,7 @@
             for call in waiting {
                 self.send(call);
             }
-            if self.tick.is_multiple_of(150) {
+            if self.rng.random_range(0..REPLACE_TICKS) == 0 {
                 self.replace_host();
             }
         }
@@ -258,7 +260,7 @@
         }
     }
 
-    /// A host is replaced: the new one reads what the table service holds. Targets go on with what the old one sent, and
+    /// A host is replaced: the new one reads what the table service and its backup hold. Targets go on with what the old one sent, and
     /// its callers send their requests again.
     fn replace_host(&mut self) {
         let (host, now) = (self.rng.random_range(0..HOSTS), self.now());
@@ -266,6 +268,9 @@
         for (request, suspicion) in &self.table {
             register.merge(*request, suspicion, now);
         }
+        register.adopt(&self.registers[Self::backup(host)], |request| {
+            Self::owner(request) == host
+        });
         self.registers[host] = register;
         for register in &mut self.registers {
             register.lose_host(&host_name(host), now);
