Bring release notes into force without votes, and explore the protocol

Cause: a note must be in force everywhere within seconds and never revert, while the table service may be gone and hosts paused, replaced or cut off. Ruled out: counting acknowledgements by host name (a replaced host's first process may still serve), counting on the platform's list (a dropped island still serves), names alone in the roster. Conclusion: the roster and the two periods go into the table with the head, by run of each host.

--- a/components/notes/src/error.rs
+++ b/components/notes/src/error.rs
@@ -2,7 +2,7 @@
 
 use platform::PlatformError;
 use serde::Serialize;
-use utils::NoteVersion;
+use utils::{HostId, NoteVersion};
 
 use crate::{EntryName, HeadSeq, NoteId};
 
@@ -78,6 +78,20 @@
         /// Its number.
         seq: HeadSeq,
     },
+    /// A newer run of the host has registered.
+    #[error("a newer run of host {host} has registered")]
+    OtherRun {
+        /// Name of the host.
+        host: HostId,
+    },
+    /// A note of this id came into force before.
+    #[error("note {id} is in force already, as version {version}")]
+    AcceptedBefore {
+        /// The note.
+        id: NoteId,
+        /// Version that it made.
+        version: NoteVersion,
+    },
     /// The platform has no head row yet.
     #[error("the platform holds no release notes yet")]
     NoHead,
--- a/components/notes/src/lib.rs
+++ b/components/notes/src/lib.rs
@@ -1,5 +1,6 @@
 //! Release notes: what is in force, and how a note changes it.
 
+mod acceptor;
 mod apply;
 mod check;
 mod conflict;
@@ -7,11 +8,21 @@
 mod diff;
 mod error;
 mod file;
+mod holder;
+mod narrow;
 mod note;
+mod obeyed;
+mod operator;
 mod places;
+mod reader;
+mod rows;
+mod staging;
 mod state;
+mod store;
+mod terms;
 mod values;
 
+pub use acceptor::{AcceptStatus, Acceptor, RegionStatus};
 pub use apply::apply;
 pub use check::check;
 pub use conflict::{clashes, rebase};
@@ -19,5 +30,13 @@
 pub use diff::{EntryAction, EntryChange, FieldChange, diff};
 pub use error::{Finding, NoteError, Place};
 pub use file::NoteFile;
+pub use holder::{Holder, HolderEffect, Known, Reading};
 pub use note::{Entries, EntryKind, EntryName, Names, Note, NoteId};
+pub use obeyed::{Obeyed, ObeyedBuilder};
+pub use operator::{Acceptance, Operator};
+pub use reader::{Content, NoteReader};
+pub use rows::{HEAD_KEY, HOST_PREFIX, HeadRow, HostRow, LOG_PREFIX, LogRow, StagedRow, host_key};
+pub use staging::{AcceptedNote, Proposal};
 pub use state::{HeadSeq, NoteEcho, NoteState};
+pub use store::{Head, NoteStore};
+pub use terms::{RegionRoster, Terms};
--- /dev/null
+++ b/components/notes/src/reader.rs
@@ -0,0 +1,119 @@
+use std::sync::Arc;
+
+use crate::store::NoteResult;
+use crate::{Declared, Known, Note, NoteError, NoteStore, Reading, Terms};
+use crate::{Head, HeadRow, HeadSeq};
+
+/// Reads the head row with everything that it names; keeps what does not change.
+pub struct NoteReader {
+    /// Where the notes are.
+    store: NoteStore,
+    /// What the last head that was read declares.
+    declared: Arc<Declared>,
+    /// The last staged note that was read.
+    staged: Option<(HeadSeq, Arc<Note>)>,
+    /// Terms by the change that brought them.
+    terms: Vec<(HeadSeq, Arc<Terms>)>,
+}
+
+/// A reading with the content of the notes.
+#[derive(Debug, Clone)]
+pub struct Content {
+    /// For the [`Holder`](crate::Holder).
+    pub reading: Reading,
+    /// What the head declares.
+    pub declared: Arc<Declared>,
+    /// The staged note; `None` if nothing is staged, or a change of terms only.
+    pub staged: Option<Arc<Note>>,
+}
+
+impl NoteReader {
+    /// A reader that has read nothing yet.
+    pub fn new(store: NoteStore) -> Self {
+        Self {
+            store,
+            declared: Arc::default(),
+            staged: None,
+            terms: Vec::new(),
+        }
+    }
+
+    /// Reads the head row, and what it names if that is new: one read if nothing has changed.
+    ///
+    /// # Errors
+    /// [`NoteError`] if anything is missing; the reading then does not count.
+    pub async fn read(&mut self) -> NoteResult<Content> {
+        let head = self.store.head().await?;
+        self.read_declared(&head.row).await?;
+        let staged = self.read_staged(&head.row).await?;
+        let reading = self.reading(&head).await?;
+        Ok(Content {
+            reading,
+            declared: self.declared.clone(),
+            staged,
+        })
+    }
+
+    async fn read_declared(&mut self, row: &HeadRow) -> NoteResult<()> {
+        if self.declared.version == row.version {
+            return Ok(());
+        }
+        let next = match &self.staged {
+            // The staged note that is known already is the one that was accepted.
+            Some((seq, note)) if *seq == row.seq && note.base == self.declared.version => {
+                crate::apply(&self.declared, note)?
+            }
+            _ => self.store.declared(row, Some(&self.declared)).await?,
+        };
+        self.declared = Arc::new(next);
+        Ok(())
+    }
+
+    async fn read_staged(&mut self, row: &HeadRow) -> NoteResult<Option<Arc<Note>>> {
+        let Some(staged) = row.staged.as_ref().filter(|staged| staged.note.is_some()) else {
+            return Ok(None);
+        };
+        if let Some((seq, note)) = &self.staged
+            && *seq == staged.seq
+        {
+            return Ok(Some(note.clone()));
+        }
+        let note = Arc::new(self.store.staged_note(staged.seq).await?);
+        crate::apply(&self.declared, &note)?;
+        self.staged = Some((staged.seq, note.clone()));
+        Ok(Some(note))
+    }
+
+    async fn reading(&mut self, head: &Head) -> NoteResult<Reading> {
+        let row = &head.row;
+        let staged = match &row.staged {
+            Some(staged) => Some(Known {
+                seq: staged.seq,
+                version: row.staged_version(),
+                terms: self.terms(staged.terms).await?,
+            }),
+            None => None,
+        };
+        let reading = Reading {
+            revision: head.revision,
+            head: Known {
+                seq: row.seq,
+                version: row.version,
+                terms: self.terms(row.terms).await?,
+            },
+            staged,
+        };
+        let is_named = |seq: HeadSeq| seq == row.terms || row.staged.as_ref().is_some_and(|s| s.terms == seq);
+        self.terms.retain(|(seq, _)| is_named(*seq));
+        Ok(reading)
+    }
+
+    async fn terms(&mut self, seq: HeadSeq) -> Result<Arc<Terms>, error_stack::Report<NoteError>> {
+        if let Some((_, terms)) = self.terms.iter().find(|(known, _)| *known == seq) {
+            return Ok(terms.clone());
+        }
+        let terms = Arc::new(self.store.terms(seq).await?);
+        self.terms.push((seq, terms.clone()));
+        Ok(terms)
+    }
+}
--- /dev/null
+++ b/components/notes/src/staging.rs
@@ -0,0 +1,200 @@
+use std::time::SystemTime;
+
+use error_stack::Report;
+use platform::{Committed, Expect, Transaction, Write};
+use serde::{Deserialize, Serialize};
+use utils::NoteVersion;
+
+use crate::rows::{log_key, note_key, staged_key, terms_key};
+use crate::store::{Head, NoteResult, content, is_lost, value};
+use crate::{Declared, HEAD_KEY, HeadRow, HeadSeq, LogRow, Note, NoteError, NoteStore, StagedRow, Terms};
+
+/// Notes between two snapshots.
+const NOTES_PER_SNAPSHOT: u64 = 32;
+
+/// What an operator wants to change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Proposal {
+    /// The note; without one only the terms change.
+    pub note: Option<Note>,
+    /// New terms, if they change.
+    pub terms: Option<Terms>,
+}
+
+/// Where a note came into force; the row under the note's own id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AcceptedNote {
+    /// Version that the note made.
+    pub version: NoteVersion,
+    /// Number of the change.
+    pub seq: HeadSeq,
+}
+
+impl NoteStore {
+    /// Stages a change on top of a head that was read. A lost answer is resolved by reading back.
+    ///
+    /// # Errors
+    /// [`NoteError::OtherStaged`] if another change is staged or the head has moved, [`NoteError::Platform`].
+    pub async fn stage(&self, head: &Head, proposal: &Proposal) -> NoteResult<Head> {
+        if let Some(staged) = &head.row.staged {
+            return Err(other_staged(staged));
+        }
+        let seq = head.row.last_seq + 1;
+        let mut row = head.row.clone();
+        row.last_seq = seq;
+        row.staged = Some(StagedRow {
+            seq,
+            note: proposal.note.as_ref().map(|note| note.id.clone()),
+            terms: if proposal.terms.is_some() { seq } else { row.terms },
+            token: rand_token(),
+        });
+        let mut tx = Transaction::default().put(HEAD_KEY, Expect::Version(head.revision), value(&row));
+        if let Some(note) = &proposal.note {
+            tx = tx.put(staged_key(seq), Expect::Absent, value(note));
+        }
+        if let Some(terms) = &proposal.terms {
+            tx = tx.put(terms_key(seq), Expect::Absent, value(terms));
+        }
+        self.write_head(tx, &row).await
+    }
+
+    /// Gives up the staged change; it can not come into force any more.
+    ///
+    /// # Errors
+    /// [`NoteError::Superseded`] if the head has moved, [`NoteError::Platform`].
+    pub async fn abandon(&self, head: &Head) -> NoteResult<Head> {
+        let Some(staged) = &head.row.staged else {
+            return Ok(head.clone());
+        };
+        let mut row = head.row.clone();
+        row.staged = None;
+        let mut tx = Transaction::default().put(HEAD_KEY, Expect::Version(head.revision), value(&row));
+        tx.writes.push(Write::Delete {
+            key: staged_key(staged.seq),
+        });
+        if staged.terms == staged.seq {
+            tx.writes.push(Write::Delete {
+                key: terms_key(staged.seq),
+            });
+        }
+        self.write_head(tx, &row).await
+    }
+
+    /// Accepts the staged change, in one transaction on the head. The caller has waited for its
+    /// [`Acceptor`](crate::Acceptor). `base` is what the head declares.
+    ///
+    /// # Errors
+    /// [`NoteError::Superseded`] if the change is not staged any more, [`NoteError::Platform`].
+    pub async fn accept(&self, head: &Head, base: &Declared, now: SystemTime) -> NoteResult<Head> {
+        let Some(staged) = &head.row.staged else {
+            return Ok(head.clone());
+        };
+        let note = match staged.note {
+            Some(_) => Some(
+                self.staged_note(staged.seq)
+                    .await
+                    .map_err(|e| given_up(staged, e))?,
+            ),
+            None => None,
+        };
+        let mut row = accepted_row(&head.row, staged);
+        if base.version >= head.row.snapshot + NOTES_PER_SNAPSHOT {
+            self.put_snapshot(base).await?;
+            row.snapshot = base.version;
+        }
+        let mut tx = Transaction::default().put(HEAD_KEY, Expect::Version(head.revision), value(&row));
+        if let Some(note) = note {
+            tx = log_note(tx, &row, note, now);
+        }
+        tx.writes.push(Write::Delete {
+            key: staged_key(staged.seq),
+        });
+        if staged.terms != head.row.terms {
+            tx.writes.push(Write::Delete {
+                key: terms_key(head.row.terms),
+            });
+        }
+        self.write_head(tx, &row).await
+    }
+
+    /// Where a note came into force, read under its own id.
+    ///
+    /// # Errors
+    /// [`NoteError::Platform`].
+    pub async fn accepted_note(&self, id: &str) -> NoteResult<Option<AcceptedNote>> {
+        let row = self.row(&note_key(id)).await?;
+        row.as_ref().map(content).transpose()
+    }
+
+    /// Writes the head. Tells from what stands there whether a write whose answer is lost took effect.
+    async fn write_head(&self, tx: Transaction, row: &HeadRow) -> NoteResult<Head> {
+        let lost = match self.transact(tx).await {
+            Ok(Committed::Applied { version }) => {
+                return Ok(Head {
+                    revision: version,
+                    row: row.clone(),
+                });
+            }
+            Ok(Committed::Refused { .. }) => None,
+            Err(e) if is_lost(&e) => Some(e),
+            Err(e) => return Err(e),
+        };
+        let stands = self.head().await?;
+        if stands.row == *row {
+            return Ok(stands);
+        }
+        match (lost, stands.row.staged) {
+            // The row is as it was before, or has moved since: only the caller can tell what that means.
+            (Some(e), _) => Err(e),
+            (None, Some(staged)) => Err(other_staged(&staged)),
+            (None, None) => Err(Report::new(NoteError::Superseded { seq: row.last_seq })),
+        }
+    }
+}
+
+fn accepted_row(head: &HeadRow, staged: &StagedRow) -> HeadRow {
+    HeadRow {
+        seq: staged.seq,
+        version: head.staged_version(),
+        terms: staged.terms,
+        snapshot: head.snapshot,
+        last_seq: head.last_seq,
+        staged: None,
+    }
+}
+
+fn log_note(tx: Transaction, row: &HeadRow, note: Note, now: SystemTime) -> Transaction {
+    let accepted = AcceptedNote {
+        version: row.version,
+        seq: row.seq,
+    };
+    let since = now.duration_since(SystemTime::UNIX_EPOCH);
+    let tx = tx.put(note_key(&note.id), Expect::Absent, value(&accepted));
+    let log = LogRow {
+        version: row.version,
+        seq: row.seq,
+        accepted_unix: since.map_or(0, |since| since.as_secs()),
+        note,
+    };
+    tx.put(log_key(row.version), Expect::Absent, value(&log))
+}
+
+/// The note of a staged change is gone once the change is given up or accepted.
+fn given_up(staged: &StagedRow, e: Report<NoteError>) -> Report<NoteError> {
+    match e.current_context() {
+        NoteError::Malformed { .. } => e.change_context(NoteError::Superseded { seq: staged.seq }),
+        _ => e,
+    }
+}
+
+fn other_staged(staged: &StagedRow) -> Report<NoteError> {
+    Report::new(NoteError::OtherStaged {
+        id: staged.note.clone().unwrap_or_else(|| "(roster)".into()),
+        seq: staged.seq,
+    })
+}
+
+fn rand_token() -> u64 {
+    rand::random()
+}
--- /dev/null
+++ b/components/notes/tests/notes/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the release notes.
+
+mod protocol;
+mod schema;
+mod store;
+mod support;
