--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -7,6 +7,7 @@
 use utils::{FailureDomainId, HostId, RegionId};
 
 use crate::ConfigError;
+use crate::check::{check, syntax};
 
 /// All settings of an entry host.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,6 +23,9 @@
     /// Keys for the traffic between entry hosts.
     #[serde(default)]
     pub peers: PeerSettings,
+    /// Keys for the traffic with callers; plain HTTP without them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls: Option<TlsSettings>,
     /// Secrets that all entry hosts of a deployment share.
     pub secrets: SecretSettings,
     /// Threads.
@@ -95,6 +99,17 @@
     pub key: Option<PathBuf>,
 }
 
+/// Keys for the traffic with callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate chain of the host, PEM.
+    pub certificate: PathBuf,
+    /// Private key of the host, PEM.
+    pub key: PathBuf,
+}
+
 /// Secrets that all entry hosts of a deployment share, as 64 hexadecimal digits each.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -187,13 +202,8 @@
     /// # Errors
     /// As [`Settings::load`].
     pub fn parse(text: &str, file: &str) -> Result<Self, Report<ConfigError>> {
-        serde_saphyr::from_str(text).map_err(|e| {
-            let problem = e.to_string();
-            Report::new(ConfigError::Syntax {
-                file: file.to_owned(),
-                problem,
-            })
-        })
+        check(text, file)?;
+        serde_saphyr::from_str(text).map_err(|e| syntax(file, &e))
     }
 }
 
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_rustls::TlsAcceptor;
 use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
 use platform::HttpPlatform;
 
@@ -33,13 +34,20 @@
 /// Longest time for a plain service's answer, whatever the release note says.
 const LONGEST_CALL: Duration = Duration::from_secs(60);
 
-/// Serves callers until `stop` resolves and every open request is finished.
-pub(crate) fn run(shared: Arc<Shared>, listener: TcpListener, stop: Shutdown) {
+/// Serves callers until `stop` resolves and every open request is finished, or until `abort` resolves.
+pub(crate) fn run(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    tls: Option<TlsAcceptor>,
+    stop: Shutdown,
+    abort: Shutdown,
+) {
     let limits = &shared.settings.limits;
     let cfg = ServerConfig {
         header_timeout: Duration::from_millis(shared.settings.timeouts.header_ms),
         max_headers: limits.headers,
         max_head_bytes: limits.head_bytes,
+        tls,
     };
     let Ok(server) = Server::from_std(listener, cfg) else {
         return;
@@ -50,7 +58,7 @@
         let cx = cx.clone();
         Box::pin(async move { route::answer(cx, req).await })
     });
-    smol::block_on(ex.run(server.run(ex.clone(), handler, stop)));
+    smol::block_on(ex.run(server.run_or_abort(ex.clone(), handler, stop, abort)));
 }
 
 impl Context {
