Keep request records off the traffic threads' way

Cause: each placement and each answer took a lock that all traffic threads share, and the placement was turned into JSON twice. Change: traffic threads send records over a bounded channel; the control thread stores them. A placement is serialized once, for log and record. Conclusion: no lock is left on the way of a request.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::observe::Observation;
 use crate::operators;
+use crate::outcomes::Records;
 use crate::shared::Shared;
 use state::ControlState;
 
@@ -30,16 +31,25 @@
     shared: Arc<Shared>,
     operators: TcpListener,
     observations: async_channel::Receiver<Observation>,
+    records: Records,
     stop: Shutdown,
 ) {
     let ex: Executor = Arc::new(smol::Executor::new());
-    smol::block_on(ex.run(control(shared, operators, observations, stop, ex.clone())));
+    smol::block_on(ex.run(control(
+        shared,
+        operators,
+        observations,
+        records,
+        stop,
+        ex.clone(),
+    )));
 }
 
 async fn control(
     shared: Arc<Shared>,
     operators: TcpListener,
     observations: async_channel::Receiver<Observation>,
+    records: Records,
     stop: Shutdown,
     ex: Executor,
 ) {
@@ -60,6 +70,7 @@
         stop.clone(),
     ));
     let pollers = [
+        ex.spawn(store_records(shared.clone(), records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
@@ -76,6 +87,13 @@
     front.await;
 }
 
+/// Stores what became of requests as the traffic threads report it.
+async fn store_records(shared: Arc<Shared>, records: Records) {
+    while let Ok((id, remembered)) = records.recv().await {
+        shared.outcomes.store(id, remembered);
+    }
+}
+
 /// What the control loop takes next.
 enum Work {
     /// News from a poller.
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -62,13 +62,14 @@
             operators: local(&operators)?,
         };
         let (observer, observations) = Observer::new();
-        let shared = Arc::new(build_shared(settings, log, observer)?);
+        let (outcomes, records) = Outcomes::new();
+        let shared = Arc::new(build_shared(settings, log, observer, outcomes)?);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
-            move || control::run(shared, operators, observations, control_stopped)
+            move || control::run(shared, operators, observations, records, control_stopped)
         })?;
         let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
@@ -126,7 +127,12 @@
     }
 }
 
-fn build_shared(settings: Settings, log: Logger, observer: Observer) -> Result<Shared, Report<EntryError>> {
+fn build_shared(
+    settings: Settings,
+    log: Logger,
+    observer: Observer,
+    outcomes: Outcomes,
+) -> Result<Shared, Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
     Ok(Shared {
         incarnation: rand::random(),
@@ -137,7 +143,7 @@
         placer: Arc::new(LeastLoaded),
         sealer: Sealer::new(settings.secrets.resume),
         observer,
-        outcomes: Outcomes::default(),
+        outcomes,
         draining: AtomicBool::new(false),
         open_streams: AtomicUsize::new(0),
         settings,
--- a/components/entry/src/outcomes.rs
+++ b/components/entry/src/outcomes.rs
@@ -7,6 +7,11 @@
 
 /// Requests that are remembered on a host.
 const REMEMBERED: usize = 20_000;
+/// Records that wait for the control thread.
+const QUEUE_LENGTH: usize = 4_096;
+
+/// Where the control thread takes records from.
+pub(crate) type Records = async_channel::Receiver<(RequestId, Remembered)>;
 
 /// What became of a request.
 #[derive(Debug, Clone)]
@@ -18,33 +23,70 @@
     pub state: &'static str,
     /// What is known about whether it ran.
     pub outcome: Outcome,
-    /// The last placement, as it was logged.
+    /// The last placement as it was logged, JSON.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub placement: Option<serde_json::Value>,
+    pub placement: Option<String>,
 }
 
-/// The latest requests of this host, oldest dropped first.
-#[derive(Debug, Default)]
+/// The latest requests of this host, oldest dropped first. Traffic threads only send records; the control
+/// thread stores them, so that no request waits for a lock.
+#[derive(Debug)]
 pub(crate) struct Outcomes {
+    /// Sends records to the control thread; a full channel drops them.
+    tx: async_channel::Sender<(RequestId, Remembered)>,
     /// Requests by identifier, and their order.
-    state: Mutex<(HashMap<RequestId, Remembered>, VecDeque<RequestId>)>,
+    state: Mutex<Stored>,
+}
+
+#[derive(Debug, Default)]
+struct Stored {
+    /// Requests by identifier.
+    by_id: HashMap<RequestId, Remembered>,
+    /// Identifiers, oldest first.
+    order: VecDeque<RequestId>,
 }
 
 impl Outcomes {
+    pub(crate) fn new() -> (Self, Records) {
+        let (tx, rx) = async_channel::bounded(QUEUE_LENGTH);
+        (
+            Self {
+                tx,
+                state: Mutex::default(),
+            },
+            rx,
+        )
+    }
+
+    /// Sends a record to the control thread.
     pub(crate) fn record(&self, id: RequestId, remembered: Remembered) {
-        let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let (map, order) = &mut *guard;
-        if map.insert(id, remembered).is_none() {
-            order.push_back(id);
+        let _ = self.tx.try_send((id, remembered));
+    }
+
+    /// Stores a record; a record without placement keeps the one before.
+    pub(crate) fn store(&self, id: RequestId, mut remembered: Remembered) {
+        let mut stored = self.lock();
+        match stored.by_id.get_mut(&id) {
+            Some(old) => {
+                remembered.placement = remembered.placement.or_else(|| old.placement.take());
+                *old = remembered;
+            }
+            None => {
+                stored.by_id.insert(id, remembered);
+                stored.order.push_back(id);
+            }
         }
-        while order.len() > REMEMBERED {
-            let oldest = order.pop_front();
-            oldest.and_then(|id| map.remove(&id));
+        while stored.order.len() > REMEMBERED {
+            let oldest = stored.order.pop_front();
+            oldest.and_then(|id| stored.by_id.remove(&id));
         }
     }
 
     pub(crate) fn get(&self, id: RequestId) -> Option<Remembered> {
-        let guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        guard.0.get(&id).cloned()
+        self.lock().by_id.get(&id).cloned()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Stored> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -303,31 +303,22 @@
 
     fn log_placement(&self, placement: &Placement) {
         let shared = &self.cx.shared;
-        let explained = serde_json::to_value(placement).unwrap_or_default();
+        let explained = serde_json::to_string(placement).unwrap_or_default();
         info!(shared.log, "request placed"; events::PLACED,
-            "request" => id_text(self.received.id), "attempt" => self.req.attempt + 1, "placement" => %explained);
+            "request" => id_text(self.received.id), "attempt" => self.req.attempt + 1, "placement" => &explained);
         self.remember("placed", self.failed("").outcome, Some(explained));
     }
 
     /// Keeps the request's state for whoever asks for it.
-    pub(crate) fn remember(
-        &self,
-        state: &'static str,
-        outcome: Outcome,
-        placement: Option<serde_json::Value>,
-    ) {
+    pub(crate) fn remember(&self, state: &'static str, outcome: Outcome, placement: Option<String>) {
         let workspace = self.received.workspace.clone();
-        let outcomes = &self.cx.shared.outcomes;
-        let placement = placement.or_else(|| outcomes.get(self.received.id).and_then(|r| r.placement));
-        outcomes.record(
-            self.received.id,
-            Remembered {
-                workspace,
-                state,
-                outcome,
-                placement,
-            },
-        );
+        let remembered = Remembered {
+            workspace,
+            state,
+            outcome,
+            placement,
+        };
+        self.cx.shared.outcomes.record(self.received.id, remembered);
     }
 
     /// Writes the objects of the answer.
--- a/components/entry/tests/common/caller.rs
+++ b/components/entry/tests/common/caller.rs
@@ -21,6 +21,8 @@
     pub status: u16,
     /// The outcome header.
     pub outcome: String,
+    /// The request's identifier.
+    pub request_id: String,
     /// The text so far.
     pub text: String,
     /// Tokens so far.
@@ -53,6 +55,15 @@
         }
     }
 
+    /// The same caller at another address.
+    pub fn at(&self, addr: SocketAddr) -> Self {
+        Self {
+            client: self.client.clone(),
+            addr,
+            api_key: self.api_key.clone(),
+        }
+    }
+
     /// Reads a streamed completion to its end.
     pub async fn stream(&self, body: &serde_json::Value, last_id: Option<&str>) -> Streamed {
         self.stream_until(body, last_id, u32::MAX).await
@@ -80,6 +91,7 @@
         let mut streamed = Streamed {
             status: res.status().as_u16(),
             outcome: header(res.headers(), OUTCOME_HEADER),
+            request_id: header(res.headers(), "laburnumtally-request-id"),
             ..Streamed::default()
         };
         if streamed.status != 200 {
--- a/components/entry/tests/path.rs
+++ b/components/entry/tests/path.rs
@@ -207,3 +207,44 @@
     assert_eq!(block_on(caller.stream(&body("still here", 1), None)).status, 200);
     world.stop();
 }
+
+#[test]
+fn a_request_tells_its_outcome_and_its_placement() {
+    let world = World::start(&WorldConfig {
+        hosts: 1,
+        ..WorldConfig::default()
+    });
+    let caller = world.caller(0, MILL_KEY);
+    let streamed = block_on(caller.stream(&body("a short draft", 3), None));
+    let id = &streamed.request_id;
+    let get = |path: String| {
+        caller
+            .request(Method::GET, &path)
+            .body(http_io::empty_body())
+            .unwrap()
+    };
+    loop {
+        let answered = block_on(caller.send(get(format!("/v1/requests/{id}"))));
+        if answered.body.contains(r#""state":"answered""#) {
+            assert_eq!(answered.outcome, "ran");
+            break;
+        }
+    }
+    let operators = caller.at(world.hosts[0].addresses().operators);
+    let decision = block_on(operators.send(get(format!("/v1/decisions/{id}"))));
+    assert!(decision.body.contains("chosen"), "{}", decision.body);
+    let stranger = world.caller(0, GREEN_KEY);
+    assert_eq!(
+        block_on(
+            stranger.send(
+                stranger
+                    .request(Method::GET, &format!("/v1/requests/{id}"))
+                    .body(http_io::empty_body())
+                    .unwrap()
+            )
+        )
+        .status,
+        404
+    );
+    world.stop();
+}
