--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
@@ -17,6 +18,12 @@
 
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
+/// Publishing may take one part in this many of a core.
+const PUBLISH_SHARE_INVERSE: u32 = 250;
+/// Shortest time from a change to the view that shows it.
+const SHORTEST_PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time from a change to the view that shows it.
+const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
@@ -57,18 +64,8 @@
         ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let mut state = ControlState::new(shared);
-    let work = async {
-        loop {
-            let input = async { inputs.recv().await.ok().map(Work::Input) };
-            let seen = async { observations.recv().await.ok().map(Work::Observation) };
-            match input.or(seen).await {
-                Some(Work::Input(input)) => state.apply(input),
-                Some(Work::Observation(observation)) => state.observe(&observation),
-                None => return,
-            }
-        }
-    };
+    let state = ControlState::new(shared);
+    let work = run_loop(state, inputs, observations);
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -85,4 +82,65 @@
     Input(state::Input),
     /// News from a traffic thread.
     Observation(Observation),
+    /// It is time to publish what changed.
+    Publish,
+    /// Nothing can come any more.
+    End,
+}
+
+/// Applies news as it comes; publishes what changed after an interval that grows with the cost of a view.
+async fn run_loop(
+    mut state: ControlState,
+    inputs: async_channel::Receiver<state::Input>,
+    observations: async_channel::Receiver<Observation>,
+) {
+    let mut publish_at: Option<Instant> = None;
+    let mut interval = SHORTEST_PUBLISH_INTERVAL;
+    loop {
+        let input = async { inputs.recv().await.map_or(Work::End, Work::Input) };
+        let seen = async { observations.recv().await.map_or(Work::End, Work::Observation) };
+        let due = async {
+            match publish_at {
+                Some(at) => smol::Timer::at(at).await,
+                None => std::future::pending().await,
+            };
+            Work::Publish
+        };
+        match due.or(input).or(seen).await {
+            Work::Input(input) => state.apply(input),
+            Work::Observation(observation) => state.observe(&observation),
+            Work::Publish => {
+                let began = Instant::now();
+                state.publish();
+                interval = publish_interval(began.elapsed());
+                publish_at = None;
+                continue;
+            }
+            Work::End => return,
+        }
+        publish_at.get_or_insert_with(|| Instant::now() + interval);
+    }
+}
+
+/// The interval at which publishing takes its share of a core, within bounds.
+fn publish_interval(cost: Duration) -> Duration {
+    (cost * PUBLISH_SHARE_INVERSE).clamp(SHORTEST_PUBLISH_INTERVAL, LONGEST_PUBLISH_INTERVAL)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn publishing_keeps_to_its_share_of_a_core() {
+        assert_eq!(
+            publish_interval(Duration::from_micros(3)),
+            SHORTEST_PUBLISH_INTERVAL
+        );
+        assert_eq!(
+            publish_interval(Duration::from_millis(1)),
+            Duration::from_millis(250)
+        );
+        assert_eq!(publish_interval(Duration::from_secs(1)), LONGEST_PUBLISH_INTERVAL);
+    }
 }
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -73,6 +73,16 @@
         "caller_gone",
         "The caller closed the connection before the end.",
     );
+    pub const LEDGER_CLOSED: Event = event(
+        2100,
+        "ledger_closed",
+        "The table service did not answer; calls that must not be repeated are refused.",
+    );
+    pub const LEDGER_BACK: Event = event(
+        2101,
+        "ledger_back",
+        "The table service answers again; waiting settlements are written.",
+    );
 
     pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
 
@@ -116,6 +126,8 @@
     events::OUTCOME_UNKNOWN,
     events::CALLER_GONE,
     events::RESUMED,
+    events::LEDGER_CLOSED,
+    events::LEDGER_BACK,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
--- a/components/peers/src/keys.rs
+++ b/components/peers/src/keys.rs
@@ -1,3 +1,5 @@
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
 use error_stack::{Report, ResultExt};
@@ -9,6 +11,9 @@
 
 use crate::PeerError;
 
+/// Permissions of written files.
+const OWNER_ONLY: u32 = 0o600;
+
 /// Certificate and private key of one host, PEM.
 #[derive(Clone)]
 pub struct HostKeys {
@@ -56,18 +61,28 @@
 /// [`PeerError::KeysNotWritten`] if a file can not be written.
 pub fn write_keys(dir: &Path, hosts: &[HostId]) -> Result<(), Report<PeerError>> {
     let (authority, keys) = generate_keys(hosts)?;
-    let write = |name: String, text: &str| {
-        std::fs::write(dir.join(name), text).change_context(PeerError::KeysNotWritten)
-    };
     std::fs::create_dir_all(dir).change_context(PeerError::KeysNotWritten)?;
-    write("authority.pem".to_owned(), &authority)?;
+    write(&dir.join("authority.pem"), &authority)?;
     for host in keys {
-        write(format!("{}.pem", host.host), &host.certificate)?;
-        write(format!("{}.key", host.host), &host.key)?;
+        write(&dir.join(format!("{}.pem", host.host)), &host.certificate)?;
+        write(&dir.join(format!("{}.key", host.host)), &host.key)?;
     }
     Ok(())
 }
 
+/// Writes a file that only its owner may read.
+fn write(path: &Path, text: &str) -> Result<(), Report<PeerError>> {
+    let mut file = std::fs::OpenOptions::new()
+        .write(true)
+        .create(true)
+        .truncate(true)
+        .mode(OWNER_ONLY)
+        .open(path)
+        .change_context(PeerError::KeysNotWritten)?;
+    file.write_all(text.as_bytes())
+        .change_context(PeerError::KeysNotWritten)
+}
+
 fn host_keys(host: &HostId, issuer: &Issuer<'_, KeyPair>) -> Result<HostKeys, Report<PeerError>> {
     let mut params =
         CertificateParams::new(vec![host.to_string()]).change_context(PeerError::KeysNotWritten)?;
--- a/components/peers/tests/support/relay.rs
+++ b/components/peers/tests/support/relay.rs
@@ -1,3 +1,4 @@
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -33,11 +34,12 @@
             let mut flows: HashMap<SocketAddr, Flow> = HashMap::new();
             let mut buf = [0; 2_048];
             while let Ok((n, from)) = front.recv_from(&mut buf).await {
-                if !flows.contains_key(&from) {
-                    let flow = open(&ex, &front, from, target, rules.clone()).await;
-                    flows.insert(from, flow);
-                }
-                let flow = &flows[&from];
+                let flow = match flows.entry(from) {
+                    Entry::Occupied(entry) => entry.into_mut(),
+                    Entry::Vacant(entry) => {
+                        entry.insert(open(&ex, &front, from, target, rules.clone()).await)
+                    }
+                };
                 if passes(&rules, flow.number, from.ip(), target.ip()) {
                     let _ = flow.upstream.send_to(&buf[..n], target).await;
                 }
