--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod at_most_once;
 mod explore;
+mod notes;
 
 pub use at_most_once::{
     AtMostOnce, CallInvariant, CallMutant, World as CallWorld, WorldAction as CallAction,
 };
 pub use explore::{Counterexample, Explored, Spec, explore, fewest_steps};
+pub use notes::{Mutant as NotesMutant, NotesAction, NotesInvariant, NotesSpec, NotesState, Process};
