Use the ledger for calls that must not be repeated

Cause: the daemon's first claims were lost with the table service's answer, kept nothing about dead hosts and recorded bodies that are not text wrongly. Change: the ledger's writer runs on the control thread, whose executor the daemon now makes first; traffic threads claim, check the deadline, send, settle and wait up to 40 ms for the record, so that any host replays what a caller has seen. Ruled out: settlements that wait 50 ms for a claim to ride with; a caller that comes back at another host at once was told that the call is in progress. Conclusion: liveness comes from the platform's list until membership is wired.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -5,11 +5,15 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use errors::events;
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
+use ledger::LedgerWriter;
 use platform::HttpPlatform;
+use slog::warn;
 
 use crate::observe::Observation;
 use crate::operators;
@@ -17,6 +21,8 @@
 use crate::shared::Shared;
 use state::ControlState;
 
+/// Longest wait for the last settlements.
+const SETTLE_WAIT: Duration = Duration::from_secs(10);
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
 /// Publishing may take one part in this many of a core.
@@ -26,33 +32,35 @@
 /// Longest time from a change to the view that shows it.
 const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What the control thread takes from the others.
+pub(crate) struct Sources {
+    /// What traffic threads saw.
+    pub observations: async_channel::Receiver<Observation>,
+    /// What became of requests.
+    pub records: Records,
+    /// Writes claims and settlements.
+    pub writer: LedgerWriter,
+}
+
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
-    records: Records,
+    sources: Sources,
     stop: Shutdown,
+    ex: Executor,
 ) {
-    let ex: Executor = Arc::new(smol::Executor::new());
-    smol::block_on(ex.run(control(
-        shared,
-        operators,
-        observations,
-        records,
-        stop,
-        ex.clone(),
-    )));
+    smol::block_on(ex.run(control(shared, operators, sources, stop, ex.clone())));
 }
 
 async fn control(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
-    records: Records,
+    sources: Sources,
     stop: Shutdown,
     ex: Executor,
 ) {
+    let writer = ex.spawn(sources.writer.run());
     let cfg = ClientConfig {
         response_timeout: shared.settings.platform.timeout(),
         ..ClientConfig::default()
@@ -70,13 +78,13 @@
         stop.clone(),
     ));
     let pollers = [
-        ex.spawn(store_records(shared.clone(), records)),
+        ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let state = ControlState::new(shared);
-    let work = run_loop(state, inputs, observations);
+    let state = ControlState::new(shared.clone());
+    let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -85,6 +93,18 @@
         poller.cancel().await;
     }
     front.await;
+    hand_in_settlements(&shared, writer).await;
+}
+
+/// Waits until every settlement is written, or longer than the table service may take.
+async fn hand_in_settlements(shared: &Shared, writer: smol::Task<()>) {
+    shared.ledger.close();
+    let late = async {
+        smol::Timer::after(SETTLE_WAIT).await;
+        let backlog = shared.ledger.stats().backlog.load(Ordering::Relaxed);
+        warn!(shared.log, "settlements are left"; events::SETTLEMENTS_LEFT, "count" => backlog);
+    };
+    writer.or(late).await;
 }
 
 /// Stores what became of requests as the traffic threads report it.
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -102,6 +102,9 @@
         for host in list.iter().filter(|h| h.role == HostRole::Engine) {
             self.take_engine(host);
         }
+        let live = list.iter().filter(|h| h.role == HostRole::Entry);
+        let live = live.map(|h| h.id.clone()).collect();
+        self.shared.live_hosts.store(Arc::new(live));
         self.list = list;
     }
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -7,12 +7,14 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use errors::events;
-use http_io::{Shutdown, load_acceptor, shutdown_channel};
+use http_io::{Executor, Shutdown, load_acceptor, shutdown_channel};
+use ledger::LedgerWriter;
 use policy::LeastLoaded;
 use slog::{Logger, info, o};
 use utils::{Clock, SystemClock};
 
 use crate::EntryError;
+use crate::claims::{self, LiveHosts};
 use crate::control;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
@@ -63,13 +65,20 @@
         };
         let (observer, observations) = Observer::new();
         let (outcomes, records) = Outcomes::new();
-        let shared = Arc::new(build_shared(settings, log, observer, outcomes)?);
+        let ex: Executor = Arc::new(smol::Executor::new());
+        let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
+        let shared = Arc::new(shared);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
-            move || control::run(shared, operators, observations, records, control_stopped)
+            let inputs = control::Sources {
+                observations,
+                records,
+                writer,
+            };
+            move || control::run(shared, operators, inputs, control_stopped, ex)
         })?;
         let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
@@ -132,11 +141,25 @@
     log: Logger,
     observer: Observer,
     outcomes: Outcomes,
-) -> Result<Shared, Report<EntryError>> {
+    ex: &Executor,
+) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
-    Ok(Shared {
-        incarnation: rand::random(),
-        clock: Arc::new(SystemClock::new()) as Arc<dyn Clock>,
+    let incarnation = rand::random();
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let live_hosts = LiveHosts::default();
+    let (writer, ledger) = claims::build(
+        &settings,
+        incarnation,
+        &clock,
+        live_hosts.clone(),
+        ex,
+        log.clone(),
+    )?;
+    let shared = Shared {
+        incarnation,
+        clock,
+        ledger,
+        live_hosts,
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
@@ -147,7 +170,8 @@
         draining: AtomicBool::new(false),
         open_streams: AtomicUsize::new(0),
         settings,
-    })
+    };
+    Ok((shared, writer))
 }
 
 fn spawn_traffic(
--- a/components/entry/src/error.rs
+++ b/components/entry/src/error.rs
@@ -11,6 +11,9 @@
     /// The keys of the settings can not be used.
     #[error("the keys for callers can not be used")]
     Keys,
+    /// The chart of claims is broken.
+    #[error("can not set up the ledger")]
+    Ledger,
     /// A thread can not be started.
     #[error("can not start a thread")]
     Thread,
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -2,10 +2,12 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use config::Settings;
+use ledger::LedgerHandle;
 use policy::Placer;
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::claims::LiveHosts;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -34,6 +36,10 @@
     pub observer: Observer,
     /// The latest requests.
     pub outcomes: Outcomes,
+    /// Claims calls that must not be repeated.
+    pub ledger: LedgerHandle,
+    /// Entry hosts that the platform lists.
+    pub live_hosts: LiveHosts,
     /// Whether the host is on its way out.
     pub draining: AtomicBool,
     /// Streams that are open.
--- a/components/entry/src/traffic/calls.rs
+++ b/components/entry/src/traffic/calls.rs
@@ -5,31 +5,19 @@
 use http_io::Body;
 use hyper::Response;
 use hyper::header::CONTENT_TYPE;
-use platform::{Committed, Expect, HostState, Row, TableService, Transaction};
+use platform::HostState;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use slog::info;
 use targets::{CallReply, CallRequest, HttpService, Service, TargetError};
 
 use super::failure::Failure;
+use super::once::call_once;
 use super::respond::id_text;
 use super::route::{Received, check_serving};
 use super::{Context, respond};
 use crate::outcomes::Remembered;
 use crate::view::ServiceTarget;
 
-/// Content of a claim's row.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-struct Claim {
-    /// Identifier of the request that made the claim.
-    request: String,
-    /// Digest of the body.
-    body: utils::Digest,
-    /// The answer, once it is known.
-    reply: Option<(u16, String, String)>,
-}
-
 /// Answers a call to a plain service.
 pub(crate) async fn answer(cx: &Context, received: Received) -> Result<Response<Body>, Failure> {
     check_serving(&received.view)?;
@@ -60,10 +48,7 @@
     };
     let reply = match (rules.repeatable, &req.idempotency_key) {
         (true, _) => send(cx, &received, &req, rules.timeout()).await?,
-        (false, Some(key)) => {
-            let row = format!("claim/{}/{service}/{key}", received.workspace);
-            once(cx, &received, &req, row, rules.timeout()).await?
-        }
+        (false, Some(_)) => call_once(cx, &received, &req, rules.timeout()).await?,
         (false, None) => {
             let detail = "calls to this service are not repeatable";
             return Err(Failure::refused(ProblemKind::MissingIdempotencyKey, detail));
@@ -76,75 +61,34 @@
     ))
 }
 
-/// Claims the key, makes the call and records its answer.
-async fn once(
+/// Sends a call that may be repeated to one target of the service.
+async fn send(
     cx: &Context,
     received: &Received,
     req: &CallRequest,
-    row: String,
     timeout: Duration,
 ) -> Result<CallReply, Failure> {
-    let claim = Claim {
-        request: id_text(req.request_id),
-        body: utils::digest(&req.body),
-        reply: None,
-    };
-    let value = serde_json::json!(claim);
-    let insert = Transaction::default().put(row.clone(), Expect::Absent, value);
-    let version = match cx.platform.transact(insert).await {
-        Ok(Committed::Applied { version }) => version,
-        Ok(Committed::Refused { rows, .. }) => return replay(&claim, rows.first()),
-        Err(e) => {
-            let detail = format!("the call was not sent: {}", e.current_context());
-            return Err(Failure::refused(ProblemKind::StoreUnavailable, detail));
-        }
-    };
-    let reply = send(cx, received, req, timeout).await?;
-    let body = String::from_utf8_lossy(&reply.body).into_owned();
-    let settled = Claim {
-        reply: Some((reply.status, reply.content_type.clone(), body)),
-        ..claim
-    };
-    let settle = Transaction::default().put(row, Expect::Version(version), serde_json::json!(settled));
-    let _ = cx.platform.transact(settle).await;
-    Ok(reply)
-}
-
-fn replay(ours: &Claim, row: Option<&Row>) -> Result<CallReply, Failure> {
-    let theirs: Option<Claim> = row.and_then(|row| serde_json::from_value(row.value.clone()).ok());
-    let Some(theirs) = theirs else {
-        return Err(Failure::unknown(
-            ProblemKind::OutcomeUnknown,
-            "the record of this key can not be read",
-        ));
+    let target = choose(cx, received, req)?;
+    let result = call_target(cx, req, target, timeout).await;
+    let outcome = match &result {
+        Ok(_) => Outcome::Ran,
+        Err(e) if e.is_not_run() => Outcome::NotRun,
+        Err(_) => Outcome::MayHaveRun,
     };
-    if theirs.body != ours.body {
-        return Err(Failure::refused(
-            ProblemKind::KeyReused,
-            "the first call with this key had another body",
-        ));
-    }
-    match theirs.reply {
-        Some((status, content_type, body)) => Ok(CallReply {
-            status,
-            content_type,
-            body: body.into(),
-        }),
-        None => Err(Failure::unknown(
-            ProblemKind::KeyInProgress,
-            "the first call with this key is not settled",
-        )),
-    }
+    note_end(cx, received, outcome);
+    result.map_err(|error| match outcome {
+        Outcome::NotRun => Failure::refused(ProblemKind::TargetFailed, error.to_string()),
+        _ => Failure::unknown(ProblemKind::OutcomeUnknown, error.to_string()),
+    })
 }
 
-/// Sends a call to one target of the service.
-async fn send(
+/// Sends a call to a target, once.
+pub(crate) async fn call_target(
     cx: &Context,
-    received: &Received,
     req: &CallRequest,
+    target: &ServiceTarget,
     timeout: Duration,
-) -> Result<CallReply, Failure> {
-    let target = choose(cx, received, req)?;
+) -> Result<CallReply, TargetError> {
     info!(cx.shared.log, "call placed"; events::PLACED,
         "request" => id_text(req.request_id), "service" => &*req.service, "target" => &*target.id);
     let service = HttpService::new(cx.services.clone(), target.address);
@@ -153,10 +97,15 @@
         Err(TargetError::TimedOut.into())
     };
     let result = service.call(req.clone()).or(late).await;
-    let (state, outcome) = match &result {
-        Ok(_) => ("answered", Outcome::Ran),
-        Err(e) if e.current_context().is_not_run() => ("refused", Outcome::NotRun),
-        Err(_) => ("unknown", Outcome::MayHaveRun),
+    result.map_err(|e| *e.current_context())
+}
+
+/// Keeps what became of a call for whoever asks for it.
+pub(crate) fn note_end(cx: &Context, received: &Received, outcome: Outcome) {
+    let state = match outcome {
+        Outcome::Ran => "answered",
+        Outcome::NotRun => "refused",
+        Outcome::MayHaveRun => "unknown",
     };
     let remembered = Remembered {
         workspace: received.workspace.clone(),
@@ -164,18 +113,16 @@
         outcome,
         placement: None,
     };
-    cx.shared.outcomes.record(req.request_id, remembered);
+    cx.shared.outcomes.record(received.id, remembered);
     cx.shared.metrics.request("call", outcome);
-    result.map_err(|e| {
-        let error = *e.current_context();
-        if error.is_not_run() {
-            return Failure::refused(ProblemKind::TargetFailed, error.to_string());
-        }
-        Failure::unknown(ProblemKind::OutcomeUnknown, error.to_string())
-    })
 }
 
-fn choose<'a>(cx: &Context, received: &'a Received, req: &CallRequest) -> Result<&'a ServiceTarget, Failure> {
+/// Chooses a target of the service, in this failure domain if there is one.
+pub(crate) fn choose<'a>(
+    cx: &Context,
+    received: &'a Received,
+    req: &CallRequest,
+) -> Result<&'a ServiceTarget, Failure> {
     let view = &received.view;
     let host = &cx.shared.settings.host;
     let usable = |t: &&ServiceTarget| {
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod drafts;
 mod failure;
+mod once;
 mod openai;
 mod relay;
 mod respond;
@@ -14,7 +15,6 @@
 
 use futures_rustls::TlsAcceptor;
 use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
-use platform::HttpPlatform;
 
 use crate::shared::Shared;
 
@@ -27,8 +27,6 @@
     pub engines: Client,
     /// Sends calls to plain services.
     pub services: Client,
-    /// The platform.
-    pub platform: Arc<HttpPlatform>,
 }
 
 /// Longest time for a plain service's answer, whatever the release note says.
@@ -73,9 +71,7 @@
             )
         };
         let first_event = Duration::from_millis(shared.settings.timeouts.first_event_ms);
-        let platform = client(shared.settings.platform.timeout());
         Self {
-            platform: Arc::new(HttpPlatform::new(platform, shared.settings.platform.address)),
             engines: client(first_event),
             services: client(LONGEST_CALL),
             shared,
--- /dev/null
+++ b/components/entry/src/traffic/once.rs
@@ -0,0 +1,161 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::ProblemKind;
+use ledger::{
+    AttemptId, Begun, CallEnd, CallKey, Ended, NewCall, Question, RecordedBody, RecordedReply, RefusedReason,
+    Verdict,
+};
+use targets::{CallOutcome, CallReply, CallRequest, HttpService, Service};
+
+use super::Context;
+use super::calls::{call_target, choose, note_end};
+use super::failure::Failure;
+use super::route::Received;
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// Longest wait for what a target says about a key.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Makes a call at most once, or replays its answer.
+pub(crate) async fn call_once(
+    cx: &Context,
+    received: &Received,
+    req: &CallRequest,
+    timeout: Duration,
+) -> Result<CallReply, Failure> {
+    let key = checked_key(req)?;
+    let target = choose(cx, received, req)?;
+    let new = NewCall {
+        key: CallKey {
+            workspace: req.workspace.clone(),
+            service: req.service.clone(),
+            key,
+        },
+        attempt: AttemptId(req.request_id),
+        target: target.id.clone(),
+        body: body_digest(req),
+    };
+    let verdict = match cx.shared.ledger.begin(new).await {
+        Begun::Told(verdict) => verdict,
+        Begun::Ask(question) => ask(cx, received, req, question).await,
+        Begun::Held(claim) => match claim.dispatch() {
+            Err(verdict) => verdict,
+            Ok(sent) => {
+                let end = call_end(call_target(cx, req, target, timeout).await);
+                match sent.end(end).await {
+                    Ended::Told(verdict) => verdict,
+                    Ended::Ask(question) => ask(cx, received, req, question).await,
+                }
+            }
+        },
+    };
+    note_end(cx, received, verdict.outcome());
+    into_reply(verdict)
+}
+
+/// A key that can be a part of a path at every target.
+fn checked_key(req: &CallRequest) -> Result<String, Failure> {
+    let key = req.idempotency_key.clone().unwrap_or_default();
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~:".contains(&b);
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !key.bytes().all(is_plain) {
+        let detail = format!("an idempotency key has 1 to {MAX_KEY_BYTES} letters, digits and -_.~:");
+        return Err(Failure::refused(ProblemKind::MalformedRequest, detail));
+    }
+    Ok(key)
+}
+
+/// Digest of all that makes a call another one: method, path, content type and body.
+fn body_digest(req: &CallRequest) -> utils::Digest {
+    let mut hasher = blake3::Hasher::new();
+    for part in [&req.method, &req.path, &req.content_type] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(&req.body);
+    utils::Digest::from(*hasher.finalize().as_bytes())
+}
+
+fn call_end(result: Result<CallReply, targets::TargetError>) -> CallEnd {
+    match result {
+        Ok(reply) => CallEnd::Answered(RecordedReply {
+            status: reply.status,
+            content_type: reply.content_type,
+            body: RecordedBody::new(reply.body.into()),
+        }),
+        Err(e) if e.is_not_run() => CallEnd::NotRun,
+        Err(_) => CallEnd::Lost,
+    }
+}
+
+/// Asks the target that a call went to what it did.
+async fn ask(cx: &Context, received: &Received, req: &CallRequest, question: Question) -> Verdict {
+    let asked = received.view.services.iter().find(|t| t.id == question.target);
+    let reply = match asked {
+        Some(target) => {
+            let service = HttpService::new(cx.services.clone(), target.address);
+            recorded_outcome(&service, req).await
+        }
+        None => None,
+    };
+    question.answer(reply).await
+}
+
+async fn recorded_outcome(service: &HttpService, req: &CallRequest) -> Option<RecordedReply> {
+    let key = req.idempotency_key.clone()?;
+    let late = async {
+        smol::Timer::after(ASK_TIMEOUT).await;
+        None
+    };
+    let says = async { service.outcome(req.workspace.clone(), key).await.ok().flatten() };
+    match smol::future::or(says, late).await {
+        Some(CallOutcome::Ran {
+            status,
+            content_type,
+            body,
+        }) => Some(RecordedReply {
+            status,
+            content_type,
+            body: RecordedBody::Text(body),
+        }),
+        _ => None,
+    }
+}
+
+fn into_reply(verdict: Verdict) -> Result<CallReply, Failure> {
+    let (kind, outcome) = (verdict.problem(), verdict.outcome());
+    let detail = detail(&verdict);
+    match (verdict, kind) {
+        (Verdict::Reply(reply), _) => Ok(CallReply {
+            status: reply.status,
+            content_type: reply.content_type,
+            body: Bytes::copy_from_slice(reply.body.as_bytes()),
+        }),
+        (_, kind) => Err(Failure {
+            kind: kind.unwrap_or(ProblemKind::OutcomeUnknown),
+            outcome,
+            detail: detail.to_owned(),
+        }),
+    }
+}
+
+fn detail(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Reply(_) => "",
+        Verdict::InProgress => "another try with this key is under way; send the same call again later",
+        Verdict::Unknown => "a try with this key was sent and its result is not known",
+        Verdict::Refused(reason) => match reason {
+            RefusedReason::StoreUnavailable => {
+                "this try was not sent, as the table service is out of reach; an earlier try with this key may have run"
+            }
+            RefusedReason::BacklogFull => {
+                "this try was not sent, as too many calls wait to be recorded; an earlier try with this key may have run"
+            }
+            RefusedReason::KeyReused => "this try was not sent; the key belongs to a call with another body",
+            RefusedReason::Lapsed => "this try was not sent, as its claim had run out before",
+            RefusedReason::ByTarget => "the target was not reached or refused the call",
+            RefusedReason::GaveUp => "this try was not sent",
+        },
+    }
+}
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
-mod caller;
+pub mod caller;
 
 pub use caller::Caller;
 
@@ -29,6 +29,9 @@
 /// The service whose calls may not be repeated.
 pub const LEDGER: &str = "ledger";
 
+/// Longest wait of a caller; longer than any wait of a host.
+const CALLER_PATIENCE: Duration = Duration::from_secs(20);
+
 /// How a world is built.
 pub struct WorldConfig {
     /// Engines.
@@ -128,7 +131,11 @@
 
     /// A caller at a host.
     pub fn caller(&self, host: usize, api_key: &str) -> Caller {
-        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        let cfg = ClientConfig {
+            response_timeout: CALLER_PATIENCE,
+            ..ClientConfig::default()
+        };
+        let client = Client::new(self.ex.clone(), cfg);
         Caller::new(client, self.hosts[host].addresses().callers, api_key)
     }
 
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -83,6 +83,11 @@
         "ledger_back",
         "The table service answers again; waiting settlements are written.",
     );
+    pub const SETTLEMENTS_LEFT: Event = event(
+        2102,
+        "settlements_left",
+        "The host ended before the results of all calls were recorded; their keys will say may-have-run.",
+    );
 
     pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
 
@@ -128,6 +133,7 @@
     events::RESUMED,
     events::LEDGER_CLOSED,
     events::LEDGER_BACK,
+    events::SETTLEMENTS_LEFT,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
--- a/components/ledger/src/batch.rs
+++ b/components/ledger/src/batch.rs
@@ -3,7 +3,7 @@
 use error_stack::Report;
 use platform::{Committed, PlatformError, Row, RowKey, RowVersion, Transaction};
 
-use crate::{Found, Holder, RowWrite};
+use crate::{ClaimRow, Found, RowWrite};
 
 /// What became of one write.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -115,7 +115,7 @@
     pub fn settle(
         self,
         answer: Result<Committed, Report<PlatformError>>,
-        is_alive: impl Fn(&Holder) -> bool,
+        is_alive: impl Fn(&ClaimRow) -> bool,
     ) -> (Vec<(T, WriteResult)>, Option<Batch<T>>) {
         match answer {
             Ok(Committed::Applied { version }) => (self.all(&WriteResult::Applied(version)), None),
@@ -139,7 +139,7 @@
         self,
         rows: &[Row],
         keys: &[RowKey],
-        is_alive: impl Fn(&Holder) -> bool,
+        is_alive: impl Fn(&ClaimRow) -> bool,
     ) -> (Vec<(T, WriteResult)>, Option<Batch<T>>) {
         let (refused, entries): (Vec<_>, Vec<_>) = self
             .entries
@@ -158,7 +158,7 @@
     }
 }
 
-fn refusal(row: Option<&Row>, is_alive: impl Fn(&Holder) -> bool) -> WriteResult {
+fn refusal(row: Option<&Row>, is_alive: impl Fn(&ClaimRow) -> bool) -> WriteResult {
     match row.map(|row| Found::parse(row, is_alive)) {
         None => WriteResult::Refused(None),
         Some(Ok(found)) => WriteResult::Refused(Some(found)),
--- a/components/ledger/src/handle.rs
+++ b/components/ledger/src/handle.rs
@@ -1,8 +1,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::UNIX_EPOCH;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use platform::RowKey;
+use smol::Timer;
+use smol::future::or;
 use utils::{Digest, Monotonic, TargetId};
 
 use crate::writer::{Op, Shared};
@@ -89,6 +92,8 @@
     ledger: LedgerHandle,
     /// Whether a job took over the place in the backlog.
     is_handed_over: bool,
+    /// Tells when that job is done.
+    written: Option<Receiver<()>>,
 }
 
 impl LedgerHandle {
@@ -101,6 +106,11 @@
         &self.shared.stats
     }
 
+    /// Ends the writer once every settlement is written; new calls are refused.
+    pub fn close(&self) {
+        self.tx.close();
+    }
+
     /// Claims a call. Nothing may be sent before the claim is held.
     pub async fn begin(&self, call: NewCall) -> Begun {
         if self.shared.is_open() {
@@ -144,18 +154,20 @@
             target: call.target.clone(),
             body: call.body,
             valid_ms: self.shared.settings.claim_valid.as_millis() as u64,
+            claimed_at_ms: self.wall_ms(),
             state: ClaimState::Claimed,
         };
         Some(OpenTry {
             call: self.shared.protocol.start(call.key.row_key(), row),
             ledger: self.clone(),
             is_handed_over: false,
+            written: None,
         })
     }
 
     async fn insert(&self, write: RowWrite) -> Input {
         let (tx, rx) = async_channel::bounded(1);
-        if self.tx.send(Op::Insert(write, tx)).await.is_err() {
+        if self.tx.send(Op::Insert(Box::new(write), tx)).await.is_err() {
             return Input::StoreFailed;
         }
         match rx.recv().await {
@@ -181,6 +193,11 @@
         }
     }
 
+    fn wall_ms(&self) -> u64 {
+        let since = self.shared.clock.wall().duration_since(UNIX_EPOCH);
+        since.unwrap_or_default().as_millis() as u64
+    }
+
     fn now(&self) -> Monotonic {
         self.shared.clock.now()
     }
@@ -202,14 +219,17 @@
 
 impl SentCall {
     /// Records what became of the call.
-    pub fn end(mut self, end: CallEnd) -> Ended {
+    pub async fn end(mut self, end: CallEnd) -> Ended {
         let input = match end {
             CallEnd::Answered(reply) => Input::Answered(reply),
             CallEnd::NotRun => Input::NotRun,
             CallEnd::Lost => Input::AnswerLost,
         };
         match self.0.step(input) {
-            Some(Effect::Tell(verdict)) => Ended::Told(verdict),
+            Some(Effect::Tell(verdict)) => {
+                self.0.wait_until_written().await;
+                Ended::Told(verdict)
+            }
             Some(Effect::Ask(target)) => Ended::Ask(Question { target, call: self.0 }),
             _ => Ended::Told(Verdict::Unknown),
         }
@@ -218,10 +238,13 @@
 
 impl Question {
     /// Takes the target's answer: the reply if it says that the call ran, `None` if it does not or can't say.
-    pub fn answer(mut self, reply: Option<RecordedReply>) -> Verdict {
+    pub async fn answer(mut self, reply: Option<RecordedReply>) -> Verdict {
         let input = reply.map_or(Input::TargetOpen, Input::TargetRan);
         match self.call.step(input) {
-            Some(Effect::Tell(verdict)) => verdict,
+            Some(Effect::Tell(verdict)) => {
+                self.call.wait_until_written().await;
+                verdict
+            }
             _ => Verdict::Unknown,
         }
     }
@@ -245,7 +268,24 @@
             return;
         };
         // The channel has room for the whole backlog; it is closed only after all handles are gone.
-        self.is_handed_over = self.ledger.tx.try_send(Op::Job(job)).is_ok();
+        let (tx, rx) = async_channel::bounded(1);
+        self.is_handed_over = self.ledger.tx.try_send(Op::Job(Box::new(job), tx)).is_ok();
+        self.written = Some(rx).filter(|_| self.is_handed_over);
+    }
+
+    /// Waits for a little while until the result is recorded, so that other hosts replay it.
+    async fn wait_until_written(&mut self) {
+        let shared = &self.ledger.shared;
+        let Some(written) = self.written.take().filter(|_| !shared.is_open()) else {
+            return;
+        };
+        let late = async {
+            Timer::after(shared.settings.settle_wait).await;
+        };
+        let done = async {
+            let _ = written.recv().await;
+        };
+        or(done, late).await;
     }
 }
 
--- a/components/ledger/src/protocol.rs
+++ b/components/ledger/src/protocol.rs
@@ -102,6 +102,7 @@
 ///     target: "desk-1".into(),
 ///     body: utils::digest(b"order 20 bales"),
 ///     valid_ms: 2_000,
+///     claimed_at_ms: 0,
 ///     state: ClaimState::Claimed,
 /// };
 /// let mut call = protocol.start("claim/mill/orders/7", row);
--- a/components/ledger/src/row.rs
+++ b/components/ledger/src/row.rs
@@ -168,6 +168,8 @@
     pub body: Digest,
     /// Time from before the insert within which the holder may send the call, in milliseconds.
     pub valid_ms: u64,
+    /// Time of day at which the claim was made, in milliseconds since 1970.
+    pub claimed_at_ms: u64,
     /// How far the call got.
     pub state: ClaimState,
 }
@@ -203,11 +205,11 @@
     ///
     /// # Errors
     /// [`LedgerError::Malformed`]
-    pub fn parse(row: &Row, is_alive: impl Fn(&Holder) -> bool) -> Result<Self, Report<LedgerError>> {
+    pub fn parse(row: &Row, is_alive: impl Fn(&ClaimRow) -> bool) -> Result<Self, Report<LedgerError>> {
         let malformed = || LedgerError::Malformed { key: row.key.clone() };
         let claim = ClaimRow::deserialize(&row.value).change_context_lazy(malformed)?;
         Ok(Self {
-            is_holder_alive: is_alive(&claim.holder),
+            is_holder_alive: is_alive(&claim),
             version: row.version,
             row: claim,
         })
--- a/components/ledger/src/settings.rs
+++ b/components/ledger/src/settings.rs
@@ -11,6 +11,8 @@
     pub read_back_timeout: Duration,
     /// Time for which writes are gathered into one transaction.
     pub commit_window: Duration,
+    /// Longest time for which an answer waits until it is recorded.
+    pub settle_wait: Duration,
     /// Most rows in one transaction.
     pub batch_rows: usize,
     /// Most calls whose settlement is not written yet; more are refused.
@@ -28,6 +30,7 @@
             store_timeout: Duration::from_millis(500),
             read_back_timeout: Duration::from_millis(40),
             commit_window: Duration::from_millis(3),
+            settle_wait: Duration::from_millis(40),
             batch_rows: 64,
             backlog: 10_000,
             probe_interval: Duration::from_millis(250),
--- a/components/ledger/src/writer.rs
+++ b/components/ledger/src/writer.rs
@@ -13,19 +13,17 @@
 use utils::{Clock, Monotonic};
 
 use crate::{
-    Batch, Batcher, Breaker, Holder, Job, JobStep, LedgerHandle, LedgerSettings, Protocol, RowWrite,
-    WriteResult,
+    Batch, Batcher, Breaker, ClaimRow, Holder, Job, JobStep, LedgerHandle, LedgerSettings, Protocol,
+    RowWrite, WriteResult,
 };
 
 /// Most writes of one try that are in the channel at once.
 const OPS_PER_TRY: usize = 2;
 /// Row that probes read; it need not exist.
 const PROBE_ROW: &str = "claim";
-/// Time for which settlements wait for claims that they can share a transaction with.
-const SETTLE_WINDOW: Duration = Duration::from_millis(50);
 
-/// Tells whether the run of a host that holds a claim is alive.
-pub(crate) type IsAlive = Arc<dyn Fn(&Holder) -> bool + Send + Sync>;
+/// Tells whether the run of the host that holds a claim is alive.
+pub(crate) type IsAlive = Arc<dyn Fn(&ClaimRow) -> bool + Send + Sync>;
 
 /// An answer of the table service.
 type PlatformResult<T> = Result<T, Report<PlatformError>>;
@@ -33,9 +31,9 @@
 /// A write for the writer.
 pub(crate) enum Op {
     /// A try's insert; the result goes back.
-    Insert(RowWrite, Sender<WriteResult>),
-    /// A background write.
-    Job(Job),
+    Insert(Box<RowWrite>, Sender<WriteResult>),
+    /// A background write; the sender is told when it is made.
+    Job(Box<Job>, Sender<()>),
 }
 
 /// Whose a write is.
@@ -43,7 +41,7 @@
     /// A try's.
     Insert(Sender<WriteResult>),
     /// A background write's.
-    Job(Job),
+    Job(Box<Job>, Sender<()>),
 }
 
 /// Counters of the ledger.
@@ -147,7 +145,7 @@
         settings: LedgerSettings,
         protocol: Protocol,
         holder: Holder,
-        is_alive: impl Fn(&Holder) -> bool + Send + Sync + 'static,
+        is_alive: impl Fn(&ClaimRow) -> bool + Send + Sync + 'static,
         log: Logger,
     ) -> (Self, LedgerHandle) {
         let (tx, rx) = async_channel::bounded(OPS_PER_TRY * settings.backlog.max(1));
@@ -178,7 +176,7 @@
         (writer, handle)
     }
 
-    /// Writes until all handles are gone and every settlement is written.
+    /// Writes until the handles are closed or gone and every settlement is written.
     pub async fn run(mut self) {
         let (stop_tx, stop) = async_channel::bounded::<()>(1);
         let probes = probe_loop(Arc::clone(&self.shared), self.trouble.clone(), stop);
@@ -253,16 +251,16 @@
 
     fn push(&mut self, op: Op) {
         match op {
-            Op::Insert(write, tx) => self.inserts.push(write, Tag::Insert(tx)),
-            Op::Job(job) => self.push_job(job),
+            Op::Insert(write, tx) => self.inserts.push(*write, Tag::Insert(tx)),
+            Op::Job(job, tx) => self.push_job(job, tx),
         }
     }
 
-    fn push_job(&mut self, job: Job) {
+    fn push_job(&mut self, job: Box<Job>, tx: Sender<()>) {
         if self.jobs.is_empty() {
-            self.jobs_due = self.now() + SETTLE_WINDOW;
+            self.jobs_due = self.now() + self.shared.settings.commit_window;
         }
-        self.jobs.push(job.write().clone(), Tag::Job(job));
+        self.jobs.push(job.write().clone(), Tag::Job(job, tx));
     }
 
     /// While the table service is out of reach, claims are refused and settlements wait.
@@ -285,7 +283,7 @@
         let mut batch = Batch::default();
         if now >= self.jobs_due && now >= self.jobs_from {
             self.jobs.fill(&mut batch, rows.div_ceil(2));
-            self.jobs_due = now + SETTLE_WINDOW;
+            self.jobs_due = now + self.shared.settings.commit_window;
         }
         self.inserts.fill(&mut batch, rows);
         if now >= self.jobs_from {
@@ -319,10 +317,12 @@
                 // The try may be gone; its own clean-up gives the claim up.
                 let _ = tx.try_send(result);
             }
-            Tag::Job(mut job) => match job.step(&result) {
-                JobStep::Again => self.push_job(job),
+            Tag::Job(mut job, tx) => match job.step(&result) {
+                JobStep::Again => self.push_job(job, tx),
                 JobStep::Done => {
                     self.shared.stats.backlog.fetch_sub(1, Ordering::Relaxed);
+                    // The caller may have stopped waiting.
+                    let _ = tx.try_send(());
                 }
             },
         }
--- a/components/ledger/tests/batch.rs
+++ b/components/ledger/tests/batch.rs
@@ -16,6 +16,7 @@
             target: "desk-1".into(),
             body: utils::digest(b""),
             valid_ms: 1,
+            claimed_at_ms: 0,
             state: ClaimState::Claimed,
         },
     }
@@ -61,7 +62,7 @@
 
 fn settle(table: &MemoryTable, batch: ledger::Batch<usize>) -> Settled {
     let committed = table.apply(&batch.transaction());
-    batch.settle(Ok(committed), |_: &Holder| true)
+    batch.settle(Ok(committed), |_: &ClaimRow| true)
 }
 
 fn take<T>(batcher: &mut Batcher<T>) -> Batch<T> {
--- a/components/ledger/tests/driver.rs
+++ b/components/ledger/tests/driver.rs
@@ -27,11 +27,11 @@
     }
 }
 
-fn answered(claim: HeldClaim, text: &str) -> Verdict {
+async fn answered(claim: HeldClaim, text: &str) -> Verdict {
     let Ok(sent) = claim.dispatch() else {
         panic!("the claim has lapsed");
     };
-    match sent.end(CallEnd::Answered(reply(text))) {
+    match sent.end(CallEnd::Answered(reply(text))).await {
         Ended::Told(verdict) => verdict,
         Ended::Ask(_) => panic!("a question instead of a verdict"),
     }
@@ -57,7 +57,7 @@
         let (second, other_task) = host(&ex, &table, &clock, "entry-2");
         let claim = held(&first, call("7", 1, "20 bales")).await;
         assert_eq!(told(&second, call("7", 2, "20 bales")).await, Verdict::InProgress);
-        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+        assert_eq!(answered(claim, "order 7").await, Verdict::Reply(reply("order 7")));
         settled(&first).await;
         assert_eq!(
             told(&second, call("7", 3, "20 bales")).await,
@@ -106,7 +106,7 @@
         table.set(Fault::LoseOne);
         let claim = held(&handle, call("7", 1, "20 bales")).await;
         assert_eq!(handle.stats().reads.load(Ordering::Relaxed), 1);
-        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+        assert_eq!(answered(claim, "order 7").await, Verdict::Reply(reply("order 7")));
     }));
 }
 
@@ -118,7 +118,7 @@
         let (handle, task) = host(&ex, &table, &clock, "entry-1");
         let claim = held(&handle, call("7", 1, "20 bales")).await;
         table.set(Fault::Silent);
-        let _ = answered(claim, "order 7");
+        let _ = answered(claim, "order 7").await;
         let refused = Verdict::Refused(RefusedReason::StoreUnavailable);
         for attempt in 2..50 {
             let key = attempt.to_string();
@@ -130,7 +130,7 @@
         settled(&handle).await;
         let replayed = told(&handle, call("7", 60, "20 bales")).await;
         assert_eq!(replayed, Verdict::Reply(reply("order 7")));
-        let _ = answered(held(&handle, call("2", 61, "1 bale")).await, "order 2");
+        let _ = answered(held(&handle, call("2", 61, "1 bale")).await, "order 2").await;
         drop(handle);
         task.await;
     }));
@@ -150,7 +150,7 @@
         assert_eq!(lapsed, Some(Verdict::Refused(RefusedReason::Lapsed)));
         manual.advance(Duration::from_secs(60));
         let claim = held_soon(&handle, &manual, 2).await;
-        assert_eq!(answered(claim, "order 7"), Verdict::Reply(reply("order 7")));
+        assert_eq!(answered(claim, "order 7").await, Verdict::Reply(reply("order 7")));
     }));
 }
 
@@ -179,12 +179,12 @@
         let Begun::Ask(question) = handle.begin(call("7", 3, "20 bales")).await else {
             panic!("the target is not asked");
         };
-        assert_eq!(question.answer(None), Verdict::Unknown);
+        assert_eq!(question.answer(None).await, Verdict::Unknown);
         let Begun::Ask(question) = handle.begin(call("7", 4, "20 bales")).await else {
             panic!("the target is not asked");
         };
         assert_eq!(
-            question.answer(Some(reply("order 7"))),
+            question.answer(Some(reply("order 7"))).await,
             Verdict::Reply(reply("order 7"))
         );
         settled(&handle).await;
@@ -204,7 +204,7 @@
             let handle = handle.clone();
             calls.push(ex.spawn(async move {
                 let claim = held(&handle, call(&i.to_string(), i, "1 bale")).await;
-                answered(claim, "done")
+                answered(claim, "done").await
             }));
         }
         for one in calls {
--- a/components/ledger/tests/faults/sim.rs
+++ b/components/ledger/tests/faults/sim.rs
@@ -308,6 +308,7 @@
             target: target.to_string().into(),
             body: utils::digest(&key.to_le_bytes()),
             valid_ms: CLAIM_VALID_MS,
+            claimed_at_ms: 0,
             state: ClaimState::Claimed,
         };
         let open = Open {
@@ -392,7 +393,8 @@
         let mut batch = Batch::default();
         this.inserts.fill(&mut batch, BATCH_ROWS);
         if !this.breaker.is_closed() {
-            let (results, _) = batch.settle(Err(Report::new(PlatformError::Unreachable)), |_: &Holder| true);
+            let (results, _) =
+                batch.settle(Err(Report::new(PlatformError::Unreachable)), |_: &ClaimRow| true);
             results
                 .into_iter()
                 .for_each(|(tag, result)| self.deliver(host, tag, result));
@@ -431,7 +433,7 @@
     fn take_answer(&mut self, host: usize, batch: Batch<Tag>, answer: Result<Committed, PlatformError>) {
         self.note_store(host, answer.is_ok());
         let alive = self.alive();
-        let (results, rest) = batch.settle(answer.map_err(Report::new), |holder| alive(holder));
+        let (results, rest) = batch.settle(answer.map_err(Report::new), |row| alive(&row.holder));
         results
             .into_iter()
             .for_each(|(tag, result)| self.deliver(host, tag, result));
@@ -500,7 +502,7 @@
         let open = self.hosts[host].open.get(&attempt)?;
         let row = self.world.table.get(&row_key(open.key))?;
         let alive = self.alive();
-        Some(Found::parse(&row, |holder| alive(holder)).expect("claim"))
+        Some(Found::parse(&row, |row| alive(&row.holder)).expect("claim"))
     }
 
     /// What peers take for alive: a dead host for a while longer, and a paused one not.
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -6,8 +6,8 @@
 
 use error_stack::Report;
 use ledger::{
-    AttemptId, CallKey, Holder, LedgerHandle, LedgerSettings, LedgerWriter, NewCall, Protocol, RecordedBody,
-    RecordedReply,
+    AttemptId, CallKey, ClaimRow, Holder, LedgerHandle, LedgerSettings, LedgerWriter, NewCall, Protocol,
+    RecordedBody, RecordedReply,
 };
 use platform::{
     BoxFuture, Committed, MemoryTable, PlatformError, Row, RowKey, ScanRequest, TableService, Transaction,
@@ -99,7 +99,7 @@
         settings,
         Protocol::load().expect("chart"),
         holder,
-        |_: &Holder| true,
+        |_: &ClaimRow| true,
         slog::Logger::root(slog::Discard, slog::o!()),
     );
     (handle, ex.spawn(writer.run()))
--- a/specs/src/at_most_once/steps.rs
+++ b/specs/src/at_most_once/steps.rs
@@ -192,6 +192,7 @@
         target: "target".into(),
         body: utils::digest(&[u8::from(is_other)]),
         valid_ms: VALID_MS,
+        claimed_at_ms: 0,
         state: ClaimState::Claimed,
     };
     let mut call = spec.protocol.start(ROW, row);
