Add the trial: a small deployment, a trace, faults and a verdict

Cause: the main job must show on an embedded default that the promises hold while hosts fail. Change: crate trial starts platform, engines, ledger servers, stores and three entry hosts in two regions, plays a seeded trace, kills an engine and an entry host, accepts a note, lets an engine leave, drains an entry host, and hands both records to the checker. Recomputed tokens come from the callers' own prompts, whatever hosts name. Conclusion: its test keeps the promises; the entry does not name cache pieces yet, so nothing is cached.

--- a/components/checker/tests/mutants.rs
+++ b/components/checker/tests/mutants.rs
@@ -130,6 +130,7 @@
             weight_version: 1,
             accepted: true,
             intact: true,
+            store: ([127, 0, 0, 1], 1).into(),
             bytes: 10,
         }],
         ..EngineRecord::default()
--- a/components/load/src/caller/mod.rs
+++ b/components/load/src/caller/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use checker::CallerRequest;
@@ -20,12 +20,25 @@
 use crate::{Arrival, PlannedWork};
 
 /// An entry host that callers know.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Entry {
     /// Its name.
     pub id: HostId,
     /// Where it takes callers' requests.
     pub address: SocketAddr,
+    /// Whether the balancer sends new requests to it.
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Entry {
+    /// A host that is ready.
+    pub fn new(id: impl Into<HostId>, address: SocketAddr) -> Self {
+        Self {
+            id: id.into(),
+            address,
+            ready: Arc::new(AtomicBool::new(true)),
+        }
+    }
 }
 
 /// Settings of a [`Caller`].
@@ -110,10 +123,15 @@
         }
     }
 
-    /// The next host in turn.
+    /// The next host in turn that is ready, or any if none is.
     fn next_entry(&self) -> &Entry {
+        let entries = &self.cfg.entries;
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        &self.cfg.entries[turn % self.cfg.entries.len()]
+        let in_turn = |i: usize| &entries[(turn + i) % entries.len()];
+        let ready = (0..entries.len())
+            .map(in_turn)
+            .find(|e| e.ready.load(Ordering::Relaxed));
+        ready.unwrap_or_else(|| in_turn(0))
     }
 
     fn key(&self, workspace: &WorkspaceId) -> &str {
--- a/components/standins/src/engine/record.rs
+++ b/components/standins/src/engine/record.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use targets::{Order, PieceId};
 use utils::{Attempt, ModelId, RequestId, WeightVersion, WorkspaceId};
@@ -76,6 +78,8 @@
     pub accepted: bool,
     /// Whether the content was what that version computes.
     pub intact: bool,
+    /// Store that it was read from.
+    pub store: SocketAddr,
     /// Bytes that were read.
     pub bytes: u64,
 }
--- a/components/standins/src/engine/transfer.rs
+++ b/components/standins/src/engine/transfer.rs
@@ -27,6 +27,7 @@
             weight_version: req.weight_version,
             accepted,
             intact,
+            store: req.store,
             bytes: content.len() as u64,
         });
         if !accepted {
--- /dev/null
+++ b/components/trial/src/error.rs
@@ -0,0 +1,17 @@
+/// Why a trial could not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum TrialError {
+    /// A stand-in could not be started.
+    #[error("a stand-in could not be started")]
+    StandIn,
+    /// An entry host could not be started or ended badly.
+    #[error("an entry host could not be started or ended badly")]
+    Entry,
+    /// The entry hosts did not become ready in time.
+    #[error("the entry hosts did not become ready in time")]
+    NotReady,
+    /// A thread could not be started.
+    #[error("a thread could not be started")]
+    Thread,
+}
--- /dev/null
+++ b/components/trial/src/lib.rs
@@ -0,0 +1,18 @@
+//! The main job on an embedded default: a small deployment in one process, a trace, faults and a verdict.
+
+mod balancer;
+mod declared;
+mod deployment;
+mod error;
+mod report;
+mod run;
+mod script;
+mod settings;
+mod table;
+mod work;
+
+pub use error::TrialError;
+pub use report::{PromiseLine, TrialReport};
+pub use run::{TrialConfig, run};
+pub use table::report_table;
+pub use work::WorkSummary;
--- /dev/null
+++ b/components/trial/tests/trial.rs
@@ -0,0 +1,23 @@
+//! A short trial over real sockets, with its faults.
+
+use std::sync::Arc;
+
+use checker::Promise;
+use trial::{TrialConfig, run};
+
+#[test]
+fn a_trial_keeps_all_promises() {
+    let cfg = TrialConfig {
+        seed: 3,
+        requests: 120,
+        ..TrialConfig::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let report = run(&cfg, &log, Arc::new(())).unwrap();
+    assert_eq!(report.requests, 120);
+    assert_eq!(report.broken, 0, "{}", trial::report_table(&report));
+    assert_eq!(report.answered + report.refused + report.unknown, 120);
+    // Blocks are checked where engines use any; the others always have something to check.
+    let checked = |line: &&trial::PromiseLine| line.checked > 0 || line.promise == Promise::IntactCache;
+    assert!(report.promises.iter().all(|line| checked(&line)), "{report:?}");
+}
--- /dev/null
+++ b/src/cmd/try_it.rs
@@ -0,0 +1,53 @@
+use std::io::IsTerminal;
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use indicatif::{ProgressBar, ProgressStyle};
+use loadgen::{Finished, Play, Preset};
+use trial::TrialConfig;
+
+use crate::cli::{OutputFormat, TryArgs};
+use crate::exit::CommandError;
+
+/// Shows how many requests have ended.
+struct Progress(ProgressBar);
+
+impl Play for Progress {
+    fn finished(&self, _: &Finished) {
+        self.0.inc(1);
+    }
+}
+
+/// Plays a trial and prints its report; fails if a promise was broken.
+pub(crate) fn try_it(args: &TryArgs) -> Result<(), Report<CommandError>> {
+    let preset = Preset::by_name(&args.preset).ok_or(CommandError::UnknownPreset)?;
+    let cfg = TrialConfig {
+        preset,
+        seed: args.seed,
+        requests: args.requests,
+    };
+    let bar = progress_bar(cfg.requests);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let report = trial::run(&cfg, &log, Arc::new(Progress(bar.clone())));
+    bar.finish_and_clear();
+    let report = report.change_context(CommandError::Failed)?;
+    match args.format {
+        OutputFormat::Table => print!("{}", trial::report_table(&report)),
+        OutputFormat::Json => super::print_json(&report),
+    }
+    if report.is_kept() {
+        return Ok(());
+    }
+    Err(Report::new(CommandError::BrokenPromise).change_context(CommandError::Failed))
+}
+
+fn progress_bar(requests: u64) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new(requests);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} requests, {elapsed}") {
+        bar.set_style(style);
+    }
+    bar
+}
