Add try, stand-in and load to the command line

Cause: users want one command that shows the main job, and the same stand-ins and callers as separate processes. Change: try plays the trial (table or JSON, progress bar on a terminal, exit 0 only if no promise is broken); stand-in runs one of the four with YAML settings whose times read 10us or 2ms; load plays a trace at a running system, compares it with the engine itself, saturates, or holds streams and reads a process's memory. The checker says nothing about what it has no record of.

--- a/components/checker/src/rules/answers.rs
+++ b/components/checker/src/rules/answers.rs
@@ -10,8 +10,10 @@
     let versions = versions(record);
     for req in &record.requests {
         if let Work::Draft(body) = &req.work {
-            let known = versions.get(&*body.model).cloned().unwrap_or_default();
-            report.note(Promise::WholeAnswers, answer(req, body, &known));
+            // Without any record of the model's versions no answer can be computed again.
+            if let Some(known) = versions.get(&*body.model) {
+                report.note(Promise::WholeAnswers, answer(req, body, known));
+            }
         }
     }
     let owners = owners(record);
--- a/components/checker/src/rules/calls.rs
+++ b/components/checker/src/rules/calls.rs
@@ -23,7 +23,8 @@
             continue;
         };
         report.note(Promise::WholeAnswers, own_reply(req, body));
-        if req.received.whole {
+        // Without the services' records nothing is known about what ran.
+        if req.received.whole && !record.services.is_empty() {
             let id = id_of(req, body);
             report.note(Promise::WholeAnswers, really_ran(req, runs.contains_key(&id)));
         }
--- a/components/load/src/compare.rs
+++ b/components/load/src/compare.rs
@@ -8,8 +8,8 @@
 use utils::WeightVersion;
 
 use crate::caller::DirectCaller;
-use crate::runner::{play, sleep_until};
-use crate::{Caller, CallerConfig, Finished, Latencies, LatencySummary, LoadError, Trace};
+use crate::runner::{play_blocking, sleep_until};
+use crate::{CallerConfig, Latencies, LatencySummary, LoadError, Trace};
 
 /// Settings of a comparison.
 #[derive(Debug, Clone)]
@@ -49,7 +49,7 @@
 pub fn compare(cfg: &CompareConfig, trace: &Trace) -> Result<Comparison, Report<LoadError>> {
     let (direct, entry) = std::thread::scope(|scope| {
         let direct = scope.spawn(|| play_direct(cfg, trace));
-        let entry = scope.spawn(|| play_entry(cfg, trace));
+        let entry = scope.spawn(|| play_blocking(&cfg.callers, trace, Arc::new(())));
         (direct.join(), entry.join())
     });
     let (direct, direct_failed) = direct.map_err(|_| LoadError::Thread)?;
@@ -73,12 +73,6 @@
     })
 }
 
-fn play_entry(cfg: &CompareConfig, trace: &Trace) -> Vec<Finished> {
-    let ex: Executor = Arc::new(smol::Executor::new());
-    let caller = Caller::new(&ex, cfg.callers.clone());
-    smol::block_on(ex.run(play(&ex, &caller, trace, Arc::new(()))))
-}
-
 fn play_direct(cfg: &CompareConfig, trace: &Trace) -> (Latencies, usize) {
     let ex: Executor = Arc::new(smol::Executor::new());
     let caller = DirectCaller::new(&ex, cfg.engine, cfg.weight_version);
--- a/components/load/src/error.rs
+++ b/components/load/src/error.rs
@@ -5,7 +5,7 @@
     /// A thread could not be started or ended early.
     #[error("a thread of the load tool could not run")]
     Thread,
-    /// The first request did not succeed, so that there is nothing to measure.
-    #[error("the system does not answer")]
-    NoAnswer,
+    /// A stand-in does not hand out its record.
+    #[error("a stand-in does not hand out its record")]
+    NoRecord,
 }
--- a/components/load/src/preset.rs
+++ b/components/load/src/preset.rs
@@ -80,7 +80,7 @@
             service: "order-desk".into(),
             paths: &["orders"],
             workspaces: 1,
-            roots: 64,
+            roots: 1_024,
             root_pieces: 0..1,
             max_tokens: 8..9,
             requests_per_second: 500.0,
--- a/components/load/src/runner.rs
+++ b/components/load/src/runner.rs
@@ -1,8 +1,9 @@
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_io::Executor;
 
-use crate::{Arrival, Caller, Finished, Trace};
+use crate::{Arrival, Caller, CallerConfig, Finished, Trace};
 
 /// What playing a trace is told about.
 pub trait Play: Send + Sync {
@@ -15,12 +16,7 @@
 impl Play for () {}
 
 /// Plays a trace open-loop: each request starts when it is due, however long earlier ones take.
-pub async fn play(
-    ex: &Executor,
-    caller: &Caller,
-    trace: &Trace,
-    watch: std::sync::Arc<dyn Play>,
-) -> Vec<Finished> {
+pub async fn play(ex: &Executor, caller: &Caller, trace: &Trace, watch: Arc<dyn Play>) -> Vec<Finished> {
     let start = Instant::now();
     let mut tasks = Vec::with_capacity(trace.arrivals.len());
     for arrival in &trace.arrivals {
@@ -35,7 +31,14 @@
     all
 }
 
-async fn one(caller: Caller, arrival: Arrival, due: Instant, watch: std::sync::Arc<dyn Play>) -> Finished {
+/// As [`play`], on an executor of its own.
+pub fn play_blocking(cfg: &CallerConfig, trace: &Trace, watch: Arc<dyn Play>) -> Vec<Finished> {
+    let ex: Executor = Arc::new(smol::Executor::new());
+    let caller = Caller::new(&ex, cfg.clone());
+    smol::block_on(ex.run(play(&ex, &caller, trace, watch)))
+}
+
+async fn one(caller: Caller, arrival: Arrival, due: Instant, watch: Arc<dyn Play>) -> Finished {
     let finished = caller.run(&arrival, due).await;
     watch.finished(&finished);
     finished
--- a/components/standins/src/engine/config.rs
+++ b/components/standins/src/engine/config.rs
@@ -19,22 +19,27 @@
     /// Drafts that generate at once.
     pub slots: u32,
     /// Time to process a token of the prompt that is not in cache.
+    #[serde(with = "crate::time_text")]
     pub time_per_prompt_token: Duration,
     /// Time to generate a token.
+    #[serde(with = "crate::time_text")]
     pub time_per_output_token: Duration,
     /// Cache pieces that fit in memory.
     pub cache_pieces: u32,
     /// Bytes of a full piece when it is exported.
     pub piece_bytes: u32,
     /// Oldest age of a load report.
+    #[serde(with = "crate::time_text")]
     pub load_lag: Duration,
     /// Time until a cache event is published.
+    #[serde(with = "crate::time_text")]
     pub event_lag: Duration,
     /// Whether an order with an old fencing number is refused.
     pub checks_epochs: bool,
     /// Platform that hands out weights; without one they load in `load_time`.
     pub weights: Option<SocketAddr>,
     /// Time to load a version when there is no platform.
+    #[serde(with = "crate::time_text")]
     pub load_time: Duration,
     /// Seed of the faults.
     pub seed: u64,
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod running;
 mod service;
 mod store;
+mod time_text;
 
 pub use answer::{Answer, expected_content, expected_token};
 pub use engine::{DraftRun, Engine, EngineConfig, EngineFaults, EngineRecord, ImportRun, OrderRun, PieceUse};
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -27,14 +27,17 @@
 #[serde(deny_unknown_fields, default)]
 pub struct PlatformConfig {
     /// Time until a change of the list shows.
+    #[serde(with = "crate::time_text")]
     pub list_lag: Duration,
     /// Time that each call takes.
+    #[serde(with = "crate::time_text")]
     pub latency: Duration,
     /// Writes a second before calls are refused; 0 for no limit.
     pub writes_per_second: u32,
     /// Reads a second before calls are refused; 0 for no limit.
     pub reads_per_second: u32,
     /// Time to hand out a model's weights.
+    #[serde(with = "crate::time_text")]
     pub weights_time: Duration,
     /// Weights handed out at once before each takes longer.
     pub weights_at_once: u32,
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -27,6 +27,7 @@
     /// Name in the host list.
     pub id: Arc<str>,
     /// Time that a call takes.
+    #[serde(with = "crate::time_text")]
     pub call_time: Duration,
     /// Whether the service can be asked for the outcome of a key.
     pub tells_outcomes: bool,
--- a/components/trial/src/work.rs
+++ b/components/trial/src/work.rs
@@ -69,7 +69,7 @@
     for (target, run) in runs {
         work.prompt_tokens += u64::from(run.prompt_tokens);
         work.cached_tokens += u64::from(run.cached_tokens);
-        let Some(source) = sources.get(&format!("{:032x}", run.request_id)) else {
+        let Some(source) = sources.get(format!("{:032x}", run.request_id).as_str()) else {
             continue;
         };
         let known = known_tokens(&mut computed, source.req, source.body);
@@ -80,7 +80,10 @@
     }
     work.link_bytes += answers_over_the_link(record, regions);
     for (target, engine) in &record.engines {
-        let crossed = engine.imports.iter().filter(|import| crosses(target, import, regions));
+        let crossed = engine
+            .imports
+            .iter()
+            .filter(|import| crosses(target, import, regions));
         work.link_bytes += crossed.map(|import| import.bytes).sum::<u64>();
     }
     work
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,197 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use checker::Report as Verdict;
+use error_stack::{Report, ResultExt};
+use loadgen::{
+    CallerConfig, CompareConfig, Comparison, Entry, Finished, Latencies, LatencySummary, OpenStreams,
+    RecordSources, Saturation, Trace,
+};
+use serde::Serialize;
+use utils::WorkspaceId;
+
+use crate::cli::{LoadArgs, NamedAddress, OutputFormat};
+use crate::exit::CommandError;
+
+/// Requests at the start of a comparison that are not counted.
+const WARM_UP: usize = 500;
+/// Time until held streams have settled.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// What a run of the trace showed.
+#[derive(Serialize)]
+struct LoadReport {
+    /// Requests that ended whole.
+    answered: usize,
+    /// Other requests.
+    failed: usize,
+    /// Latencies.
+    latencies: LatencySummary,
+    /// The nine promises.
+    verdict: Verdict,
+}
+
+/// What held streams showed.
+#[derive(Serialize)]
+struct HoldReport {
+    /// Streams.
+    streams: OpenStreams,
+    /// Resident memory before, in bytes.
+    before_bytes: Option<u64>,
+    /// Resident memory with all streams open, in bytes.
+    open_bytes: Option<u64>,
+    /// Growth for each stream, in bytes.
+    bytes_per_stream: Option<u64>,
+}
+
+/// Sends load to a running system and prints what it saw.
+pub(crate) fn load(args: &LoadArgs) -> Result<(), Report<CommandError>> {
+    let mut preset = super::preset(&args.preset)?;
+    if let Some(rate) = args.rate {
+        preset.requests_per_second = rate;
+    }
+    if args.hold {
+        // Long enough that all streams are open at once.
+        preset.max_tokens = 1_000..1_001;
+    }
+    let trace = preset.trace(args.seed, args.requests);
+    let callers = callers(args, &trace);
+    if let Some(engine) = args.direct {
+        let cfg = CompareConfig {
+            engine,
+            weight_version: 1,
+            callers,
+            warm_up: WARM_UP,
+        };
+        let comparison = loadgen::compare(&cfg, &trace).change_context(CommandError::Failed)?;
+        show(args, &comparison, print_comparison);
+        return Ok(());
+    }
+    if let Some(count) = args.saturate {
+        let time = Duration::from_secs(args.seconds);
+        let found = loadgen::saturate(&callers, &trace, count, time);
+        show(args, &found, print_saturation);
+        return Ok(());
+    }
+    if args.hold {
+        show(args, &hold(args, &callers, &trace), print_hold);
+        return Ok(());
+    }
+    play(args, &callers, &trace)
+}
+
+fn play(args: &LoadArgs, callers: &CallerConfig, trace: &Trace) -> Result<(), Report<CommandError>> {
+    let finished = loadgen::play_blocking(callers, trace, Arc::new(()));
+    let sources = RecordSources {
+        engines: sources(&args.engine),
+        services: sources(&args.service),
+    };
+    let verdict = loadgen::judge(&sources, &finished).change_context(CommandError::Failed)?;
+    let broken = verdict.broken();
+    show(args, &report(&finished, verdict), print_load);
+    if broken == 0 {
+        return Ok(());
+    }
+    Err(Report::new(CommandError::BrokenPromise).change_context(CommandError::Failed))
+}
+
+fn report(finished: &[Finished], verdict: Verdict) -> LoadReport {
+    let mut latencies = Latencies::default();
+    let whole = finished.iter().filter(|one| one.request.received.whole);
+    let answered = whole.inspect(|one| latencies.add(&one.timing)).count();
+    LoadReport {
+        answered,
+        failed: finished.len() - answered,
+        latencies: latencies.summary(),
+        verdict,
+    }
+}
+
+fn hold(args: &LoadArgs, callers: &CallerConfig, trace: &Trace) -> HoldReport {
+    let memory = || args.watch_pid.and_then(resident_bytes);
+    let before_bytes = memory();
+    let mut open_bytes = None;
+    let streams = loadgen::hold_streams(callers, trace, SETTLE, || open_bytes = memory());
+    let grown = open_bytes
+        .zip(before_bytes)
+        .map(|(open, before)| open.saturating_sub(before));
+    HoldReport {
+        streams,
+        before_bytes,
+        open_bytes,
+        bytes_per_stream: grown.map(|bytes| bytes / streams.wanted.max(1) as u64),
+    }
+}
+
+/// Resident memory of a process, as the kernel tells it.
+fn resident_bytes(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib << 10)
+}
+
+fn callers(args: &LoadArgs, trace: &Trace) -> CallerConfig {
+    let entries = args.entry.iter().map(|e| Entry::new(e.name.as_str(), e.address));
+    let given: HashMap<_, _> = args.key.iter().cloned().collect();
+    let key = |workspace: &WorkspaceId| {
+        let given = given.get(&**workspace).cloned();
+        given.unwrap_or_else(|| format!("key-of-{workspace}"))
+    };
+    let keys = trace.workspaces().into_iter().map(|w| (w.clone(), key(&w)));
+    CallerConfig::new(entries.collect(), keys.collect())
+}
+
+fn sources(named: &[NamedAddress]) -> Vec<(utils::TargetId, std::net::SocketAddr)> {
+    named
+        .iter()
+        .map(|n| (n.name.as_str().into(), n.address))
+        .collect()
+}
+
+fn show<T: Serialize>(args: &LoadArgs, report: &T, print: impl Fn(&T)) {
+    match args.format {
+        OutputFormat::Table => print(report),
+        OutputFormat::Json => super::print_json(report),
+    }
+}
+
+fn print_load(report: &LoadReport) {
+    println!("answered {}, failed {}", report.answered, report.failed);
+    println!("{}", loadgen::latency_table(&report.latencies));
+    for (promise, found) in &report.verdict.promises {
+        println!("{promise}: {} checked, {} broken", found.checked, found.broken);
+    }
+}
+
+fn print_comparison(comparison: &Comparison) {
+    println!("straight to the engine ({} failed)", comparison.direct_failed);
+    println!("{}", loadgen::latency_table(&comparison.direct));
+    println!("through the entry host ({} failed)", comparison.failed);
+    println!("{}", loadgen::latency_table(&comparison.entry));
+    println!(
+        "first token later by {:.3} ms at the median, {:.3} ms at p99",
+        comparison.first_token_later_p50_ms, comparison.first_token_later_p99_ms
+    );
+}
+
+fn print_saturation(found: &Saturation) {
+    println!(
+        "{:.0} answers a second with {} callers, {} failed",
+        found.answers_per_second, found.callers, found.failed
+    );
+    println!("{}", loadgen::latency_table(&found.latencies));
+}
+
+fn print_hold(report: &HoldReport) {
+    println!(
+        "{} of {} streams ended whole",
+        report.streams.whole, report.streams.wanted
+    );
+    if let (Some(before), Some(open), Some(each)) =
+        (report.before_bytes, report.open_bytes, report.bytes_per_stream)
+    {
+        println!("resident memory {before} bytes before, {open} open, {each} for each stream");
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,8 +2,31 @@
 
 mod config;
 mod events;
+mod load;
 mod serve;
+mod stand_in;
+mod try_it;
 
 pub(crate) use config::{check_config, explain_config};
 pub(crate) use events::events;
+pub(crate) use load::load;
 pub(crate) use serve::serve;
+pub(crate) use stand_in::stand_in;
+pub(crate) use try_it::try_it;
+
+use error_stack::Report;
+use loadgen::Preset;
+use serde::Serialize;
+
+use crate::exit::CommandError;
+
+/// Prints a report as one JSON object.
+fn print_json(report: &impl Serialize) {
+    println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
+}
+
+/// The preset with this name.
+fn preset(name: &str) -> Result<Preset, Report<CommandError>> {
+    let found = Preset::by_name(name).ok_or(CommandError::UnknownPreset);
+    found.map_err(|e| Report::new(e).change_context(CommandError::Usage))
+}
--- a/src/cmd/try_it.rs
+++ b/src/cmd/try_it.rs
@@ -3,7 +3,7 @@
 
 use error_stack::{Report, ResultExt};
 use indicatif::{ProgressBar, ProgressStyle};
-use loadgen::{Finished, Play, Preset};
+use loadgen::{Finished, Play};
 use trial::TrialConfig;
 
 use crate::cli::{OutputFormat, TryArgs};
@@ -20,7 +20,7 @@
 
 /// Plays a trial and prints its report; fails if a promise was broken.
 pub(crate) fn try_it(args: &TryArgs) -> Result<(), Report<CommandError>> {
-    let preset = Preset::by_name(&args.preset).ok_or(CommandError::UnknownPreset)?;
+    let preset = super::preset(&args.preset)?;
     let cfg = TrialConfig {
         preset,
         seed: args.seed,
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -17,6 +17,12 @@
     /// The command failed while it ran.
     #[error("failed")]
     Failed,
+    /// There is no preset of this name.
+    #[error("there is no preset of this name; known are permisos-verdes, cadwaladr and short")]
+    UnknownPreset,
+    /// A promise was broken.
+    #[error("a promise was broken")]
+    BrokenPromise,
 }
 
 /// Prints the causes of a failure, outermost first, and gives the exit code.
@@ -30,7 +36,9 @@
     }
     match report.current_context() {
         CommandError::Usage => ExitCode::from(EXIT_USAGE),
-        CommandError::Failed => ExitCode::from(EXIT_FAILED),
+        CommandError::Failed | CommandError::UnknownPreset | CommandError::BrokenPromise => {
+            ExitCode::from(EXIT_FAILED)
+        }
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,9 @@
         Command::Config(ConfigCommand::Check { file }) => cmd::check_config(&file),
         Command::Config(ConfigCommand::Explain) => cmd::explain_config(),
         Command::Events => cmd::events(),
+        Command::Try(args) => cmd::try_it(&args),
+        Command::StandIn(args) => cmd::stand_in(&args),
+        Command::Load(args) => cmd::load(&args),
     };
     exit::code_of(done)
 }
