--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod events;
+mod keys;
 mod load;
 mod serve;
 mod stand_in;
@@ -9,6 +10,7 @@
 
 pub(crate) use config::{check_config, explain_config};
 pub(crate) use events::events;
+pub(crate) use keys::keys;
 pub(crate) use load::load;
 pub(crate) use serve::serve;
 pub(crate) use stand_in::stand_in;
