Test the HTTP client, server and event reader on their own

Cause: they were tested only through the crates above them; a body that ended inside a line read as a whole one. Conclusion: `not sent` is told apart from `broken after the request`.

--- a/components/http/src/sse.rs
+++ b/components/http/src/sse.rs
@@ -98,7 +98,8 @@
                 }));
             }
             match self.body.frame().await {
-                None => return Ok(None),
+                None if self.buf.is_empty() => return Ok(None),
+                None => return Err(Report::new(HttpError::Interrupted)),
                 Some(Err(_)) => return Err(Report::new(HttpError::Interrupted)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
--- /dev/null
+++ b/components/http/tests/exchange.rs
@@ -0,0 +1,162 @@
+//! Client and server against each other, and the client against peers that break off.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_io::{
+    Body, Client, ClientConfig, Executor, Handler, HttpError, Server, ServerConfig, empty_body, full_body,
+    read_limited, shutdown_channel,
+};
+use hyper::{Method, Request, Response};
+use smol::net::TcpListener;
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn get(path: &str) -> Request<Body> {
+    Request::builder()
+        .uri(path)
+        .header("host", "test")
+        .body(empty_body())
+        .unwrap()
+}
+
+fn run(test: impl AsyncFnOnce(Executor)) {
+    let ex: Executor = Arc::new(smol::Executor::new());
+    smol::block_on(ex.run(test(ex.clone())));
+}
+
+/// A peer that reads a request on each connection, then closes it without an answer.
+async fn close_after_request(listener: TcpListener, seen: Arc<AtomicUsize>) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 512];
+        let _ = stream.read(&mut buf).await;
+        seen.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+#[test]
+fn a_refused_connection_sent_nothing() {
+    run(async |ex| {
+        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        drop(listener);
+        let client = Client::new(ex, ClientConfig::default());
+        let error = client.send(addr, get("/")).await.err().unwrap();
+        assert!(error.current_context().is_not_sent());
+    });
+}
+
+#[test]
+fn a_connection_that_breaks_after_the_request_is_not_called_unsent() {
+    run(async |ex| {
+        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen = Arc::new(AtomicUsize::new(0));
+        let peer = ex.spawn(close_after_request(listener, seen.clone()));
+        let client = Client::new(ex.clone(), ClientConfig::default());
+        let error = client.send(addr, get("/")).await.err().unwrap();
+        assert_eq!(*error.current_context(), HttpError::Interrupted);
+        assert_eq!(
+            seen.load(Ordering::SeqCst),
+            1,
+            "the request must not be sent twice"
+        );
+        peer.cancel().await;
+    });
+}
+
+#[test]
+fn a_closed_idle_connection_is_replaced() {
+    run(async |ex| {
+        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let peer = ex.spawn(async move {
+            for _ in 0..2 {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut buf = [0; 512];
+                let _ = stream.read(&mut buf).await;
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                    .await
+                    .unwrap();
+            }
+        });
+        let client = Client::new(ex.clone(), ClientConfig::default());
+        for _ in 0..2 {
+            let res = client.send(addr, get("/")).await.unwrap();
+            assert_eq!(read_limited(res.into_body(), 10).await.unwrap(), "ok");
+        }
+        peer.await;
+    });
+}
+
+#[test]
+fn open_requests_are_finished_before_the_server_ends() {
+    run(async |ex| {
+        let server = Server::bind(loopback(), ServerConfig::default()).unwrap();
+        let addr = server.local_addr().unwrap();
+        let (tx, rx) = async_channel::bounded::<()>(1);
+        let handler: Handler = Arc::new(move |_| {
+            let rx = rx.clone();
+            Box::pin(async move {
+                let _ = rx.recv().await;
+                Response::new(full_body("late"))
+            })
+        });
+        let (stop, stopped) = shutdown_channel();
+        let serving = ex.spawn(server.run(ex.clone(), handler, stopped));
+        let client = Client::new(ex.clone(), ClientConfig::default());
+        let answer = ex.spawn(async move { client.send(addr, get("/")).await });
+        smol::Timer::after(std::time::Duration::from_millis(20)).await;
+        drop(stop);
+        tx.send(()).await.unwrap();
+        let res = answer.await.unwrap();
+        assert_eq!(read_limited(res.into_body(), 10).await.unwrap(), "late");
+        serving.await;
+    });
+}
+
+#[test]
+fn limits_hold() {
+    run(async |ex| {
+        let server = Server::bind(
+            loopback(),
+            ServerConfig {
+                max_headers: 4,
+                ..ServerConfig::default()
+            },
+        )
+        .unwrap();
+        let addr = server.local_addr().unwrap();
+        let handler: Handler = Arc::new(|req| {
+            Box::pin(async move {
+                let read = read_limited(req.into_body(), 8).await;
+                let error = read.err().map(|e| *e.current_context());
+                Response::new(full_body(error.map_or_else(String::new, |e| e.to_string())))
+            })
+        });
+        let (stop, stopped) = shutdown_channel();
+        let serving = ex.spawn(server.run(ex.clone(), handler, stopped));
+        let client = Client::new(ex.clone(), ClientConfig::default());
+        let long = Request::builder()
+            .method(Method::POST)
+            .uri("/")
+            .header("host", "t")
+            .body(full_body("123456789"));
+        let res = client.send(addr, long.unwrap()).await.unwrap();
+        let text = read_limited(res.into_body(), 100).await.unwrap();
+        assert_eq!(text, "the body is longer than 8 bytes");
+        let many = (0..8).fold(Request::builder().uri("/"), |req, n| {
+            req.header(format!("x-{n}"), "1")
+        });
+        let res = client.send(addr, many.body(empty_body()).unwrap()).await.unwrap();
+        assert_eq!(res.status(), 431);
+        drop((stop, res));
+        serving.await;
+    });
+}
