Let entry hosts follow the head, acknowledge what is staged and stop when unsure

Cause: the host polled one row and served for ever on what it last read. Change: the control thread runs a Holder over the table: registers its run, reads the head with jitter and backoff (interval grows with the number of hosts), publishes what both head and staged note allow before it acknowledges, spreads acknowledgements, says when it has stopped. Traffic threads ask a gate at admission, after the body has come in and before each placement; a draft that has delivered tokens may end. Events 3005 and 3006. The head is read every 500 ms by default, so that 1,800 ms of freshness cover three reads. Ruled out: the view alone as the gate; it is published too rarely to carry the end of service. Conclusion: without heartbeats between hosts a host stops taking new work 1.8 s into an outage of the table service; Holder::on_answer is where the transport's heartbeats go.

--- a/components/config/src/fields.rs
+++ b/components/config/src/fields.rs
@@ -142,7 +142,7 @@
     field(
         "platform.head_interval_ms",
         "ms",
-        "1000",
+        "500",
         Allowed::Range(100, 60_000),
         "Time between two reads of the notes' head.",
     ),
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -259,7 +259,7 @@
 }
 
 fn default_head_ms() -> u64 {
-    1_000
+    500
 }
 
 fn default_platform_timeout_ms() -> u64 {
--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: owns the control state and publishes views.
 
+mod notes;
 mod poll;
 mod state;
 
@@ -61,10 +62,10 @@
     ));
     let pollers = [
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
+        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let state = ControlState::new(shared);
+    let state = ControlState::new(shared.clone());
     let work = run_loop(state, inputs, observations);
     let stopped = async {
         let _ = stop.recv().await;
@@ -73,6 +74,7 @@
     for poller in pollers {
         poller.cancel().await;
     }
+    notes::say_stopped(&shared, platform).await;
     front.await;
 }
 
@@ -107,6 +109,12 @@
             Work::Publish
         };
         match due.or(input).or(seen).await {
+            Work::Input(state::Input::Notes { obeyed, done }) => {
+                state.take_notes(obeyed);
+                state.publish();
+                let _ = done.send(()).await;
+                continue;
+            }
             Work::Input(input) => state.apply(input),
             Work::Observation(observation) => state.observe(&observation),
             Work::Publish => {
--- /dev/null
+++ b/components/entry/src/control/notes.rs
@@ -0,0 +1,263 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use errors::events;
+use futures_lite::FutureExt;
+use notes::{Content, Holder, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed, ObeyedBuilder};
+use platform::{HttpPlatform, RowVersion};
+use rand::RngExt;
+use slog::{info, warn};
+use utils::Monotonic;
+
+use super::poll::{Health, Inputs, jittered};
+use super::state::Input;
+use crate::shared::Shared;
+
+/// Reads of the head a second that all hosts together may cause.
+const READS_PER_SECOND: u32 = 200;
+/// Acknowledgements a second that all hosts together may write.
+const ACKNOWLEDGEMENTS_PER_SECOND: u32 = 80;
+/// Longest wait between two tries while the platform fails.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+
+/// Longest wait for the row that says that the host has ended.
+const LONGEST_FAREWELL: Duration = Duration::from_millis(500);
+
+/// Follows the release notes: reads the head, publishes what must be obeyed, acknowledges what is staged.
+pub(crate) async fn follow(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
+    let store = NoteStore::new(platform.clone(), platform);
+    let mut follower = Follower::new(shared, store, tx);
+    loop {
+        if follower.is_registered().await {
+            follower.read().await;
+            follower.acknowledge().await;
+        }
+        smol::Timer::after(follower.next_wait()).await;
+    }
+}
+
+/// Says in the host's row that this run takes no more new work, so that no note waits for it.
+pub(crate) async fn say_stopped(shared: &Shared, platform: Arc<HttpPlatform>) {
+    let store = NoteStore::new(platform.clone(), platform);
+    let say = async {
+        let (revision, mut row) = store.register(first_row(shared)).await?;
+        row.is_stopped = true;
+        store.update_host(revision, &row).await.map(|_| ())
+    };
+    let late = async {
+        smol::Timer::after(LONGEST_FAREWELL).await;
+        Err(Report::new(NoteError::Platform(
+            platform::PlatformError::AnswerLost,
+        )))
+    };
+    if let Err(e) = say.or(late).await {
+        warn!(shared.log, "end not recorded"; events::PLATFORM_FAILED,
+            "what" => "notes", "error" => %e.current_context());
+    }
+}
+
+fn first_row(shared: &Shared) -> HostRow {
+    let settings = &shared.settings;
+    HostRow {
+        host: settings.host.id.clone(),
+        incarnation: shared.incarnation,
+        region: settings.host.region.clone(),
+        address: settings.listen.callers,
+        acknowledged: 0,
+        is_stopped: false,
+        are_earlier_ended: true,
+    }
+}
+
+/// One host's part in bringing notes into force.
+struct Follower {
+    /// State of all threads.
+    shared: Arc<Shared>,
+    /// Where the notes are.
+    store: NoteStore,
+    /// Reads the head with its content.
+    reader: NoteReader,
+    /// What is known, and until when the host may take new work.
+    holder: Holder,
+    /// Builds the views.
+    builder: ObeyedBuilder,
+    /// The host's row and its version; `None` while they are not known.
+    row: Option<(RowVersion, HostRow)>,
+    /// State of the last published view.
+    published: NoteState,
+    /// To the control loop.
+    tx: Inputs,
+    /// Logs when the platform fails.
+    health: Health,
+    /// Reads that failed in a row.
+    failures: u32,
+    /// Whether a newer run has registered under this host's name.
+    is_superseded: bool,
+    /// Whether the log says that the head is not confirmed.
+    is_unconfirmed: bool,
+}
+
+impl Follower {
+    fn new(shared: Arc<Shared>, store: NoteStore, tx: Inputs) -> Self {
+        let host = &shared.settings.host;
+        Self {
+            reader: NoteReader::new(store.clone()),
+            holder: Holder::new(host.id.clone(), shared.incarnation, host.region.clone()),
+            builder: ObeyedBuilder::default(),
+            row: None,
+            published: NoteState::default(),
+            tx,
+            health: Health::new(&shared, "notes"),
+            failures: 0,
+            is_superseded: false,
+            is_unconfirmed: false,
+            store,
+            shared,
+        }
+    }
+
+    /// Registers this run if that is not done: before the first reading, so that no earlier run can
+    /// acknowledge after it, and after an acknowledgement whose answer is lost.
+    async fn is_registered(&mut self) -> bool {
+        if self.row.is_some() || self.is_superseded {
+            return true;
+        }
+        let registered = self.store.register(first_row(&self.shared)).await;
+        self.row = self.health.note(platform_error(registered));
+        if let Some((_, row)) = &self.row {
+            self.holder.on_acknowledged(row.acknowledged);
+            return true;
+        }
+        self.failures += 1;
+        self.log_confirmation();
+        false
+    }
+
+    async fn read(&mut self) {
+        let sent = self.shared.clock.now();
+        let read = self.reader.read().await;
+        let content = match read {
+            Err(e) if matches!(e.current_context(), NoteError::NoHead) => {
+                self.failures = 0;
+                return;
+            }
+            Err(e) if !matches!(e.current_context(), NoteError::Platform(_)) => {
+                warn!(self.shared.log, "note can not be read"; events::NOTE_REJECTED, "error" => %e.current_context());
+                self.failures += 1;
+                return self.log_confirmation();
+            }
+            other => self.health.note(platform_error(other)),
+        };
+        let Some(content) = content else {
+            self.failures += 1;
+            return self.log_confirmation();
+        };
+        self.failures = 0;
+        self.holder.on_reading(sent, &content.reading);
+        self.publish(&content).await;
+        self.log_confirmation();
+    }
+
+    /// Publishes a changed view first, then lets work in under it.
+    async fn publish(&mut self, content: &Content) {
+        let state = self.holder.state();
+        let serves_until = self.holder.serves_until();
+        if state != self.published {
+            let staged = content.staged.as_deref();
+            let obeyed = self.builder.build(state, &content.declared, staged, serves_until);
+            self.log_change(state);
+            if !self.send(obeyed).await {
+                return;
+            }
+            self.published = state;
+        }
+        self.shared.gate.open(&state, serves_until);
+    }
+
+    /// Hands a view to the control loop and waits until it is published.
+    async fn send(&self, obeyed: Obeyed) -> bool {
+        let (done, published) = async_channel::bounded(1);
+        let input = Input::Notes { obeyed, done };
+        self.tx.send(input).await.is_ok() && published.recv().await.is_ok()
+    }
+
+    /// Acknowledges the staged change, which the published view obeys. Hosts spread their writes.
+    async fn acknowledge(&mut self) {
+        let Some(seq) = self.holder.unacknowledged() else {
+            return;
+        };
+        smol::Timer::after(self.spread(ACKNOWLEDGEMENTS_PER_SECOND)).await;
+        let Some((revision, mut row)) = self.row.take() else {
+            return;
+        };
+        row.acknowledged = seq;
+        match self.store.update_host(revision, &row).await {
+            Ok(revision) => {
+                self.holder.on_acknowledged(seq);
+                self.row = Some((revision, row));
+            }
+            Err(e) if matches!(e.current_context(), NoteError::OtherRun { .. }) => {
+                warn!(self.shared.log, "another run has this host's name"; events::HOST_SUPERSEDED);
+                self.is_superseded = true;
+                self.holder.stop();
+                self.shared.gate.open(&self.published, Monotonic::ZERO);
+            }
+            Err(e) => {
+                self.health.note::<()>(platform_error(Err(e)));
+            }
+        }
+    }
+
+    /// Time until the next read: longer with more hosts, and longer while the platform fails.
+    fn next_wait(&self) -> Duration {
+        let hosts = self.shared.view.load().entry_hosts;
+        let share = Duration::from_secs(1) * hosts / READS_PER_SECOND;
+        let interval = Duration::from_millis(self.shared.settings.platform.head_interval_ms).max(share);
+        let backoff = interval * 2_u32.pow(self.failures.min(4));
+        jittered(backoff.min(LONGEST_BACKOFF.max(interval)))
+    }
+
+    /// A random part of the time that all hosts take for one write each.
+    fn spread(&self, writes_per_second: u32) -> Duration {
+        let hosts = self.shared.view.load().entry_hosts;
+        let whole = Duration::from_secs(1) * hosts / writes_per_second;
+        whole.mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
+    fn log_change(&self, state: NoteState) {
+        let log = &self.shared.log;
+        if state.head > self.published.head {
+            info!(log, "release note in force"; events::NOTE_IN_FORCE,
+                "version" => state.version, "change" => state.head);
+        }
+        if let Some(staged) = state
+            .staged
+            .filter(|staged| Some(*staged) != self.published.staged)
+        {
+            info!(log, "release note staged"; events::NOTE_STAGED, "change" => staged);
+        }
+    }
+
+    /// Logs when new work is refused because the head is not confirmed, and when it is taken again.
+    fn log_confirmation(&mut self) {
+        let is_unconfirmed =
+            self.published.head > 0 && !self.holder.may_take_new_work(self.shared.clock.now());
+        if is_unconfirmed && !self.is_unconfirmed {
+            warn!(self.shared.log, "head not confirmed, no new work"; events::HEAD_UNCONFIRMED,
+                "version" => self.published.version);
+        }
+        if !is_unconfirmed && self.is_unconfirmed {
+            info!(self.shared.log, "head confirmed again"; events::HEAD_CONFIRMED, "version" => self.published.version);
+        }
+        self.is_unconfirmed = is_unconfirmed;
+    }
+}
+
+/// The platform's part in a failure, for the log; other failures count as unreadable answers.
+fn platform_error<T>(result: Result<T, Report<NoteError>>) -> Result<T, Report<platform::PlatformError>> {
+    result.map_err(|e| match *e.current_context() {
+        NoteError::Platform(kind) => e.change_context(kind),
+        _ => e.change_context(platform::PlatformError::Malformed),
+    })
+}
--- a/components/entry/src/control/poll.rs
+++ b/components/entry/src/control/poll.rs
@@ -5,8 +5,7 @@
 use error_stack::Report;
 use errors::events;
 use http_io::{Client, Executor};
-use notes::Declared;
-use platform::{HostList, HttpPlatform, PlatformError, TableService};
+use platform::{HostList, HttpPlatform, PlatformError};
 use rand::RngExt;
 use slog::{info, warn};
 use targets::{Engine, HttpEngine};
@@ -15,8 +14,6 @@
 use super::state::Input;
 use crate::shared::Shared;
 
-/// Key of the row that holds what is declared.
-const DECLARED_KEY: &str = "notes/declared";
 /// Time between two load reports of a target.
 const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -37,28 +34,6 @@
     }
 }
 
-/// Reads what is declared again and again.
-pub(crate) async fn poll_declared(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
-    let mut health = Health::new(&shared, "declared");
-    let interval = Duration::from_millis(shared.settings.platform.head_interval_ms);
-    loop {
-        let rows = health.note(platform.read(vec![DECLARED_KEY.to_owned()]).await);
-        if let Some(row) = rows.and_then(|rows| rows.into_iter().next().flatten()) {
-            match serde_json::from_value::<Declared>(row.value) {
-                Ok(declared) => {
-                    if tx.send(Input::Declared(declared)).await.is_err() {
-                        return;
-                    }
-                }
-                Err(e) => {
-                    warn!(shared.log, "what is declared can not be read"; events::NOTE_REJECTED, "error" => %e);
-                }
-            }
-        }
-        smol::Timer::after(jittered(interval)).await;
-    }
-}
-
 /// Reads the load of every known engine again and again.
 pub(crate) async fn poll_loads(shared: Arc<Shared>, client: Client, ex: Executor, tx: Inputs) {
     let mut running: HashMap<TargetId, smol::Task<()>> = HashMap::new();
@@ -88,36 +63,36 @@
 }
 
 /// Logs when calls to the platform begin to fail and when they work again.
-struct Health<'a> {
+pub(crate) struct Health {
     /// For the log.
-    shared: &'a Shared,
+    log: slog::Logger,
     /// What is read.
     what: &'static str,
     /// Whether the last call failed.
     failing: bool,
 }
 
-impl<'a> Health<'a> {
-    fn new(shared: &'a Shared, what: &'static str) -> Self {
+impl Health {
+    pub(crate) fn new(shared: &Shared, what: &'static str) -> Self {
         Self {
-            shared,
+            log: shared.log.clone(),
             what,
             failing: false,
         }
     }
 
-    fn note<T>(&mut self, result: Result<T, Report<PlatformError>>) -> Option<T> {
+    pub(crate) fn note<T>(&mut self, result: Result<T, Report<PlatformError>>) -> Option<T> {
         match result {
             Ok(value) => {
                 if self.failing {
-                    info!(self.shared.log, "platform answers"; events::PLATFORM_BACK, "what" => self.what);
+                    info!(self.log, "platform answers"; events::PLATFORM_BACK, "what" => self.what);
                 }
                 self.failing = false;
                 Some(value)
             }
             Err(e) => {
                 if !self.failing {
-                    warn!(self.shared.log, "platform call failed"; events::PLATFORM_FAILED,
+                    warn!(self.log, "platform call failed"; events::PLATFORM_FAILED,
                         "what" => self.what, "error" => %e.current_context());
                 }
                 self.failing = true;
@@ -128,6 +103,6 @@
 }
 
 /// An interval changed by up to a tenth, so that hosts spread out.
-fn jittered(interval: Duration) -> Duration {
+pub(crate) fn jittered(interval: Duration) -> Duration {
     interval.mul_f64(rand::rng().random_range(0.9..1.1))
 }
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use errors::events;
-use notes::Declared;
+use notes::Obeyed;
 use platform::{HostRole, HostState, ListedHost};
 use policy::{Candidate, CandidateKey, PlacementView, TargetState};
 use slog::info;
@@ -11,7 +11,7 @@
 
 use crate::observe::Observation;
 use crate::shared::Shared;
-use crate::view::{ServiceTarget, Serving, View, index_keys};
+use crate::view::{ServiceTarget, View};
 
 /// Load reports missed in a row after which a target counts as suspect.
 const MISSED_REPORTS: u32 = 3;
@@ -21,8 +21,13 @@
 pub(crate) enum Input {
     /// The platform's list.
     List(Vec<ListedHost>),
-    /// What is declared.
-    Declared(Declared),
+    /// What must be obeyed; the loop publishes it at once and then says so.
+    Notes {
+        /// What must be obeyed.
+        obeyed: Obeyed,
+        /// Told once the view is published.
+        done: async_channel::Sender<()>,
+    },
     /// A target's load, or `None` if it did not answer.
     Load(TargetId, Option<LoadReport>),
 }
@@ -33,10 +38,8 @@
     shared: Arc<Shared>,
     /// The last list.
     list: Vec<ListedHost>,
-    /// What is declared.
-    declared: Arc<Declared>,
-    /// API keys.
-    keys: Arc<std::collections::HashMap<utils::Digest, utils::WorkspaceId>>,
+    /// What must be obeyed.
+    obeyed: Obeyed,
     /// Engines; keys stay the same while an engine is listed.
     engines: PlacementView,
     /// Keys of the engines by name.
@@ -50,8 +53,7 @@
         Self {
             shared,
             list: Vec::new(),
-            declared: Arc::default(),
-            keys: Arc::default(),
+            obeyed: Obeyed::default(),
             engines: PlacementView::default(),
             keys_by_id: BTreeMap::new(),
             missed: BTreeMap::new(),
@@ -62,7 +64,7 @@
     pub(crate) fn apply(&mut self, input: Input) {
         match input {
             Input::List(list) => self.take_list(list),
-            Input::Declared(declared) => self.take_declared(declared),
+            Input::Notes { obeyed, .. } => self.take_notes(obeyed),
             Input::Load(id, report) => self.take_load(&id, report),
         }
     }
@@ -126,13 +128,9 @@
         }
     }
 
-    fn take_declared(&mut self, declared: Declared) {
-        if declared.version <= self.declared.version {
-            return;
-        }
-        info!(self.shared.log, "release note in force"; events::NOTE_IN_FORCE, "version" => declared.version);
-        self.keys = Arc::new(index_keys(&declared));
-        self.declared = Arc::new(declared);
+    /// Takes what must be obeyed from now on.
+    pub(crate) fn take_notes(&mut self, obeyed: Obeyed) {
+        self.obeyed = obeyed;
     }
 
     fn take_load(&mut self, id: &TargetId, report: Option<LoadReport>) {
@@ -167,16 +165,13 @@
     /// Publishes a view of the state as it is.
     pub(crate) fn publish(&self) {
         let services = self.list.iter().filter(|h| h.role == HostRole::Service);
+        let entry_hosts = self.list.iter().filter(|h| h.role == HostRole::Entry).count();
         let view = View {
-            declared: self.declared.clone(),
-            keys: self.keys.clone(),
+            declared: self.obeyed.declared().clone(),
+            obeyed: self.obeyed.clone(),
             placement: self.engines.clone(),
             services: services.map(service_target).collect(),
-            serving: if self.declared.version > 0 {
-                Serving::Yes
-            } else {
-                Serving::NoNote
-            },
+            entry_hosts: u32::try_from(entry_hosts).unwrap_or(u32::MAX),
         };
         self.shared.view.store(Arc::new(view));
     }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 
 use crate::EntryError;
 use crate::control;
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -134,6 +135,7 @@
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
+        gate: NoteGate::default(),
         placer: Arc::new(LeastLoaded),
         sealer: Sealer::new(settings.secrets.resume),
         observer,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod control;
 mod daemon;
 mod error;
+mod gate;
 mod metrics;
 mod observe;
 mod operators;
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -20,6 +20,8 @@
     note_version: u64,
     /// Whether the host takes new work.
     serving: Serving,
+    /// Number of the staged change that the host obeys too.
+    staged: Option<u64>,
     /// Whether the host is on its way out.
     draining: bool,
     /// Streams that are open.
@@ -62,9 +64,10 @@
     if shared.is_draining() {
         return text(503, "text/plain", "draining\n");
     }
-    match shared.view.load().serving {
+    match shared.serving(&shared.view.load()) {
         Serving::Yes => text(200, "text/plain", "ready\n"),
         Serving::NoNote => text(503, "text/plain", "no release note read yet\n"),
+        Serving::Unconfirmed => text(503, "text/plain", "release note in force not confirmed\n"),
     }
 }
 
@@ -92,7 +95,8 @@
         host: &shared.settings.host.id,
         incarnation: format!("{:016x}", shared.incarnation),
         note_version: view.declared.version,
-        serving: view.serving,
+        serving: shared.serving(&view),
+        staged: view.obeyed.state().staged,
         draining: shared.is_draining(),
         open_streams: shared.open_streams.load(std::sync::atomic::Ordering::Acquire),
         engines: view
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -6,11 +6,12 @@
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
-use crate::view::ViewCell;
+use crate::view::{Serving, View, ViewCell};
 
 /// What all threads of a host share. Nothing here is locked on the way of a token.
 pub(crate) struct Shared {
@@ -26,6 +27,8 @@
     pub metrics: Metrics,
     /// The published view.
     pub view: ViewCell,
+    /// Until when the host may take new work, and under which notes.
+    pub gate: NoteGate,
     /// Decides where prompts run.
     pub placer: Arc<dyn Placer>,
     /// Makes and checks resume tokens.
@@ -48,6 +51,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Whether new work may be taken under a view. Asked at admission and again before each dispatch.
+    pub(crate) fn serving(&self, view: &View) -> Serving {
+        self.gate.serving(&view.obeyed.state(), self.clock.now())
+    }
+
     /// Counts a stream; `None` if the host has too many.
     pub(crate) fn open_stream(self: &Arc<Self>) -> Option<StreamGuard> {
         let before = self.open_streams.fetch_add(1, Ordering::AcqRel);
--- a/components/entry/src/traffic/calls.rs
+++ b/components/entry/src/traffic/calls.rs
@@ -32,7 +32,7 @@
 
 /// Answers a call to a plain service.
 pub(crate) async fn answer(cx: &Context, received: Received) -> Result<Response<Body>, Failure> {
-    check_serving(&received.view)?;
+    check_serving(cx, &received.view)?;
     let (service, path) = split(&received.path)?;
     let declared = received.view.declared.clone();
     let found = declared
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -18,6 +18,7 @@
 use crate::observe::Observation;
 use crate::outcomes::Remembered;
 use crate::resume::ResumePoint;
+use crate::view::View;
 
 /// Bytes of prompt text that count as one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -70,7 +71,7 @@
         let token = token.to_str().unwrap_or_default().to_owned();
         return super::relay::resume(cx, received, &token).await;
     }
-    check_serving(&received.view)?;
+    check_serving(cx, &received.view)?;
     let prompt = parse(&received)?;
     let draft = Draft::new(cx, received, prompt)?;
     draft.run().await
@@ -266,10 +267,37 @@
         )
     }
 
+    /// Fails if the notes of now do not let the draft start on another target.
+    fn check_allowed(&self, view: &View) -> Result<(), Failure> {
+        if self.req.offset > 0 {
+            return Ok(());
+        }
+        check_serving(&self.cx, view).map_err(|refused| self.ended_by(refused))?;
+        let deployment = view.obeyed.deployment(&self.req.model);
+        let is_allowed = deployment.is_some_and(|deployment| {
+            let versions = deployment.weight_versions();
+            versions.contains(&self.req.weight_version) && deployment.is_open_to(&self.req.workspace)
+        });
+        if is_allowed && view.declared.workspaces.contains_key(&self.req.workspace) {
+            return Ok(());
+        }
+        let detail = "a release note changed what the workspace may use";
+        Err(self.ended_by(Failure::refused(ProblemKind::UnknownModel, detail)))
+    }
+
+    /// A refusal before anything was sent; else the failure of the whole request.
+    fn ended_by(&self, refused: Failure) -> Failure {
+        match self.sent {
+            true => self.failed(&refused.detail),
+            false => refused,
+        }
+    }
+
     /// Chooses a target on the view of now.
     pub(crate) fn place(&self) -> Result<Chosen, Failure> {
         let shared = &self.cx.shared;
         let view = shared.view.load();
+        self.check_allowed(&view)?;
         let now = shared.clock.now();
         let (workspace, model) = (&self.req.workspace, &self.req.model);
         let cost = view
--- a/components/entry/src/traffic/route.rs
+++ b/components/entry/src/traffic/route.rs
@@ -61,11 +61,14 @@
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = req.into_parts();
     let path = parts.uri.path().to_owned();
-    let workspace = authenticate(&view, &parts.headers)?;
+    let workspace = authenticate(cx, &view, &parts.headers)?;
     if let Some(wanted) = path.strip_prefix("/v1/requests/") {
         return look_up(cx, &view, &workspace, wanted);
     }
     let body = read_body(cx, body).await?;
+    // The notes may have changed while the body came in.
+    let view = cx.shared.view.load_full();
+    let workspace = authenticate(cx, &view, &parts.headers)?;
     let received = Received {
         id,
         workspace,
@@ -85,18 +88,17 @@
     }
 }
 
-/// Fails if the host must not take new work.
-pub(crate) fn check_serving(view: &View) -> Result<(), Failure> {
-    match view.serving {
-        Serving::Yes => Ok(()),
-        Serving::NoNote => Err(Failure::refused(
-            ProblemKind::NotServing,
-            "this host has not read a release note yet",
-        )),
-    }
+/// Fails if the host must not take new work under a view.
+pub(crate) fn check_serving(cx: &Context, view: &View) -> Result<(), Failure> {
+    let detail = match cx.shared.serving(view) {
+        Serving::Yes => return Ok(()),
+        Serving::NoNote => "this host has not read a release note yet",
+        Serving::Unconfirmed => "this host can not confirm the release note in force; send the request again",
+    };
+    Err(Failure::refused(ProblemKind::NotServing, detail))
 }
 
-fn authenticate(view: &View, headers: &HeaderMap) -> Result<WorkspaceId, Failure> {
+fn authenticate(cx: &Context, view: &View, headers: &HeaderMap) -> Result<WorkspaceId, Failure> {
     let key = headers
         .get(AUTHORIZATION)
         .and_then(|v| v.to_str().ok())
@@ -107,8 +109,8 @@
             "send Authorization: Bearer with an API key",
         ));
     };
-    if view.serving == Serving::NoNote {
-        check_serving(view)?;
+    if view.obeyed.state().head == 0 {
+        check_serving(cx, view)?;
     }
     match view.workspace_of(key) {
         Some((id, _)) => Ok(id.clone()),
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -1,14 +1,13 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use notes::{Declared, Workspace};
+use notes::{Declared, Obeyed, Workspace};
 use platform::HostState;
 use policy::PlacementView;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
-use utils::{Digest, FailureDomainId, RegionId, ServiceId, TargetId, WorkspaceId};
+use utils::{FailureDomainId, RegionId, ServiceId, TargetId, WorkspaceId};
 
 /// Where the control thread publishes and the traffic threads read.
 pub(crate) type ViewCell = ArcSwap<View>;
@@ -23,6 +22,8 @@
     /// Has not read a head of the release notes yet.
     #[default]
     NoNote,
+    /// Can not confirm that it obeys the release note in force.
+    Unconfirmed,
 }
 
 /// A plain service's target.
@@ -47,34 +48,21 @@
 pub(crate) struct View {
     /// What the release notes declare.
     pub declared: Arc<Declared>,
-    /// Workspaces by the digest of their API keys.
-    pub keys: Arc<HashMap<Digest, WorkspaceId>>,
+    /// The same with the API keys, and how far the host knows the notes.
+    pub obeyed: Obeyed,
     /// Model engines.
     pub placement: PlacementView,
     /// Plain services.
     pub services: Vec<ServiceTarget>,
-    /// Whether the host takes new work.
-    pub serving: Serving,
+    /// Entry hosts on the platform's list.
+    pub entry_hosts: u32,
 }
 
 impl View {
     /// The workspace of an API key.
     pub(crate) fn workspace_of(&self, api_key: &str) -> Option<(&WorkspaceId, &Workspace)> {
         let digest = utils::digest(api_key.as_bytes());
-        let (stored, id) = self.keys.get_key_value(&digest)?;
-        if !bool::from(stored.as_bytes().ct_eq(digest.as_bytes())) {
-            return None;
-        }
-        self.declared.workspaces.get_key_value(id)
+        let (stored, id, workspace) = self.obeyed.workspace_by_key(&digest)?;
+        bool::from(stored.as_bytes().ct_eq(digest.as_bytes())).then_some((id, workspace))
     }
 }
-
-/// Index of the API keys of all workspaces.
-pub(crate) fn index_keys(declared: &Declared) -> HashMap<Digest, WorkspaceId> {
-    let pairs = |(id, workspace): (&WorkspaceId, &Workspace)| {
-        let id = id.clone();
-        let digests = workspace.key_digests.clone();
-        digests.into_iter().map(move |digest| (digest, id.clone()))
-    };
-    declared.workspaces.iter().flat_map(pairs).collect()
-}
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -16,9 +16,10 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Declared, Deployment, PlainService, Workspace};
-use platform::{HostRole, HostState, ListedHost};
+use notes::{Acceptance, Declared, Deployment, Note, NoteStore, Operator, PlainService, Terms, Workspace};
+use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
+use utils::SystemClock;
 
 /// API key of the workspace `mill`.
 pub const MILL_KEY: &str = "mill-key";
@@ -29,6 +30,9 @@
 /// The service whose calls may not be repeated.
 pub const LEDGER: &str = "ledger";
 
+/// Longest wait for a note to come into force.
+const PATIENCE: Duration = Duration::from_secs(15);
+
 /// How a world is built.
 pub struct WorldConfig {
     /// Engines.
@@ -112,18 +116,22 @@
         world
     }
 
-    /// Puts what is declared in force.
+    /// Brings into force what is declared, by a note.
     pub fn declare(&self, declared: &Declared) {
-        let value = serde_json::to_value(declared).unwrap();
-        let write = platform::Write::Put {
-            key: "notes/declared".to_owned(),
-            value,
-        };
-        let tx = platform::Transaction {
-            conditions: Vec::new(),
-            writes: vec![write],
+        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        let platform = Arc::new(HttpPlatform::new(client, self.platform.addr()));
+        let operator = Operator {
+            store: NoteStore::new(platform.clone(), platform),
+            clock: Arc::new(SystemClock::new()),
         };
-        self.platform.state().table().apply(&tx);
+        smol::block_on(async {
+            let head = operator.store.bootstrap(&Terms::default()).await.unwrap();
+            let base = operator.store.declared(&head.row, None).await.unwrap();
+            let note = Note::between(format!("note-{}", declared.version), &base, declared);
+            let (head, base) = operator.stage(&note, PATIENCE).await.unwrap();
+            let accepted = operator.accept(head, &base, PATIENCE, |_| {}).await.unwrap();
+            assert!(matches!(accepted, Acceptance::InForce(_)));
+        });
     }
 
     /// A caller at a host.
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -103,6 +103,17 @@
         "The host can not confirm the head of the notes.",
     );
 
+    pub const HEAD_CONFIRMED: Event = event(
+        3005,
+        "head_confirmed",
+        "The host confirms the head of the notes again and takes new work.",
+    );
+    pub const HOST_SUPERSEDED: Event = event(
+        3006,
+        "host_superseded",
+        "Another run has registered under this host's name; the host takes no new work.",
+    );
+
     pub const LIST_READ: Event = event(4001, "list_read", "The platform's list of hosts changed.");
     pub const LIST_DISTRUSTED: Event = event(
         4002,
@@ -132,6 +143,8 @@
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
     events::HEAD_UNCONFIRMED,
+    events::HEAD_CONFIRMED,
+    events::HOST_SUPERSEDED,
     events::LIST_READ,
     events::LIST_DISTRUSTED,
     events::PLATFORM_FAILED,
--- a/components/notes/src/holder.rs
+++ b/components/notes/src/holder.rs
@@ -140,9 +140,20 @@
             return Vec::new();
         };
         self.probes.remove(peer);
-        let effects = self.on_peer_state(&echo.state);
-        if !echo.state.is_ahead_of(&self.state()) {
-            self.heard.insert(peer.clone(), (echo.incarnation, sent));
+        self.on_answer(peer, echo.incarnation, sent, &echo.state)
+    }
+
+    /// A run of a peer answered a probe that was sent at `sent`, by a transport that has checked the nonce.
+    pub fn on_answer(
+        &mut self,
+        peer: &HostId,
+        incarnation: Incarnation,
+        sent: Monotonic,
+        state: &NoteState,
+    ) -> Vec<HolderEffect> {
+        let effects = self.on_peer_state(state);
+        if !state.is_ahead_of(&self.state()) {
+            self.heard.insert(peer.clone(), (incarnation, sent));
         }
         effects
     }
--- a/components/notes/src/lib.rs
+++ b/components/notes/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod acceptor;
 mod apply;
+mod between;
 mod check;
 mod conflict;
 mod declared;
--- a/components/notes/src/obeyed.rs
+++ b/components/notes/src/obeyed.rs
@@ -70,10 +70,11 @@
 }
 
 impl Obeyed {
-    /// The workspace that an API key of this digest belongs to.
-    pub fn workspace_by_key(&self, key: &Digest) -> Option<(&WorkspaceId, &Workspace)> {
-        let (_, id) = self.keys.get_key_value(key)?;
-        self.declared.workspaces.get_key_value(id)
+    /// The workspace that an API key of this digest belongs to, after the digest as it is kept.
+    pub fn workspace_by_key(&self, key: &Digest) -> Option<(&Digest, &WorkspaceId, &Workspace)> {
+        let (kept, id) = self.keys.get_key_value(key)?;
+        let (id, workspace) = self.declared.workspaces.get_key_value(id)?;
+        Some((kept, id, workspace))
     }
 
     /// A model deployment.
--- a/components/notes/src/rows.rs
+++ b/components/notes/src/rows.rs
@@ -92,7 +92,8 @@
     /// The earlier run has ended if it said so, or if it listened on the address that this run now has.
     pub fn register(mut self, before: Option<&Self>) -> Self {
         self.are_earlier_ended = before.is_none_or(|before| {
-            let is_ended = before.is_stopped || before.address == self.address;
+            let is_same_address = before.address == self.address && self.address.port() != 0;
+            let is_ended = before.is_stopped || is_same_address;
             before.incarnation == self.incarnation || is_ended && before.are_earlier_ended
         });
         self
--- a/components/notes/src/terms.rs
+++ b/components/notes/src/terms.rs
@@ -29,7 +29,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            freshness_ms: 1_000,
+            freshness_ms: 1_800,
             lapse_ms: 30_000,
             regions: BTreeMap::new(),
         }
--- a/components/notes/tests/notes/protocol.rs
+++ b/components/notes/tests/notes/protocol.rs
@@ -194,7 +194,7 @@
         version: head,
     };
     let before = builder.build(state(1), &head, None, MS);
-    assert_eq!(&**before.workspace_by_key(&digest).unwrap().0, "mill");
+    assert_eq!(&**before.workspace_by_key(&digest).unwrap().1, "mill");
     let after = builder.build(state(2), &apply(&head, &moved).unwrap(), None, MS);
-    assert_eq!(&**after.workspace_by_key(&digest).unwrap().0, "yard");
+    assert_eq!(&**after.workspace_by_key(&digest).unwrap().1, "yard");
 }
