--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::EntryError;
 use crate::claims::{self, LiveHosts};
 use crate::control;
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -163,6 +164,7 @@
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
+        gate: NoteGate::default(),
         placer: Arc::new(LeastLoaded),
         sealer: Sealer::new(settings.secrets.resume),
         observer,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod control;
 mod daemon;
 mod error;
+mod gate;
 mod metrics;
 mod observe;
 mod operators;
