Declare by release notes in the trial

Cause: entry hosts follow the notes' head now; the trial still wrote the row that they read before, so that on the merged tree its hosts never became ready.

--- a/components/trial/src/declared.rs
+++ b/components/trial/src/declared.rs
@@ -26,7 +26,7 @@
         ..Declared::default()
     };
     for (workspace, key) in api_keys(trace) {
-        declared.workspaces.insert(workspace, workspace_of(&key));
+        declared.workspaces.insert(workspace, workspace_of(&key, version));
     }
     let deployment = Deployment {
         weight_version: 1,
@@ -44,11 +44,12 @@
     declared
 }
 
-fn workspace_of(key: &str) -> Workspace {
+fn workspace_of(key: &str, version: NoteVersion) -> Workspace {
     Workspace {
         key_digests: vec![utils::digest(key.as_bytes())],
         limits: Limits {
-            requests_per_second: 1_000.0,
+            // Each note changes something.
+            requests_per_second: 1_000.0 + version as f64,
             prompt_tokens_per_second: 2_000_000.0,
             open_streams: 1_000,
         },
--- a/components/trial/src/deployment.rs
+++ b/components/trial/src/deployment.rs
@@ -6,21 +6,21 @@
 
 use entry::Daemon;
 use error_stack::{Report, ResultExt};
-use http_io::Executor;
+use http_io::{Client, ClientConfig, Executor};
 use loadgen::Preset;
-use notes::Declared;
-use platform::{HostRole, HostState, ListedHost, Transaction, Write};
+use notes::{Acceptance, Declared, Note, NoteError, NoteStore, Operator, Terms};
+use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use slog::Logger;
 use standins::{
     Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
 };
-use utils::{RegionId, TargetId};
+use utils::{RegionId, SystemClock, TargetId};
 
 use crate::TrialError;
 use crate::settings::{Place, loopback, settings};
 
-/// Row of the table that holds what is declared.
-const DECLARED_KEY: &str = "notes/declared";
+/// Longest wait until a note is in force.
+const NOTE_PATIENCE: Duration = Duration::from_secs(15);
 /// Region with two failure domains.
 const NEAR: &str = "region-1";
 /// Region behind the paid link.
@@ -144,17 +144,20 @@
         Ok(())
     }
 
-    /// Puts what is declared in force.
-    pub(crate) fn declare(&self, declared: &Declared) {
-        let write = Write::Put {
-            key: DECLARED_KEY.to_owned(),
-            value: serde_json::to_value(declared).unwrap_or_default(),
-        };
-        let tx = Transaction {
-            conditions: Vec::new(),
-            writes: vec![write],
+    /// Brings into force what is declared, by a release note.
+    pub(crate) fn declare(&self, wanted: &Declared) -> Result<(), Report<TrialError>> {
+        let ex: Executor = Arc::new(smol::Executor::new());
+        let client = Client::new(ex.clone(), ClientConfig::default());
+        let platform = Arc::new(HttpPlatform::new(client, self.platform.addr()));
+        let operator = Operator {
+            store: NoteStore::new(platform.clone(), platform),
+            clock: Arc::new(SystemClock::new()),
         };
-        self.platform.state().table().apply(&tx);
+        let accepted = smol::block_on(ex.run(accept(&operator, wanted)));
+        match accepted.change_context(TrialError::Note)? {
+            Acceptance::InForce(_) => Ok(()),
+            Acceptance::Waiting { .. } => Err(Report::new(TrialError::Note)),
+        }
     }
 
     /// Marks a listed engine as leaving.
@@ -195,6 +198,14 @@
     }
 }
 
+async fn accept(operator: &Operator, wanted: &Declared) -> Result<Acceptance, Report<NoteError>> {
+    let head = operator.store.bootstrap(&Terms::default()).await?;
+    let base = operator.store.declared(&head.row, None).await?;
+    let note = Note::between(format!("note-{}", wanted.version), &base, wanted);
+    let (head, base) = operator.stage(&note, NOTE_PATIENCE).await?;
+    operator.accept(head, &base, NOTE_PATIENCE, |_| {}).await
+}
+
 fn run_in_thread(ex: &Executor) -> Result<(async_channel::Sender<()>, JoinHandle<()>), Report<TrialError>> {
     let (stop, stopped) = http_io::shutdown_channel();
     let ex = ex.clone();
--- a/components/trial/src/error.rs
+++ b/components/trial/src/error.rs
@@ -11,6 +11,9 @@
     /// The entry hosts did not become ready in time.
     #[error("the entry hosts did not become ready in time")]
     NotReady,
+    /// A release note did not come into force.
+    #[error("a release note did not come into force")]
+    Note,
     /// A thread could not be started.
     #[error("a thread could not be started")]
     Thread,
--- a/components/trial/src/run.rs
+++ b/components/trial/src/run.rs
@@ -46,7 +46,7 @@
     let trace = cfg.preset.trace(cfg.seed, cfg.requests);
     let mut deployment = Deployment::start(&cfg.preset, log)?;
     let first = declared(&cfg.preset, &trace, 1);
-    deployment.declare(&first);
+    deployment.declare(&first)?;
     let mut played = Played::default();
     played.notes.push(accepted_now(&first));
     let finished = play(&mut deployment, cfg, &trace, &mut played, watch)?;
--- a/components/trial/src/script.rs
+++ b/components/trial/src/script.rs
@@ -80,7 +80,7 @@
         Step::DelistEngine => deployment.platform.state().remove_host("engine-2"),
         Step::AcceptNote => {
             let next = declared(preset, trace, 2);
-            deployment.declare(&next);
+            deployment.declare(&next)?;
             played.notes.push(accepted_now(&next));
         }
         Step::LeaveEngine => {
