Let the trial always have refusals and open streams to check

Change: one request for each forty names a model that no note declares and must be refused; six long drafts are open when the entry host is drained. Conclusion: eight promises always have something to check; the ninth, intact blocks, needs pieces named by the entry.

--- a/components/trial/src/declared.rs
+++ b/components/trial/src/declared.rs
@@ -1,13 +1,22 @@
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use checker::NoteAccepted;
-use loadgen::{Preset, Trace};
+use loadgen::{Arrival, PlannedDraft, PlannedWork, Preset, Trace};
 use notes::{Declared, Deployment, Limits, PlainService, Workspace};
 use standins::unix_micros;
 use utils::{NoteVersion, WorkspaceId};
 
 /// Tokens that a request may ask for.
 const MAX_TOKENS: u32 = 4_096;
+/// Planned requests for each one that must be refused.
+const REFUSAL_EVERY: usize = 40;
+/// Long drafts; more than there are entry hosts, so that each host has one.
+const LONG_DRAFTS: u64 = 6;
+/// Tokens of a long draft.
+const LONG_DRAFT_TOKENS: u32 = 600;
+/// Time from the start of the long drafts to the drain.
+const LONG_DRAFT_LEAD: Duration = Duration::from_millis(300);
 /// Longest time to a first token, in milliseconds.
 const FIRST_TOKEN_MS: u64 = 10_000;
 
@@ -19,6 +28,51 @@
         .collect()
 }
 
+/// Adds requests for a model that no note declares; each must be refused and not run.
+pub(crate) fn add_refusals(trace: &mut Trace) {
+    let planned = trace.arrivals.len() as u64;
+    let places = (0..trace.arrivals.len()).step_by(REFUSAL_EVERY).zip(planned..);
+    let refusals: Vec<Arrival> = places
+        .map(|(place, number)| refusal(&trace.arrivals[place], number))
+        .collect();
+    trace.arrivals.extend(refusals);
+    trace.arrivals.sort_by_key(|arrival| arrival.at);
+}
+
+fn refusal(beside: &Arrival, number: u64) -> Arrival {
+    Arrival {
+        number,
+        at: beside.at,
+        workspace: beside.workspace.clone(),
+        work: PlannedWork::Draft(PlannedDraft {
+            model: "not-declared".into(),
+            prompt: "a prompt for a model that nobody declared".into(),
+            max_tokens: 8,
+        }),
+    }
+}
+
+/// Adds long drafts that are surely open when an entry host is drained.
+pub(crate) fn add_long_drafts(trace: &mut Trace, preset: &Preset, drained_at: Duration) {
+    let Some(first) = trace.arrivals.first() else {
+        return;
+    };
+    let workspace = first.workspace.clone();
+    let planned = trace.arrivals.len() as u64;
+    let long = (planned..planned + LONG_DRAFTS).map(|number| Arrival {
+        number,
+        at: drained_at.saturating_sub(LONG_DRAFT_LEAD),
+        workspace: workspace.clone(),
+        work: PlannedWork::Draft(PlannedDraft {
+            model: preset.model.clone(),
+            prompt: format!("a prompt with a long answer, {number}").into(),
+            max_tokens: LONG_DRAFT_TOKENS,
+        }),
+    });
+    trace.arrivals.extend(long);
+    trace.arrivals.sort_by_key(|arrival| arrival.at);
+}
+
 /// What the release notes up to `version` declare.
 pub(crate) fn declared(preset: &Preset, trace: &Trace, version: NoteVersion) -> Declared {
     let mut declared = Declared {
--- a/components/trial/src/run.rs
+++ b/components/trial/src/run.rs
@@ -10,7 +10,7 @@
 use slog::Logger;
 
 use crate::balancer::Balancer;
-use crate::declared::{accepted_now, api_keys, declared};
+use crate::declared::{accepted_now, add_long_drafts, add_refusals, api_keys, declared};
 use crate::deployment::{Deployment, ENTRIES};
 use crate::script::{self, Played};
 use crate::work::{Regions, summarize};
@@ -23,7 +23,7 @@
     pub preset: Preset,
     /// Seed of the trace.
     pub seed: u64,
-    /// Requests in the trace.
+    /// Requests in the trace, without those that are added to check a promise.
     pub requests: u64,
 }
 
@@ -43,7 +43,10 @@
 /// # Errors
 /// [`TrialError`] if something could not be started; broken promises are in the report.
 pub fn run(cfg: &TrialConfig, log: &Logger, watch: Arc<dyn Play>) -> Result<TrialReport, Report<TrialError>> {
-    let trace = cfg.preset.trace(cfg.seed, cfg.requests);
+    let mut trace = cfg.preset.trace(cfg.seed, cfg.requests);
+    add_refusals(&mut trace);
+    let drained_at = script::drained_at(&trace);
+    add_long_drafts(&mut trace, &cfg.preset, drained_at);
     let mut deployment = Deployment::start(&cfg.preset, log)?;
     let first = declared(&cfg.preset, &trace, 1);
     deployment.declare(&first)?;
--- a/components/trial/src/script.rs
+++ b/components/trial/src/script.rs
@@ -12,6 +12,9 @@
 /// Time until the platform's list shows that a host is gone.
 const DELIST_AFTER: Duration = Duration::from_millis(500);
 
+/// When the graceful shutdown begins, as a share of the trace's time.
+const DRAIN_AT: f64 = 0.85;
+
 /// What happens during a trial, as a share of the trace's time.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -40,6 +43,11 @@
     pub(crate) notes: Vec<NoteAccepted>,
 }
 
+/// When the graceful shutdown begins.
+pub(crate) fn drained_at(trace: &Trace) -> Duration {
+    trace.duration().mul_f64(DRAIN_AT)
+}
+
 /// Plays the steps while the trace runs. Blocks its thread.
 pub(crate) fn play(
     deployment: &mut Deployment,
@@ -55,7 +63,7 @@
         (at(0.4), Step::AcceptNote),
         (at(0.5), Step::LeaveEngine),
         (at(0.6), Step::KillEntry),
-        (at(0.85), Step::DrainEntry),
+        (at(DRAIN_AT), Step::DrainEntry),
     ];
     for (at, step) in steps {
         std::thread::sleep((start + at).saturating_duration_since(Instant::now()));
--- a/components/trial/tests/trial.rs
+++ b/components/trial/tests/trial.rs
@@ -14,9 +14,11 @@
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let report = run(&cfg, &log, Arc::new(())).unwrap();
-    assert_eq!(report.requests, 120);
+    // One for each forty must be refused, and six long ones are open at the drain.
+    assert_eq!(report.requests, 129);
+    assert!(report.refused >= 3);
     assert_eq!(report.broken, 0, "{}", trial::report_table(&report));
-    assert_eq!(report.answered + report.refused + report.unknown, 120);
+    assert_eq!(report.answered + report.refused + report.unknown, 129);
     // Blocks are checked where engines use any; the others always have something to check.
     let checked = |line: &&trial::PromiseLine| line.checked > 0 || line.promise == Promise::IntactCache;
     assert!(report.promises.iter().all(|line| checked(&line)), "{report:?}");
