Keep time for the connection before a claim runs out

Cause: the claim's deadline is checked before a connection opens, which may take up to 500 ms; and a host that can no longer confirm its release note between claim and dispatch still sent the call. Change: a claim needs 500 ms more than now to be used; the note is checked again after the claim is held. Ruled out: wiring the retry budget as it is; it would leave most drafts aboard one crashed target without a retry when there are few targets.

--- a/components/entry/src/traffic/once.rs
+++ b/components/entry/src/traffic/once.rs
@@ -11,7 +11,7 @@
 use super::Context;
 use super::calls::{call_target, choose, note_end};
 use super::failure::Failure;
-use super::route::Received;
+use super::route::{Received, check_serving};
 
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 200;
@@ -40,16 +40,20 @@
     let verdict = match cx.shared.ledger.begin(new).await {
         Begun::Told(verdict) => verdict,
         Begun::Ask(question) => ask(cx, received, req, question).await,
-        Begun::Held(claim) => match claim.dispatch() {
-            Err(verdict) => verdict,
-            Ok(sent) => {
-                let end = call_end(call_target(cx, req, target, timeout).await);
-                match sent.end(end).await {
-                    Ended::Told(verdict) => verdict,
-                    Ended::Ask(question) => ask(cx, received, req, question).await,
+        Begun::Held(claim) => {
+            // A claim that is dropped is given up.
+            check_serving(cx, &cx.shared.view.load())?;
+            match claim.dispatch() {
+                Err(verdict) => verdict,
+                Ok(sent) => {
+                    let end = call_end(call_target(cx, req, target, timeout).await);
+                    match sent.end(end).await {
+                        Ended::Told(verdict) => verdict,
+                        Ended::Ask(question) => ask(cx, received, req, question).await,
+                    }
                 }
             }
-        },
+        }
     };
     note_end(cx, received, verdict.outcome());
     into_reply(verdict)
--- a/components/ledger/src/handle.rs
+++ b/components/ledger/src/handle.rs
@@ -209,7 +209,9 @@
     /// # Errors
     /// The verdict for the caller if the claim is no longer valid, for example after the process was paused.
     pub fn dispatch(mut self) -> Result<SentCall, Verdict> {
-        match self.0.step(Input::Send) {
+        let margin = self.0.ledger.shared.settings.send_margin;
+        let first_byte = self.0.ledger.now() + margin;
+        match self.0.step_at(Input::Send, first_byte) {
             Some(Effect::Dispatch) => Ok(SentCall(self.0)),
             Some(Effect::Tell(verdict)) => Err(verdict),
             _ => Err(Verdict::Refused(RefusedReason::Lapsed)),
@@ -253,6 +255,10 @@
 impl OpenTry {
     fn step(&mut self, input: Input) -> Option<Effect> {
         let now = self.ledger.now();
+        self.step_at(input, now)
+    }
+
+    fn step_at(&mut self, input: Input, now: Monotonic) -> Option<Effect> {
         let Step { effect, job } = self
             .ledger
             .shared
--- a/components/ledger/src/settings.rs
+++ b/components/ledger/src/settings.rs
@@ -5,6 +5,8 @@
 pub struct LedgerSettings {
     /// Time from before the insert within which a claim may be used.
     pub claim_valid: Duration,
+    /// Longest time from the last check of a claim to the first byte, for example to open a connection.
+    pub send_margin: Duration,
     /// Longest wait for one answer of the table service.
     pub store_timeout: Duration,
     /// Longest wait for the row that is read back after a lost answer.
@@ -27,6 +29,7 @@
     fn default() -> Self {
         Self {
             claim_valid: Duration::from_secs(2),
+            send_margin: Duration::from_millis(500),
             store_timeout: Duration::from_millis(500),
             read_back_timeout: Duration::from_millis(40),
             commit_window: Duration::from_millis(3),
--- a/components/ledger/tests/driver.rs
+++ b/components/ledger/tests/driver.rs
@@ -154,6 +154,24 @@
     }));
 }
 
+#[test]
+fn a_claim_that_could_run_out_while_a_connection_opens_is_not_used() {
+    let ex = LocalExecutor::new();
+    smol::block_on(ex.run(async {
+        let manual = Arc::new(ManualClock::default());
+        let clock: Arc<dyn Clock> = manual.clone();
+        let table = Arc::new(FaultyTable::default());
+        let (handle, _task) = host(&ex, &table, &clock, "entry-1");
+        let claim = held(&handle, call("7", 1, "20 bales")).await;
+        manual.advance(Duration::from_millis(1_499));
+        assert!(claim.dispatch().is_ok());
+        let claim = held(&handle, call("8", 2, "20 bales")).await;
+        manual.advance(Duration::from_millis(1_500));
+        let lapsed = claim.dispatch().err();
+        assert_eq!(lapsed, Some(Verdict::Refused(RefusedReason::Lapsed)));
+    }));
+}
+
 /// Tries until the claim that was given up is written as such.
 async fn held_soon(handle: &LedgerHandle, clock: &ManualClock, first_attempt: u128) -> HeldClaim {
     for attempt in first_attempt..first_attempt + 1_000 {
