--- a/components/notes/src/file.rs
+++ b/components/notes/src/file.rs
@@ -2,6 +2,7 @@
 
 use error_stack::{Report, ResultExt};
 use serde_saphyr::Error;
+use utils::NoteVersion;
 
 use crate::places::{Places, place};
 use crate::{Declared, Finding, Note, NoteError, check};
@@ -11,6 +12,8 @@
 pub struct NoteFile {
     /// The note.
     pub note: Note,
+    /// The text as it was read.
+    text: String,
     /// Path of the file, for errors.
     file: String,
     /// Places of the fields.
@@ -43,6 +46,7 @@
         match serde_saphyr::from_str(text) {
             Ok(note) => Ok(Self {
                 note,
+                text: text.to_owned(),
                 file: file.to_owned(),
                 places,
             }),
@@ -53,6 +57,26 @@
         }
     }
 
+    /// The text with another base; comments and everything else stay as they are.
+    ///
+    /// ```
+    /// let file = notes::NoteFile::parse("id: a # mine\nbase: 4 # old\n", "a.yaml").unwrap();
+    /// assert_eq!(file.text_with_base(7), "id: a # mine\nbase: 7 # old\n");
+    /// ```
+    pub fn text_with_base(&self, base: NoteVersion) -> String {
+        let place = self.places.find("base");
+        let Some(line) = place.map(|place| place.line as usize) else {
+            return self.text.clone();
+        };
+        let (old, new) = (self.note.base.to_string(), base.to_string());
+        let lines = self.text.split_inclusive('\n').enumerate();
+        let replaced = lines.map(|(i, text)| match i + 1 == line {
+            true => text.replacen(&old, &new, 1),
+            false => text.to_owned(),
+        });
+        replaced.collect()
+    }
+
     /// Checks the note against what its base declares.
     ///
     /// # Errors
--- a/components/notes/src/operator.rs
+++ b/components/notes/src/operator.rs
@@ -7,6 +7,7 @@
 use crate::store::NoteResult;
 use crate::{
     AcceptStatus, Acceptor, Declared, Finding, Head, Note, NoteError, NoteStore, Proposal, check, clashes,
+    rebase,
 };
 
 /// Time between two reads of the hosts' rows while a change waits.
@@ -97,7 +98,11 @@
     /// Names the entries that clash with a note accepted since the base, then all other findings.
     async fn check_base(&self, note: &Note, base: &Declared) -> NoteResult<()> {
         if note.base < base.version {
-            for row in self.store.log(note.base, usize::MAX >> 1).await? {
+            for row in self
+                .store
+                .log(note.base, (base.version.saturating_sub(note.base)) as usize)
+                .await?
+            {
                 if let Some(conflict) = self.conflict(note, &row.note) {
                     return Err(conflict);
                 }
@@ -117,6 +122,21 @@
         }))
     }
 
+    /// The note against the present head, with what the head declares.
+    ///
+    /// # Errors
+    /// [`NoteError::Conflict`] names the first note accepted since that clashes, and the entries.
+    pub async fn rebase(&self, note: &Note) -> NoteResult<(Note, Declared)> {
+        let head = self.store.head().await?;
+        let base = self.store.declared(&head.row, None).await?;
+        let since = self
+            .store
+            .log(note.base, (base.version.saturating_sub(note.base)) as usize)
+            .await?;
+        let rebased = rebase(note, since.iter().map(|row| &row.note), base.version)?;
+        Ok((rebased, base))
+    }
+
     fn conflict(&self, note: &Note, other: &Note) -> Option<Report<NoteError>> {
         let entries = clashes(note, other);
         let with = other.id.clone();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,8 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::cmd::NoteCommand;
+
 /// Serves prompts that return after long gaps.
 #[derive(Debug)]
 #[derive(Parser)]
@@ -21,6 +23,9 @@
     /// Check settings, or explain every field.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Check, compare and accept release notes. Exits with 3 if a note is staged and not accepted.
+    #[command(subcommand)]
+    Note(NoteCommand),
     /// Print the numbered log events.
     Events,
     /// Make a test authority and keys for the traffic between entry hosts.
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -4,6 +4,8 @@
 
 /// Exit code for arguments, settings or notes that are not usable.
 const EXIT_USAGE: u8 = 2;
+/// Exit code for a note that is staged and not accepted.
+const EXIT_NOT_ACCEPTED: u8 = 3;
 /// Exit code for a failure while running.
 const EXIT_FAILED: u8 = 1;
 
@@ -14,6 +16,9 @@
     /// Arguments, settings or notes are not usable; nothing was started.
     #[error("not usable")]
     Usage,
+    /// A note is staged and not accepted.
+    #[error("not accepted")]
+    NotAccepted,
     /// The command failed while it ran.
     #[error("failed")]
     Failed,
@@ -30,6 +35,7 @@
     }
     match report.current_context() {
         CommandError::Usage => ExitCode::from(EXIT_USAGE),
+        CommandError::NotAccepted => ExitCode::from(EXIT_NOT_ACCEPTED),
         CommandError::Failed => ExitCode::from(EXIT_FAILED),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
         Command::Serve(args) => cmd::serve(&args),
         Command::Config(ConfigCommand::Check { file }) => cmd::check_config(&file),
         Command::Config(ConfigCommand::Explain) => cmd::explain_config(),
+        Command::Note(command) => cmd::note(&command),
         Command::Events => cmd::events(),
         Command::Keys(args) => cmd::keys(&args),
     };
