--- a/components/notes/src/operator.rs
+++ b/components/notes/src/operator.rs
@@ -6,8 +6,8 @@
 
 use crate::store::NoteResult;
 use crate::{
-    AcceptStatus, Acceptor, Declared, Finding, Head, Note, NoteError, NoteStore, Proposal, check, clashes,
-    rebase,
+    AcceptStatus, Acceptor, Declared, Finding, Head, Note, NoteError, NoteId, NoteStore, Proposal, Terms,
+    check, clashes, rebase,
 };
 
 /// Time between two reads of the hosts' rows while a change waits.
@@ -122,6 +122,28 @@
         }))
     }
 
+    /// Brings into force what `wanted` declares, by one note of this id; also writes the first head row.
+    ///
+    /// # Errors
+    /// As [`Operator::stage`] and [`Operator::accept`].
+    pub async fn declare(
+        &self,
+        id: impl Into<NoteId>,
+        terms: &Terms,
+        wanted: &Declared,
+        patience: Duration,
+    ) -> NoteResult<Acceptance> {
+        let head = self.store.bootstrap(terms).await?;
+        let base = self.store.declared(&head.row, None).await?;
+        let note = Note::between(id, &base, wanted);
+        let (head, base) = self.stage(&note, patience).await?;
+        if base.version == 0 {
+            // Nothing is declared yet, so no host takes work under the head that the note replaces.
+            return self.commit(head, &base, patience).await.map(Acceptance::InForce);
+        }
+        self.accept(head, &base, patience, |_| {}).await
+    }
+
     /// The note against the present head, with what the head declares.
     ///
     /// # Errors
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,11 @@
+mod trials;
+
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
 
 use crate::cmd::NoteCommand;
+pub(crate) use trials::{LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs};
 
 /// Serves prompts that return after long gaps.
 #[derive(Debug)]
@@ -30,6 +33,12 @@
     Events,
     /// Make a test authority and keys for the traffic between entry hosts.
     Keys(KeysArgs),
+    /// Play a trial: a small deployment in one process, with faults, and a verdict.
+    Try(TryArgs),
+    /// Run a stand-in for the platform or for a target until SIGTERM or SIGINT.
+    StandIn(StandInArgs),
+    /// Send load to a running system and report latencies.
+    Load(LoadArgs),
 }
 
 /// Arguments of `serve`.
--- a/src/cmd/note/files.rs
+++ b/src/cmd/note/files.rs
@@ -5,8 +5,9 @@
 use notes::{Declared, NoteError, NoteFile, apply, diff};
 
 use super::args::{FileArgs, Format, FormatArgs, RebaseArgs};
-use super::paint::{Colour, Paint, print_json};
+use super::paint::{Colour, Paint};
 use super::session::{settle, with_operator};
+use crate::cmd::print_json;
 use crate::exit::CommandError;
 
 /// Bytes of an API key before it is written as text.
--- a/src/cmd/note/force.rs
+++ b/src/cmd/note/force.rs
@@ -5,8 +5,9 @@
 use utils::Monotonic;
 
 use super::args::{AcceptArgs, Format, InitArgs, LogArgs, PlatformArgs};
-use super::paint::{Colour, Paint, print_json};
+use super::paint::{Colour, Paint};
 use super::session::{settle, with_operator};
+use crate::cmd::print_json;
 use crate::exit::CommandError;
 
 /// Writes the first head row.
--- a/src/cmd/note/paint.rs
+++ b/src/cmd/note/paint.rs
@@ -1,7 +1,6 @@
 use std::io::IsTerminal;
 
 use notes::{EntryAction, EntryChange};
-use serde::Serialize;
 
 /// Colours for a terminal; none elsewhere, or if NO_COLOR is set.
 #[derive(Debug, Clone, Copy)]
@@ -43,11 +42,3 @@
         self.text(colour, change)
     }
 }
-
-/// Prints a value as JSON.
-pub(super) fn print_json(value: &impl Serialize) {
-    match serde_json::to_string_pretty(value) {
-        Ok(text) => println!("{text}"),
-        Err(e) => eprintln!("error: {e}"),
-    }
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,9 @@
         Command::Note(command) => cmd::note(&command),
         Command::Events => cmd::events(),
         Command::Keys(args) => cmd::keys(&args),
+        Command::Try(args) => cmd::try_it(&args),
+        Command::StandIn(args) => cmd::stand_in(&args),
+        Command::Load(args) => cmd::load(&args),
     };
     exit::code_of(done)
 }
