--- a/components/trial/src/error.rs
+++ b/components/trial/src/error.rs
@@ -11,8 +11,8 @@
     /// The entry hosts did not become ready in time.
     #[error("the entry hosts did not become ready in time")]
     NotReady,
-    /// A release note could not be brought into force.
-    #[error("a release note could not be brought into force")]
+    /// A release note did not come into force.
+    #[error("a release note did not come into force")]
     Note,
     /// A thread could not be started.
     #[error("a thread could not be started")]
