--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -16,7 +16,7 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Acceptance, Declared, Deployment, Note, NoteStore, Operator, PlainService, Terms, Workspace};
+use notes::{Acceptance, Declared, Deployment, NoteStore, Operator, PlainService, Terms, Workspace};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
 use utils::SystemClock;
@@ -126,14 +126,10 @@
             store: NoteStore::new(platform.clone(), platform),
             clock: Arc::new(SystemClock::new()),
         };
-        smol::block_on(async {
-            let head = operator.store.bootstrap(&Terms::default()).await.unwrap();
-            let base = operator.store.declared(&head.row, None).await.unwrap();
-            let note = Note::between(format!("note-{}", declared.version), &base, declared);
-            let (head, base) = operator.stage(&note, PATIENCE).await.unwrap();
-            let accepted = operator.accept(head, &base, PATIENCE, |_| {}).await.unwrap();
-            assert!(matches!(accepted, Acceptance::InForce(_)));
-        });
+        let id = format!("note-{}", declared.version);
+        let terms = Terms::default();
+        let accepted = smol::block_on(operator.declare(id, &terms, declared, PATIENCE)).unwrap();
+        assert!(matches!(accepted, Acceptance::InForce(_)));
     }
 
     /// A caller at a host.
--- a/components/notes/src/operator.rs
+++ b/components/notes/src/operator.rs
@@ -6,7 +6,8 @@
 
 use crate::store::NoteResult;
 use crate::{
-    AcceptStatus, Acceptor, Declared, Finding, Head, Note, NoteError, NoteStore, Proposal, check, clashes,
+    AcceptStatus, Acceptor, Declared, Finding, Head, Note, NoteError, NoteId, NoteStore, Proposal, Terms,
+    check, clashes, rebase,
 };
 
 /// Time between two reads of the hosts' rows while a change waits.
@@ -97,7 +98,11 @@
     /// Names the entries that clash with a note accepted since the base, then all other findings.
     async fn check_base(&self, note: &Note, base: &Declared) -> NoteResult<()> {
         if note.base < base.version {
-            for row in self.store.log(note.base, usize::MAX >> 1).await? {
+            for row in self
+                .store
+                .log(note.base, (base.version.saturating_sub(note.base)) as usize)
+                .await?
+            {
                 if let Some(conflict) = self.conflict(note, &row.note) {
                     return Err(conflict);
                 }
@@ -117,6 +122,43 @@
         }))
     }
 
+    /// Brings into force what `wanted` declares, by one note of this id; also writes the first head row.
+    ///
+    /// # Errors
+    /// As [`Operator::stage`] and [`Operator::accept`].
+    pub async fn declare(
+        &self,
+        id: impl Into<NoteId>,
+        terms: &Terms,
+        wanted: &Declared,
+        patience: Duration,
+    ) -> NoteResult<Acceptance> {
+        let head = self.store.bootstrap(terms).await?;
+        let base = self.store.declared(&head.row, None).await?;
+        let note = Note::between(id, &base, wanted);
+        let (head, base) = self.stage(&note, patience).await?;
+        if base.version == 0 {
+            // Nothing is declared yet, so no host takes work under the head that the note replaces.
+            return self.commit(head, &base, patience).await.map(Acceptance::InForce);
+        }
+        self.accept(head, &base, patience, |_| {}).await
+    }
+
+    /// The note against the present head, with what the head declares.
+    ///
+    /// # Errors
+    /// [`NoteError::Conflict`] names the first note accepted since that clashes, and the entries.
+    pub async fn rebase(&self, note: &Note) -> NoteResult<(Note, Declared)> {
+        let head = self.store.head().await?;
+        let base = self.store.declared(&head.row, None).await?;
+        let since = self
+            .store
+            .log(note.base, (base.version.saturating_sub(note.base)) as usize)
+            .await?;
+        let rebased = rebase(note, since.iter().map(|row| &row.note), base.version)?;
+        Ok((rebased, base))
+    }
+
     fn conflict(&self, note: &Note, other: &Note) -> Option<Report<NoteError>> {
         let entries = clashes(note, other);
         let with = other.id.clone();
