Split the fault test of the ledger into small files

Change: counts, the table service's side and the faults stand in files of their own; the test does what it did.

--- a/components/ledger/tests/faults/main.rs
+++ b/components/ledger/tests/faults/main.rs
@@ -1,10 +1,14 @@
 //! Seeded calls over nine hosts under each fault and each pair of faults, in virtual time.
 
+mod counts;
 mod host;
 mod sim;
+mod store;
+mod strikes;
 mod world;
 
-use sim::{Counts, Sim};
+use counts::Counts;
+use sim::Sim;
 use world::Fault;
 
 /// Stated target: time to a true refusal beyond the first timeout, in milliseconds.
--- /dev/null
+++ b/components/ledger/tests/faults/store.rs
@@ -0,0 +1,149 @@
+//! How hosts write to the table service and read from it.
+
+use error_stack::Report;
+use ledger::{Batch, ClaimRow, Found, Input, JobStep, WriteResult};
+use platform::{Committed, PlatformError};
+use rand::RngExt;
+use std::time::Duration;
+
+use crate::host::Tag;
+use crate::sim::{Event, STORE_TIMEOUT_MS, Sim, row_key};
+use crate::world::{StoreMood, millis};
+
+const STORE_TIMEOUT: Duration = Duration::from_millis(STORE_TIMEOUT_MS);
+const READ_BACK_TIMEOUT: Duration = Duration::from_millis(40);
+const COMMIT_WINDOW: Duration = Duration::from_millis(3);
+const BATCH_ROWS: usize = 64;
+
+impl Sim {
+    pub(crate) fn wake(&mut self, host: usize) {
+        if !self.hosts[host].is_writing {
+            self.hosts[host].is_writing = true;
+            self.at(COMMIT_WINDOW, Some(host), Event::Flush);
+        }
+    }
+
+    /// Sends what waits; while the table service is out of reach, claims are refused and settlements wait.
+    pub(crate) fn flush(&mut self, host: usize) {
+        let this = &mut self.hosts[host];
+        this.is_writing = false;
+        let mut batch = Batch::default();
+        this.inserts.fill(&mut batch, BATCH_ROWS);
+        if !this.breaker.is_closed() {
+            let (results, _) =
+                batch.settle(Err(Report::new(PlatformError::Unreachable)), |_: &ClaimRow| true);
+            results
+                .into_iter()
+                .for_each(|(tag, result)| self.deliver(host, tag, result));
+            return;
+        }
+        this.jobs.fill(&mut batch, BATCH_ROWS);
+        if !batch.is_empty() {
+            self.write(host, batch);
+        }
+    }
+
+    pub(crate) fn write(&mut self, host: usize, batch: Batch<Tag>) {
+        self.hosts[host].is_writing = true;
+        self.counts.transactions += 1;
+        self.counts.rows += batch.len();
+        let trip = millis(&mut self.rng, 1, 4);
+        let tx = batch.transaction();
+        let lost = Err(PlatformError::AnswerLost);
+        let (wait, answer) = match self.world.store_mood(&mut self.rng) {
+            StoreMood::Answers => (trip, Ok(self.world.table.apply(&tx))),
+            StoreMood::LosesAnswer => {
+                self.world.table.apply(&tx);
+                (STORE_TIMEOUT, lost)
+            }
+            StoreMood::NotReached => (trip, Err(PlatformError::Unreachable)),
+            StoreMood::Silent => (STORE_TIMEOUT, lost),
+            StoreMood::Late => {
+                let late = millis(&mut self.rng, 1, 5_000);
+                self.at(late, None, Event::Late { tx });
+                (STORE_TIMEOUT, lost)
+            }
+        };
+        self.at(wait, Some(host), Event::Answer { batch, answer });
+    }
+
+    pub(crate) fn take_answer(
+        &mut self,
+        host: usize,
+        batch: Batch<Tag>,
+        answer: Result<Committed, PlatformError>,
+    ) {
+        self.note_store(host, answer.is_ok());
+        let alive = self.alive();
+        let (results, rest) = batch.settle(answer.map_err(Report::new), |row| alive(&row.holder));
+        results
+            .into_iter()
+            .for_each(|(tag, result)| self.deliver(host, tag, result));
+        self.hosts[host].is_writing = false;
+        match rest {
+            Some(rest) => self.write(host, rest),
+            None if !self.hosts[host].inserts.is_empty() || !self.hosts[host].jobs.is_empty() => {
+                self.wake(host)
+            }
+            None => {}
+        }
+    }
+
+    pub(crate) fn deliver(&mut self, host: usize, tag: Tag, result: WriteResult) {
+        match tag {
+            Tag::Insert(attempt) => {
+                let input = match result {
+                    WriteResult::Applied(version) => Input::Applied(version),
+                    WriteResult::Refused(found) => Input::Refused(found),
+                    WriteResult::Lost => Input::Lost,
+                    WriteResult::NotSent | WriteResult::Malformed => Input::StoreFailed,
+                };
+                self.input(host, attempt, input);
+            }
+            Tag::Job(mut job) => {
+                if job.step(&result) == JobStep::Again {
+                    self.hosts[host].push_job(*job);
+                }
+            }
+        }
+    }
+
+    /// Opens or closes the host's circuit breaker.
+    pub(crate) fn note_store(&mut self, host: usize, is_answered: bool) {
+        if is_answered {
+            self.hosts[host].breaker.succeed();
+            return;
+        }
+        if self.hosts[host].breaker.is_closed() {
+            self.at(Duration::from_millis(1), Some(host), Event::Probe);
+        }
+        let jitter = self.rng.random::<f64>();
+        self.hosts[host].breaker.fail(self.now, jitter);
+    }
+
+    pub(crate) fn probe(&mut self, host: usize) {
+        if self.world.store_mood(&mut self.rng) == StoreMood::Answers {
+            self.hosts[host].breaker.succeed();
+            return self.wake(host);
+        }
+        let jitter = self.rng.random::<f64>();
+        self.hosts[host].breaker.fail(self.now, jitter);
+        let due = self.hosts[host].breaker.probe_at().unwrap_or(self.now);
+        self.at(due - self.now, Some(host), Event::Probe);
+    }
+
+    pub(crate) fn read_back(&mut self, host: usize, attempt: u64) {
+        let trip = millis(&mut self.rng, 1, 4);
+        match self.world.store_mood(&mut self.rng) {
+            StoreMood::Answers => self.at(trip, Some(host), Event::ReadBack { attempt }),
+            _ => self.at(READ_BACK_TIMEOUT, Some(host), Event::ReadFailed { attempt }),
+        }
+    }
+
+    pub(crate) fn read(&self, host: usize, attempt: u64) -> Option<Found> {
+        let open = self.hosts[host].open.get(&attempt)?;
+        let row = self.world.table.get(&row_key(open.key))?;
+        let alive = self.alive();
+        Some(Found::parse(&row, |row| alive(&row.holder)).expect("claim"))
+    }
+}
