Try drafts again within a retry budget

Cause: the daemon sent a draft to up to four targets whatever the others' fate, so a full outage could see four times the offered load. Change: the budget of policy::retry, kept in one atomic word, decides after each failed try while a draft is opened; a retry that goes well gives back what it took, and a request waits for up to 2 s while the budget is empty. Ruled out: a budget that retries do not give back to; most drafts aboard one crashed target would not be tried again. Conclusion: the first new target after a stream breaks is not counted yet.

--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
+use crate::retries::Retries;
 use crate::shared::Shared;
 use crate::traffic;
 use crate::view::ViewCell;
@@ -160,6 +161,7 @@
         incarnation,
         clock,
         ledger,
+        retries: Retries::default(),
         live_hosts,
         log,
         metrics: Metrics::new()?,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod operators;
 mod outcomes;
 mod resume;
+mod retries;
 mod shared;
 mod traffic;
 mod view;
--- /dev/null
+++ b/components/entry/src/retries.rs
@@ -0,0 +1,52 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use policy::{Backoff, FailedTry, NextTry, RetryBudget, next_try};
+use utils::Monotonic;
+
+/// Retries that one success adds to the budget.
+const BUDGET_SHARE: f64 = 0.1;
+
+/// The host's retry budget, shared by the traffic threads without a lock.
+#[derive(Debug)]
+pub(crate) struct Retries {
+    /// Bits of the retries that are left.
+    left: AtomicU64,
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        let left = RetryBudget::new(BUDGET_SHARE).left();
+        Self {
+            left: AtomicU64::new(left.to_bits()),
+        }
+    }
+}
+
+impl Retries {
+    /// Decides whether a draft is tried again.
+    pub(crate) fn decide(&self, failed: &FailedTry, now: Monotonic) -> NextTry {
+        let jitter = rand::random::<f64>();
+        self.update(|budget| next_try(failed, budget, &Backoff::default(), jitter, now))
+    }
+
+    /// Counts a success.
+    pub(crate) fn note_success(&self, is_retry: bool) {
+        self.update(|budget| budget.note_success(is_retry));
+    }
+
+    fn update<T>(&self, change: impl Fn(&mut RetryBudget) -> T) -> T {
+        let mut seen = self.left.load(Ordering::Relaxed);
+        loop {
+            let mut budget = RetryBudget::with_left(f64::from_bits(seen), BUDGET_SHARE);
+            let result = change(&mut budget);
+            let new = budget.left().to_bits();
+            match self
+                .left
+                .compare_exchange_weak(seen, new, Ordering::Relaxed, Ordering::Relaxed)
+            {
+                Ok(_) => return result,
+                Err(other) => seen = other,
+            }
+        }
+    }
+}
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
+use crate::retries::Retries;
 use crate::view::{Serving, View, ViewCell};
 
 /// What all threads of a host share. Nothing here is locked on the way of a token.
@@ -41,6 +42,8 @@
     pub outcomes: Outcomes,
     /// Claims calls that must not be repeated.
     pub ledger: LedgerHandle,
+    /// The retry budget.
+    pub retries: Retries,
     /// Entry hosts that the platform lists.
     pub live_hosts: LiveHosts,
     /// Whether the host is on its way out.
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -4,7 +4,7 @@
 use futures_lite::FutureExt;
 use http_io::{Body, SseEvent};
 use hyper::{Method, Response};
-use policy::{Chosen, Placement, PlacementRequest};
+use policy::{Chosen, FailedTry, Placement, PlacementRequest, RetryDecision};
 use slog::{info, warn};
 use targets::{DraftEvent, DraftRequest, DraftStream, Engine, HttpEngine, TargetError};
 use utils::{Monotonic, TargetId, WeightVersion};
@@ -158,7 +158,7 @@
 
     /// Places and sends the draft until one target's first event arrives.
     pub(crate) async fn open(&mut self) -> Result<Opened, Failure> {
-        for _ in 0..MAX_TARGETS {
+        for target_number in 1..=MAX_TARGETS {
             let chosen = self.place()?;
             self.cx.shared.observer.tell(Observation::Sent {
                 key: chosen.key,
@@ -166,6 +166,7 @@
             });
             let failure = match self.wait_for_first(&chosen).await {
                 Ok((stream, first)) => {
+                    self.cx.shared.retries.note_success(target_number > 1);
                     return Ok(Opened {
                         chosen,
                         stream,
@@ -175,13 +176,42 @@
                 Err(failure) => failure,
             };
             self.note_failure(&chosen, failure);
-            if self.cx.shared.clock.now() >= self.due {
+            if !self.wait_for_retry(target_number).await {
                 break;
             }
         }
         Err(self.failed("no target answered"))
     }
 
+    /// Waits until the draft may be tried again; false if it may not.
+    async fn wait_for_retry(&self, tried: u32) -> bool {
+        let shared = &self.cx.shared;
+        let failed = FailedTry {
+            attempt: tried,
+            max_attempts: MAX_TARGETS,
+            is_idempotent: true,
+            is_not_run: !self.sent,
+            failed_at: shared.clock.now(),
+            due: self.due,
+            expected: Duration::ZERO,
+        };
+        loop {
+            let next = shared.retries.decide(&failed, shared.clock.now());
+            info!(shared.log, "retry decided"; events::RETRY_DECIDED,
+                "request" => id_text(self.received.id), "decision" => ?next.decision,
+                "time_left" => ?next.time_left, "budget_left" => next.budget_left);
+            let (after, is_decided) = match next.decision {
+                RetryDecision::Retry { after } => (after, true),
+                RetryDecision::Hold { after } => (after, false),
+                RetryDecision::Stop(_) => return false,
+            };
+            smol::Timer::after(after).await;
+            if is_decided {
+                return true;
+            }
+        }
+    }
+
     /// Sends the draft to one target. A silent connection is replaced by a new one to the same target, which
     /// goes on with the draft that the target holds, until the first token is due.
     async fn wait_for_first(&mut self, chosen: &Chosen) -> Result<FirstEvent, TargetError> {
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -83,6 +83,11 @@
         "ledger_back",
         "The table service answers again; waiting settlements are written.",
     );
+    pub const RETRY_DECIDED: Event = event(
+        2103,
+        "retry_decided",
+        "After a failed try: whether and when the request is sent again, or why not.",
+    );
     pub const SETTLEMENTS_LEFT: Event = event(
         2102,
         "settlements_left",
@@ -145,6 +150,7 @@
     events::LEDGER_CLOSED,
     events::LEDGER_BACK,
     events::SETTLEMENTS_LEFT,
+    events::RETRY_DECIDED,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -6,11 +6,16 @@
 use crate::Backoff;
 
 /// Retries that are left without any success before.
-const RESERVE: f64 = 5.0;
+const RESERVE: f64 = 10.0;
+/// Shortest time after which an empty budget is looked at again.
+const SHORTEST_HOLD: Duration = Duration::from_millis(10);
+/// Longest time for which a failed request waits for the budget.
+const LONGEST_HOLD: Duration = Duration::from_secs(2);
 /// Most retries that successes can save up.
 const LARGEST_BUDGET: f64 = 10.0;
 
-/// Retries that a host may make: a share of its recent successes, so that retries can't amplify an outage.
+/// Retries that a host may make: a share of its recent successes, so that retries can't amplify an outage. A retry that goes
+/// well gives back what it took, so that requests aboard one crashed target are all tried again, a few at a time.
 ///
 /// ```
 /// use policy::RetryBudget;
@@ -18,7 +23,7 @@
 /// let mut budget = RetryBudget::new(0.1);
 /// while budget.take() {}
 /// for _ in 0..10 {
-///     budget.note_success();
+///     budget.note_success(false);
 /// }
 /// assert!(budget.take());
 /// assert!(!budget.take());
@@ -37,9 +42,15 @@
         Self { left: RESERVE, share }
     }
 
-    /// Counts a success.
-    pub fn note_success(&mut self) {
-        self.left = (self.left + self.share).min(LARGEST_BUDGET);
+    /// A budget with `left` retries.
+    pub fn with_left(left: f64, share: f64) -> Self {
+        Self { left, share }
+    }
+
+    /// Counts a success; `is_retry` says whether a retry was taken for it.
+    pub fn note_success(&mut self, is_retry: bool) {
+        let returned = if is_retry { 1.0 } else { 0.0 };
+        self.left = (self.left + self.share + returned).min(LARGEST_BUDGET);
     }
 
     /// Takes a retry out of the budget; false if there is none.
@@ -75,6 +86,8 @@
     pub is_idempotent: bool,
     /// Whether it is certain that no try ran.
     pub is_not_run: bool,
+    /// When the try failed.
+    pub failed_at: Monotonic,
     /// When the caller needs the first token.
     pub due: Monotonic,
     /// Shortest time that a target needs until the first token.
@@ -103,6 +116,11 @@
         /// The wait.
         after: Duration,
     },
+    /// The budget is empty: decide again after a wait.
+    Hold {
+        /// The wait.
+        after: Duration,
+    },
     /// Tell the caller what is known.
     Stop(StopReason),
 }
@@ -133,6 +151,7 @@
 ///     max_attempts: 4,
 ///     is_idempotent: false,
 ///     is_not_run: false,
+///     failed_at: Duration::from_secs(1),
 ///     due: Duration::from_secs(10),
 ///     expected: Duration::from_millis(200),
 /// };
@@ -148,19 +167,22 @@
 ) -> NextTry {
     let time_left = failed.due.saturating_sub(now);
     let after = backoff.wait(failed.attempt, jitter);
-    let stop = if !failed.is_idempotent && !failed.is_not_run {
-        Some(StopReason::MayHaveRun)
+    let decision = if !failed.is_idempotent && !failed.is_not_run {
+        RetryDecision::Stop(StopReason::MayHaveRun)
     } else if failed.attempt >= failed.max_attempts {
-        Some(StopReason::Attempts)
+        RetryDecision::Stop(StopReason::Attempts)
     } else if after + failed.expected > time_left {
-        Some(StopReason::Deadline)
-    } else if !budget.take() {
-        Some(StopReason::Budget)
+        RetryDecision::Stop(StopReason::Deadline)
+    } else if budget.take() {
+        RetryDecision::Retry { after }
+    } else if now.saturating_sub(failed.failed_at) < LONGEST_HOLD {
+        let after = after.max(SHORTEST_HOLD);
+        RetryDecision::Hold { after }
     } else {
-        None
+        RetryDecision::Stop(StopReason::Budget)
     };
     NextTry {
-        decision: stop.map_or(RetryDecision::Retry { after }, RetryDecision::Stop),
+        decision,
         time_left,
         budget_left: budget.left(),
     }
