Add the lease for orders, rolling loads, and their specification

Cause: orders to targets need a fencing number, and targets that ignore it need a bound in time; weight loads must stay within a limit over all hosts.

Change: `OrderLease`, a state machine over one row: the lease runs from before its write was sent, a lost answer is read back, another host takes the row a full lease after it saw its last write, and waits an order's flight before it orders targets that ignore numbers. Loads are counted in the row before they are ordered, and are taken over with it. `Rollout` compares what targets report with what is wanted, and repeats.

Ruled out: one lease a model (the limit counts over all models, so all holders would write one row anyway); freeing a slot after a time (a slow load would break the limit).

Rollout tests: at most 2 loads at once among 12 targets, 1 among 3, also over a change of holder.

Conclusion: the margin must cover the time between check and send; longer pauses there can not be excluded for targets that ignore numbers.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -6,6 +6,7 @@
 mod heartbeat;
 mod hosts;
 mod input;
+mod lease;
 mod measure;
 mod membership;
 mod neighbours;
@@ -14,6 +15,7 @@
 mod polling;
 mod pool;
 mod probing;
+mod rollout;
 mod tag;
 mod target;
 mod view;
@@ -24,10 +26,14 @@
     TargetSummary, WIRE_OVERHEAD_BYTES,
 };
 pub use input::{Effect, Input, MembershipEvent, Observation};
+pub use lease::{
+    LeaseEffect, LeaseInput, LeaseRow, LeaseRules, LoadSlot, ORDERS_KEY, OrderLease, WriteOutcome,
+};
 pub use measure::{Measure, MeasureOptions, measure};
 pub use membership::{Identity, Membership};
 pub use neighbours::neighbours;
 pub use ownership::{Owners, Ownership, SHARDS, ShardId, shard};
 pub use polling::{Backoff, poll_interval};
+pub use rollout::{Installed, Rollout, Wanted};
 pub use tag::{HostTag, TargetTag, WorkspaceTag};
 pub use view::{HeardHost, HostEntry, MembershipView, TargetEntry, TargetLiveness, Why};
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -27,7 +27,7 @@
 const AGE_UNIT: Duration = Duration::from_millis(250);
 
 /// Who this host is.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Identity {
     /// Name.
     pub id: HostId,
