--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,21 +1,29 @@
 //! The control thread: owns the control state and publishes views.
 
+mod notes;
 mod poll;
 mod state;
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use errors::events;
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
+use ledger::LedgerWriter;
 use platform::HttpPlatform;
+use slog::warn;
 
 use crate::observe::Observation;
 use crate::operators;
+use crate::outcomes::Records;
 use crate::shared::Shared;
 use state::ControlState;
 
+/// Longest wait for the last settlements.
+const SETTLE_WAIT: Duration = Duration::from_secs(10);
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
 /// Publishing may take one part in this many of a core.
@@ -25,24 +33,35 @@
 /// Longest time from a change to the view that shows it.
 const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What the control thread takes from the others.
+pub(crate) struct Sources {
+    /// What traffic threads saw.
+    pub observations: async_channel::Receiver<Observation>,
+    /// What became of requests.
+    pub records: Records,
+    /// Writes claims and settlements.
+    pub writer: LedgerWriter,
+}
+
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
+    sources: Sources,
     stop: Shutdown,
+    ex: Executor,
 ) {
-    let ex: Executor = Arc::new(smol::Executor::new());
-    smol::block_on(ex.run(control(shared, operators, observations, stop, ex.clone())));
+    smol::block_on(ex.run(control(shared, operators, sources, stop, ex.clone())));
 }
 
 async fn control(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
+    sources: Sources,
     stop: Shutdown,
     ex: Executor,
 ) {
+    let writer = ex.spawn(sources.writer.run());
     let cfg = ClientConfig {
         response_timeout: shared.settings.platform.timeout(),
         ..ClientConfig::default()
@@ -60,12 +79,13 @@
         stop.clone(),
     ));
     let pollers = [
+        ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
+        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let state = ControlState::new(shared);
-    let work = run_loop(state, inputs, observations);
+    let state = ControlState::new(shared.clone());
+    let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -73,7 +93,27 @@
     for poller in pollers {
         poller.cancel().await;
     }
+    notes::say_stopped(&shared, platform).await;
     front.await;
+    hand_in_settlements(&shared, writer).await;
+}
+
+/// Waits until every settlement is written, or longer than the table service may take.
+async fn hand_in_settlements(shared: &Shared, writer: smol::Task<()>) {
+    shared.ledger.close();
+    let late = async {
+        smol::Timer::after(SETTLE_WAIT).await;
+        let backlog = shared.ledger.stats().backlog.load(Ordering::Relaxed);
+        warn!(shared.log, "settlements are left"; events::SETTLEMENTS_LEFT, "count" => backlog);
+    };
+    writer.or(late).await;
+}
+
+/// Stores what became of requests as the traffic threads report it.
+async fn store_records(shared: Arc<Shared>, records: Records) {
+    while let Ok((id, remembered)) = records.recv().await {
+        shared.outcomes.store(id, remembered);
+    }
 }
 
 /// What the control loop takes next.
@@ -107,6 +147,12 @@
             Work::Publish
         };
         match due.or(input).or(seen).await {
+            Work::Input(state::Input::Notes { obeyed, done }) => {
+                state.take_notes(obeyed);
+                state.publish();
+                let _ = done.send(()).await;
+                continue;
+            }
             Work::Input(input) => state.apply(input),
             Work::Observation(observation) => state.observe(&observation),
             Work::Publish => {
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -7,13 +7,16 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use errors::events;
-use http_io::{Shutdown, load_acceptor, shutdown_channel};
+use http_io::{Executor, Shutdown, load_acceptor, shutdown_channel};
+use ledger::LedgerWriter;
 use policy::LeastLoaded;
 use slog::{Logger, info, o};
 use utils::{Clock, SystemClock};
 
 use crate::EntryError;
+use crate::claims::{self, LiveHosts};
 use crate::control;
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -62,13 +65,21 @@
             operators: local(&operators)?,
         };
         let (observer, observations) = Observer::new();
-        let shared = Arc::new(build_shared(settings, log, observer)?);
+        let (outcomes, records) = Outcomes::new();
+        let ex: Executor = Arc::new(smol::Executor::new());
+        let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
+        let shared = Arc::new(shared);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
-            move || control::run(shared, operators, observations, control_stopped)
+            let inputs = control::Sources {
+                observations,
+                records,
+                writer,
+            };
+            move || control::run(shared, operators, inputs, control_stopped, ex)
         })?;
         let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
@@ -126,22 +137,43 @@
     }
 }
 
-fn build_shared(settings: Settings, log: Logger, observer: Observer) -> Result<Shared, Report<EntryError>> {
+fn build_shared(
+    settings: Settings,
+    log: Logger,
+    observer: Observer,
+    outcomes: Outcomes,
+    ex: &Executor,
+) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
-    Ok(Shared {
-        incarnation: rand::random(),
-        clock: Arc::new(SystemClock::new()) as Arc<dyn Clock>,
+    let incarnation = rand::random();
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let live_hosts = LiveHosts::default();
+    let (writer, ledger) = claims::build(
+        &settings,
+        incarnation,
+        &clock,
+        live_hosts.clone(),
+        ex,
+        log.clone(),
+    )?;
+    let shared = Shared {
+        incarnation,
+        clock,
+        ledger,
+        live_hosts,
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
+        gate: NoteGate::default(),
         placer: Arc::new(LeastLoaded),
         sealer: Sealer::new(settings.secrets.resume),
         observer,
-        outcomes: Outcomes::default(),
+        outcomes,
         draining: AtomicBool::new(false),
         open_streams: AtomicUsize::new(0),
         settings,
-    })
+    };
+    Ok((shared, writer))
 }
 
 fn spawn_traffic(
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,8 +1,10 @@
 //! The entry daemon: takes requests from callers, places them and relays the answers.
 
+mod claims;
 mod control;
 mod daemon;
 mod error;
+mod gate;
 mod metrics;
 mod observe;
 mod operators;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -2,15 +2,18 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use config::Settings;
+use ledger::LedgerHandle;
 use policy::Placer;
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::claims::LiveHosts;
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
-use crate::view::ViewCell;
+use crate::view::{Serving, View, ViewCell};
 
 /// What all threads of a host share. Nothing here is locked on the way of a token.
 pub(crate) struct Shared {
@@ -26,6 +29,8 @@
     pub metrics: Metrics,
     /// The published view.
     pub view: ViewCell,
+    /// Until when the host may take new work, and under which notes.
+    pub gate: NoteGate,
     /// Decides where prompts run.
     pub placer: Arc<dyn Placer>,
     /// Makes and checks resume tokens.
@@ -34,6 +39,10 @@
     pub observer: Observer,
     /// The latest requests.
     pub outcomes: Outcomes,
+    /// Claims calls that must not be repeated.
+    pub ledger: LedgerHandle,
+    /// Entry hosts that the platform lists.
+    pub live_hosts: LiveHosts,
     /// Whether the host is on its way out.
     pub draining: AtomicBool,
     /// Streams that are open.
@@ -48,6 +57,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Whether new work may be taken under a view. Asked at admission and again before each dispatch.
+    pub(crate) fn serving(&self, view: &View) -> Serving {
+        self.gate.serving(&view.obeyed.state(), self.clock.now())
+    }
+
     /// Counts a stream; `None` if the host has too many.
     pub(crate) fn open_stream(self: &Arc<Self>) -> Option<StreamGuard> {
         let before = self.open_streams.fetch_add(1, Ordering::AcqRel);
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
-mod caller;
+pub mod caller;
 
 pub use caller::Caller;
 
@@ -16,9 +16,10 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Declared, Deployment, PlainService, Workspace};
-use platform::{HostRole, HostState, ListedHost};
+use notes::{Acceptance, Declared, Deployment, NoteStore, Operator, PlainService, Terms, Workspace};
+use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
+use utils::SystemClock;
 
 /// API key of the workspace `mill`.
 pub const MILL_KEY: &str = "mill-key";
@@ -29,6 +30,11 @@
 /// The service whose calls may not be repeated.
 pub const LEDGER: &str = "ledger";
 
+/// Longest wait of a caller; longer than any wait of a host.
+const CALLER_PATIENCE: Duration = Duration::from_secs(20);
+/// Longest wait for a note to come into force.
+const PATIENCE: Duration = Duration::from_secs(15);
+
 /// How a world is built.
 pub struct WorldConfig {
     /// Engines.
@@ -112,23 +118,28 @@
         world
     }
 
-    /// Puts what is declared in force.
+    /// Brings into force what is declared, by a note.
     pub fn declare(&self, declared: &Declared) {
-        let value = serde_json::to_value(declared).unwrap();
-        let write = platform::Write::Put {
-            key: "notes/declared".to_owned(),
-            value,
-        };
-        let tx = platform::Transaction {
-            conditions: Vec::new(),
-            writes: vec![write],
+        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        let platform = Arc::new(HttpPlatform::new(client, self.platform.addr()));
+        let operator = Operator {
+            store: NoteStore::new(platform.clone(), platform),
+            clock: Arc::new(SystemClock::new()),
         };
-        self.platform.state().table().apply(&tx);
+        let id = format!("note-{}", declared.version);
+        let terms = Terms::default();
+        let accepted = smol::block_on(operator.declare(id, &terms, declared, PATIENCE)).unwrap();
+        assert!(matches!(accepted, Acceptance::InForce(_)));
     }
 
     /// A caller at a host.
     pub fn caller(&self, host: usize, api_key: &str) -> Caller {
-        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        let cfg = ClientConfig {
+            connect_timeout: CALLER_PATIENCE,
+            response_timeout: CALLER_PATIENCE,
+            ..ClientConfig::default()
+        };
+        let client = Client::new(self.ex.clone(), cfg);
         Caller::new(client, self.hosts[host].addresses().callers, api_key)
     }
 
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -83,6 +83,11 @@
         "ledger_back",
         "The table service answers again; waiting settlements are written.",
     );
+    pub const SETTLEMENTS_LEFT: Event = event(
+        2102,
+        "settlements_left",
+        "The host ended before the results of all calls were recorded; their keys will say may-have-run.",
+    );
 
     pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
 
@@ -103,6 +108,17 @@
         "The host can not confirm the head of the notes.",
     );
 
+    pub const HEAD_CONFIRMED: Event = event(
+        3005,
+        "head_confirmed",
+        "The host confirms the head of the notes again and takes new work.",
+    );
+    pub const HOST_SUPERSEDED: Event = event(
+        3006,
+        "host_superseded",
+        "Another run has registered under this host's name; the host takes no new work.",
+    );
+
     pub const LIST_READ: Event = event(4001, "list_read", "The platform's list of hosts changed.");
     pub const LIST_DISTRUSTED: Event = event(
         4002,
@@ -128,10 +144,13 @@
     events::RESUMED,
     events::LEDGER_CLOSED,
     events::LEDGER_BACK,
+    events::SETTLEMENTS_LEFT,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
     events::HEAD_UNCONFIRMED,
+    events::HEAD_CONFIRMED,
+    events::HOST_SUPERSEDED,
     events::LIST_READ,
     events::LIST_DISTRUSTED,
     events::PLATFORM_FAILED,
--- /dev/null
+++ b/components/trial/src/declared.rs
@@ -0,0 +1,124 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use checker::NoteAccepted;
+use loadgen::{Arrival, PlannedDraft, PlannedWork, Preset, Trace};
+use notes::{Declared, Deployment, Limits, PlainService, Workspace};
+use standins::unix_micros;
+use utils::{NoteVersion, WorkspaceId};
+
+/// Tokens that a request may ask for.
+const MAX_TOKENS: u32 = 4_096;
+/// Planned requests for each one that must be refused.
+const REFUSAL_EVERY: usize = 40;
+/// Long drafts; more than there are entry hosts, so that each host has one.
+const LONG_DRAFTS: u64 = 6;
+/// Tokens of a long draft.
+const LONG_DRAFT_TOKENS: u32 = 600;
+/// Time from the start of the long drafts to the drain.
+const LONG_DRAFT_LEAD: Duration = Duration::from_millis(300);
+/// Longest time to a first token, in milliseconds.
+const FIRST_TOKEN_MS: u64 = 10_000;
+
+/// API keys of the trace's workspaces.
+pub(crate) fn api_keys(trace: &Trace) -> HashMap<WorkspaceId, String> {
+    let workspaces = trace.workspaces().into_iter();
+    workspaces
+        .map(|workspace| (workspace.clone(), format!("key-of-{workspace}")))
+        .collect()
+}
+
+/// Adds requests for a model that no note declares; each must be refused and not run.
+pub(crate) fn add_refusals(trace: &mut Trace) {
+    let planned = trace.arrivals.len() as u64;
+    let places = (0..trace.arrivals.len()).step_by(REFUSAL_EVERY).zip(planned..);
+    let refusals: Vec<Arrival> = places
+        .map(|(place, number)| refusal(&trace.arrivals[place], number))
+        .collect();
+    trace.arrivals.extend(refusals);
+    trace.arrivals.sort_by_key(|arrival| arrival.at);
+}
+
+fn refusal(beside: &Arrival, number: u64) -> Arrival {
+    Arrival {
+        number,
+        at: beside.at,
+        workspace: beside.workspace.clone(),
+        work: PlannedWork::Draft(PlannedDraft {
+            model: "not-declared".into(),
+            prompt: "a prompt for a model that nobody declared".into(),
+            max_tokens: 8,
+        }),
+    }
+}
+
+/// Adds long drafts that are surely open when an entry host is drained.
+pub(crate) fn add_long_drafts(trace: &mut Trace, preset: &Preset, drained_at: Duration) {
+    let Some(first) = trace.arrivals.first() else {
+        return;
+    };
+    let workspace = first.workspace.clone();
+    let planned = trace.arrivals.len() as u64;
+    let long = (planned..planned + LONG_DRAFTS).map(|number| Arrival {
+        number,
+        at: drained_at.saturating_sub(LONG_DRAFT_LEAD),
+        workspace: workspace.clone(),
+        work: PlannedWork::Draft(PlannedDraft {
+            model: preset.model.clone(),
+            prompt: format!("a prompt with a long answer, {number}").into(),
+            max_tokens: LONG_DRAFT_TOKENS,
+        }),
+    });
+    trace.arrivals.extend(long);
+    trace.arrivals.sort_by_key(|arrival| arrival.at);
+}
+
+/// What the release notes up to `version` declare.
+pub(crate) fn declared(preset: &Preset, trace: &Trace, version: NoteVersion) -> Declared {
+    let mut declared = Declared {
+        version,
+        ..Declared::default()
+    };
+    for (workspace, key) in api_keys(trace) {
+        declared.workspaces.insert(workspace, workspace_of(&key, version));
+    }
+    let deployment = Deployment {
+        weight_version: 1,
+        max_tokens: MAX_TOKENS,
+        first_token_deadline_ms: FIRST_TOKEN_MS,
+        ..Deployment::default()
+    };
+    declared.deployments.insert(preset.model.clone(), deployment);
+    let service = PlainService {
+        repeatable: false,
+        timeout_ms: 2_000,
+        workspaces: Vec::new(),
+    };
+    declared.services.insert(preset.service.clone(), service);
+    declared
+}
+
+fn workspace_of(key: &str, version: NoteVersion) -> Workspace {
+    Workspace {
+        key_digests: vec![utils::digest(key.as_bytes())],
+        limits: Limits {
+            // Each note changes something.
+            requests_per_second: 1_000.0 + version as f64,
+            prompt_tokens_per_second: 2_000_000.0,
+            open_streams: 1_000,
+        },
+        ..Workspace::default()
+    }
+}
+
+/// The record of a note that was accepted just now.
+pub(crate) fn accepted_now(declared: &Declared) -> NoteAccepted {
+    let versions = declared.deployments.iter();
+    NoteAccepted {
+        version: declared.version,
+        at: unix_micros(),
+        weight_versions: versions
+            .map(|(model, deployment)| (model.clone(), deployment.weight_version))
+            .collect::<BTreeMap<_, _>>(),
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,12 @@
+mod trials;
+
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::cmd::NoteCommand;
+pub(crate) use trials::{LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs};
+
 /// Serves prompts that return after long gaps.
 #[derive(Debug)]
 #[derive(Parser)]
@@ -21,10 +26,19 @@
     /// Check settings, or explain every field.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Check, compare and accept release notes. Exits with 3 if a note is staged and not accepted.
+    #[command(subcommand)]
+    Note(NoteCommand),
     /// Print the numbered log events.
     Events,
     /// Make a test authority and keys for the traffic between entry hosts.
     Keys(KeysArgs),
+    /// Play a trial: a small deployment in one process, with faults, and a verdict.
+    Try(TryArgs),
+    /// Run a stand-in for the platform or for a target until SIGTERM or SIGINT.
+    StandIn(StandInArgs),
+    /// Send load to a running system and report latencies.
+    Load(LoadArgs),
 }
 
 /// Arguments of `serve`.
