--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod notes;
 mod poll;
 mod state;
+mod suspects;
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use crate::observe::Observation;
 use crate::operators;
 use crate::outcomes::Records;
+use crate::quarantine::News;
 use crate::shared::Shared;
 use state::ControlState;
 
@@ -41,6 +43,8 @@
     pub records: Records,
     /// Writes claims and settlements.
     pub writer: LedgerWriter,
+    /// Rows of requests that were aboard crashes.
+    pub news: async_channel::Receiver<News>,
 }
 
 /// Runs the control thread until `stop` resolves.
@@ -81,6 +85,8 @@
     let pollers = [
         ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
+        ex.spawn(suspects::write(shared.clone(), platform.clone(), sources.news)),
+        ex.spawn(suspects::scan(shared.clone(), platform.clone())),
         ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
--- a/components/entry/src/control/poll.rs
+++ b/components/entry/src/control/poll.rs
@@ -44,7 +44,12 @@
         for candidate in view.placement.targets.values() {
             if !running.contains_key(&candidate.id) {
                 let engine = HttpEngine::new(client.clone(), candidate.address);
-                let task = ex.spawn(poll_load(candidate.id.clone(), engine, tx.clone()));
+                let task = ex.spawn(poll_load(
+                    shared.clone(),
+                    candidate.id.clone(),
+                    engine,
+                    tx.clone(),
+                ));
                 running.insert(candidate.id.clone(), task);
             }
         }
@@ -52,9 +57,12 @@
     }
 }
 
-async fn poll_load(id: TargetId, engine: HttpEngine, tx: Inputs) {
+async fn poll_load(shared: Arc<Shared>, id: TargetId, engine: HttpEngine, tx: Inputs) {
     loop {
         let report = engine.load().await.ok();
+        if let Some(report) = &report {
+            shared.suspects.note_incarnation(&id, report.incarnation);
+        }
         if tx.send(Input::Load(id.clone(), report)).await.is_err() {
             return;
         }
--- /dev/null
+++ b/components/entry/src/control/suspects.rs
@@ -0,0 +1,346 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use error_stack::Report;
+use errors::events;
+use platform::{
+    Committed, Condition, Expect, HttpPlatform, PlatformError, Row, ScanRequest, TableService, Transaction,
+    Write,
+};
+use policy::{Fingerprint, Suspicion, TryId};
+use serde::{Deserialize, Serialize};
+use slog::info;
+use utils::TargetId;
+
+use super::poll::{Health, jittered};
+use crate::quarantine::{LONGEST_TRY, News};
+use crate::shared::Shared;
+
+/// Start of the key of every row.
+const PREFIX: &str = "suspect/";
+/// Start of the key of the row that a suspect's try holds for its target.
+const TARGET_PREFIX: &str = "suspect-target/";
+/// Time after its last change at which a row is removed.
+const ROW_EXPIRY: Duration = Duration::from_secs(3_600);
+/// Most rows in a transaction.
+const BATCH_ROWS: usize = 64;
+/// Most rows that a scan returns.
+const SCAN_ROWS: usize = 1_000;
+/// Time between two tries to write.
+const WRITE_RETRY: Duration = Duration::from_millis(50);
+
+/// What the table holds about a request.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct SuspectRow {
+    /// Crashes and tries.
+    suspicion: Suspicion,
+    /// Last change, in seconds since 1970.
+    changed_at: u64,
+}
+
+/// What the table holds about a target that runs a suspect.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct TargetRow {
+    /// The try.
+    id: TryId,
+    /// When it took the target, in seconds since 1970.
+    claimed_at: u64,
+}
+
+/// A try that wants a target, and who is told whether it has it.
+type Claim = (TargetId, TryId, async_channel::Sender<bool>);
+
+/// Who waits for rows.
+type Done = async_channel::Sender<Vec<(Fingerprint, Suspicion)>>;
+
+/// News that go into one transaction.
+#[derive(Default)]
+struct Batch {
+    /// Rows to merge.
+    merges: BTreeMap<Fingerprint, Suspicion>,
+    /// Rows to remove.
+    removals: BTreeSet<Fingerprint>,
+    /// Who waits.
+    waiting: Vec<Done>,
+    /// Targets that are wanted.
+    claims: Vec<Claim>,
+    /// Targets that are given back.
+    releases: BTreeSet<(TargetId, TryId)>,
+}
+
+/// What a batch has written.
+struct Written {
+    /// Rows of suspects as they are now.
+    rows: Vec<(Fingerprint, Suspicion)>,
+    /// For each claim, whether the try has its target.
+    granted: Vec<bool>,
+}
+
+impl Batch {
+    fn add(&mut self, news: News) {
+        match news {
+            News::Merge { rows, done } => {
+                for (request, suspicion) in rows {
+                    self.removals.remove(&request);
+                    self.merges.entry(request).or_default().merge(&suspicion);
+                }
+                self.waiting.push(done);
+            }
+            News::Remove(request) => {
+                self.merges.remove(&request);
+                self.removals.insert(request);
+            }
+            News::Claim { target, id, done } => self.claims.push((target, id, done)),
+            News::Release { target, id } => {
+                self.claims.retain(|(_, other, _)| *other != id);
+                self.releases.insert((target, id));
+            }
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        let rows = self.merges.len() + self.removals.len();
+        rows + self.claims.len() + self.releases.len() >= BATCH_ROWS
+    }
+
+    /// Writes the batch on top of what the table holds; `None` if that changed meanwhile.
+    async fn write(
+        &self,
+        shared: &Shared,
+        table: &HttpPlatform,
+    ) -> Result<Option<Written>, Report<PlatformError>> {
+        let mut keys: Vec<_> = self.merges.keys().map(key).collect();
+        let wanted = self.claims.iter().map(|(target, _, _)| target);
+        let released = self.releases.iter().map(|(target, _)| target);
+        let targets: BTreeSet<_> = wanted.chain(released).cloned().collect();
+        keys.extend(targets.iter().map(target_key));
+        let mut found = table.read(keys).await?.into_iter();
+        let now = wall_seconds(shared);
+        let mut tx = Transaction::default();
+        let rows = self.add_merges(&mut tx, found.by_ref(), now);
+        let held = targets.into_iter().zip(found).collect();
+        let granted = self.add_claims(&mut tx, &held, now);
+        let removals = self.removals.iter();
+        tx.writes
+            .extend(removals.map(|request| Write::Delete { key: key(request) }));
+        if tx.writes.is_empty() {
+            return Ok(Some(Written { rows, granted }));
+        }
+        match table.transact(tx).await? {
+            Committed::Applied { .. } => Ok(Some(Written { rows, granted })),
+            Committed::Refused { .. } => Ok(None),
+        }
+    }
+
+    fn add_merges(
+        &self,
+        tx: &mut Transaction,
+        found: impl Iterator<Item = Option<Row>>,
+        now: u64,
+    ) -> Vec<(Fingerprint, Suspicion)> {
+        let mut merged = Vec::new();
+        for ((request, suspicion), row) in self.merges.iter().zip(found) {
+            let mut suspicion = suspicion.clone();
+            if let Some(old) = row.as_ref().and_then(parse) {
+                suspicion.merge(&old.suspicion);
+            }
+            let value = SuspectRow {
+                suspicion: suspicion.clone(),
+                changed_at: now,
+            };
+            *tx = std::mem::take(tx).put(key(request), expect(row.as_ref()), serde_json::json!(value));
+            merged.push((*request, suspicion));
+        }
+        merged
+    }
+
+    /// Adds the rows of targets that are free, expired or given back. Returns which claims hold.
+    fn add_claims(
+        &self,
+        tx: &mut Transaction,
+        held: &BTreeMap<TargetId, Option<Row>>,
+        now: u64,
+    ) -> Vec<bool> {
+        let mut taken = BTreeSet::new();
+        let mut granted = Vec::new();
+        for (target, id, _) in &self.claims {
+            let row = held.get(target).and_then(Option::as_ref);
+            let is_free = !taken.contains(target) && self.is_free(target, row, id, now);
+            granted.push(is_free);
+            if !is_free {
+                continue;
+            }
+            taken.insert(target);
+            let value = TargetRow {
+                id: id.clone(),
+                claimed_at: now,
+            };
+            *tx = std::mem::take(tx).put(target_key(target), expect(row), serde_json::json!(value));
+        }
+        for (target, id) in self.releases.iter().filter(|(target, _)| !taken.contains(target)) {
+            let row = held.get(target).and_then(Option::as_ref);
+            if row.and_then(parse_target).is_some_and(|found| found.id == *id) {
+                let key = target_key(target);
+                tx.conditions.push(Condition {
+                    key: key.clone(),
+                    expect: expect(row),
+                });
+                tx.writes.push(Write::Delete { key });
+            }
+        }
+        granted
+    }
+
+    fn is_free(&self, target: &TargetId, row: Option<&Row>, id: &TryId, now: u64) -> bool {
+        let Some(found) = row.and_then(parse_target) else {
+            return true;
+        };
+        let is_expired = now.saturating_sub(found.claimed_at) >= LONGEST_TRY.as_secs();
+        let is_own = found.id == *id;
+        is_expired || is_own || self.releases.contains(&(target.clone(), found.id))
+    }
+}
+
+/// Writes the rows of suspects as they come, all that wait in one transaction.
+pub(crate) async fn write(
+    shared: Arc<Shared>,
+    table: Arc<HttpPlatform>,
+    news: async_channel::Receiver<News>,
+) {
+    let mut health = Health::new(&shared, "suspects");
+    while let Ok(first) = news.recv().await {
+        let mut batch = Batch::default();
+        batch.add(first);
+        loop {
+            while !batch.is_full()
+                && let Ok(more) = news.try_recv()
+            {
+                batch.add(more);
+            }
+            if let Some(Some(written)) = health.note(batch.write(&shared, &table).await) {
+                finish(&shared, &batch, &written);
+                break;
+            }
+            smol::Timer::after(jittered(WRITE_RETRY)).await;
+        }
+    }
+}
+
+fn finish(shared: &Shared, batch: &Batch, written: &Written) {
+    let now = shared.clock.now();
+    for (request, suspicion) in &written.rows {
+        shared.suspects.register().merge(*request, suspicion, now);
+    }
+    for request in &batch.removals {
+        forget(shared, request);
+    }
+    for done in &batch.waiting {
+        let _ = done.try_send(written.rows.clone());
+    }
+    for ((_, _, done), granted) in batch.claims.iter().zip(&written.granted) {
+        let _ = done.try_send(*granted);
+    }
+}
+
+/// Reads the rows of all hosts again and again.
+pub(crate) async fn scan(shared: Arc<Shared>, table: Arc<HttpPlatform>) {
+    let mut health = Health::new(&shared, "suspects");
+    let interval = Duration::from_millis(shared.settings.platform.head_interval_ms);
+    let mut known = BTreeSet::new();
+    loop {
+        if let Some(rows) = health.note(read_all(&table).await) {
+            known = take(&shared, &known, &rows);
+            let expired = expired(&shared, &rows);
+            if !expired.writes.is_empty() {
+                health.note(table.transact(expired).await);
+            }
+        }
+        smol::Timer::after(jittered(interval)).await;
+    }
+}
+
+async fn read_all(table: &HttpPlatform) -> Result<Vec<Row>, Report<PlatformError>> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let req = ScanRequest {
+            prefix: PREFIX.to_owned(),
+            after: rows.last().map_or_else(String::new, |row| row.key.clone()),
+            limit: SCAN_ROWS,
+        };
+        let more = table.scan(req).await?;
+        let is_last = more.len() < SCAN_ROWS;
+        rows.extend(more);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
+
+/// Takes the rows and forgets those that are gone. Returns the requests that have rows.
+fn take(shared: &Shared, known: &BTreeSet<Fingerprint>, rows: &[Row]) -> BTreeSet<Fingerprint> {
+    let now = shared.clock.now();
+    let mut found = BTreeSet::new();
+    for row in rows {
+        let request = row.key.strip_prefix(PREFIX).and_then(|text| text.parse().ok());
+        if let (Some(request), Some(row)) = (request, parse(row)) {
+            shared.suspects.register().merge(request, &row.suspicion, now);
+            found.insert(request);
+        }
+    }
+    known
+        .difference(&found)
+        .for_each(|request| forget(shared, request));
+    found
+}
+
+fn forget(shared: &Shared, request: &Fingerprint) {
+    shared.suspects.register().forget(request);
+    info!(shared.log, "request cleared"; events::REQUEST_CLEARED, "fingerprint" => %request);
+}
+
+/// Removes the rows that have not changed for long.
+fn expired(shared: &Shared, rows: &[Row]) -> Transaction {
+    let now = wall_seconds(shared);
+    let mut tx = Transaction::default();
+    for row in rows {
+        let age = parse(row).map(|found| now.saturating_sub(found.changed_at));
+        if age.is_none_or(|age| age < ROW_EXPIRY.as_secs()) {
+            continue;
+        }
+        let (key, expect) = (row.key.clone(), Expect::Version(row.version));
+        tx.conditions.push(Condition {
+            key: key.clone(),
+            expect,
+        });
+        tx.writes.push(Write::Delete { key });
+    }
+    tx
+}
+
+fn parse(row: &Row) -> Option<SuspectRow> {
+    serde_json::from_value(row.value.clone()).ok()
+}
+
+fn parse_target(row: &Row) -> Option<TargetRow> {
+    serde_json::from_value(row.value.clone()).ok()
+}
+
+fn expect(row: Option<&Row>) -> Expect {
+    row.map_or(Expect::Absent, |row| Expect::Version(row.version))
+}
+
+fn target_key(target: &TargetId) -> String {
+    format!("{TARGET_PREFIX}{target}")
+}
+
+fn key(request: &Fingerprint) -> String {
+    format!("{PREFIX}{request}")
+}
+
+fn wall_seconds(shared: &Shared) -> u64 {
+    let since = shared.clock.wall().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
+}
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
+use crate::quarantine::{News, Suspects};
 use crate::resume::Sealer;
 use crate::retries::Retries;
 use crate::shared::Shared;
@@ -68,7 +69,7 @@
         let (observer, observations) = Observer::new();
         let (outcomes, records) = Outcomes::new();
         let ex: Executor = Arc::new(smol::Executor::new());
-        let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
+        let (shared, writer, news) = build_shared(settings, log, observer, outcomes, &ex)?;
         let shared = Arc::new(shared);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
@@ -79,6 +80,7 @@
                 observations,
                 records,
                 writer,
+                news,
             };
             move || control::run(shared, operators, inputs, control_stopped, ex)
         })?;
@@ -144,7 +146,7 @@
     observer: Observer,
     outcomes: Outcomes,
     ex: &Executor,
-) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
+) -> Result<(Shared, LedgerWriter, async_channel::Receiver<News>), Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
     let incarnation = rand::random();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
@@ -157,10 +159,12 @@
         ex,
         log.clone(),
     )?;
+    let (suspects, news) = Suspects::new(&settings, incarnation);
     let shared = Shared {
         incarnation,
         clock,
         ledger,
+        suspects,
         retries: Retries::default(),
         live_hosts,
         log,
@@ -175,7 +179,7 @@
         open_streams: AtomicUsize::new(0),
         settings,
     };
-    Ok((shared, writer))
+    Ok((shared, writer, news))
 }
 
 fn spawn_traffic(
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod observe;
 mod operators;
 mod outcomes;
+mod quarantine;
 mod resume;
 mod retries;
 mod shared;
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -3,9 +3,10 @@
 
 use bytes::Bytes;
 use http_io::{Body, Executor, Handler, Server, ServerConfig, Shutdown, full_body, json_body};
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use serde::Serialize;
 
+use crate::quarantine::SuspectState;
 use crate::shared::Shared;
 use crate::view::Serving;
 
@@ -30,6 +31,8 @@
     engines: Vec<(&'a str, policy::TargetState)>,
     /// Plain services.
     services: Vec<&'a str>,
+    /// Requests that were aboard crashes and have not ended well since.
+    suspects: Vec<SuspectState>,
     /// Observations that the control thread never saw.
     observations_dropped: u64,
 }
@@ -53,13 +56,24 @@
         "/readyz" => ready(shared),
         "/metrics" => text(200, "text/plain; version=0.0.4", shared.metrics.text()),
         "/v1/state" => json(&state(shared)),
-        _ => match path.strip_prefix("/v1/decisions/") {
-            Some(id) => decision(shared, id),
-            None => text(404, "text/plain", "not found\n"),
+        _ => match path.rsplit_once('/') {
+            Some(("/v1/decisions", id)) => decision(shared, id),
+            Some(("/v1/suspects", id)) if req.method() == Method::DELETE => clear_suspect(shared, id),
+            _ => text(404, "text/plain", "not found\n"),
         },
     }
 }
 
+fn clear_suspect(shared: &Shared, id: &str) -> Response<Body> {
+    match id.parse() {
+        Ok(request) if shared.suspects.clear(request) => {
+            text(202, "text/plain", "the row is being removed\n")
+        }
+        Ok(_) => text(503, "text/plain", "too many rows wait to be written\n"),
+        Err(_) => text(400, "text/plain", "a fingerprint is 64 hexadecimal digits\n"),
+    }
+}
+
 fn ready(shared: &Shared) -> Response<Body> {
     if shared.is_draining() {
         return text(503, "text/plain", "draining\n");
@@ -106,6 +120,7 @@
             .map(|t| (&*t.id, t.state))
             .collect(),
         services: view.services.iter().map(|s| &*s.id).collect(),
+        suspects: shared.suspects.states(),
         observations_dropped: shared.observer.dropped(),
     })
 }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
+use crate::quarantine::Suspects;
 use crate::resume::Sealer;
 use crate::retries::Retries;
 use crate::view::{Serving, View, ViewCell};
@@ -42,6 +43,8 @@
     pub outcomes: Outcomes,
     /// Claims calls that must not be repeated.
     pub ledger: LedgerHandle,
+    /// Requests that were aboard crashes.
+    pub suspects: Suspects,
     /// The retry budget.
     pub retries: Retries,
     /// Entry hosts that the platform lists.
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -14,6 +14,7 @@
 use super::relay::Relay;
 use super::respond::id_text;
 use super::route::{Received, check_serving};
+use super::watch::Watch;
 use super::{Context, respond};
 use crate::observe::Observation;
 use crate::outcomes::Remembered;
@@ -50,6 +51,8 @@
     pub excluded: Vec<TargetId>,
     /// Whether a target may have run the request.
     pub sent: bool,
+    /// Watches the tries for crashes; `None` for a draft that is only resumed.
+    pub watch: Option<Watch>,
 }
 
 /// A draft whose first event arrived.
@@ -89,7 +92,7 @@
 
 impl Draft {
     fn new(cx: &Context, mut received: Received, prompt: Prompt) -> Result<Self, Failure> {
-        received.body = bytes::Bytes::new();
+        let body = std::mem::take(&mut received.body);
         let declared = &received.view.declared;
         let found = declared.deployments.get_key_value(prompt.model.as_str());
         let Some((model, deployment)) = found.filter(|(_, d)| d.is_open_to(&received.workspace)) else {
@@ -123,6 +126,7 @@
         };
         let due = began + deployment.first_token_deadline();
         let (cx, stream, chat) = (cx.clone(), prompt.stream, prompt.chat);
+        let watch = Watch::new(&cx.shared, &received.workspace, &body);
         Ok(Self {
             cx,
             received,
@@ -133,6 +137,7 @@
             due,
             excluded: Vec::new(),
             sent: false,
+            watch: Some(watch),
         })
     }
 
@@ -159,7 +164,7 @@
     /// Places and sends the draft until one target's first event arrives.
     pub(crate) async fn open(&mut self) -> Result<Opened, Failure> {
         for target_number in 1..=MAX_TARGETS {
-            let chosen = self.place()?;
+            let chosen = self.place_watched().await?;
             self.cx.shared.observer.tell(Observation::Sent {
                 key: chosen.key,
                 tokens: self.req.prompt_tokens,
@@ -176,10 +181,12 @@
                 Err(failure) => failure,
             };
             self.note_failure(&chosen, failure);
+            self.examine(&chosen, failure).await?;
             if !self.wait_for_retry(target_number).await {
                 break;
             }
         }
+        self.wait_until_published().await;
         Err(self.failed("no target answered"))
     }
 
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod respond;
 mod route;
+mod watch;
 
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/components/entry/src/traffic/relay.rs
+++ b/components/entry/src/traffic/relay.rs
@@ -6,7 +6,7 @@
 use futures_lite::stream::unfold;
 use http_io::{Body, SseEvent, stream_body};
 use hyper::Response;
-use policy::Chosen;
+use policy::{Chosen, TryEnd};
 use slog::info;
 use targets::{DraftEvent, DraftRequest, DraftStream, TargetError};
 use utils::WeightVersion;
@@ -222,6 +222,7 @@
         };
         self.draft.sent = true;
         self.draft.note_failure(&chosen, failure);
+        self.draft.examine(&chosen, error).await?;
         self.move_to_other_target().await
     }
 
@@ -232,11 +233,12 @@
         self.draft.req.resume_only = false;
         self.draft.req.continued = self.text.clone();
         self.draft.due = self.draft.cx.shared.clock.now() + self.first_event_limit();
-        let opened = self.draft.open().await.map_err(|_| {
-            self.truth(
+        let opened = self.draft.open().await.map_err(|failure| match failure.kind {
+            ProblemKind::Quarantined => failure,
+            _ => self.truth(
                 ProblemKind::AnswerCut,
                 "no other target could go on with the answer",
-            )
+            ),
         })?;
         (self.chosen, self.stream, self.first) = (opened.chosen, opened.stream, Some(opened.first));
         Ok(())
@@ -278,6 +280,9 @@
 
     fn answered(&mut self) {
         self.ended = true;
+        if let Some(watch) = &mut self.draft.watch {
+            watch.end(&TryEnd::Well);
+        }
         let shared = &self.draft.cx.shared;
         shared.observer.tell(Observation::Ended {
             key: self.chosen.key,
@@ -411,6 +416,7 @@
         due: began,
         excluded: Vec::new(),
         sent: true,
+        watch: None,
     };
     Ok((draft, chosen))
 }
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -267,7 +267,8 @@
     }
 }
 
-fn listed(id: &str, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
+/// An entry of the platform's list.
+pub fn listed(id: &str, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
     ListedHost {
         id: id.into(),
         role,
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -88,6 +88,26 @@
         "retry_decided",
         "After a failed try: whether and when the request is sent again, or why not.",
     );
+    pub const REQUEST_SUSPECTED: Event = event(
+        2110,
+        "request_suspected",
+        "A target crashed with a request aboard; its next try runs alone among suspects.",
+    );
+    pub const REQUEST_QUARANTINED: Event = event(
+        2111,
+        "request_quarantined",
+        "A request was aboard two crashes and is refused from now on.",
+    );
+    pub const REQUEST_CLEARED: Event = event(
+        2112,
+        "request_cleared",
+        "A suspect ended well, its row expired, or an operator cleared it.",
+    );
+    pub const SUSPECTS_UNWRITTEN: Event = event(
+        2113,
+        "suspects_unwritten",
+        "The table service did not take the rows of suspects in time; other hosts do not know them yet.",
+    );
     pub const SETTLEMENTS_LEFT: Event = event(
         2102,
         "settlements_left",
@@ -151,6 +171,10 @@
     events::LEDGER_BACK,
     events::SETTLEMENTS_LEFT,
     events::RETRY_DECIDED,
+    events::REQUEST_SUSPECTED,
+    events::REQUEST_QUARANTINED,
+    events::REQUEST_CLEARED,
+    events::SUSPECTS_UNWRITTEN,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -315,6 +315,10 @@
     pub fn merge(&mut self, request: Fingerprint, other: &Suspicion, now: Monotonic) {
         let suspicion = self.suspicions.entry(request).or_default();
         suspicion.merge(other);
+        let running = self.running.get(&request);
+        if running.is_some_and(|run| suspicion.ended.contains(&run.id)) {
+            self.running.remove(&request);
+        }
         if let Some(trial) = suspicion.open_trial() {
             let run = Running {
                 id: trial.clone(),
@@ -325,6 +329,31 @@
         }
     }
 
+    /// Drops what is known about a fingerprint, since its row in the table is gone. Its trials keep nobody waiting.
+    pub fn forget(&mut self, request: &Fingerprint) {
+        let Some(suspicion) = self.suspicions.remove(request) else {
+            return;
+        };
+        let running = self.running.get(request);
+        if running.is_some_and(|run| suspicion.trials.contains(&run.id)) {
+            self.running.remove(request);
+        }
+    }
+
+    /// The target that runs a request that is not suspect; equal requests may share it instead of waiting, since its
+    /// crash is one crash, however many of them are aboard.
+    pub fn shared_target(&self, request: &Fingerprint) -> Option<&TargetId> {
+        if self.suspicion(request).is_some_and(Suspicion::is_suspect) {
+            return None;
+        }
+        self.running.get(request)?.target.as_ref()
+    }
+
+    /// Everything that is known about fingerprints that count crashes.
+    pub fn suspects(&self) -> impl Iterator<Item = (&Fingerprint, &Suspicion)> {
+        self.suspicions.iter().filter(|(_, s)| s.is_suspect())
+    }
+
     /// What is known about a fingerprint.
     pub fn suspicion(&self, request: &Fingerprint) -> Option<&Suspicion> {
         self.suspicions.get(request)
