Let entry hosts exchange heartbeats and distrust a list that empties a pool

Cause: the control thread believed every list at once, knew nothing of silent hosts, and could not hear from other hosts that a target leaves.

Change: control/peers.rs runs the membership and, when the settings name keys, the transport. Its view takes the place of the list: targets that too large a loss would remove stay, a target that any host's list marks as leaving gets no new work, silent and flapping targets count as suspect until their wait is over. Draining is announced. The incarnation of a run is now the time of its start, as heartbeats need it to grow with each run of a host. Events 4005 to 4011. Without keys the list alone speaks for other hosts.

Ruled out: probing hosts without an address for peers; they would look dead.

Daemons with keys were not run against each other in this commit.

Conclusion: polling of loads is still done by every host; ownership does not limit it yet.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the control state and publishes views.
 
 mod notes;
+mod peers;
 mod poll;
 mod state;
 
@@ -20,8 +21,12 @@
 use crate::operators;
 use crate::outcomes::Records;
 use crate::shared::Shared;
+use ::peers::{Arrived, Transport};
+use peers::PeerControl;
 use state::ControlState;
 
+pub(crate) use peers::open as open_peers;
+
 /// Longest wait for the last settlements.
 const SETTLE_WAIT: Duration = Duration::from_secs(10);
 /// Inputs that wait for the control loop.
@@ -41,6 +46,8 @@
     pub records: Records,
     /// Writes claims and settlements.
     pub writer: LedgerWriter,
+    /// Connections to other entry hosts and what arrives over them; `None` without keys.
+    pub peers: Option<(Transport, async_channel::Receiver<Arrived>)>,
 }
 
 /// Runs the control thread until `stop` resolves.
@@ -78,13 +85,17 @@
         ex.clone(),
         stop.clone(),
     ));
-    let pollers = [
+    let (transport, arrivals) = sources.peers.unzip();
+    let mut pollers = vec![
+        ex.spawn(peers::tick(tx.clone())),
         ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
+        ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx.clone())),
     ];
-    let state = ControlState::new(shared.clone());
+    pollers.extend(arrivals.map(|arrivals| ex.spawn(peers::receive(arrivals, tx))));
+    let members = PeerControl::new(shared.clone(), transport.clone());
+    let state = ControlState::new(shared.clone(), members);
     let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
         let _ = stop.recv().await;
@@ -93,6 +104,9 @@
     for poller in pollers {
         poller.cancel().await;
     }
+    if let Some(transport) = transport {
+        transport.shutdown().await;
+    }
     notes::say_stopped(&shared, platform).await;
     front.await;
     hand_in_settlements(&shared, writer).await;
--- /dev/null
+++ b/components/entry/src/control/peers.rs
@@ -0,0 +1,223 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::peers::{Arrived, Executor, PeerError, PeerTls, Transport, TransportOptions};
+use error_stack::Report;
+use errors::events;
+use membership::{
+    Effect, Identity, Input, Membership, MembershipEvent, MembershipView, Observation, TargetLiveness,
+};
+use platform::{HostRole, HostState, ListedHost};
+use slog::{info, warn};
+use utils::TargetId;
+
+use super::state::Input as ControlInput;
+use crate::shared::Shared;
+
+/// Time between two ticks of the membership.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Hosts and targets as this host knows them.
+pub(crate) struct PeerControl {
+    /// State of all threads.
+    shared: Arc<Shared>,
+    /// The state machine.
+    membership: Membership,
+    /// Connections to other entry hosts; `None` without keys.
+    transport: Option<Transport>,
+    /// Entry hosts that can not be probed; the list alone speaks for them.
+    unprobed: Vec<ListedHost>,
+    /// Whether the other hosts know that this one leaves.
+    has_left: bool,
+}
+
+/// What the rest of the control state uses in place of the platform's list.
+pub(crate) struct Members {
+    /// Hosts and targets, with what is known beyond the list.
+    pub list: Vec<ListedHost>,
+    /// Targets that did not answer lately.
+    pub suspects: BTreeSet<TargetId>,
+}
+
+impl PeerControl {
+    pub(crate) fn new(shared: Arc<Shared>, transport: Option<Transport>) -> Self {
+        let host = &shared.settings.host;
+        let identity = Identity {
+            id: host.id.clone(),
+            region: host.region.clone(),
+            incarnation: shared.incarnation,
+        };
+        let membership = Membership::new(identity, rand::random(), shared.clock.now());
+        Self {
+            shared,
+            membership,
+            transport,
+            unprobed: Vec::new(),
+            has_left: false,
+        }
+    }
+
+    /// Takes the platform's list.
+    pub(crate) fn take_list(&mut self, list: Vec<ListedHost>) -> Option<Members> {
+        let own = self.shared.settings.host.id.clone();
+        let has_transport = self.transport.is_some();
+        let is_probed = |h: &ListedHost| {
+            h.role != HostRole::Entry || h.id == own || (has_transport && h.peer_address.is_some())
+        };
+        let (probed, unprobed) = list.into_iter().partition(is_probed);
+        self.unprobed = unprobed;
+        self.step(Input::List(probed))
+    }
+
+    /// Takes what came from another host.
+    pub(crate) fn take_arrived(&mut self, arrived: Arrived) -> Option<Members> {
+        match arrived {
+            Arrived::Heartbeat { from, heartbeat } => self.step(Input::Received { from, heartbeat }),
+            // No question is known so far; dropping it ends the stream.
+            Arrived::Question { .. } => None,
+        }
+    }
+
+    /// Takes how a target answered this host.
+    pub(crate) fn observe(&mut self, target: &TargetId, answered: bool) -> Option<Members> {
+        let observation = match answered {
+            true => Observation::Answered,
+            false => Observation::Failed,
+        };
+        let target = target.clone();
+        self.step(Input::Observed { target, observation })
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self) -> Option<Members> {
+        let left = match self.shared.is_draining() && !self.has_left {
+            true => {
+                self.has_left = true;
+                self.step(Input::Leave)
+            }
+            false => None,
+        };
+        self.step(Input::Tick).or(left)
+    }
+
+    fn step(&mut self, input: Input) -> Option<Members> {
+        let now = self.shared.clock.now();
+        let mut changed = false;
+        for effect in self.membership.step(input, now) {
+            match effect {
+                Effect::Send { to, heartbeat } => {
+                    if let Some(transport) = &self.transport {
+                        transport.send(&to, self.membership.peer_address(&to), &heartbeat);
+                    }
+                }
+                Effect::Reconnect(to) => {
+                    if let Some(transport) = &self.transport
+                        && let Some(addr) = self.membership.peer_address(&to)
+                    {
+                        transport.replace(&to, addr);
+                    }
+                }
+                Effect::ViewChanged => changed = true,
+                Effect::Log(event) => self.log(&event),
+                Effect::NotesHeard { .. } | Effect::QuarantineHeard(_) | Effect::DemandHeard { .. } => {}
+            }
+        }
+        changed.then(|| self.members(&self.membership.view(now)))
+    }
+
+    fn members(&self, view: &MembershipView) -> Members {
+        let hosts = view.hosts.values().flatten().map(|host| {
+            let mut listed = (*host.listed).clone();
+            if host.leaving {
+                listed.state = HostState::Leaving;
+            }
+            listed
+        });
+        let targets = view.targets.values().map(|target| {
+            let mut listed = (*target.listed).clone();
+            if target.liveness == TargetLiveness::Leaving {
+                listed.state = HostState::Leaving;
+            }
+            listed
+        });
+        let suspects = view
+            .targets
+            .iter()
+            .filter(|(_, target)| target.liveness == TargetLiveness::Suspect);
+        Members {
+            suspects: suspects.map(|(id, _)| id.clone()).collect(),
+            list: hosts
+                .chain(targets)
+                .chain(self.unprobed.iter().cloned())
+                .collect(),
+        }
+    }
+
+    fn log(&self, event: &MembershipEvent) {
+        let log = &self.shared.log;
+        match event {
+            MembershipEvent::ListDistrusted(kept) => {
+                warn!(log, "list lost too much at once"; events::LIST_DISTRUSTED, "kept" => kept);
+            }
+            MembershipEvent::HostSuspected(id) => {
+                info!(log, "host does not answer"; events::PEER_SUSPECTED, "peer" => %id);
+            }
+            MembershipEvent::HostDead(id) => warn!(log, "host is gone"; events::PEER_DEAD, "peer" => %id),
+            MembershipEvent::HostBack(id) => {
+                info!(log, "host answers again"; events::PEER_BACK, "peer" => %id);
+            }
+            MembershipEvent::HostRestarted(id) => {
+                info!(log, "host restarted"; events::PEER_RESTARTED, "peer" => %id);
+            }
+            MembershipEvent::Isolated => warn!(log, "this host seems cut off"; events::ISOLATED),
+            MembershipEvent::Rejoined => info!(log, "other hosts answer again"; events::REJOINED),
+            MembershipEvent::Paused(ms) => {
+                warn!(log, "control thread was paused"; events::CONTROL_PAUSED, "milliseconds" => ms);
+            }
+            MembershipEvent::Superseded(incarnation) => {
+                warn!(log, "a later run has this host's name"; events::HOST_SUPERSEDED,
+                    "incarnation" => incarnation);
+            }
+        }
+    }
+}
+
+/// Opens the socket for other entry hosts; `None` if the settings name no keys.
+///
+/// # Errors
+/// [`PeerError`] if the keys or the address can not be used.
+pub(crate) fn open(
+    shared: &Shared,
+    ex: Executor,
+) -> Result<Option<(Transport, async_channel::Receiver<Arrived>)>, Report<PeerError>> {
+    let settings = &shared.settings;
+    if settings.peers == config::PeerSettings::default() {
+        return Ok(None);
+    }
+    let options = TransportOptions {
+        host: settings.host.id.clone(),
+        listen: settings.listen.peers,
+        tls: PeerTls::load(&settings.peers)?,
+    };
+    Transport::bind(options, ex).map(Some)
+}
+
+/// Hands ticks to the control loop.
+pub(crate) async fn tick(tx: async_channel::Sender<ControlInput>) {
+    while tx.send(ControlInput::Tick).await.is_ok() {
+        smol::Timer::after(TICK).await;
+    }
+}
+
+/// Hands what arrives to the control loop.
+pub(crate) async fn receive(
+    arrivals: async_channel::Receiver<Arrived>,
+    tx: async_channel::Sender<ControlInput>,
+) {
+    while let Ok(arrived) = arrivals.recv().await {
+        if tx.send(ControlInput::Arrived(arrived)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -1,6 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use ::peers::Arrived;
 use errors::events;
 use notes::Obeyed;
 use platform::{HostRole, HostState, ListedHost};
@@ -9,6 +10,7 @@
 use targets::{LoadReport, TargetError};
 use utils::TargetId;
 
+use super::peers::{Members, PeerControl};
 use crate::observe::Observation;
 use crate::shared::Shared;
 use crate::view::{ServiceTarget, View};
@@ -30,14 +32,22 @@
     },
     /// A target's load, or `None` if it did not answer.
     Load(TargetId, Option<LoadReport>),
+    /// Something came from another entry host.
+    Arrived(Arrived),
+    /// Time has passed.
+    Tick,
 }
 
 /// All control state of a host. Lives on the control thread.
 pub(crate) struct ControlState {
     /// Where views are published.
     shared: Arc<Shared>,
-    /// The last list.
+    /// Liveness of hosts and targets.
+    peers: PeerControl,
+    /// Hosts and targets, as the list and the other hosts say.
     list: Vec<ListedHost>,
+    /// Targets that did not answer lately.
+    suspects: BTreeSet<TargetId>,
     /// What must be obeyed.
     obeyed: Obeyed,
     /// Engines; keys stay the same while an engine is listed.
@@ -49,10 +59,12 @@
 }
 
 impl ControlState {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, peers: PeerControl) -> Self {
         Self {
             shared,
+            peers,
             list: Vec::new(),
+            suspects: BTreeSet::new(),
             obeyed: Obeyed::default(),
             engines: PlacementView::default(),
             keys_by_id: BTreeMap::new(),
@@ -63,9 +75,38 @@
     /// Takes news.
     pub(crate) fn apply(&mut self, input: Input) {
         match input {
-            Input::List(list) => self.take_list(list),
+            Input::List(list) => {
+                let members = self.peers.take_list(list);
+                self.take_members(members);
+            }
             Input::Notes { obeyed, .. } => self.take_notes(obeyed),
-            Input::Load(id, report) => self.take_load(&id, report),
+            Input::Load(id, report) => {
+                let members = self.peers.observe(&id, report.is_some());
+                self.take_members(members);
+                self.take_load(&id, report);
+            }
+            Input::Arrived(arrived) => {
+                let members = self.peers.take_arrived(arrived);
+                self.take_members(members);
+            }
+            Input::Tick => {
+                let members = self.peers.tick();
+                self.take_members(members);
+            }
+        }
+    }
+
+    /// Takes what changed among hosts and targets.
+    fn take_members(&mut self, members: Option<Members>) {
+        let Some(members) = members else {
+            return;
+        };
+        self.suspects = members.suspects;
+        self.take_list(members.list);
+        for candidate in self.engines.targets.values_mut() {
+            if self.suspects.contains(&candidate.id) {
+                candidate.state = suspect(candidate.state);
+            }
         }
     }
 
@@ -153,7 +194,7 @@
             return;
         };
         self.missed.remove(id);
-        if candidate.state == TargetState::Suspect {
+        if candidate.state == TargetState::Suspect && !self.suspects.contains(id) {
             candidate.state = TargetState::Live;
         }
         candidate.versions = report.versions;
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use config::Settings;
 use error_stack::{Report, ResultExt};
@@ -11,7 +11,7 @@
 use ledger::LedgerWriter;
 use policy::LeastLoaded;
 use slog::{Logger, info, o};
-use utils::{Clock, SystemClock};
+use utils::{Clock, Incarnation, SystemClock};
 
 use crate::EntryError;
 use crate::claims::{self, LiveHosts};
@@ -69,6 +69,7 @@
         let ex: Executor = Arc::new(smol::Executor::new());
         let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
         let shared = Arc::new(shared);
+        let peers = control::open_peers(&shared, ex.clone()).change_context(EntryError::Peers)?;
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
@@ -78,6 +79,7 @@
                 observations,
                 records,
                 writer,
+                peers,
             };
             move || control::run(shared, operators, inputs, control_stopped, ex)
         })?;
@@ -145,8 +147,8 @@
     ex: &Executor,
 ) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
-    let incarnation = rand::random();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let incarnation = incarnation(&*clock);
     let live_hosts = LiveHosts::default();
     let (writer, ledger) = claims::build(
         &settings,
@@ -176,6 +178,12 @@
     Ok((shared, writer))
 }
 
+/// The run of this process: grows with each start of the same host.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |since| since.as_nanos() as u64)
+}
+
 fn spawn_traffic(
     shared: &Arc<Shared>,
     callers: &TcpListener,
--- a/components/entry/src/error.rs
+++ b/components/entry/src/error.rs
@@ -11,6 +11,9 @@
     /// The keys of the settings can not be used.
     #[error("the keys for callers can not be used")]
     Keys,
+    /// The keys or the address for other entry hosts can not be used.
+    #[error("can not take connections from other entry hosts")]
+    Peers,
     /// The chart of claims is broken.
     #[error("can not set up the ledger")]
     Ledger,
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -267,7 +267,7 @@
     }
 }
 
-fn listed(id: &str, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
+pub fn listed(id: &str, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
     ListedHost {
         id: id.into(),
         role,
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -127,6 +127,29 @@
     );
     pub const PLATFORM_FAILED: Event = event(4003, "platform_failed", "A call to the platform failed.");
     pub const PLATFORM_BACK: Event = event(4004, "platform_back", "The platform answers again.");
+    pub const PEER_SUSPECTED: Event = event(
+        4005,
+        "peer_suspected",
+        "Another entry host did not answer, also not through others.",
+    );
+    pub const PEER_DEAD: Event = event(4006, "peer_dead", "Another entry host counts as gone.");
+    pub const PEER_BACK: Event = event(4007, "peer_back", "Another entry host answers again.");
+    pub const PEER_RESTARTED: Event = event(
+        4008,
+        "peer_restarted",
+        "Another entry host runs in a new incarnation.",
+    );
+    pub const ISOLATED: Event = event(
+        4009,
+        "isolated",
+        "Too many neighbours are silent at once; the last good view stays in use.",
+    );
+    pub const REJOINED: Event = event(4010, "rejoined", "The neighbours answer again.");
+    pub const CONTROL_PAUSED: Event = event(
+        4011,
+        "control_paused",
+        "The control thread did not run for a while; what it heard before is stale.",
+    );
 }
 
 /// Every event, ordered by number.
@@ -155,6 +178,13 @@
     events::LIST_DISTRUSTED,
     events::PLATFORM_FAILED,
     events::PLATFORM_BACK,
+    events::PEER_SUSPECTED,
+    events::PEER_DEAD,
+    events::PEER_BACK,
+    events::PEER_RESTARTED,
+    events::ISOLATED,
+    events::REJOINED,
+    events::CONTROL_PAUSED,
 ];
 
 /// The catalogue of all events as a Markdown table; `docs/EVENTS.md` holds the same text.
