--- a/components/entry/src/control/notes.rs
+++ b/components/entry/src/control/notes.rs
@@ -4,7 +4,10 @@
 use error_stack::Report;
 use errors::events;
 use futures_lite::FutureExt;
-use notes::{Content, Holder, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed, ObeyedBuilder};
+use notes::{
+    Content, Holder, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed, ObeyedBuilder,
+    head_interval, write_window,
+};
 use platform::{HttpPlatform, RowVersion};
 use rand::RngExt;
 use slog::{info, warn};
@@ -14,13 +17,13 @@
 use super::state::Input;
 use crate::shared::Shared;
 
-/// Reads of the head a second that all hosts together may cause.
-const READS_PER_SECOND: u32 = 200;
-/// Acknowledgements a second that all hosts together may write.
-const ACKNOWLEDGEMENTS_PER_SECOND: u32 = 80;
 /// Longest wait between two tries while the platform fails.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Times that a starting host looks for the platform's list before its first call.
+const LIST_CHECKS: u32 = 10;
+/// Time between two looks.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for the row that says that the host has ended.
 const LONGEST_FAREWELL: Duration = Duration::from_millis(500);
 
@@ -28,6 +31,7 @@
 pub(crate) async fn follow(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
     let store = NoteStore::new(platform.clone(), platform);
     let mut follower = Follower::new(shared, store, tx);
+    follower.wait_for_turn().await;
     loop {
         if follower.is_registered().await {
             follower.read().await;
@@ -117,6 +121,17 @@
         }
     }
 
+    /// Spreads the first calls of hosts that start together, as soon as the list tells how many there are.
+    async fn wait_for_turn(&self) {
+        for _ in 0..LIST_CHECKS {
+            if self.shared.view.load().entry_hosts > 0 {
+                break;
+            }
+            smol::Timer::after(LIST_CHECK_INTERVAL).await;
+        }
+        smol::Timer::after(self.spread()).await;
+    }
+
     /// Registers this run if that is not done: before the first reading, so that no earlier run can
     /// acknowledge after it, and after an acknowledgement whose answer is lost.
     async fn is_registered(&mut self) -> bool {
@@ -187,7 +202,7 @@
         let Some(seq) = self.holder.unacknowledged() else {
             return;
         };
-        smol::Timer::after(self.spread(ACKNOWLEDGEMENTS_PER_SECOND)).await;
+        smol::Timer::after(self.spread()).await;
         let Some((revision, mut row)) = self.row.take() else {
             return;
         };
@@ -212,17 +227,16 @@
     /// Time until the next read: longer with more hosts, and longer while the platform fails.
     fn next_wait(&self) -> Duration {
         let hosts = self.shared.view.load().entry_hosts;
-        let share = Duration::from_secs(1) * hosts / READS_PER_SECOND;
-        let interval = Duration::from_millis(self.shared.settings.platform.head_interval_ms).max(share);
+        let shortest = Duration::from_millis(self.shared.settings.platform.head_interval_ms);
+        let interval = head_interval(shortest, hosts);
         let backoff = interval * 2_u32.pow(self.failures.min(4));
         jittered(backoff.min(LONGEST_BACKOFF.max(interval)))
     }
 
     /// A random part of the time that all hosts take for one write each.
-    fn spread(&self, writes_per_second: u32) -> Duration {
-        let hosts = self.shared.view.load().entry_hosts;
-        let whole = Duration::from_secs(1) * hosts / writes_per_second;
-        whole.mul_f64(rand::rng().random_range(0.0..1.0))
+    fn spread(&self) -> Duration {
+        let window = write_window(self.shared.view.load().entry_hosts);
+        window.mul_f64(rand::rng().random_range(0.0..1.0))
     }
 
     fn log_change(&self, state: NoteState) {
--- a/components/notes/tests/notes/main.rs
+++ b/components/notes/tests/notes/main.rs
@@ -4,3 +4,4 @@
 mod schema;
 mod store;
 mod support;
+mod timing;
