--- a/components/entry/src/control/poll.rs
+++ b/components/entry/src/control/poll.rs
@@ -5,6 +5,7 @@
 use error_stack::Report;
 use errors::events;
 use http_io::{Client, Executor};
+use membership::{Backoff, poll_interval};
 use platform::{HostList, HttpPlatform, PlatformError};
 use rand::RngExt;
 use slog::{info, warn};
@@ -24,13 +25,20 @@
 pub(crate) async fn poll_list(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
     let mut health = Health::new(&shared, "list");
     let interval = Duration::from_millis(shared.settings.platform.list_interval_ms);
+    let mut backoff = Backoff::default();
     loop {
-        if let Some(list) = health.note(platform.list().await)
-            && tx.send(Input::List(list)).await.is_err()
-        {
-            return;
+        match health.note(platform.list().await) {
+            Some(list) => {
+                backoff.succeed();
+                if tx.send(Input::List(list)).await.is_err() {
+                    return;
+                }
+            }
+            None => backoff.fail(),
         }
-        smol::Timer::after(jittered(interval)).await;
+        let hosts = shared.view.load().entry_hosts as usize;
+        let wait = backoff.wait(poll_interval(hosts, interval), rand::rng().random());
+        smol::Timer::after(wait).await;
     }
 }
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -33,6 +33,8 @@
     pub callers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For other entry hosts, if the settings name keys.
+    pub peers: Option<SocketAddr>,
 }
 
 /// A running entry host: one control thread and several traffic threads.
@@ -61,16 +63,17 @@
     pub fn start(settings: Settings, log: Logger) -> Result<Self, Report<EntryError>> {
         let callers = bind(settings.listen.callers)?;
         let operators = bind(settings.listen.operators)?;
-        let addresses = Addresses {
-            callers: local(&callers)?,
-            operators: local(&operators)?,
-        };
         let (observer, observations) = Observer::new();
         let (outcomes, records) = Outcomes::new();
         let ex: Executor = Arc::new(smol::Executor::new());
         let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
         let shared = Arc::new(shared);
         let peers = control::open_peers(&shared, ex.clone()).change_context(EntryError::Peers)?;
+        let addresses = Addresses {
+            callers: local(&callers)?,
+            operators: local(&operators)?,
+            peers: peers.as_ref().map(|(transport, _)| transport.local_addr()),
+        };
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
--- /dev/null
+++ b/components/entry/tests/heartbeats.rs
@@ -0,0 +1,107 @@
+//! Entry hosts with keys for each other, over real sockets.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use common::{World, WorldConfig};
+use config::PeerSettings;
+use entry::Daemon;
+use platform::{HostRole, ListedHost};
+use slog::{Drain, KV, Never, OwnedKVList, Record, Serializer};
+
+/// Names and peers of the events that a host logged.
+type Events = Arc<Mutex<Vec<String>>>;
+
+/// Keeps the events of a host.
+struct Keep(Events);
+
+/// Joins the values of a line.
+struct Values(Vec<String>);
+
+impl Serializer for Values {
+    fn emit_arguments(&mut self, _key: slog::Key, val: &std::fmt::Arguments<'_>) -> slog::Result {
+        self.0.push(val.to_string());
+        Ok(())
+    }
+}
+
+impl Drain for Keep {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), Never> {
+        let mut values = Values(Vec::new());
+        let _ = record.kv().serialize(record, &mut values);
+        self.0.lock().unwrap().push(values.0.join(" "));
+        Ok(())
+    }
+}
+
+fn start(world: &World, dir: &std::path::Path, i: usize) -> (Daemon, Events) {
+    let mut settings = common::settings(i, world.platform.addr(), Duration::from_millis(400));
+    let id = settings.host.id.clone();
+    settings.peers = PeerSettings {
+        authority: Some(dir.join("authority.pem")),
+        certificate: Some(dir.join(format!("{id}.pem"))),
+        key: Some(dir.join(format!("{id}.key"))),
+    };
+    let events = Events::default();
+    let log = slog::Logger::root(Keep(events.clone()), slog::o!());
+    let daemon = Daemon::start(settings, log).unwrap();
+    let entry = ListedHost {
+        peer_address: daemon.addresses().peers,
+        serves: Vec::new(),
+        ..common::listed(&id, HostRole::Entry, daemon.addresses().callers, "")
+    };
+    world.platform.state().set_host(entry);
+    (daemon, events)
+}
+
+fn has(events: &Events, name: &str, peer: &str) -> bool {
+    let events = events.lock().unwrap();
+    events
+        .iter()
+        .any(|line| line.contains(name) && line.contains(peer))
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..600 {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("never: {what}");
+}
+
+#[test]
+fn a_killed_host_is_noticed_and_comes_back() {
+    let dir = tempfile::tempdir().unwrap();
+    let names: Vec<_> = (0..4).map(|i| format!("entry-{i}").into()).collect();
+    peers::write_keys(dir.path(), &names).unwrap();
+    let world = World::start(&WorldConfig {
+        hosts: 0,
+        ..WorldConfig::default()
+    });
+    let mut hosts: Vec<_> = (0..4).map(|i| start(&world, dir.path(), i)).collect();
+    std::thread::sleep(Duration::from_secs(5));
+    assert!(hosts.iter().all(|(_, events)| !has(events, "peer_suspected", "")));
+
+    let (killed, _) = hosts.pop().unwrap();
+    killed.abort().unwrap();
+    until("noticed", || {
+        hosts
+            .iter()
+            .any(|(_, events)| has(events, "peer_dead", "entry-3"))
+    });
+    let (again, events) = start(&world, dir.path(), 3);
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(!has(&events, "isolated", ""));
+    again.drain().unwrap();
+    for (host, _) in hosts {
+        host.drain().unwrap();
+    }
+    world.stop();
+}
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -93,6 +93,8 @@
     pub(crate) stale_since: Option<Monotonic>,
     /// Whether too many neighbours are silent at once.
     pub(crate) isolated: bool,
+    /// Hosts and targets that are kept although the last list dropped them.
+    kept: usize,
 }
 
 impl Membership {
@@ -121,6 +123,7 @@
             last_input: now,
             stale_since: None,
             isolated: false,
+            kept: 0,
         }
     }
 
@@ -264,10 +267,11 @@
             }
         }
         let kept_hosts = self.update_hosts(list, now);
-        if kept_targets + kept_hosts > 0 {
-            let event = MembershipEvent::ListDistrusted(kept_targets + kept_hosts);
-            effects.push(Effect::Log(event));
+        let kept = kept_targets + kept_hosts;
+        if kept > 0 && kept != self.kept {
+            effects.push(Effect::Log(MembershipEvent::ListDistrusted(kept)));
         }
+        self.kept = kept;
         effects.push(Effect::ViewChanged);
     }
 
--- a/components/membership/src/polling.rs
+++ b/components/membership/src/polling.rs
@@ -7,7 +7,7 @@
 /// Longest wait between two tries.
 const LONGEST_WAIT: Duration = Duration::from_secs(8);
 /// Share of a wait that is random.
-const JITTER: f64 = 0.5;
+const JITTER: f64 = 0.25;
 
 /// Time between two reads of one kind by one of `hosts` hosts; `base` is the shortest.
 ///
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -209,7 +209,13 @@
         assert!(view.targets.values().all(|t| t.why == Why::ListDistrusted));
         assert_eq!(names(&cluster, id, "north") + names(&cluster, id, "south"), 9);
     }
-    assert!(matches!(cluster.events[0].1, MembershipEvent::ListDistrusted(_)));
+    cluster.give_list();
+    let distrusted = |e: &&(_, MembershipEvent)| e.1 == MembershipEvent::ListDistrusted(12);
+    assert_eq!(
+        cluster.events.iter().filter(distrusted).count(),
+        9,
+        "logged once a host"
+    );
 }
 
 #[test]
