--- a/components/policy/src/placement.rs
+++ b/components/policy/src/placement.rs
@@ -152,6 +152,8 @@
     Excluded,
     /// A rule forbids the place.
     Forbidden,
+    /// The budget of the link between regions has no room for the prompt.
+    LinkBudget,
     /// The first token would come too late; the expected time in seconds.
     TooLate(f64),
     /// Another target costs less; its own cost in seconds.
--- a/components/policy/src/placement_choice.rs
+++ b/components/policy/src/placement_choice.rs
@@ -77,6 +77,9 @@
             if let Some(reason) = refusal(candidate, req, allowed) {
                 return list.refuse(key, reason);
             }
+            if !model.is_affordable(candidate) {
+                return list.refuse(key, RejectedReason::LinkBudget);
+            }
             let (cost, plan) = model.cheapest(candidate, copies.target(key), now);
             let first_token = cost.queue_seconds.max(cost.fetch_seconds) + cost.prefill_seconds;
             if first_token > req.time_left.as_secs_f64() {
--- a/components/policy/src/placement_cost.rs
+++ b/components/policy/src/placement_cost.rs
@@ -1,6 +1,6 @@
 use utils::Monotonic;
 
-use crate::placement_view::{PlacementView, StoreView};
+use crate::placement_view::{LinkView, PlacementView, StoreView};
 use crate::{Candidate, Copies, CostTerms, PlacementRequest, StoreKey, TargetCopy};
 
 /// Tokens in a full piece.
@@ -151,7 +151,8 @@
     /// Limits a run to what the link between the regions may carry.
     fn far_run(&self, candidate: &Candidate, store: &StoreView, run: Run) -> Option<Run> {
         let link = self.view.link(&store.region, &candidate.region)?;
-        let affordable = link.budget_bytes.checked_div(self.view.piece_bytes)?;
+        let budget = link.budget_bytes.saturating_sub(self.text_bytes(candidate));
+        let affordable = budget.checked_div(self.view.piece_bytes)?;
         if !link.is_usable || affordable == 0 {
             return None;
         }
@@ -177,7 +178,11 @@
         let far = far.filter(|run| run.pieces > 0);
         let runs = [near, far];
         let fetched: u16 = runs.iter().flatten().map(|r| r.pieces).sum();
-        let fetch_seconds = runs.iter().flatten().map(Run::seconds).fold(0.0, f64::max);
+        let fetch_seconds = runs
+            .iter()
+            .flatten()
+            .map(Run::seconds)
+            .fold(self.text_seconds(candidate), f64::max);
         let at_risk = if first > copy.certain {
             first - copy.certain + fetched
         } else {
@@ -215,13 +220,39 @@
         (terms, plan)
     }
 
-    /// Bytes over the link between regions: the prompt's text, if the target is elsewhere, and pieces read from afar.
-    fn link_bytes(&self, candidate: &Candidate, far: Option<(StoreKey, u16)>) -> u64 {
-        let text = match candidate.region == *self.req.region {
+    /// Bytes of the prompt's text over the link between regions.
+    fn text_bytes(&self, candidate: &Candidate) -> u64 {
+        match candidate.region == *self.req.region {
             true => 0,
             false => u64::from(self.req.prompt_tokens) * TEXT_BYTES_PER_TOKEN,
-        };
-        text + far.map_or(0, |(_, pieces)| u64::from(pieces) * self.view.piece_bytes)
+        }
+    }
+
+    /// The link that the prompt's text has to cross, if it is known.
+    fn text_link(&self, candidate: &Candidate) -> Option<&LinkView> {
+        match candidate.region == *self.req.region {
+            true => None,
+            false => self.view.link(self.req.region, &candidate.region),
+        }
+    }
+
+    /// Time for the prompt's text to reach the candidate's region.
+    fn text_seconds(&self, candidate: &Candidate) -> f64 {
+        self.text_link(candidate).map_or(0.0, |link| {
+            let bytes = link.backlog_bytes + self.text_bytes(candidate);
+            bytes as f64 / link.bytes_per_second.max(1.0)
+        })
+    }
+
+    /// Whether the budget of the link between regions has room for the prompt's text.
+    pub(crate) fn is_affordable(&self, candidate: &Candidate) -> bool {
+        let link = self.text_link(candidate);
+        link.is_none_or(|link| self.text_bytes(candidate) <= link.budget_bytes)
+    }
+
+    /// Bytes over the link between regions: the prompt's text, if the target is elsewhere, and pieces read from afar.
+    fn link_bytes(&self, candidate: &Candidate, far: Option<(StoreKey, u16)>) -> u64 {
+        self.text_bytes(candidate) + far.map_or(0, |(_, pieces)| u64::from(pieces) * self.view.piece_bytes)
     }
 }
 
