Let bench engines look into their cache when a prompt starts

Cause: an engine of the bench decided what it had cached when a prompt entered its queue, so that two uses of a prompt in one queue were computed twice; real engines look when they start it.

Change: each engine has a queue of prompts; its cache is read at the start.

--- a/components/bench/src/chooser.rs
+++ b/components/bench/src/chooser.rs
@@ -222,7 +222,7 @@
         .take_while(|p| world.computed.contains(*p))
         .count() as u64;
     let recomputed = (computed * u64::from(PIECE_TOKENS)).saturating_sub(covered);
-    let queue = (engine.free_at - ask.now).max(0.0) + engine.pending;
+    let queue = engine.wait(ask.now) + engine.pending;
     let first_token = queue.max(fetch_seconds) + tokens as f64 / SPEED;
     let link_bytes = text + fetches[1] as u64 * PIECE_BYTES;
     let [first_token_weight, recomputed_weight, link_weight] = world.sizes.weights;
--- a/components/bench/src/sim.rs
+++ b/components/bench/src/sim.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,6 +106,8 @@
     trace: Vec<Request>,
     world: World,
     hosts: Vec<Host>,
+    /// Prompts in the queue of each engine.
+    waiting: Vec<VecDeque<Job>>,
     rng: ChaCha8Rng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -138,6 +140,7 @@
         fault,
         trace: requests(&sizes, fault, seconds, window, seed),
         hosts: (0..HOSTS).map(|n| Host::new(n, &world)).collect(),
+        waiting: vec![VecDeque::new(); world.engines.len()],
         world,
         rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5EED),
         queue: BinaryHeap::new(),
@@ -370,16 +373,37 @@
         }
     }
 
-    fn enqueue(&mut self, mut job: Job) {
+    fn enqueue(&mut self, job: Job) {
         let choice = &job.choice;
         let engine = &mut self.world.engines[choice.target];
         let expected = choice.tokens as f64 / SPEED;
         if engine.incarnation != job.incarnation || !engine.is_up {
-            job.excluded.push(choice.target);
-            job.arrived = 0;
-            return self.at(self.now + DETECTION, Event::Retry(job));
+            return self.retry(job);
         }
         engine.pending = (engine.pending - expected).max(0.0);
+        engine.queued += expected;
+        let target = choice.target;
+        self.waiting[target].push_back(job);
+        if self.world.engines[target].free_at <= self.now {
+            self.start(target);
+        }
+    }
+
+    /// Places a job again whose target has crashed.
+    fn retry(&mut self, mut job: Job) {
+        job.excluded.push(job.choice.target);
+        job.arrived = 0;
+        self.at(self.now + DETECTION, Event::Retry(job));
+    }
+
+    /// Starts the first prompt in an engine's queue; what it has in its cache counts now.
+    fn start(&mut self, target: usize) {
+        let Some(job) = self.waiting[target].pop_front() else {
+            return;
+        };
+        let engine = &mut self.world.engines[target];
+        let choice = &job.choice;
+        engine.queued = (engine.queued - choice.tokens as f64 / SPEED).max(0.0);
         let resident = engine.cache.prefix(&job.pieces);
         let reaches = choice.resident + job.arrived;
         let covered = if resident >= choice.resident {
@@ -389,9 +413,9 @@
         };
         let req = &self.trace[job.request];
         let tokens = req.tokens - covered as u32 * PIECE_TOKENS;
-        engine.free_at = engine.free_at.max(self.now) + f64::from(tokens) / SPEED;
+        engine.free_at = self.now + f64::from(tokens) / SPEED;
         if resident < choice.resident {
-            let key = self.hosts[req.host].keys[choice.target];
+            let key = self.hosts[req.host].keys[target];
             self.hosts[req.host].directory.correct(key, &job.pieces, resident);
         }
         let computed = &self.world.computed;
@@ -406,13 +430,11 @@
         self.at(done, Event::Done(job));
     }
 
-    fn finish(&mut self, mut job: Job) {
+    fn finish(&mut self, job: Job) {
         let target = job.choice.target;
         let engine = &mut self.world.engines[target];
         if engine.incarnation != job.incarnation {
-            job.excluded.push(target);
-            job.arrived = 0;
-            return self.at(self.now + DETECTION, Event::Retry(job));
+            return self.retry(job);
         }
         let new: Vec<_> = job
             .pieces
@@ -435,6 +457,7 @@
                 kept.used_at = now;
             }
         }
+        self.start(target);
         if self.strategy.uses_stores() {
             let (pieces, done) = self.world.write_back(region, workspace, &job.pieces, self.now);
             let incarnation = self.world.stores[region].incarnation;
@@ -576,7 +599,7 @@
         }
         for region in 0..2 {
             let load = |n: usize| {
-                let queue = (self.world.engines[n].free_at - self.now).max(0.0);
+                let queue = self.world.engines[n].wait(self.now);
                 self.world.reaches(region, n).then_some((queue * SPEED) as u64)
             };
             self.sampled[region] = (0..self.world.engines.len()).map(load).collect();
@@ -625,8 +648,11 @@
             engine.incarnation += 1;
             engine.next_event = 0;
             engine.free_at = self.now;
+            engine.queued = 0.0;
             engine.pending = 0.0;
             engine.cache = Lru::new(self.world.sizes.engine_pieces);
+            let lost = std::mem::take(&mut self.waiting[target]);
+            lost.into_iter().for_each(|job| self.retry(job));
         }
     }
 
--- a/components/bench/src/world.rs
+++ b/components/bench/src/world.rs
@@ -34,8 +34,10 @@
     pub(crate) incarnation: u64,
     /// Number of the next cache event.
     pub(crate) next_event: u64,
-    /// End of the work in its queue.
+    /// End of the work that runs.
     pub(crate) free_at: f64,
+    /// Seconds of work that waits in its queue, as expected when it was sent.
+    pub(crate) queued: f64,
     /// Seconds of work that was sent and still waits for transfers.
     pub(crate) pending: f64,
     pub(crate) cache: Lru,
@@ -71,6 +73,13 @@
     pub(crate) version: u32,
 }
 
+impl Engine {
+    /// Seconds until work that is sent now can start.
+    pub(crate) fn wait(&self, now: f64) -> f64 {
+        (self.free_at - now).max(0.0) + self.queued
+    }
+}
+
 impl Pipe {
     pub(crate) fn new(rate: f64) -> Self {
         Self { free_at: 0.0, rate }
@@ -111,6 +120,7 @@
             incarnation: 1,
             next_event: 0,
             free_at: 0.0,
+            queued: 0.0,
             pending: 0.0,
             cache: Lru::new(sizes.engine_pieces),
         });
