--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: owns the control state and publishes views.
 
+mod notes;
 mod poll;
 mod state;
 
@@ -13,29 +14,43 @@
 
 use crate::observe::Observation;
 use crate::operators;
+use crate::outcomes::Records;
 use crate::shared::Shared;
 use state::ControlState;
 
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
-/// Time from a change to the view that shows it.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
+/// Publishing may take one part in this many of a core.
+const PUBLISH_SHARE_INVERSE: u32 = 250;
+/// Shortest time from a change to the view that shows it.
+const SHORTEST_PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time from a change to the view that shows it.
+const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
     shared: Arc<Shared>,
     operators: TcpListener,
     observations: async_channel::Receiver<Observation>,
+    records: Records,
     stop: Shutdown,
 ) {
     let ex: Executor = Arc::new(smol::Executor::new());
-    smol::block_on(ex.run(control(shared, operators, observations, stop, ex.clone())));
+    smol::block_on(ex.run(control(
+        shared,
+        operators,
+        observations,
+        records,
+        stop,
+        ex.clone(),
+    )));
 }
 
 async fn control(
     shared: Arc<Shared>,
     operators: TcpListener,
     observations: async_channel::Receiver<Observation>,
+    records: Records,
     stop: Shutdown,
     ex: Executor,
 ) {
@@ -56,11 +71,12 @@
         stop.clone(),
     ));
     let pollers = [
+        ex.spawn(store_records(shared.clone(), records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_declared(shared.clone(), platform, tx.clone())),
+        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
     ];
-    let state = ControlState::new(shared);
+    let state = ControlState::new(shared.clone());
     let work = run_loop(state, inputs, observations);
     let stopped = async {
         let _ = stop.recv().await;
@@ -69,9 +85,17 @@
     for poller in pollers {
         poller.cancel().await;
     }
+    notes::say_stopped(&shared, platform).await;
     front.await;
 }
 
+/// Stores what became of requests as the traffic threads report it.
+async fn store_records(shared: Arc<Shared>, records: Records) {
+    while let Ok((id, remembered)) = records.recv().await {
+        shared.outcomes.store(id, remembered);
+    }
+}
+
 /// What the control loop takes next.
 enum Work {
     /// News from a poller.
@@ -84,13 +108,14 @@
     End,
 }
 
-/// Applies news as it comes; publishes at most once an interval, however much comes.
+/// Applies news as it comes; publishes what changed after an interval that grows with the cost of a view.
 async fn run_loop(
     mut state: ControlState,
     inputs: async_channel::Receiver<state::Input>,
     observations: async_channel::Receiver<Observation>,
 ) {
     let mut publish_at: Option<Instant> = None;
+    let mut interval = SHORTEST_PUBLISH_INTERVAL;
     loop {
         let input = async { inputs.recv().await.map_or(Work::End, Work::Input) };
         let seen = async { observations.recv().await.map_or(Work::End, Work::Observation) };
@@ -102,15 +127,46 @@
             Work::Publish
         };
         match due.or(input).or(seen).await {
+            Work::Input(state::Input::Notes { obeyed, done }) => {
+                state.take_notes(obeyed);
+                state.publish();
+                let _ = done.send(()).await;
+                continue;
+            }
             Work::Input(input) => state.apply(input),
             Work::Observation(observation) => state.observe(&observation),
             Work::Publish => {
+                let began = Instant::now();
                 state.publish();
+                interval = publish_interval(began.elapsed());
                 publish_at = None;
                 continue;
             }
             Work::End => return,
         }
-        publish_at.get_or_insert_with(|| Instant::now() + PUBLISH_INTERVAL);
+        publish_at.get_or_insert_with(|| Instant::now() + interval);
+    }
+}
+
+/// The interval at which publishing takes its share of a core, within bounds.
+fn publish_interval(cost: Duration) -> Duration {
+    (cost * PUBLISH_SHARE_INVERSE).clamp(SHORTEST_PUBLISH_INTERVAL, LONGEST_PUBLISH_INTERVAL)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn publishing_keeps_to_its_share_of_a_core() {
+        assert_eq!(
+            publish_interval(Duration::from_micros(3)),
+            SHORTEST_PUBLISH_INTERVAL
+        );
+        assert_eq!(
+            publish_interval(Duration::from_millis(1)),
+            Duration::from_millis(250)
+        );
+        assert_eq!(publish_interval(Duration::from_secs(1)), LONGEST_PUBLISH_INTERVAL);
     }
 }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 
 use crate::EntryError;
 use crate::control;
+use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -39,6 +40,8 @@
     addresses: Addresses,
     /// Dropped to end the traffic threads.
     stop_traffic: async_channel::Sender<()>,
+    /// Dropped to end the traffic threads without finishing open work.
+    abort_traffic: async_channel::Sender<()>,
     /// Dropped to end the control thread.
     stop_control: async_channel::Sender<()>,
     /// The traffic threads.
@@ -60,20 +63,23 @@
             operators: local(&operators)?,
         };
         let (observer, observations) = Observer::new();
-        let shared = Arc::new(build_shared(settings, log, observer)?);
+        let (outcomes, records) = Outcomes::new();
+        let shared = Arc::new(build_shared(settings, log, observer, outcomes)?);
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
+        let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
-            move || control::run(shared, operators, observations, control_stopped)
+            move || control::run(shared, operators, observations, records, control_stopped)
         })?;
-        let traffic = spawn_traffic(&shared, &callers, &traffic_stopped)?;
+        let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
             "callers" => %addresses.callers, "operators" => %addresses.operators);
         Ok(Self {
             shared,
             addresses,
             stop_traffic,
+            abort_traffic,
             stop_control,
             traffic,
             control,
@@ -96,18 +102,38 @@
         std::thread::sleep(Duration::from_millis(
             self.shared.settings.timeouts.drain_notice_ms,
         ));
+        let log = self.shared.log.clone();
+        self.join()?;
+        info!(log, "stopped"; events::HOST_STOPPED);
+        Ok(())
+    }
+
+    /// Closes every connection as it is and joins the threads, as if the process had been killed. For trials.
+    ///
+    /// # Errors
+    /// [`EntryError::Panicked`] if a thread did not end by itself.
+    pub fn abort(self) -> Result<(), Report<EntryError>> {
+        self.abort_traffic.close();
+        self.join()
+    }
+
+    fn join(self) -> Result<(), Report<EntryError>> {
         drop(self.stop_traffic);
         for thread in self.traffic {
             thread.join().map_err(|_| EntryError::Panicked)?;
         }
         drop(self.stop_control);
         self.control.join().map_err(|_| EntryError::Panicked)?;
-        info!(self.shared.log, "stopped"; events::HOST_STOPPED);
         Ok(())
     }
 }
 
-fn build_shared(settings: Settings, log: Logger, observer: Observer) -> Result<Shared, Report<EntryError>> {
+fn build_shared(
+    settings: Settings,
+    log: Logger,
+    observer: Observer,
+    outcomes: Outcomes,
+) -> Result<Shared, Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
     Ok(Shared {
         incarnation: rand::random(),
@@ -115,10 +141,11 @@
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
+        gate: NoteGate::default(),
         placer: Arc::new(LeastLoaded),
         sealer: Sealer::new(settings.secrets.resume),
         observer,
-        outcomes: Outcomes::default(),
+        outcomes,
         draining: AtomicBool::new(false),
         open_streams: AtomicUsize::new(0),
         settings,
@@ -129,6 +156,7 @@
     shared: &Arc<Shared>,
     callers: &TcpListener,
     stop: &Shutdown,
+    abort: &Shutdown,
 ) -> Result<Vec<JoinHandle<()>>, Report<EntryError>> {
     let mut threads = Vec::new();
     let tls = shared
@@ -139,9 +167,9 @@
     let tls = tls.transpose().change_context(EntryError::Keys)?;
     for i in 0..shared.settings.threads.traffic {
         let listener = callers.try_clone().change_context(EntryError::Thread)?;
-        let (shared, stop, tls) = (shared.clone(), stop.clone(), tls.clone());
+        let (shared, stop, abort, tls) = (shared.clone(), stop.clone(), abort.clone(), tls.clone());
         threads.push(spawn(&format!("traffic-{i}"), move || {
-            traffic::run(shared, listener, tls, stop)
+            traffic::run(shared, listener, tls, stop, abort)
         })?);
     }
     Ok(threads)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,11 @@
+mod trials;
+
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
 
+pub(crate) use trials::{LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs};
+
 /// Serves prompts that return after long gaps.
 #[derive(Debug)]
 #[derive(Parser)]
@@ -23,6 +27,14 @@
     Config(ConfigCommand),
     /// Print the numbered log events.
     Events,
+    /// Make a test authority and keys for the traffic between entry hosts.
+    Keys(KeysArgs),
+    /// Play a trial: a small deployment in one process, with faults, and a verdict.
+    Try(TryArgs),
+    /// Run a stand-in for the platform or for a target until SIGTERM or SIGINT.
+    StandIn(StandInArgs),
+    /// Send load to a running system and report latencies.
+    Load(LoadArgs),
 }
 
 /// Arguments of `serve`.
@@ -46,3 +58,15 @@
     /// Print every field with its unit, default and allowed values.
     Explain,
 }
+
+/// Arguments of `keys`.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct KeysArgs {
+    /// Directory for `authority.pem`, `HOST.pem` and `HOST.key`.
+    #[arg(long, value_name = "DIR")]
+    pub out: PathBuf,
+    /// Name of an entry host; give it once for each host.
+    #[arg(long = "host", value_name = "ID", required = true)]
+    pub hosts: Vec<String>,
+}
