--- a/components/trial/src/deployment.rs
+++ b/components/trial/src/deployment.rs
@@ -7,7 +7,7 @@
 use entry::Daemon;
 use error_stack::{Report, ResultExt};
 use http_io::{Client, ClientConfig, Executor};
-use loadgen::Preset;
+use loadgen::{Entry, Preset};
 use notes::{Acceptance, Declared, Note, NoteError, NoteStore, Operator, Terms};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use slog::Logger;
@@ -26,30 +26,70 @@
 /// Region behind the paid link.
 const FAR: &str = "region-2";
 
-/// Entry hosts of a trial.
-pub(crate) const ENTRIES: [Place; 3] = [
-    place("entry-1", NEAR, "domain-1"),
-    place("entry-2", NEAR, "domain-2"),
-    place("entry-3", FAR, "domain-3"),
-];
-/// Engines of a trial.
-const ENGINES: [Place; 5] = [
-    place("engine-1", NEAR, "domain-1"),
-    place("engine-2", NEAR, "domain-2"),
-    place("engine-3", NEAR, "domain-1"),
-    place("engine-4", FAR, "domain-3"),
-    place("engine-5", FAR, "domain-3"),
-];
-/// Ledger servers of a trial.
-const SERVICES: [Place; 2] = [
-    place("ledger-1", NEAR, "domain-1"),
-    place("ledger-2", NEAR, "domain-2"),
-];
-/// Store hosts of a trial.
-const STORES: [Place; 2] = [
-    place("store-1", NEAR, "domain-1"),
-    place("store-2", FAR, "domain-3"),
-];
+/// What a deployment consists of.
+pub(crate) struct Layout {
+    /// Entry hosts.
+    pub(crate) entries: Vec<Place>,
+    /// Engines.
+    pub(crate) engines: Vec<Place>,
+    /// Ledger servers.
+    pub(crate) services: Vec<Place>,
+    /// Store hosts.
+    pub(crate) stores: Vec<Place>,
+    /// Settings of every engine but its name and model.
+    pub(crate) engine: EngineConfig,
+}
+
+impl Layout {
+    /// Two regions, with times as on small accelerators.
+    pub(crate) fn trial() -> Self {
+        Self {
+            entries: vec![
+                place("entry-1", NEAR, "domain-1"),
+                place("entry-2", NEAR, "domain-2"),
+                place("entry-3", FAR, "domain-3"),
+            ],
+            engines: vec![
+                place("engine-1", NEAR, "domain-1"),
+                place("engine-2", NEAR, "domain-2"),
+                place("engine-3", NEAR, "domain-1"),
+                place("engine-4", FAR, "domain-3"),
+                place("engine-5", FAR, "domain-3"),
+            ],
+            services: vec![
+                place("ledger-1", NEAR, "domain-1"),
+                place("ledger-2", NEAR, "domain-2"),
+            ],
+            stores: vec![
+                place("store-1", NEAR, "domain-1"),
+                place("store-2", FAR, "domain-3"),
+            ],
+            engine: EngineConfig {
+                time_per_prompt_token: Duration::from_micros(10),
+                time_per_output_token: Duration::from_millis(2),
+                cache_pieces: 96,
+                load_lag: Duration::from_millis(100),
+                event_lag: Duration::from_millis(50),
+                ..EngineConfig::default()
+            },
+        }
+    }
+
+    /// One entry host and one engine that takes so long for a token.
+    pub(crate) fn single(time_per_output_token: Duration) -> Self {
+        Self {
+            entries: vec![place("entry-1", NEAR, "domain-1")],
+            engines: vec![place("engine-1", NEAR, "domain-1")],
+            services: vec![],
+            stores: vec![],
+            engine: EngineConfig {
+                slots: 100_000,
+                time_per_output_token,
+                ..EngineConfig::default()
+            },
+        }
+    }
+}
 
 const fn place(id: &'static str, region: &'static str, failure_domain: &'static str) -> Place {
     Place {
@@ -85,7 +125,7 @@
 
 impl Deployment {
     /// Starts everything. Nothing is declared yet.
-    pub(crate) fn start(preset: &Preset, log: &Logger) -> Result<Self, Report<TrialError>> {
+    pub(crate) fn start(layout: &Layout, preset: &Preset, log: &Logger) -> Result<Self, Report<TrialError>> {
         let ex: Executor = Arc::new(smol::Executor::new());
         let (stop, thread) = run_in_thread(&ex)?;
         let cfg = PlatformConfig {
@@ -105,26 +145,36 @@
             stop,
             thread,
         };
-        deployment.start_targets(&ex, preset)?;
-        deployment.start_entries(log)?;
+        deployment.start_targets(&ex, layout, preset)?;
+        deployment.start_entries(layout, log)?;
         Ok(deployment)
     }
 
-    fn start_targets(&mut self, ex: &Executor, preset: &Preset) -> Result<(), Report<TrialError>> {
-        for place in &ENGINES {
-            let engine = Engine::start(ex, loopback(), engine_config(place, preset));
+    fn start_targets(
+        &mut self,
+        ex: &Executor,
+        layout: &Layout,
+        preset: &Preset,
+    ) -> Result<(), Report<TrialError>> {
+        for place in &layout.engines {
+            let cfg = EngineConfig {
+                id: place.id.into(),
+                models: vec![(preset.model.clone(), 1)],
+                ..layout.engine.clone()
+            };
+            let engine = Engine::start(ex, loopback(), cfg);
             let engine = engine.change_context(TrialError::StandIn)?;
             self.list(place, HostRole::Engine, engine.addr(), &preset.model);
             self.engine_states.insert(place.id.into(), engine.state().clone());
             self.engines.insert(place.id.into(), engine);
         }
-        for place in &SERVICES {
+        for place in &layout.services {
             let service = Service::start(ex, loopback(), ServiceConfig::default());
             let service = service.change_context(TrialError::StandIn)?;
             self.list(place, HostRole::Service, service.addr(), &preset.service);
             self.services.insert(place.id.into(), service);
         }
-        for place in &STORES {
+        for place in &layout.stores {
             let store = Store::start(ex, loopback(), StoreConfig::default());
             let store = store.change_context(TrialError::StandIn)?;
             self.list(place, HostRole::Store, store.addr(), "");
@@ -134,8 +184,8 @@
         Ok(())
     }
 
-    fn start_entries(&mut self, log: &Logger) -> Result<(), Report<TrialError>> {
-        for place in &ENTRIES {
+    fn start_entries(&mut self, layout: &Layout, log: &Logger) -> Result<(), Report<TrialError>> {
+        for place in &layout.entries {
             let daemon = Daemon::start(settings(place, self.platform.addr()), log.clone());
             let daemon = daemon.change_context(TrialError::Entry)?;
             self.list(place, HostRole::Entry, daemon.addresses().callers, "");
@@ -161,8 +211,8 @@
     }
 
     /// Marks a listed engine as leaving.
-    pub(crate) fn leave(&self, id: &str, preset: &Preset) {
-        let place = ENGINES.iter().find(|place| place.id == id);
+    pub(crate) fn leave(&self, id: &str, layout: &Layout, preset: &Preset) {
+        let place = layout.engines.iter().find(|place| place.id == id);
         if let (Some(place), Some(engine)) = (place, self.engines.get(id)) {
             let mut host = listed(place, HostRole::Engine, engine.addr(), &preset.model);
             host.state = HostState::Leaving;
@@ -170,6 +220,15 @@
         }
     }
 
+    /// The entry hosts that run, as callers and as the balancer know them.
+    pub(crate) fn entries(&self) -> Vec<(Entry, SocketAddr)> {
+        let entry = |(id, daemon): (&&'static str, &Daemon)| {
+            let addresses = daemon.addresses();
+            (Entry::new(*id, addresses.callers), addresses.operators)
+        };
+        self.entries.iter().map(entry).collect()
+    }
+
     fn list(&mut self, place: &Place, role: HostRole, address: SocketAddr, serves: &str) {
         self.regions.insert(place.id.into(), place.region.into());
         let host = listed(place, role, address, serves);
@@ -218,19 +277,6 @@
     Ok((stop, thread))
 }
 
-fn engine_config(place: &Place, preset: &Preset) -> EngineConfig {
-    EngineConfig {
-        id: place.id.into(),
-        models: vec![(preset.model.clone(), 1)],
-        time_per_prompt_token: Duration::from_micros(10),
-        time_per_output_token: Duration::from_millis(2),
-        cache_pieces: 96,
-        load_lag: Duration::from_millis(100),
-        event_lag: Duration::from_millis(50),
-        ..EngineConfig::default()
-    }
-}
-
 fn listed(place: &Place, role: HostRole, address: SocketAddr, serves: &str) -> ListedHost {
     ListedHost {
         id: place.id.into(),
--- a/components/trial/src/lib.rs
+++ b/components/trial/src/lib.rs
@@ -8,11 +8,13 @@
 mod run;
 mod script;
 mod settings;
+mod single;
 mod table;
 mod work;
 
 pub use error::TrialError;
 pub use report::{PromiseLine, TrialReport};
 pub use run::{TrialConfig, run};
+pub use single::SingleEntry;
 pub use table::report_table;
 pub use work::WorkSummary;
--- a/components/trial/src/run.rs
+++ b/components/trial/src/run.rs
@@ -6,13 +6,13 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 use http_io::Executor;
-use loadgen::{Caller, CallerConfig, Entry, Finished, Latencies, Play, Preset, Trace};
+use loadgen::{Caller, CallerConfig, Finished, Latencies, Play, Preset, Trace};
 use slog::Logger;
 
 use crate::balancer::Balancer;
 use crate::declared::{accepted_now, add_long_drafts, add_refusals, api_keys, declared};
-use crate::deployment::{Deployment, ENTRIES};
-use crate::script::{self, Played};
+use crate::deployment::{Deployment, Layout};
+use crate::script::{Played, Script, drained_at};
 use crate::work::{Regions, summarize};
 use crate::{TrialError, TrialReport};
 
@@ -45,14 +45,15 @@
 pub fn run(cfg: &TrialConfig, log: &Logger, watch: Arc<dyn Play>) -> Result<TrialReport, Report<TrialError>> {
     let mut trace = cfg.preset.trace(cfg.seed, cfg.requests);
     add_refusals(&mut trace);
-    let drained_at = script::drained_at(&trace);
+    let drained_at = drained_at(&trace);
     add_long_drafts(&mut trace, &cfg.preset, drained_at);
-    let mut deployment = Deployment::start(&cfg.preset, log)?;
+    let layout = Layout::trial();
+    let mut deployment = Deployment::start(&layout, &cfg.preset, log)?;
     let first = declared(&cfg.preset, &trace, 1);
     deployment.declare(&first)?;
     let mut played = Played::default();
     played.notes.push(accepted_now(&first));
-    let finished = play(&mut deployment, cfg, &trace, &mut played, watch)?;
+    let finished = play(&mut deployment, &layout, cfg, &trace, &mut played, watch)?;
     let record = collect(&deployment, &finished, played);
     let regions = Regions {
         names: &deployment.regions,
@@ -74,12 +75,14 @@
 /// Plays the trace and the script at the same time.
 fn play(
     deployment: &mut Deployment,
+    layout: &Layout,
     cfg: &TrialConfig,
     trace: &Trace,
     played: &mut Played,
     watch: Arc<dyn Play>,
 ) -> Result<Vec<Finished>, Report<TrialError>> {
-    let (entries, operators) = entries(deployment);
+    let hosts = deployment.entries();
+    let entries = hosts.iter().map(|(entry, _)| entry.clone()).collect();
     let keys = api_keys(trace);
     let (tell_start, started) = std::sync::mpsc::channel();
     std::thread::scope(|scope| {
@@ -87,7 +90,7 @@
             .name("callers".to_owned())
             .spawn_scoped(scope, move || {
                 let ex: Executor = Arc::new(smol::Executor::new());
-                let balancer = Balancer::new(&ex, operators);
+                let balancer = Balancer::new(&ex, hosts);
                 let caller = Caller::new(&ex, CallerConfig::new(entries, keys));
                 let work = async {
                     balancer.wait().await?;
@@ -102,28 +105,12 @@
             })
             .change_context(TrialError::Thread)?;
         if let Ok(start) = started.recv() {
-            script::play(deployment, &cfg.preset, trace, start, played)?;
+            Script::new(layout, &cfg.preset, trace).play(deployment, start, played)?;
         }
         callers.join().map_err(|_| TrialError::Thread)?
     })
 }
 
-type EntriesAndOperators = (Vec<Entry>, Vec<(Entry, std::net::SocketAddr)>);
-
-fn entries(deployment: &Deployment) -> EntriesAndOperators {
-    let mut entries = Vec::new();
-    let mut operators = Vec::new();
-    for place in &ENTRIES {
-        if let Some(daemon) = deployment.entries.get(place.id) {
-            let addresses = daemon.addresses();
-            let entry = Entry::new(place.id, addresses.callers);
-            operators.push((entry.clone(), addresses.operators));
-            entries.push(entry);
-        }
-    }
-    (entries, operators)
-}
-
 fn collect(deployment: &Deployment, finished: &[Finished], played: Played) -> RunRecord {
     let engines = deployment.engine_states.iter();
     let services = deployment.services.iter();
--- a/components/trial/src/script.rs
+++ b/components/trial/src/script.rs
@@ -7,7 +7,7 @@
 
 use crate::TrialError;
 use crate::declared::{accepted_now, declared};
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Layout};
 
 /// Time until the platform's list shows that a host is gone.
 const DELIST_AFTER: Duration = Duration::from_millis(500);
@@ -48,65 +48,83 @@
     trace.duration().mul_f64(DRAIN_AT)
 }
 
-/// Plays the steps while the trace runs. Blocks its thread.
-pub(crate) fn play(
-    deployment: &mut Deployment,
-    preset: &Preset,
-    trace: &Trace,
-    start: Instant,
-    played: &mut Played,
-) -> Result<(), Report<TrialError>> {
-    let at = |share: f64| trace.duration().mul_f64(share);
-    let steps = [
-        (at(0.25), Step::KillEngine),
-        (at(0.25) + DELIST_AFTER, Step::DelistEngine),
-        (at(0.4), Step::AcceptNote),
-        (at(0.5), Step::LeaveEngine),
-        (at(0.6), Step::KillEntry),
-        (at(DRAIN_AT), Step::DrainEntry),
-    ];
-    for (at, step) in steps {
-        std::thread::sleep((start + at).saturating_duration_since(Instant::now()));
-        take(deployment, preset, trace, step, played)?;
-    }
-    Ok(())
+/// The steps of a trial.
+pub(crate) struct Script<'a> {
+    /// What runs.
+    layout: &'a Layout,
+    /// Shape of the traffic.
+    preset: &'a Preset,
+    /// The trace.
+    trace: &'a Trace,
 }
 
-fn take(
-    deployment: &mut Deployment,
-    preset: &Preset,
-    trace: &Trace,
-    step: Step,
-    played: &mut Played,
-) -> Result<(), Report<TrialError>> {
-    match step {
-        Step::KillEngine => {
-            if let Some(engine) = deployment.engines.remove("engine-2") {
-                smol::block_on(engine.kill());
-            }
+impl<'a> Script<'a> {
+    pub(crate) fn new(layout: &'a Layout, preset: &'a Preset, trace: &'a Trace) -> Self {
+        Self {
+            layout,
+            preset,
+            trace,
         }
-        Step::DelistEngine => deployment.platform.state().remove_host("engine-2"),
-        Step::AcceptNote => {
-            let next = declared(preset, trace, 2);
-            deployment.declare(&next)?;
-            played.notes.push(accepted_now(&next));
-        }
-        Step::LeaveEngine => {
-            deployment.leave("engine-3", preset);
-            played.leaves.push(Leave {
-                target: "engine-3".into(),
-                at: unix_micros(),
-            });
+    }
+
+    /// Plays the steps while the trace runs. Blocks its thread.
+    pub(crate) fn play(
+        &self,
+        deployment: &mut Deployment,
+        start: Instant,
+        played: &mut Played,
+    ) -> Result<(), Report<TrialError>> {
+        let at = |share: f64| self.trace.duration().mul_f64(share);
+        let steps = [
+            (at(0.25), Step::KillEngine),
+            (at(0.25) + DELIST_AFTER, Step::DelistEngine),
+            (at(0.4), Step::AcceptNote),
+            (at(0.5), Step::LeaveEngine),
+            (at(0.6), Step::KillEntry),
+            (at(DRAIN_AT), Step::DrainEntry),
+        ];
+        for (at, step) in steps {
+            std::thread::sleep((start + at).saturating_duration_since(Instant::now()));
+            self.take(deployment, step, played)?;
         }
-        Step::KillEntry => {
-            if let Some(daemon) = deployment.entries.remove("entry-2") {
-                daemon.abort().change_context(TrialError::Entry)?;
+        Ok(())
+    }
+
+    fn take(
+        &self,
+        deployment: &mut Deployment,
+        step: Step,
+        played: &mut Played,
+    ) -> Result<(), Report<TrialError>> {
+        match step {
+            Step::KillEngine => {
+                if let Some(engine) = deployment.engines.remove("engine-2") {
+                    smol::block_on(engine.kill());
+                }
             }
-            deployment.platform.state().remove_host("entry-2");
+            Step::DelistEngine => deployment.platform.state().remove_host("engine-2"),
+            Step::AcceptNote => {
+                let next = declared(self.preset, self.trace, 2);
+                deployment.declare(&next)?;
+                played.notes.push(accepted_now(&next));
+            }
+            Step::LeaveEngine => {
+                deployment.leave("engine-3", self.layout, self.preset);
+                played.leaves.push(Leave {
+                    target: "engine-3".into(),
+                    at: unix_micros(),
+                });
+            }
+            Step::KillEntry => {
+                if let Some(daemon) = deployment.entries.remove("entry-2") {
+                    daemon.abort().change_context(TrialError::Entry)?;
+                }
+                deployment.platform.state().remove_host("entry-2");
+            }
+            Step::DrainEntry => drain(deployment, "entry-3", played)?,
         }
-        Step::DrainEntry => drain(deployment, "entry-3", played)?,
+        Ok(())
     }
-    Ok(())
 }
 
 fn drain(
