--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
-mod caller;
+pub mod caller;
 
 pub use caller::Caller;
 
@@ -16,7 +16,7 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Acceptance, Declared, Deployment, Note, NoteStore, Operator, PlainService, Terms, Workspace};
+use notes::{Acceptance, Declared, Deployment, NoteStore, Operator, PlainService, Terms, Workspace};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
 use utils::SystemClock;
@@ -30,6 +30,8 @@
 /// The service whose calls may not be repeated.
 pub const LEDGER: &str = "ledger";
 
+/// Longest wait of a caller; longer than any wait of a host.
+const CALLER_PATIENCE: Duration = Duration::from_secs(20);
 /// Longest wait for a note to come into force.
 const PATIENCE: Duration = Duration::from_secs(15);
 
@@ -124,19 +126,20 @@
             store: NoteStore::new(platform.clone(), platform),
             clock: Arc::new(SystemClock::new()),
         };
-        smol::block_on(async {
-            let head = operator.store.bootstrap(&Terms::default()).await.unwrap();
-            let base = operator.store.declared(&head.row, None).await.unwrap();
-            let note = Note::between(format!("note-{}", declared.version), &base, declared);
-            let (head, base) = operator.stage(&note, PATIENCE).await.unwrap();
-            let accepted = operator.accept(head, &base, PATIENCE, |_| {}).await.unwrap();
-            assert!(matches!(accepted, Acceptance::InForce(_)));
-        });
+        let id = format!("note-{}", declared.version);
+        let terms = Terms::default();
+        let accepted = smol::block_on(operator.declare(id, &terms, declared, PATIENCE)).unwrap();
+        assert!(matches!(accepted, Acceptance::InForce(_)));
     }
 
     /// A caller at a host.
     pub fn caller(&self, host: usize, api_key: &str) -> Caller {
-        let client = Client::new(self.ex.clone(), ClientConfig::default());
+        let cfg = ClientConfig {
+            connect_timeout: CALLER_PATIENCE,
+            response_timeout: CALLER_PATIENCE,
+            ..ClientConfig::default()
+        };
+        let client = Client::new(self.ex.clone(), cfg);
         Caller::new(client, self.hosts[host].addresses().callers, api_key)
     }
 
