Give an engine's connection back after the end event

Cause: the entry host stops reading a draft at its end event; the end of the body was never read, so that the connection was not given back to the pool and each request opened a new one. Change: the client reads the end of the body with the end event, for at most 5 ms. Ruled out: a poll without waiting; the connection's own task has to run first.

--- a/components/standins/src/connection.rs
+++ b/components/standins/src/connection.rs
@@ -26,6 +26,11 @@
         self.silent_below.store(next, Ordering::SeqCst);
     }
 
+    /// Connections that were ever opened.
+    pub(crate) fn opened(&self) -> u64 {
+        self.next.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn is_silent(&self, number: ConnectionNumber) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
--- a/components/standins/src/running.rs
+++ b/components/standins/src/running.rs
@@ -49,6 +49,8 @@
     addr: SocketAddr,
     /// The stand-in.
     state: Arc<T>,
+    /// Its connections.
+    gate: Arc<Gate>,
     /// Reaches its connections.
     control: Control,
     /// Dropped to stop.
@@ -68,6 +70,11 @@
         &self.state
     }
 
+    /// Connections that were ever opened to the stand-in.
+    pub fn connections(&self) -> u64 {
+        self.gate.opened()
+    }
+
     /// Crashes the process now: every connection closes, what is in memory is lost, and it starts again.
     pub fn crash(&self) {
         let _ = self.control.try_send(Strike::Crash);
@@ -117,11 +124,12 @@
     let server = Server::bind(addr, ServerConfig::default())?;
     let addr = server.local_addr().change_context(HttpError::Listen)?;
     let (stop, stopped) = http_io::shutdown_channel();
+    let gate = Arc::<Gate>::default();
     let listening = Listening {
         ex: ex.clone(),
         server,
         state: state.clone(),
-        gate: Arc::default(),
+        gate: gate.clone(),
         connections: Vec::new(),
         stopped,
     };
@@ -136,6 +144,7 @@
     Ok(Running {
         addr,
         state,
+        gate,
         control,
         stop,
         task,
--- a/components/standins/tests/clients.rs
+++ b/components/standins/tests/clients.rs
@@ -100,6 +100,25 @@
     });
 }
 
+#[test]
+fn connection_is_used_again_after_the_end_event() {
+    run(|ex| async move {
+        let running = Engine::start(&ex, loopback(), EngineConfig::default()).unwrap();
+        let engine = HttpEngine::new(client(&ex), running.addr());
+        for id in 0..5 {
+            let mut stream = engine.draft(draft(id, "hello", 2)).await.unwrap();
+            while stream
+                .next()
+                .await
+                .unwrap()
+                .is_some_and(|event| event.end.is_none())
+            {}
+        }
+        assert_eq!(running.connections(), 1);
+        running.stop().await;
+    });
+}
+
 #[test]
 fn engine_refuses_a_version_that_is_not_loaded_and_loads_it_on_order() {
     run(|ex| async move {
--- a/components/targets/src/engine_http.rs
+++ b/components/targets/src/engine_http.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
 use http_io::{Client, HttpError, SseReader, json_body};
 use hyper::{Method, Request};
 use serde::Serialize;
@@ -15,6 +17,9 @@
 /// Status with which an engine says that it does not have the weight version.
 const STATUS_VERSION_GONE: u16 = 410;
 
+/// Longest wait for the end of a body after the end event.
+const END_OF_BODY: Duration = Duration::from_millis(5);
+
 /// A model engine over HTTP.
 ///
 /// Paths: `POST /v1/drafts` (server-sent events), `DELETE /v1/drafts/{id}`, `GET /v1/load`,
@@ -157,6 +162,23 @@
     }
 }
 
+impl<B> HttpDraft<B>
+where
+    B: hyper::body::Body<Data = bytes::Bytes> + Unpin,
+{
+    /// Reads the end of the body, which gives the connection back to the pool; a slow one is not waited for.
+    async fn finish(&mut self) -> Result<(), Report<TargetError>> {
+        let late = async {
+            smol::Timer::after(END_OF_BODY).await;
+            Ok(None)
+        };
+        match self.reader.next().or(late).await {
+            Ok(Some(_)) => Err(Report::new(TargetError::Crossed)),
+            Ok(None) | Err(_) => Ok(()),
+        }
+    }
+}
+
 impl<B> DraftStream for HttpDraft<B>
 where
     B: hyper::body::Body<Data = bytes::Bytes> + Unpin + Send,
@@ -177,6 +199,9 @@
             }
             let event: DraftEvent = serde_json::from_str(&sse.data).change_context(TargetError::Malformed)?;
             self.check(&event).map_err(Report::new)?;
+            if self.ended {
+                self.finish().await?;
+            }
             Ok(Some(event))
         })
     }
