--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -83,6 +83,11 @@
         "ledger_back",
         "The table service answers again; waiting settlements are written.",
     );
+    pub const RETRY_DECIDED: Event = event(
+        2103,
+        "retry_decided",
+        "After a failed try: whether and when the request is sent again, or why not.",
+    );
     pub const SETTLEMENTS_LEFT: Event = event(
         2102,
         "settlements_left",
@@ -127,6 +132,29 @@
     );
     pub const PLATFORM_FAILED: Event = event(4003, "platform_failed", "A call to the platform failed.");
     pub const PLATFORM_BACK: Event = event(4004, "platform_back", "The platform answers again.");
+    pub const PEER_SUSPECTED: Event = event(
+        4005,
+        "peer_suspected",
+        "Another entry host did not answer, also not through others.",
+    );
+    pub const PEER_DEAD: Event = event(4006, "peer_dead", "Another entry host counts as gone.");
+    pub const PEER_BACK: Event = event(4007, "peer_back", "Another entry host answers again.");
+    pub const PEER_RESTARTED: Event = event(
+        4008,
+        "peer_restarted",
+        "Another entry host runs in a new incarnation.",
+    );
+    pub const ISOLATED: Event = event(
+        4009,
+        "isolated",
+        "Too many neighbours are silent at once; the last good view stays in use.",
+    );
+    pub const REJOINED: Event = event(4010, "rejoined", "The neighbours answer again.");
+    pub const CONTROL_PAUSED: Event = event(
+        4011,
+        "control_paused",
+        "The control thread did not run for a while; what it heard before is stale.",
+    );
 }
 
 /// Every event, ordered by number.
@@ -145,6 +173,7 @@
     events::LEDGER_CLOSED,
     events::LEDGER_BACK,
     events::SETTLEMENTS_LEFT,
+    events::RETRY_DECIDED,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
@@ -155,6 +184,13 @@
     events::LIST_DISTRUSTED,
     events::PLATFORM_FAILED,
     events::PLATFORM_BACK,
+    events::PEER_SUSPECTED,
+    events::PEER_DEAD,
+    events::PEER_BACK,
+    events::PEER_RESTARTED,
+    events::ISOLATED,
+    events::REJOINED,
+    events::CONTROL_PAUSED,
 ];
 
 /// The catalogue of all events as a Markdown table; `docs/EVENTS.md` holds the same text.
