Print reports without failing on a closed pipe

Cause: `load ... | head -1` panicked when its reader closed the pipe; 3 requests failed at saturation and the report did not say how. Change: try and load write their reports past a closed pipe; load prints broken cases, and a saturation the last status of each request that failed.

--- a/components/load/src/saturate.rs
+++ b/components/load/src/saturate.rs
@@ -7,7 +7,7 @@
 use crate::{Arrival, Caller, CallerConfig, Latencies, LatencySummary, Trace};
 
 /// Requests a second that a system answers when callers do not wait.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize)]
 pub struct Saturation {
     /// Callers at once.
@@ -16,6 +16,8 @@
     pub answers_per_second: f64,
     /// Requests that did not end whole.
     pub failed: u64,
+    /// HTTP status of the last exchange of each of those, 0 without an answer.
+    pub failed_statuses: Vec<u16>,
     /// Latencies, counted from the sending of each request.
     pub latencies: LatencySummary,
 }
@@ -48,18 +50,19 @@
         parts
     }));
     let mut latencies = Latencies::default();
-    let (mut answers, mut failed) = (0_u64, 0);
+    let (mut answers, mut failed_statuses) = (0_u64, Vec::new());
     for part in parts {
         let _ = latencies.first.add(part.latencies.first);
         let _ = latencies.between.add(part.latencies.between);
         let _ = latencies.whole.add(part.latencies.whole);
         answers += part.whole;
-        failed += part.failed;
+        failed_statuses.extend(part.failed_statuses);
     }
     Saturation {
         callers,
         answers_per_second: answers as f64 / began.elapsed().as_secs_f64(),
-        failed,
+        failed: failed_statuses.len() as u64,
+        failed_statuses,
         latencies: latencies.summary(),
     }
 }
@@ -67,14 +70,14 @@
 /// What one caller of a closed loop saw.
 struct Part {
     whole: u64,
-    failed: u64,
+    failed_statuses: Vec<u16>,
     latencies: Latencies,
 }
 
 async fn closed_loop(caller: Caller, arrivals: Vec<Arrival>, until: Instant) -> Part {
     let mut part = Part {
         whole: 0,
-        failed: 0,
+        failed_statuses: Vec::new(),
         latencies: Latencies::default(),
     };
     for arrival in arrivals.iter().cycle() {
@@ -86,7 +89,9 @@
             part.whole += 1;
             part.latencies.add(&finished.timing);
         } else {
-            part.failed += 1;
+            let last = finished.request.exchanges.last();
+            part.failed_statuses
+                .push(last.map_or(0, |exchange| exchange.status));
         }
     }
     part
--- a/components/trial/examples/entry_overhead.rs
+++ b/components/trial/examples/entry_overhead.rs
@@ -52,8 +52,8 @@
     let single = start(&preset, &trace, Duration::ZERO);
     let found = saturate(single.callers(), &trace, CALLERS, Duration::from_secs(8));
     println!(
-        "{:.0} answers a second with {} callers, {} failed",
-        found.answers_per_second, found.callers, found.failed
+        "{:.0} answers a second with {} callers, {} failed, last statuses {:?}",
+        found.answers_per_second, found.callers, found.failed, found.failed_statuses
     );
     println!("{}", latency_table(&found.latencies));
     single.stop().expect("the threads end");
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -65,17 +65,17 @@
             warm_up: WARM_UP,
         };
         let comparison = loadgen::compare(&cfg, &trace).change_context(CommandError::Failed)?;
-        show(args, &comparison, print_comparison);
+        show(args, &comparison, comparison_text);
         return Ok(());
     }
     if let Some(count) = args.saturate {
         let time = Duration::from_secs(args.seconds);
         let found = loadgen::saturate(&callers, &trace, count, time);
-        show(args, &found, print_saturation);
+        show(args, &found, saturation_text);
         return Ok(());
     }
     if args.hold {
-        show(args, &hold(args, &callers, &trace), print_hold);
+        show(args, &hold(args, &callers, &trace), hold_text);
         return Ok(());
     }
     play(args, &callers, &trace)
@@ -89,7 +89,7 @@
     };
     let verdict = loadgen::judge(&sources, &finished).change_context(CommandError::Failed)?;
     let broken = verdict.broken();
-    show(args, &report(&finished, verdict), print_load);
+    show(args, &report(&finished, verdict), load_text);
     if broken == 0 {
         return Ok(());
     }
@@ -150,48 +150,62 @@
         .collect()
 }
 
-fn show<T: Serialize>(args: &LoadArgs, report: &T, print: impl Fn(&T)) {
+fn show<T: Serialize>(args: &LoadArgs, report: &T, text: impl Fn(&T) -> String) {
     match args.format {
-        OutputFormat::Table => print(report),
+        OutputFormat::Table => super::print_text(&text(report)),
         OutputFormat::Json => super::print_json(report),
     }
 }
 
-fn print_load(report: &LoadReport) {
-    println!("answered {}, failed {}", report.answered, report.failed);
-    println!("{}", loadgen::latency_table(&report.latencies));
+fn load_text(report: &LoadReport) -> String {
+    let mut text = format!(
+        "answered {}, failed {}\n{}\n",
+        report.answered,
+        report.failed,
+        loadgen::latency_table(&report.latencies)
+    );
     for (promise, found) in &report.verdict.promises {
-        println!("{promise}: {} checked, {} broken", found.checked, found.broken);
+        text += &format!("{promise}: {} checked, {} broken\n", found.checked, found.broken);
+        for case in &found.cases {
+            text += &format!("broken: {case}\n");
+        }
     }
+    text
 }
 
-fn print_comparison(comparison: &Comparison) {
-    println!("straight to the engine ({} failed)", comparison.direct_failed);
-    println!("{}", loadgen::latency_table(&comparison.direct));
-    println!("through the entry host ({} failed)", comparison.failed);
-    println!("{}", loadgen::latency_table(&comparison.entry));
-    println!(
-        "first token later by {:.3} ms at the median, {:.3} ms at p99",
-        comparison.first_token_later_p50_ms, comparison.first_token_later_p99_ms
-    );
+fn comparison_text(comparison: &Comparison) -> String {
+    format!(
+        "straight to the engine ({} failed)\n{}\nthrough the entry host ({} failed)\n{}\n\
+         first token later by {:.3} ms at the median, {:.3} ms at p99\n",
+        comparison.direct_failed,
+        loadgen::latency_table(&comparison.direct),
+        comparison.failed,
+        loadgen::latency_table(&comparison.entry),
+        comparison.first_token_later_p50_ms,
+        comparison.first_token_later_p99_ms
+    )
 }
 
-fn print_saturation(found: &Saturation) {
-    println!(
-        "{:.0} answers a second with {} callers, {} failed",
-        found.answers_per_second, found.callers, found.failed
-    );
-    println!("{}", loadgen::latency_table(&found.latencies));
+fn saturation_text(found: &Saturation) -> String {
+    format!(
+        "{:.0} answers a second with {} callers, {} failed, last statuses {:?}\n{}\n",
+        found.answers_per_second,
+        found.callers,
+        found.failed,
+        found.failed_statuses,
+        loadgen::latency_table(&found.latencies)
+    )
 }
 
-fn print_hold(report: &HoldReport) {
-    println!(
-        "{} of {} streams ended whole",
+fn hold_text(report: &HoldReport) -> String {
+    let mut text = format!(
+        "{} of {} streams ended whole\n",
         report.streams.whole, report.streams.wanted
     );
     if let (Some(before), Some(open), Some(each)) =
         (report.before_bytes, report.open_bytes, report.bytes_per_stream)
     {
-        println!("resident memory {before} bytes before, {open} open, {each} for each stream");
+        text += &format!("resident memory {before} bytes before, {open} open, {each} for each stream\n");
     }
+    text
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -18,15 +18,23 @@
 pub(crate) use stand_in::stand_in;
 pub(crate) use try_it::try_it;
 
+use std::io::Write;
+
 use error_stack::Report;
 use loadgen::Preset;
 use serde::Serialize;
 
 use crate::exit::CommandError;
 
+/// Prints a report; a reader that has closed the pipe is no failure.
+fn print_text(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 /// Prints a report as one JSON object.
 fn print_json(report: &impl Serialize) {
-    println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
+    let text = serde_json::to_string_pretty(report).unwrap_or_default();
+    print_text(&(text + "\n"));
 }
 
 /// The preset with this name.
--- a/src/cmd/try_it.rs
+++ b/src/cmd/try_it.rs
@@ -32,7 +32,7 @@
     bar.finish_and_clear();
     let report = report.change_context(CommandError::Failed)?;
     match args.format {
-        OutputFormat::Table => print!("{}", trial::report_table(&report)),
+        OutputFormat::Table => super::print_text(&trial::report_table(&report)),
         OutputFormat::Json => super::print_json(&report),
     }
     if report.is_kept() {
