Hold workspaces to their limits over all hosts

Cause: the limits that a release note declares were not enforced. Change: an account for each active workspace with token buckets for requests and prompt tokens and a count of open requests; drafts and calls are admitted against this host's part, which follows the demand that heartbeats carry. Ruled out: a central counter (a write for each request); equal fixed parts (a caller with one connection would get a ninth of its limit). Figures: nine hosts, load even, on one host, skewed: admitted within 10% of the limit in each case; without reports never over it. Conclusion: holds at nine hosts; at more than the neighbours of a host the unheard ones are estimated, which is not measured yet.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: owns the control state and publishes views.
 
+mod demand;
 mod notes;
 mod peers;
 mod poll;
--- a/components/entry/src/control/peers.rs
+++ b/components/entry/src/control/peers.rs
@@ -12,6 +12,7 @@
 use slog::{info, warn};
 use utils::TargetId;
 
+use super::demand::DemandExchange;
 use super::state::Input as ControlInput;
 use crate::shared::Shared;
 
@@ -28,6 +29,8 @@
     transport: Option<Transport>,
     /// Entry hosts that can not be probed; the list alone speaks for them.
     unprobed: Vec<ListedHost>,
+    /// What workspaces ask of the other hosts.
+    demand: DemandExchange,
     /// Whether the other hosts know that this one leaves.
     has_left: bool,
 }
@@ -54,6 +57,7 @@
             membership,
             transport,
             unprobed: Vec::new(),
+            demand: DemandExchange::default(),
             has_left: false,
         }
     }
@@ -91,6 +95,10 @@
 
     /// Lets time pass.
     pub(crate) fn tick(&mut self) -> Option<Members> {
+        let now = self.shared.clock.now();
+        if let Some(demand) = self.demand.end_period(&self.shared, now) {
+            self.step(Input::Demand(demand));
+        }
         let left = match self.shared.is_draining() && !self.has_left {
             true => {
                 self.has_left = true;
@@ -120,7 +128,8 @@
                 }
                 Effect::ViewChanged => changed = true,
                 Effect::Log(event) => self.log(&event),
-                Effect::NotesHeard { .. } | Effect::QuarantineHeard(_) | Effect::DemandHeard { .. } => {}
+                Effect::DemandHeard { from, demand } => self.demand.hear(from, &demand, now),
+                Effect::NotesHeard { .. } | Effect::QuarantineHeard(_) => {}
             }
         }
         changed.then(|| self.members(&self.membership.view(now)))
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -163,6 +163,7 @@
         incarnation,
         clock,
         ledger,
+        limiter: Arc::default(),
         retries: Retries::default(),
         live_hosts,
         log,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod error;
 mod gate;
+mod limits;
 mod metrics;
 mod observe;
 mod operators;
--- /dev/null
+++ b/components/entry/src/limits.rs
@@ -0,0 +1,324 @@
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use membership::WorkspaceTag;
+use notes::Limits;
+use policy::{DemandMeter, TokenBucket, rate_share};
+use utils::{Monotonic, WorkspaceId};
+
+/// Parts of the table of accounts; requests of different workspaces rarely meet in one.
+const PARTS: usize = 32;
+/// Seconds of its rate that a workspace may use at once.
+const BURST_SECONDS: f64 = 1.0;
+/// Weight of earlier periods in the demand that is reported.
+const DEMAND_KEEP: f64 = 0.5;
+/// Demand below this is not reported, in requests a second.
+const SMALLEST_DEMAND: f64 = 0.01;
+
+/// What a workspace asked of a host lately, a second.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct DemandRates {
+    /// Requests.
+    pub requests: f64,
+    /// Prompt tokens.
+    pub tokens: f64,
+}
+
+/// Which limit a request is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OverLimit {
+    /// Requests or prompt tokens a second; the time until there is room.
+    Rate(Duration),
+    /// Streams open at once.
+    OpenStreams,
+}
+
+/// Holds workspaces to this host's part of their limits.
+#[derive(Debug)]
+pub(crate) struct Limiter {
+    /// Accounts by workspace.
+    parts: Vec<Mutex<HashMap<WorkspaceId, Account>>>,
+    /// Chooses the part.
+    hasher: RandomState,
+}
+
+/// Counts one open stream of a workspace until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AccountGuard {
+    /// Where the account is.
+    limiter: Arc<Limiter>,
+    /// The workspace.
+    workspace: WorkspaceId,
+}
+
+/// One workspace at this host.
+#[derive(Debug)]
+struct Account {
+    /// Name of the workspace in heartbeats.
+    tag: WorkspaceTag,
+    /// Requests.
+    requests: TokenBucket,
+    /// Prompt tokens.
+    tokens: TokenBucket,
+    /// Demand for requests, admitted or not.
+    requests_offered: DemandMeter,
+    /// Demand for prompt tokens, admitted or not.
+    tokens_offered: DemandMeter,
+    /// Streams that are open.
+    open: u32,
+    /// The limits that the parts are taken of.
+    limits: Limits,
+    /// This host's part of the limits.
+    part: DemandRates,
+}
+
+impl Default for Limiter {
+    fn default() -> Self {
+        Self {
+            parts: (0..PARTS).map(|_| Mutex::default()).collect(),
+            hasher: RandomState::new(),
+        }
+    }
+}
+
+impl Limiter {
+    /// Admits a request, or says which limit it is over.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        workspace: &WorkspaceId,
+        limits: &Limits,
+        prompt_tokens: u32,
+        hosts: u32,
+        now: Monotonic,
+    ) -> Result<AccountGuard, OverLimit> {
+        let mut accounts = self.part_of(workspace);
+        let account = accounts
+            .entry(workspace.clone())
+            .or_insert_with(|| Account::new(workspace, *limits, hosts, now));
+        account.admit(limits, prompt_tokens, now)?;
+        Ok(AccountGuard {
+            limiter: self.clone(),
+            workspace: workspace.clone(),
+        })
+    }
+
+    /// Ends a period: sets this host's parts from what other hosts reported, and gives its own demand.
+    pub(crate) fn end_period(
+        &self,
+        reports: &[&HashMap<WorkspaceTag, DemandRates>],
+        hosts: u32,
+        now: Monotonic,
+    ) -> Vec<(WorkspaceTag, DemandRates)> {
+        let mut demand = Vec::new();
+        for part in &self.parts {
+            let mut accounts = lock(part);
+            accounts.retain(|_, account| {
+                let tag = account.tag;
+                let reported = reports.iter().map(|of| of.get(&tag).copied().unwrap_or_default());
+                let own = account.end_period(reported, hosts, now);
+                if own.requests >= SMALLEST_DEMAND {
+                    demand.push((tag, own));
+                }
+                own.requests >= SMALLEST_DEMAND || account.open > 0
+            });
+        }
+        demand
+    }
+
+    fn part_of(&self, workspace: &WorkspaceId) -> MutexGuard<'_, HashMap<WorkspaceId, Account>> {
+        let number = self.hasher.hash_one(workspace) as usize % PARTS;
+        lock(&self.parts[number])
+    }
+}
+
+impl Account {
+    /// An account of a workspace that no host has reported: each host takes an equal part.
+    fn new(workspace: &str, limits: Limits, hosts: u32, now: Monotonic) -> Self {
+        let share = 1.0 / f64::from(hosts.max(1));
+        let part = DemandRates {
+            requests: limits.requests_per_second * share,
+            tokens: limits.prompt_tokens_per_second * share,
+        };
+        Self {
+            tag: WorkspaceTag::of(workspace),
+            requests: TokenBucket::new(part.requests, burst(part.requests), now),
+            tokens: TokenBucket::new(part.tokens, burst(part.tokens), now),
+            requests_offered: DemandMeter::new(now),
+            tokens_offered: DemandMeter::new(now),
+            open: 0,
+            limits,
+            part,
+        }
+    }
+
+    fn admit(&mut self, limits: &Limits, prompt_tokens: u32, now: Monotonic) -> Result<(), OverLimit> {
+        self.follow(limits, now);
+        self.requests_offered.offer(1.0);
+        self.tokens_offered.offer(f64::from(prompt_tokens));
+        if self.open >= self.open_limit() {
+            return Err(OverLimit::OpenStreams);
+        }
+        self.tokens.take(0.0, now).map_err(OverLimit::Rate)?;
+        self.requests.take(1.0, now).map_err(OverLimit::Rate)?;
+        let taken = self.tokens.take(f64::from(prompt_tokens), now);
+        taken.map_err(OverLimit::Rate)?;
+        self.open += 1;
+        Ok(())
+    }
+
+    /// Takes over limits that a release note changed, at the part that this host had.
+    fn follow(&mut self, limits: &Limits, now: Monotonic) {
+        if self.limits == *limits {
+            return;
+        }
+        let requests = self.part.requests / self.limits.requests_per_second.max(f64::MIN_POSITIVE);
+        let tokens = self.part.tokens / self.limits.prompt_tokens_per_second.max(f64::MIN_POSITIVE);
+        self.limits = *limits;
+        self.set_part(
+            DemandRates {
+                requests: requests.min(1.0) * limits.requests_per_second,
+                tokens: tokens.min(1.0) * limits.prompt_tokens_per_second,
+            },
+            now,
+        );
+    }
+
+    fn end_period(
+        &mut self,
+        reported: impl Iterator<Item = DemandRates> + Clone,
+        hosts: u32,
+        now: Monotonic,
+    ) -> DemandRates {
+        let own = DemandRates {
+            requests: self.requests_offered.report(DEMAND_KEEP, now),
+            tokens: self.tokens_offered.report(DEMAND_KEEP, now),
+        };
+        // Without any report the load is taken to be spread evenly, as a new account does.
+        let heard = reported.clone().count();
+        if heard > 0 || hosts <= 1 {
+            let others = f64::from(hosts.saturating_sub(1)) / heard.max(1) as f64;
+            let sum = |of: fn(&DemandRates) -> f64| others * reported.clone().map(|r| of(&r)).sum::<f64>();
+            let part = DemandRates {
+                requests: part_of(self.limits.requests_per_second, own.requests, sum(|r| r.requests)),
+                tokens: part_of(
+                    self.limits.prompt_tokens_per_second,
+                    own.tokens,
+                    sum(|r| r.tokens),
+                ),
+            };
+            self.set_part(part, now);
+        }
+        own
+    }
+
+    fn set_part(&mut self, part: DemandRates, now: Monotonic) {
+        self.requests.set(part.requests, burst(part.requests), now);
+        self.tokens.set(part.tokens, burst(part.tokens), now);
+        self.part = part;
+    }
+
+    /// This host's part of the streams that may be open, at least one.
+    fn open_limit(&self) -> u32 {
+        let share = self.part.requests / self.limits.requests_per_second.max(f64::MIN_POSITIVE);
+        let part = share.min(1.0) * f64::from(self.limits.open_streams);
+        (part.ceil() as u32).max(1).min(self.limits.open_streams)
+    }
+}
+
+impl Drop for AccountGuard {
+    fn drop(&mut self) {
+        if let Some(account) = self.limiter.part_of(&self.workspace).get_mut(&self.workspace) {
+            account.open = account.open.saturating_sub(1);
+        }
+    }
+}
+
+/// This host's part of a limit, by its own demand and that of all other hosts. The hosts that were heard
+/// stand for those that were not, so that the cost does not grow with the number of hosts.
+fn part_of(limit: f64, own: f64, others: f64) -> f64 {
+    if others > 0.0 {
+        rate_share(limit, own, [own, others])
+    } else {
+        limit
+    }
+}
+
+/// Tokens that a bucket of this rate holds; at least one request fits.
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_SECONDS).max(1.0)
+}
+
+fn lock(part: &Mutex<HashMap<WorkspaceId, Account>>) -> MutexGuard<'_, HashMap<WorkspaceId, Account>> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMITS: Limits = Limits {
+        requests_per_second: 90.0,
+        prompt_tokens_per_second: 1e9,
+        open_streams: 1_000_000,
+    };
+
+    /// Requests that hosts admit in ten seconds when each is offered its number of requests a second.
+    fn admitted(offered: &[u32], told: bool) -> usize {
+        let workspace: WorkspaceId = "mill".into();
+        let limiters: Vec<_> = offered.iter().map(|_| Arc::new(Limiter::default())).collect();
+        let hosts = offered.len() as u32;
+        let mut reports: Vec<HashMap<WorkspaceTag, DemandRates>> = vec![HashMap::new(); offered.len()];
+        let mut count = 0;
+        for second in 0..20_u64 {
+            for (limiter, rate) in limiters.iter().zip(offered) {
+                for n in 0..*rate {
+                    let now = Duration::from_secs(second) + Duration::from_secs(1) * n / *rate;
+                    let taken = limiter.admit(&workspace, &LIMITS, 1, hosts, now).is_ok();
+                    count += usize::from(taken && second >= 10);
+                }
+            }
+            for (i, limiter) in limiters.iter().enumerate() {
+                let others = reports.iter().enumerate().filter(|(j, _)| told && *j != i);
+                let others: Vec<_> = others.map(|(_, report)| report).collect();
+                let own = limiter.end_period(&others, hosts, Duration::from_secs(second + 1));
+                reports[i] = own.into_iter().collect();
+            }
+        }
+        count
+    }
+
+    #[test]
+    fn a_limit_holds_over_nine_hosts_however_the_load_is_spread() {
+        for offered in [
+            [20; 9],
+            [180, 0, 0, 0, 0, 0, 0, 0, 0],
+            [100, 50, 20, 10, 5, 5, 5, 5, 5],
+        ] {
+            let count = admitted(&offered, true) as f64;
+            assert!((count / 900.0 - 1.0).abs() <= 0.1, "{offered:?}: {count} of 900");
+        }
+    }
+
+    #[test]
+    fn without_reports_no_more_than_the_limit_is_admitted() {
+        assert!(admitted(&[180, 0, 0, 0, 0, 0, 0, 0, 0], false) <= 110);
+        assert!(admitted(&[20; 9], false) <= 990);
+    }
+
+    #[test]
+    fn a_closed_stream_makes_room() {
+        let limiter = Arc::new(Limiter::default());
+        let limits = Limits {
+            open_streams: 1,
+            ..LIMITS
+        };
+        let workspace: WorkspaceId = "mill".into();
+        let admit = || limiter.admit(&workspace, &limits, 1, 1, Duration::from_secs(1));
+        let first = admit().unwrap();
+        assert_eq!(admit().unwrap_err(), OverLimit::OpenStreams);
+        drop(first);
+        assert!(admit().is_ok());
+    }
+}
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::claims::LiveHosts;
 use crate::gate::NoteGate;
+use crate::limits::Limiter;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
@@ -42,6 +43,8 @@
     pub outcomes: Outcomes,
     /// Claims calls that must not be repeated.
     pub ledger: LedgerHandle,
+    /// Holds workspaces to their limits.
+    pub limiter: Arc<Limiter>,
     /// The retry budget.
     pub retries: Retries,
     /// Entry hosts that the platform lists.
--- /dev/null
+++ b/components/entry/src/traffic/admit.rs
@@ -0,0 +1,62 @@
+use errors::ProblemKind;
+use notes::Limits;
+use utils::WorkspaceId;
+
+use super::Context;
+use super::failure::Failure;
+use crate::limits::{AccountGuard, OverLimit};
+use crate::shared::StreamGuard;
+
+/// A request that counts as open until it is dropped.
+pub(crate) struct OpenRequest {
+    /// Its place on the host.
+    _host: StreamGuard,
+    /// Its place in the workspace's account; a resumed stream has none.
+    _account: Option<AccountGuard>,
+}
+
+/// Admits a request within the limits of the host and of its workspace.
+pub(crate) fn admit(
+    cx: &Context,
+    workspace: &WorkspaceId,
+    limits: &Limits,
+    prompt_tokens: u32,
+) -> Result<OpenRequest, Failure> {
+    let host = take_place(cx)?;
+    let hosts = cx.shared.view.load().entry_hosts;
+    let now = cx.shared.clock.now();
+    let admitted = cx
+        .shared
+        .limiter
+        .admit(workspace, limits, prompt_tokens, hosts, now);
+    match admitted {
+        Ok(account) => Ok(OpenRequest {
+            _host: host,
+            _account: Some(account),
+        }),
+        Err(OverLimit::Rate(wait)) => {
+            let detail = format!(
+                "the workspace is over its rate; try again in {} ms",
+                wait.as_millis().max(1)
+            );
+            Err(Failure::refused(ProblemKind::WorkspaceLimit, detail))
+        }
+        Err(OverLimit::OpenStreams) => {
+            let detail = "the workspace has too many requests open";
+            Err(Failure::refused(ProblemKind::TooManyStreams, detail))
+        }
+    }
+}
+
+/// Admits a stream that goes on; its workspace was charged when it began.
+pub(crate) fn admit_resumed(cx: &Context) -> Result<OpenRequest, Failure> {
+    Ok(OpenRequest {
+        _host: take_place(cx)?,
+        _account: None,
+    })
+}
+
+fn take_place(cx: &Context) -> Result<StreamGuard, Failure> {
+    let place = cx.shared.open_stream();
+    place.ok_or_else(|| Failure::refused(ProblemKind::TooManyStreams, "this host has too many open streams"))
+}
--- a/components/entry/src/traffic/calls.rs
+++ b/components/entry/src/traffic/calls.rs
@@ -10,6 +10,7 @@
 use slog::info;
 use targets::{CallReply, CallRequest, HttpService, Service, TargetError};
 
+use super::admit::admit;
 use super::failure::Failure;
 use super::once::call_once;
 use super::respond::id_text;
@@ -46,6 +47,12 @@
         idempotency_key: key,
         body: received.body.clone(),
     };
+    let limits = declared
+        .workspaces
+        .get(&received.workspace)
+        .map(|w| w.limits)
+        .unwrap_or_default();
+    let _open = admit(cx, &received.workspace, &limits, 0)?;
     let reply = match (rules.repeatable, &req.idempotency_key) {
         (true, _) => send(cx, &received, &req, rules.timeout()).await?,
         (false, Some(_)) => call_once(cx, &received, &req, rules.timeout()).await?,
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -9,6 +9,7 @@
 use targets::{DraftEvent, DraftRequest, DraftStream, Engine, HttpEngine, TargetError};
 use utils::{Monotonic, TargetId, WeightVersion};
 
+use super::admit::admit;
 use super::failure::Failure;
 use super::openai::{ChatBody, CompletionBody, Prompt, Writer};
 use super::relay::Relay;
@@ -137,12 +138,12 @@
     }
 
     async fn run(mut self) -> Result<Response<Body>, Failure> {
-        let Some(guard) = self.cx.shared.open_stream() else {
-            return Err(Failure::refused(
-                ProblemKind::TooManyStreams,
-                "this host has too many open streams",
-            ));
-        };
+        let workspaces = &self.received.view.declared.workspaces;
+        let limits = workspaces
+            .get(&self.req.workspace)
+            .map(|w| w.limits)
+            .unwrap_or_default();
+        let guard = admit(&self.cx, &self.req.workspace, &limits, self.req.prompt_tokens)?;
         let opened = self.open().await?;
         let (id, note) = (id_text(self.received.id), self.received.view.declared.version);
         if !self.stream {
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic threads: each accepts connections and serves them on its own executor.
 
+mod admit;
 mod calls;
 mod drafts;
 mod failure;
--- a/components/entry/src/traffic/relay.rs
+++ b/components/entry/src/traffic/relay.rs
@@ -11,6 +11,7 @@
 use targets::{DraftEvent, DraftRequest, DraftStream, TargetError};
 use utils::WeightVersion;
 
+use super::admit::{OpenRequest, admit_resumed};
 use super::drafts::{Draft, Opened, error_event};
 use super::failure::Failure;
 use super::openai::{Usage, Writer};
@@ -19,7 +20,6 @@
 use super::{Context, respond};
 use crate::observe::Observation;
 use crate::resume::{ResumePoint, TokenError};
-use crate::shared::StreamGuard;
 
 /// Tries to go on with a stream that broke, without a new token in between.
 const MAX_RESUMES: u32 = 3;
@@ -48,8 +48,8 @@
     resumes: u32,
     /// Whether the caller knows how the request ended.
     ended: bool,
-    /// Counts the stream as open.
-    _guard: StreamGuard,
+    /// Counts the request as open.
+    _guard: OpenRequest,
 }
 
 impl Drop for Relay {
@@ -69,7 +69,7 @@
 }
 
 impl Relay {
-    pub(crate) fn new(draft: Draft, opened: Opened, guard: StreamGuard) -> Self {
+    pub(crate) fn new(draft: Draft, opened: Opened, guard: OpenRequest) -> Self {
         let version = opened
             .first
             .start
@@ -333,12 +333,7 @@
         };
         Failure::refused(kind, e.current_context().to_string())
     })?;
-    let Some(guard) = cx.shared.open_stream() else {
-        return Err(Failure::refused(
-            ProblemKind::TooManyStreams,
-            "this host has too many open streams",
-        ));
-    };
+    let guard = admit_resumed(cx)?;
     let (mut draft, chosen) = resumed_draft(cx, received, point)?;
     cx.shared.observer.tell(Observation::Sent {
         key: chosen.key,
