Test that a host which can not confirm the head refuses new work

Change: with the platform out of reach a host answers 503, `not-run`, `not-serving`; with the platform back it serves again. Conclusion: holds until heartbeats between hosts extend the service; hosts without peers keep to it then too.

--- a/components/entry/tests/path.rs
+++ b/components/entry/tests/path.rs
@@ -6,7 +6,7 @@
 use errors::Outcome;
 use hyper::Method;
 use smol::block_on;
-use standins::Answer;
+use standins::{Answer, PlatformFaults};
 
 fn right_answer(prompt: &str, tokens: u32) -> String {
     Answer::new(MODEL, 1, prompt).text(tokens)
@@ -74,6 +74,32 @@
     world.stop();
 }
 
+#[test]
+fn a_host_that_can_not_confirm_the_note_takes_no_new_work() {
+    let world = World::start(&WorldConfig::default());
+    let caller = world.caller(0, MILL_KEY);
+    let status_is = |wanted: u16| loop {
+        let streamed = block_on(caller.stream(&body("draft", 1), None));
+        if streamed.status == wanted {
+            return streamed;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    };
+    world.platform.state().set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let refused = status_is(503);
+    assert_eq!(refused.outcome, "not-run");
+    assert_eq!(
+        refused.problem.unwrap().kind,
+        "urn:laburnumtally:problem:not-serving"
+    );
+    world.platform.state().set_faults(PlatformFaults::default());
+    assert_eq!(status_is(200).outcome, "ran");
+    world.stop();
+}
+
 #[test]
 fn a_silent_connection_costs_no_second_run() {
     let world = World::start(&WorldConfig {
