--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -2,23 +2,26 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use errors::events;
-use http_io::{Shutdown, load_acceptor, shutdown_channel};
+use http_io::{Executor, Shutdown, load_acceptor, shutdown_channel};
+use ledger::LedgerWriter;
 use policy::LeastLoaded;
 use slog::{Logger, info, o};
-use utils::{Clock, SystemClock};
+use utils::{Clock, Incarnation, SystemClock};
 
 use crate::EntryError;
+use crate::claims::{self, LiveHosts};
 use crate::control;
 use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
+use crate::retries::Retries;
 use crate::shared::Shared;
 use crate::traffic;
 use crate::view::ViewCell;
@@ -64,13 +67,22 @@
         };
         let (observer, observations) = Observer::new();
         let (outcomes, records) = Outcomes::new();
-        let shared = Arc::new(build_shared(settings, log, observer, outcomes)?);
+        let ex: Executor = Arc::new(smol::Executor::new());
+        let (shared, writer) = build_shared(settings, log, observer, outcomes, &ex)?;
+        let shared = Arc::new(shared);
+        let peers = control::open_peers(&shared, ex.clone()).change_context(EntryError::Peers)?;
         let (stop_control, control_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control = spawn("control", {
             let shared = shared.clone();
-            move || control::run(shared, operators, observations, records, control_stopped)
+            let inputs = control::Sources {
+                observations,
+                records,
+                writer,
+                peers,
+            };
+            move || control::run(shared, operators, inputs, control_stopped, ex)
         })?;
         let traffic = spawn_traffic(&shared, &callers, &traffic_stopped, &traffic_aborted)?;
         info!(shared.log, "accepting connections"; events::HOST_STARTED,
@@ -133,11 +145,27 @@
     log: Logger,
     observer: Observer,
     outcomes: Outcomes,
-) -> Result<Shared, Report<EntryError>> {
+    ex: &Executor,
+) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
     let log = log.new(o!("host" => settings.host.id.to_string()));
-    Ok(Shared {
-        incarnation: rand::random(),
-        clock: Arc::new(SystemClock::new()) as Arc<dyn Clock>,
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let incarnation = incarnation(&*clock);
+    let live_hosts = LiveHosts::default();
+    let (writer, ledger) = claims::build(
+        &settings,
+        incarnation,
+        &clock,
+        live_hosts.clone(),
+        ex,
+        log.clone(),
+    )?;
+    let shared = Shared {
+        incarnation,
+        clock,
+        ledger,
+        limiter: Arc::default(),
+        retries: Retries::default(),
+        live_hosts,
         log,
         metrics: Metrics::new()?,
         view: ViewCell::default(),
@@ -149,7 +177,14 @@
         draining: AtomicBool::new(false),
         open_streams: AtomicUsize::new(0),
         settings,
-    })
+    };
+    Ok((shared, writer))
+}
+
+/// The run of this process: grows with each start of the same host.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |since| since.as_nanos() as u64)
 }
 
 fn spawn_traffic(
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,14 +1,17 @@
 //! The entry daemon: takes requests from callers, places them and relays the answers.
 
+mod claims;
 mod control;
 mod daemon;
 mod error;
 mod gate;
+mod limits;
 mod metrics;
 mod observe;
 mod operators;
 mod outcomes;
 mod resume;
+mod retries;
 mod shared;
 mod traffic;
 mod view;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -2,15 +2,19 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use config::Settings;
+use ledger::LedgerHandle;
 use policy::Placer;
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::claims::LiveHosts;
 use crate::gate::NoteGate;
+use crate::limits::Limiter;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::outcomes::Outcomes;
 use crate::resume::Sealer;
+use crate::retries::Retries;
 use crate::view::{Serving, View, ViewCell};
 
 /// What all threads of a host share. Nothing here is locked on the way of a token.
@@ -37,6 +41,14 @@
     pub observer: Observer,
     /// The latest requests.
     pub outcomes: Outcomes,
+    /// Claims calls that must not be repeated.
+    pub ledger: LedgerHandle,
+    /// Holds workspaces to their limits.
+    pub limiter: Arc<Limiter>,
+    /// The retry budget.
+    pub retries: Retries,
+    /// Entry hosts that the platform lists.
+    pub live_hosts: LiveHosts,
     /// Whether the host is on its way out.
     pub draining: AtomicBool,
     /// Streams that are open.
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -1,8 +1,10 @@
 //! The traffic threads: each accepts connections and serves them on its own executor.
 
+mod admit;
 mod calls;
 mod drafts;
 mod failure;
+mod once;
 mod openai;
 mod relay;
 mod respond;
@@ -14,7 +16,6 @@
 
 use futures_rustls::TlsAcceptor;
 use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
-use platform::HttpPlatform;
 
 use crate::shared::Shared;
 
@@ -27,8 +28,6 @@
     pub engines: Client,
     /// Sends calls to plain services.
     pub services: Client,
-    /// The platform.
-    pub platform: Arc<HttpPlatform>,
 }
 
 /// Longest time for a plain service's answer, whatever the release note says.
@@ -73,9 +72,7 @@
             )
         };
         let first_event = Duration::from_millis(shared.settings.timeouts.first_event_ms);
-        let platform = client(shared.settings.platform.timeout());
         Self {
-            platform: Arc::new(HttpPlatform::new(platform, shared.settings.platform.address)),
             engines: client(first_event),
             services: client(LONGEST_CALL),
             shared,
