Take the run of a host from the host itself, and spread no first meetings

Cause: a number on the platform's list above the host's own would have made others ignore the host for good; and with numbers unknown to the list, each first meeting spread as news.

Change: a host's run is unknown until it is heard; learning it first is not passed on.

--- a/components/membership/src/exchange.rs
+++ b/components/membership/src/exchange.rs
@@ -101,13 +101,16 @@
             return;
         };
         let was = peer.status;
+        let is_news = peer.incarnation > 0 || was != rumour.status;
         if peer.is_heard_since_suspicion(rumour) || !peer.apply(rumour, now) {
             return;
         }
         if was != rumour.status {
             effects.push(Effect::ViewChanged);
         }
-        self.spread(*rumour);
+        if is_news {
+            self.spread(*rumour);
+        }
     }
 
     /// Objects to news that this host is suspect or dead.
--- a/components/membership/src/peer.rs
+++ b/components/membership/src/peer.rs
@@ -54,7 +54,7 @@
 impl Peer {
     pub(crate) fn new(listed: Arc<ListedHost>, now: Monotonic) -> Self {
         Self {
-            incarnation: listed.incarnation,
+            incarnation: 0,
             listed,
             unlisted: false,
             revision: 0,
--- a/components/membership/src/probing.rs
+++ b/components/membership/src/probing.rs
@@ -102,8 +102,11 @@
             status,
         };
         let was = peer.status;
+        let is_news = peer.incarnation > 0 || was != status;
         if peer.apply(&rumour, now) {
-            self.spread(rumour);
+            if is_news {
+                self.spread(rumour);
+            }
             if was != status {
                 effects.push(Effect::ViewChanged);
             }
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -16,6 +16,23 @@
     cluster.view(at).host_names(region).len()
 }
 
+#[test]
+fn number_of_a_run_on_the_list_does_not_silence_a_host() {
+    let mut cluster = Cluster::new(3, 0, 0);
+    for host in &mut cluster.list {
+        host.incarnation = u64::MAX;
+    }
+    let list = cluster.list.clone();
+    let mut fresh = Cluster::new(3, 0, 0);
+    fresh.list = list;
+    for (seed, id) in ["entry-0", "entry-1", "entry-2"].iter().enumerate() {
+        fresh.start(id, "north", 1, seed as u64);
+    }
+    fresh.run(seconds(10));
+    assert_eq!(fresh.events, []);
+    assert_eq!(fresh.view("entry-0").heard.len(), 2);
+}
+
 #[test]
 fn quiet_hosts_suspect_nobody() {
     let mut cluster = Cluster::new(6, 3, 4);
