Use kept cache in the entry host

Cause: the entry host placed by wait alone and sent no names of pieces.

Change: drafts name their pieces; the control thread watches engines' events and stores' catalogues, owns the directory and publishes it; `CacheAware` places; engines import before a draft and export after the first token. Any failure leaves the engine to compute the prompt again. Identical exports of a host are made once.

Ruled out: transfers over the paid link, as no budget can be set yet; without one the view has no link and none is planned.

--- /dev/null
+++ b/components/entry/src/control/kept.rs
@@ -0,0 +1,235 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use directory::Directory;
+use platform::ListedHost;
+use policy::{
+    CacheIndex, Candidate, CandidateKey, LinkMeter, PlacementView, Retention, StoreKey, StoreView,
+    TransferStart, Transfers, WriteBack,
+};
+use targets::{PIECE_TOKENS, PieceId};
+use utils::{Monotonic, TargetId, WeightVersion, WorkspaceId};
+
+use super::watch::{CacheNews, Export};
+use crate::cache::CacheCell;
+
+/// Rate that is assumed of a store before it is measured, in bytes a second.
+const ASSUMED_RATE: f64 = 125e6;
+
+/// Exports that wait for the exporter.
+const EXPORTS: usize = 256;
+
+/// What is known of kept cache: copies, stores and what is worth keeping. Lives on the control thread.
+pub(crate) struct KeptCache {
+    /// Where pieces are.
+    directory: Directory,
+    /// Keys and measured rates of the stores by name.
+    stores: BTreeMap<TargetId, (StoreKey, LinkMeter)>,
+    /// Gaps between the uses of pieces.
+    retention: Retention,
+    /// Pieces that are on their way to stores.
+    exporting: Transfers<TargetId>,
+    /// To the exporter.
+    tx: async_channel::Sender<Export>,
+}
+
+/// A prompt that a target has in its cache now.
+pub(crate) struct Prefilled<'a> {
+    pub(crate) key: CandidateKey,
+    pub(crate) workspace: &'a WorkspaceId,
+    pub(crate) weight_version: WeightVersion,
+    pub(crate) pieces: &'a [PieceId],
+}
+
+impl KeptCache {
+    pub(crate) fn new() -> (Self, async_channel::Receiver<Export>) {
+        let (tx, rx) = async_channel::bounded(EXPORTS);
+        let kept = Self {
+            directory: Directory::default(),
+            stores: BTreeMap::new(),
+            retention: Retention::default(),
+            exporting: Transfers::default(),
+            tx,
+        };
+        (kept, rx)
+    }
+
+    /// Takes the stores of the platform's list.
+    pub(crate) fn take_stores<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a ListedHost> + Clone,
+        view: &mut PlacementView,
+    ) {
+        let directory = &mut self.directory;
+        self.stores.retain(|id, (key, _)| {
+            let stays = listed.clone().any(|h| h.id == *id);
+            if !stays {
+                view.stores.remove(*key);
+                directory.remove_store(*key);
+            }
+            stays
+        });
+        for host in listed {
+            let known = self.stores.entry(host.id.clone());
+            let (key, _) =
+                known.or_insert_with(|| (view.stores.insert(new_store(host)), LinkMeter::new(ASSUMED_RATE)));
+            if let Some(store) = view.stores.get_mut(*key) {
+                store.address = host.address;
+            }
+        }
+    }
+
+    pub(crate) fn remove_target(&mut self, key: CandidateKey) {
+        self.directory.remove_target(key);
+    }
+
+    /// Takes what a target said.
+    pub(crate) fn take_target(&mut self, key: CandidateKey, news: &CacheNews) {
+        match news {
+            // A gap shows in the directory as doubt; the watcher then reads a snapshot by itself.
+            CacheNews::Events(batch) => {
+                let _ = self.directory.apply_events(key, batch);
+            }
+            CacheNews::Snapshot(snapshot) => self.directory.apply_snapshot(key, snapshot),
+            CacheNews::Catalogue(..) | CacheNews::PieceBytes(_) | CacheNews::Exported(_) => {}
+        }
+    }
+
+    /// Takes what a store said.
+    pub(crate) fn take_store(&mut self, id: &TargetId, news: CacheNews, view: &mut PlacementView) {
+        let Some((key, _)) = self.stores.get(id) else {
+            return;
+        };
+        match news {
+            CacheNews::Catalogue(from, catalogue) => {
+                let _ = self.directory.apply_catalogue(*key, from, &catalogue);
+            }
+            CacheNews::PieceBytes(bytes) => view.piece_bytes = view.piece_bytes.max(bytes),
+            CacheNews::Exported(pieces) => {
+                for piece in pieces {
+                    self.exporting.end(piece, id.clone());
+                }
+            }
+            CacheNews::Events(_) | CacheNews::Snapshot(_) => {}
+        }
+    }
+
+    /// Counts a transfer from a store.
+    pub(crate) fn fetch_started(&mut self, store: SocketAddr, view: &PlacementView, now: Monotonic) {
+        if let Some(meter) = self.meter(store, view) {
+            meter.started(view.piece_bytes, now);
+        }
+    }
+
+    /// Takes how a transfer from a store ended.
+    pub(crate) fn fetch_ended(
+        &mut self,
+        store: SocketAddr,
+        is_whole: bool,
+        view: &PlacementView,
+        now: Monotonic,
+    ) {
+        let Some(meter) = self.meter(store, view) else {
+            return;
+        };
+        match is_whole {
+            true => meter.finished(view.piece_bytes, now),
+            false => meter.failed(view.piece_bytes, now),
+        }
+    }
+
+    /// Takes that a target has computed or read a prompt, and copies to its region's store what is worth it.
+    pub(crate) fn prefilled(&mut self, prompt: &Prefilled<'_>, view: &PlacementView, now: Monotonic) {
+        self.directory.expect(prompt.key, prompt.pieces);
+        for (depth, piece) in prompt.pieces.iter().enumerate() {
+            self.retention.used(prompt.workspace, *piece, depth as u16, now);
+        }
+        let Some(candidate) = view.targets.get(prompt.key) else {
+            return;
+        };
+        let near = self.stores.iter().find_map(|(id, (key, meter))| {
+            let store = view.stores.get(*key)?;
+            let is_near = store.region == candidate.region && meter.is_usable(now);
+            is_near.then(|| (id.clone(), *key, store.address, meter.rate()))
+        });
+        let Some((id, key, address, rate)) = near else {
+            return;
+        };
+        let copies = self.directory.view().copies(prompt.pieces);
+        let held = copies
+            .stores()
+            .iter()
+            .find(|c| c.store == key)
+            .map_or(0, |c| c.pieces);
+        let copy = write_back(candidate, view.piece_bytes, rate);
+        let mut pieces = Vec::new();
+        for (depth, piece) in prompt.pieces.iter().enumerate().take(u128::BITS as usize) {
+            let is_worth =
+                held >> depth & 1 == 0 && self.retention.pays(prompt.workspace, depth as u16, &copy);
+            if is_worth && self.exporting.begin(*piece, id.clone()) == TransferStart::Start {
+                pieces.push(*piece);
+            }
+        }
+        self.send(Export {
+            engine: candidate.address,
+            store_id: id,
+            store: address,
+            weight_version: prompt.weight_version,
+            pieces,
+        });
+    }
+
+    /// Publishes copies to `cell` and the state of the stores to `view`.
+    pub(crate) fn publish(&mut self, cell: &CacheCell, view: &mut PlacementView, now: Monotonic) {
+        for (key, meter) in self.stores.values_mut() {
+            meter.check(now);
+            if let Some(store) = view.stores.get_mut(*key) {
+                store.is_usable = meter.is_usable(now);
+                store.bytes_per_second = meter.rate();
+                store.backlog_bytes = meter.backlog_bytes();
+            }
+        }
+        view.build_index(now);
+        cell.publish(self.directory.view());
+    }
+
+    /// Gives pieces to the exporter; with too many waiting they are not kept.
+    fn send(&mut self, export: Export) {
+        if export.pieces.is_empty() {
+            return;
+        }
+        if let Err(e) = self.tx.try_send(export) {
+            let export = e.into_inner();
+            for piece in export.pieces {
+                self.exporting.end(piece, export.store_id.clone());
+            }
+        }
+    }
+
+    fn meter(&mut self, address: SocketAddr, view: &PlacementView) -> Option<&mut LinkMeter> {
+        let mut stores = self.stores.values_mut();
+        let found = stores.find(|(key, _)| view.stores.get(*key).is_some_and(|s| s.address == address));
+        found.map(|(_, meter)| meter)
+    }
+}
+
+fn new_store(host: &ListedHost) -> StoreView {
+    StoreView {
+        id: host.id.clone(),
+        address: host.address,
+        region: host.region.clone(),
+        is_usable: true,
+        bytes_per_second: ASSUMED_RATE,
+        backlog_bytes: 0,
+    }
+}
+
+fn write_back(candidate: &Candidate, piece_bytes: u64, rate: f64) -> WriteBack {
+    let transfer = piece_bytes as f64 / rate.max(1.0);
+    WriteBack {
+        recompute_seconds: f64::from(PIECE_TOKENS) / candidate.prefill_tokens_per_second.max(1.0),
+        fetch_seconds: transfer,
+        recompute_cost: 0.0,
+        write_cost: 0.0,
+    }
+}
--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,8 +1,10 @@
 //! The control thread: owns the control state and publishes views.
 
+mod kept;
 mod notes;
 mod poll;
 mod state;
+mod watch;
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -16,6 +18,7 @@
 use crate::operators;
 use crate::outcomes::Records;
 use crate::shared::Shared;
+use kept::KeptCache;
 use state::ControlState;
 
 /// Inputs that wait for the control loop.
@@ -70,13 +73,26 @@
         ex.clone(),
         stop.clone(),
     ));
+    let (kept, exports) = KeptCache::new();
     let pollers = [
         ex.spawn(store_records(shared.clone(), records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx)),
+        ex.spawn(poll::poll_loads(
+            shared.clone(),
+            client.clone(),
+            ex.clone(),
+            tx.clone(),
+        )),
+        ex.spawn(watch::watch_caches(
+            shared.clone(),
+            client.clone(),
+            ex.clone(),
+            tx.clone(),
+        )),
+        ex.spawn(watch::export(shared.clone(), client, exports, tx)),
     ];
-    let state = ControlState::new(shared.clone());
+    let state = ControlState::new(shared.clone(), kept);
     let work = run_loop(state, inputs, observations);
     let stopped = async {
         let _ = stop.recv().await;
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -9,6 +9,8 @@
 use targets::{LoadReport, TargetError};
 use utils::TargetId;
 
+use super::kept::{KeptCache, Prefilled};
+use super::watch::CacheNews;
 use crate::observe::Observation;
 use crate::shared::Shared;
 use crate::view::{ServiceTarget, View};
@@ -28,6 +30,8 @@
         /// Told once the view is published.
         done: async_channel::Sender<()>,
     },
+    /// What a target or a store says about its pieces.
+    Cache(TargetId, CacheNews),
     /// A target's load, or `None` if it did not answer.
     Load(TargetId, Option<LoadReport>),
 }
@@ -46,10 +50,12 @@
     keys_by_id: BTreeMap<TargetId, CandidateKey>,
     /// Reports missed in a row.
     missed: BTreeMap<TargetId, u32>,
+    /// Where pieces are kept.
+    kept: KeptCache,
 }
 
 impl ControlState {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, kept: KeptCache) -> Self {
         Self {
             shared,
             list: Vec::new(),
@@ -57,6 +63,7 @@
             engines: PlacementView::default(),
             keys_by_id: BTreeMap::new(),
             missed: BTreeMap::new(),
+            kept,
         }
     }
 
@@ -66,11 +73,13 @@
             Input::List(list) => self.take_list(list),
             Input::Notes { obeyed, .. } => self.take_notes(obeyed),
             Input::Load(id, report) => self.take_load(&id, report),
+            Input::Cache(id, news) => self.take_cache(&id, news),
         }
     }
 
     /// Takes what a traffic thread saw.
     pub(crate) fn observe(&mut self, observation: &Observation) {
+        let now = self.shared.clock.now();
         match observation {
             Observation::Sent { key, tokens } => {
                 if let Some(candidate) = self.engines.targets.get_mut(*key) {
@@ -78,6 +87,24 @@
                     candidate.open += 1;
                 }
             }
+            Observation::Prefilled {
+                key,
+                workspace,
+                weight_version,
+                pieces,
+            } => {
+                let prompt = Prefilled {
+                    key: *key,
+                    workspace,
+                    weight_version: *weight_version,
+                    pieces,
+                };
+                self.kept.prefilled(&prompt, &self.engines, now);
+            }
+            Observation::FetchStarted { store } => self.kept.fetch_started(*store, &self.engines, now),
+            Observation::FetchEnded { store, is_whole } => {
+                self.kept.fetch_ended(*store, *is_whole, &self.engines, now);
+            }
             Observation::Ended { key, failure } => {
                 if let Some(candidate) = self.engines.targets.get_mut(*key) {
                     candidate.open = candidate.open.saturating_sub(1);
@@ -99,14 +126,24 @@
         for id in gone {
             if let Some(key) = self.keys_by_id.remove(&id) {
                 self.engines.targets.remove(key);
+                self.kept.remove_target(key);
             }
         }
         for host in list.iter().filter(|h| h.role == HostRole::Engine) {
             self.take_engine(host);
         }
+        let stores = list.iter().filter(|h| h.role == HostRole::Store);
+        self.kept.take_stores(stores, &mut self.engines);
         self.list = list;
     }
 
+    fn take_cache(&mut self, id: &TargetId, news: CacheNews) {
+        match self.keys_by_id.get(id) {
+            Some(key) => self.kept.take_target(*key, &news),
+            None => self.kept.take_store(id, news, &mut self.engines),
+        }
+    }
+
     fn take_engine(&mut self, host: &ListedHost) {
         let state = match host.state {
             HostState::Live => TargetState::Live,
@@ -163,7 +200,9 @@
     }
 
     /// Publishes a view of the state as it is.
-    pub(crate) fn publish(&self) {
+    pub(crate) fn publish(&mut self) {
+        let now = self.shared.clock.now();
+        self.kept.publish(&self.shared.cache, &mut self.engines, now);
         let services = self.list.iter().filter(|h| h.role == HostRole::Service);
         let entry_hosts = self.list.iter().filter(|h| h.role == HostRole::Entry).count();
         let view = View {
--- /dev/null
+++ b/components/entry/src/control/watch.rs
@@ -0,0 +1,172 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::events;
+use http_io::{Client, Executor};
+use slog::warn;
+use targets::{
+    CacheEvents, CacheSnapshot, Catalogue, Engine, HttpEngine, HttpStore, PieceId, Store, TransferRequest,
+};
+use utils::{Incarnation, TargetId, WeightVersion};
+
+use super::poll::{Inputs, jittered};
+use super::state::Input;
+use crate::shared::Shared;
+
+/// Time between two reads of the cache events of a target, or of the changes of a store.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a target or a store says about its pieces.
+#[derive(Debug)]
+pub(crate) enum CacheNews {
+    /// Changes of a target's cache.
+    Events(CacheEvents),
+    /// All of a target's cache.
+    Snapshot(CacheSnapshot),
+    /// Changes of a store since a number.
+    Catalogue(u64, Catalogue),
+    /// Size of a full piece on a store.
+    PieceBytes(u64),
+    /// Pieces were written to a store, or could not be.
+    Exported(Vec<PieceId>),
+}
+
+/// Pieces to copy from a target to a store.
+#[derive(Debug)]
+pub(crate) struct Export {
+    /// The target.
+    pub(crate) engine: SocketAddr,
+    /// Name of the store.
+    pub(crate) store_id: TargetId,
+    /// Address of the store.
+    pub(crate) store: SocketAddr,
+    /// Weight version of the pieces.
+    pub(crate) weight_version: WeightVersion,
+    /// The pieces, first to last.
+    pub(crate) pieces: Vec<PieceId>,
+}
+
+/// Watches every known engine and store.
+pub(crate) async fn watch_caches(shared: Arc<Shared>, client: Client, ex: Executor, tx: Inputs) {
+    let mut running: HashMap<(TargetId, SocketAddr), smol::Task<()>> = HashMap::new();
+    loop {
+        let view = shared.view.load_full();
+        let engines = view.placement.targets.values().map(|t| (t.id.clone(), t.address));
+        let stores = view.placement.stores.values().map(|s| (s.id.clone(), s.address));
+        let (engines, stores): (Vec<_>, Vec<_>) = (engines.collect(), stores.collect());
+        running
+            .retain(|known, task| !task.is_finished() && (engines.contains(known) || stores.contains(known)));
+        for (id, address) in engines {
+            running.entry((id.clone(), address)).or_insert_with(|| {
+                ex.spawn(watch_engine(
+                    id,
+                    HttpEngine::new(client.clone(), address),
+                    tx.clone(),
+                ))
+            });
+        }
+        for (id, address) in stores {
+            running.entry((id.clone(), address)).or_insert_with(|| {
+                ex.spawn(watch_store(
+                    id,
+                    HttpStore::new(client.clone(), address),
+                    tx.clone(),
+                ))
+            });
+        }
+        smol::Timer::after(WATCH_INTERVAL).await;
+    }
+}
+
+/// Reads the cache events of an engine; after a gap or a restart, all of its cache.
+async fn watch_engine(id: TargetId, engine: HttpEngine, tx: Inputs) {
+    let mut position: Option<(Incarnation, u64)> = None;
+    loop {
+        let next = position.map_or(0, |(_, next)| next);
+        if let Ok(batch) = engine.cache_events(next).await {
+            let follows = position.is_some_and(|(run, next)| run == batch.incarnation && batch.first <= next);
+            let end = batch.first + batch.events.len() as u64;
+            position = follows.then_some((batch.incarnation, end.max(next)));
+            if tx
+                .send(Input::Cache(id.clone(), CacheNews::Events(batch)))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        if position.is_none()
+            && let Ok(snapshot) = engine.cache_snapshot().await
+        {
+            position = Some((snapshot.incarnation, snapshot.next));
+            if tx
+                .send(Input::Cache(id.clone(), CacheNews::Snapshot(snapshot)))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        smol::Timer::after(jittered(WATCH_INTERVAL)).await;
+    }
+}
+
+/// Reads the changes of a store; after a restart, all of its content.
+async fn watch_store(id: TargetId, store: HttpStore, tx: Inputs) {
+    let mut position: Option<(Incarnation, u64)> = None;
+    let mut knows_size = false;
+    loop {
+        let from = position.map_or(0, |(_, next)| next);
+        if let Ok(catalogue) = store.catalogue(from).await {
+            let follows = position.is_none_or(|(run, _)| run == catalogue.incarnation);
+            position = follows.then_some((catalogue.incarnation, catalogue.next));
+            let sample = catalogue.stored.first().copied().filter(|_| !knows_size);
+            if tx
+                .send(Input::Cache(id.clone(), CacheNews::Catalogue(from, catalogue)))
+                .await
+                .is_err()
+            {
+                return;
+            }
+            if let Some(piece) = sample
+                && let Ok(Some(manifest)) = store.manifest(piece).await
+            {
+                knows_size = true;
+                let _ = tx
+                    .send(Input::Cache(id.clone(), CacheNews::PieceBytes(manifest.bytes)))
+                    .await;
+            }
+        }
+        smol::Timer::after(jittered(WATCH_INTERVAL)).await;
+    }
+}
+
+/// Copies pieces from targets to stores, one prompt after the other. A failure only means that they are not kept.
+pub(crate) async fn export(
+    shared: Arc<Shared>,
+    client: Client,
+    exports: async_channel::Receiver<Export>,
+    tx: Inputs,
+) {
+    while let Ok(export) = exports.recv().await {
+        let engine = HttpEngine::new(client.clone(), export.engine);
+        for piece in &export.pieces {
+            let req = TransferRequest {
+                piece: *piece,
+                weight_version: export.weight_version,
+                store: export.store,
+            };
+            if let Err(e) = engine.export(req).await {
+                warn!(shared.log, "pieces not exported"; events::EXPORT_FAILED,
+                    "store" => &*export.store_id, "failure" => %e.current_context());
+                break;
+            }
+        }
+        let news = CacheNews::Exported(export.pieces);
+        if tx.send(Input::Cache(export.store_id, news)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -8,11 +8,12 @@
 use error_stack::{Report, ResultExt};
 use errors::events;
 use http_io::{Shutdown, load_acceptor, shutdown_channel};
-use policy::LeastLoaded;
+use policy::CacheAware;
 use slog::{Logger, info, o};
 use utils::{Clock, SystemClock};
 
 use crate::EntryError;
+use crate::cache::CacheCell;
 use crate::control;
 use crate::gate::NoteGate;
 use crate::metrics::Metrics;
@@ -134,6 +135,7 @@
     observer: Observer,
     outcomes: Outcomes,
 ) -> Result<Shared, Report<EntryError>> {
+    let cache: Arc<CacheCell> = Arc::default();
     let log = log.new(o!("host" => settings.host.id.to_string()));
     Ok(Shared {
         incarnation: rand::random(),
@@ -142,7 +144,8 @@
         metrics: Metrics::new()?,
         view: ViewCell::default(),
         gate: NoteGate::default(),
-        placer: Arc::new(LeastLoaded),
+        placer: Arc::new(CacheAware::new(cache.clone())),
+        cache,
         sealer: Sealer::new(settings.secrets.resume),
         observer,
         outcomes,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: takes requests from callers, places them and relays the answers.
 
+mod cache;
 mod control;
 mod daemon;
 mod error;
--- a/components/entry/src/observe.rs
+++ b/components/entry/src/observe.rs
@@ -1,7 +1,10 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use policy::CandidateKey;
-use targets::TargetError;
+use targets::{PieceId, TargetError};
+use utils::{WeightVersion, WorkspaceId};
 
 /// Observations that wait for the control thread.
 const QUEUE_LENGTH: usize = 4_096;
@@ -16,6 +19,29 @@
         /// Prompt tokens sent.
         tokens: u32,
     },
+    /// A target has processed a prompt: its pieces are in the target's cache now.
+    Prefilled {
+        /// The target.
+        key: CandidateKey,
+        /// Workspace that the prompt belongs to.
+        workspace: WorkspaceId,
+        /// Weight version that ran.
+        weight_version: WeightVersion,
+        /// Names of the prompt's full pieces.
+        pieces: Arc<[PieceId]>,
+    },
+    /// A target was told to read a piece from a store.
+    FetchStarted {
+        /// Address of the store.
+        store: SocketAddr,
+    },
+    /// The transfer of a piece from a store has ended.
+    FetchEnded {
+        /// Address of the store.
+        store: SocketAddr,
+        /// Whether the target has the piece now.
+        is_whole: bool,
+    },
     /// A draft ended at a target.
     Ended {
         /// The target.
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -6,6 +6,7 @@
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::cache::CacheCell;
 use crate::gate::NoteGate;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
@@ -29,6 +30,8 @@
     pub view: ViewCell,
     /// Until when the host may take new work, and under which notes.
     pub gate: NoteGate,
+    /// Where pieces of prompts are kept.
+    pub cache: Arc<CacheCell>,
     /// Decides where prompts run.
     pub placer: Arc<dyn Placer>,
     /// Makes and checks resume tokens.
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -10,11 +10,13 @@
 use utils::{Monotonic, TargetId, WeightVersion};
 
 use super::failure::Failure;
+use super::import::import;
 use super::openai::{ChatBody, CompletionBody, Prompt, Writer};
 use super::relay::Relay;
 use super::respond::id_text;
 use super::route::{Received, check_serving};
 use super::{Context, respond};
+use crate::cache::name_pieces;
 use crate::observe::Observation;
 use crate::outcomes::Remembered;
 use crate::resume::ResumePoint;
@@ -101,6 +103,8 @@
             let detail = format!("{prompt_tokens} tokens; at most {limit} are allowed");
             return Err(Failure::refused(ProblemKind::PromptTooLong, detail));
         }
+        let secret = &cx.shared.settings.secrets.pieces;
+        let pieces = name_pieces(secret, &received.workspace, model, deployment, &prompt.text);
         let began = cx.shared.clock.now();
         let priority = declared
             .workspaces
@@ -114,7 +118,7 @@
             weight_version: deployment.weight_version,
             prompt_tokens,
             prompt: prompt.text,
-            pieces: Vec::new(),
+            pieces,
             max_tokens: prompt.max_tokens.clamp(1, deployment.max_tokens),
             priority,
             offset: 0,
@@ -164,8 +168,11 @@
                 key: chosen.key,
                 tokens: self.req.prompt_tokens,
             });
+            let time_left = self.due.saturating_sub(self.cx.shared.clock.now());
+            import(&self.cx, &chosen, self.req.weight_version, time_left).await;
             let failure = match self.wait_for_first(&chosen).await {
                 Ok((stream, first)) => {
+                    self.tell_prefilled(&chosen);
                     return Ok(Opened {
                         chosen,
                         stream,
@@ -182,6 +189,19 @@
         Err(self.failed("no target answered"))
     }
 
+    /// Tells the control thread that the target has the prompt in its cache.
+    fn tell_prefilled(&self, chosen: &Chosen) {
+        if self.req.pieces.is_empty() {
+            return;
+        }
+        self.cx.shared.observer.tell(Observation::Prefilled {
+            key: chosen.key,
+            workspace: self.req.workspace.clone(),
+            weight_version: self.req.weight_version,
+            pieces: self.req.pieces.as_slice().into(),
+        });
+    }
+
     /// Sends the draft to one target. A silent connection is replaced by a new one to the same target, which
     /// goes on with the draft that the target holds, until the first token is due.
     async fn wait_for_first(&mut self, chosen: &Chosen) -> Result<FirstEvent, TargetError> {
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod drafts;
 mod failure;
+mod import;
 mod openai;
 mod relay;
 mod respond;
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -18,7 +18,9 @@
 use http_io::{Client, ClientConfig, Executor};
 use notes::{Acceptance, Declared, Deployment, Note, NoteStore, Operator, PlainService, Terms, Workspace};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
-use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
+use standins::{
+    Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
+};
 use utils::SystemClock;
 
 /// API key of the workspace `mill`.
@@ -43,6 +45,8 @@
     pub time_per_output_token: Duration,
     /// Longest wait without progress.
     pub progress: Duration,
+    /// Cache pieces that an engine holds.
+    pub cache_pieces: u32,
 }
 
 impl Default for WorldConfig {
@@ -52,6 +56,7 @@
             hosts: 2,
             time_per_output_token: Duration::from_millis(1),
             progress: Duration::from_millis(400),
+            cache_pieces: EngineConfig::default().cache_pieces,
         }
     }
 }
@@ -134,6 +139,14 @@
         });
     }
 
+    /// Starts a store host and puts it on the list.
+    pub fn add_store(&self) -> Running<Store> {
+        let store = Store::start(&self.ex, loopback(), StoreConfig::default()).unwrap();
+        let listed = listed("store-0", HostRole::Store, store.addr(), MODEL);
+        self.platform.state().set_host(listed);
+        store
+    }
+
     /// A caller at a host.
     pub fn caller(&self, host: usize, api_key: &str) -> Caller {
         let client = Client::new(self.ex.clone(), ClientConfig::default());
@@ -211,6 +224,7 @@
         models: vec![(MODEL.into(), 1)],
         slots: 512,
         time_per_output_token: cfg.time_per_output_token,
+        cache_pieces: cfg.cache_pieces,
         ..EngineConfig::default()
     };
     Engine::start(ex, loopback(), engine).unwrap()
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -84,6 +84,17 @@
         "The table service answers again; waiting settlements are written.",
     );
 
+    pub const IMPORT_FAILED: Event = event(
+        2200,
+        "import_failed",
+        "A target could not read kept cache from a store in time; it computes the prompt again.",
+    );
+    pub const EXPORT_FAILED: Event = event(
+        2201,
+        "export_failed",
+        "Kept cache could not be written to a store.",
+    );
+
     pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
 
     pub const NOTE_STAGED: Event = event(
@@ -139,6 +150,8 @@
     events::RESUMED,
     events::LEDGER_CLOSED,
     events::LEDGER_BACK,
+    events::IMPORT_FAILED,
+    events::EXPORT_FAILED,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
