--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,26 +1,38 @@
 //! The control thread: owns the control state and publishes views.
 
+mod demand;
 mod kept;
 mod notes;
+mod peers;
 mod poll;
 mod state;
 mod watch;
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use errors::events;
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
+use ledger::LedgerWriter;
 use platform::HttpPlatform;
+use slog::warn;
 
 use crate::observe::Observation;
 use crate::operators;
 use crate::outcomes::Records;
 use crate::shared::Shared;
+use ::peers::{Arrived, Transport};
 use kept::KeptCache;
+use peers::PeerControl;
 use state::ControlState;
 
+pub(crate) use peers::open as open_peers;
+
+/// Longest wait for the last settlements.
+const SETTLE_WAIT: Duration = Duration::from_secs(10);
 /// Inputs that wait for the control loop.
 const QUEUE_LENGTH: usize = 1_024;
 /// Publishing may take one part in this many of a core.
@@ -30,33 +42,37 @@
 /// Longest time from a change to the view that shows it.
 const LONGEST_PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What the control thread takes from the others.
+pub(crate) struct Sources {
+    /// What traffic threads saw.
+    pub observations: async_channel::Receiver<Observation>,
+    /// What became of requests.
+    pub records: Records,
+    /// Writes claims and settlements.
+    pub writer: LedgerWriter,
+    /// Connections to other entry hosts and what arrives over them; `None` without keys.
+    pub peers: Option<(Transport, async_channel::Receiver<Arrived>)>,
+}
+
 /// Runs the control thread until `stop` resolves.
 pub(crate) fn run(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
-    records: Records,
+    sources: Sources,
     stop: Shutdown,
+    ex: Executor,
 ) {
-    let ex: Executor = Arc::new(smol::Executor::new());
-    smol::block_on(ex.run(control(
-        shared,
-        operators,
-        observations,
-        records,
-        stop,
-        ex.clone(),
-    )));
+    smol::block_on(ex.run(control(shared, operators, sources, stop, ex.clone())));
 }
 
 async fn control(
     shared: Arc<Shared>,
     operators: TcpListener,
-    observations: async_channel::Receiver<Observation>,
-    records: Records,
+    sources: Sources,
     stop: Shutdown,
     ex: Executor,
 ) {
+    let writer = ex.spawn(sources.writer.run());
     let cfg = ClientConfig {
         response_timeout: shared.settings.platform.timeout(),
         ..ClientConfig::default()
@@ -73,9 +89,11 @@
         ex.clone(),
         stop.clone(),
     ));
+    let (transport, arrivals) = sources.peers.unzip();
     let (kept, exports) = KeptCache::new();
-    let pollers = [
-        ex.spawn(store_records(shared.clone(), records)),
+    let mut pollers = vec![
+        ex.spawn(peers::tick(tx.clone())),
+        ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(poll::poll_loads(
@@ -90,10 +108,12 @@
             ex.clone(),
             tx.clone(),
         )),
-        ex.spawn(watch::export(shared.clone(), client, exports, tx)),
+        ex.spawn(watch::export(shared.clone(), client, exports, tx.clone())),
     ];
-    let state = ControlState::new(shared.clone(), kept);
-    let work = run_loop(state, inputs, observations);
+    pollers.extend(arrivals.map(|arrivals| ex.spawn(peers::receive(arrivals, tx))));
+    let members = PeerControl::new(shared.clone(), transport.clone());
+    let state = ControlState::new(shared.clone(), members, kept);
+    let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -101,8 +121,23 @@
     for poller in pollers {
         poller.cancel().await;
     }
+    if let Some(transport) = transport {
+        transport.shutdown().await;
+    }
     notes::say_stopped(&shared, platform).await;
     front.await;
+    hand_in_settlements(&shared, writer).await;
+}
+
+/// Waits until every settlement is written, or longer than the table service may take.
+async fn hand_in_settlements(shared: &Shared, writer: smol::Task<()>) {
+    shared.ledger.close();
+    let late = async {
+        smol::Timer::after(SETTLE_WAIT).await;
+        let backlog = shared.ledger.stats().backlog.load(Ordering::Relaxed);
+        warn!(shared.log, "settlements are left"; events::SETTLEMENTS_LEFT, "count" => backlog);
+    };
+    writer.or(late).await;
 }
 
 /// Stores what became of requests as the traffic threads report it.
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -1,6 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use ::peers::Arrived;
 use errors::events;
 use notes::Obeyed;
 use platform::{HostRole, HostState, ListedHost};
@@ -10,6 +11,7 @@
 use utils::TargetId;
 
 use super::kept::{KeptCache, Prefilled};
+use super::peers::{Members, PeerControl};
 use super::watch::CacheNews;
 use crate::observe::Observation;
 use crate::shared::Shared;
@@ -34,14 +36,22 @@
     Cache(TargetId, CacheNews),
     /// A target's load, or `None` if it did not answer.
     Load(TargetId, Option<LoadReport>),
+    /// Something came from another entry host.
+    Arrived(Arrived),
+    /// Time has passed.
+    Tick,
 }
 
 /// All control state of a host. Lives on the control thread.
 pub(crate) struct ControlState {
     /// Where views are published.
     shared: Arc<Shared>,
-    /// The last list.
+    /// Liveness of hosts and targets.
+    peers: PeerControl,
+    /// Hosts and targets, as the list and the other hosts say.
     list: Vec<ListedHost>,
+    /// Targets that did not answer lately.
+    suspects: BTreeSet<TargetId>,
     /// What must be obeyed.
     obeyed: Obeyed,
     /// Engines; keys stay the same while an engine is listed.
@@ -55,10 +65,12 @@
 }
 
 impl ControlState {
-    pub(crate) fn new(shared: Arc<Shared>, kept: KeptCache) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, peers: PeerControl, kept: KeptCache) -> Self {
         Self {
             shared,
+            peers,
             list: Vec::new(),
+            suspects: BTreeSet::new(),
             obeyed: Obeyed::default(),
             engines: PlacementView::default(),
             keys_by_id: BTreeMap::new(),
@@ -70,10 +82,39 @@
     /// Takes news.
     pub(crate) fn apply(&mut self, input: Input) {
         match input {
-            Input::List(list) => self.take_list(list),
+            Input::List(list) => {
+                let members = self.peers.take_list(list);
+                self.take_members(members);
+            }
             Input::Notes { obeyed, .. } => self.take_notes(obeyed),
-            Input::Load(id, report) => self.take_load(&id, report),
             Input::Cache(id, news) => self.take_cache(&id, news),
+            Input::Load(id, report) => {
+                let members = self.peers.observe(&id, report.is_some());
+                self.take_members(members);
+                self.take_load(&id, report);
+            }
+            Input::Arrived(arrived) => {
+                let members = self.peers.take_arrived(arrived);
+                self.take_members(members);
+            }
+            Input::Tick => {
+                let members = self.peers.tick();
+                self.take_members(members);
+            }
+        }
+    }
+
+    /// Takes what changed among hosts and targets.
+    fn take_members(&mut self, members: Option<Members>) {
+        let Some(members) = members else {
+            return;
+        };
+        self.suspects = members.suspects;
+        self.take_list(members.list);
+        for candidate in self.engines.targets.values_mut() {
+            if self.suspects.contains(&candidate.id) {
+                candidate.state = suspect(candidate.state);
+            }
         }
     }
 
@@ -134,6 +175,9 @@
         }
         let stores = list.iter().filter(|h| h.role == HostRole::Store);
         self.kept.take_stores(stores, &mut self.engines);
+        let live = list.iter().filter(|h| h.role == HostRole::Entry);
+        let live = live.map(|h| h.id.clone()).collect();
+        self.shared.live_hosts.store(Arc::new(live));
         self.list = list;
     }
 
@@ -187,7 +231,7 @@
             return;
         };
         self.missed.remove(id);
-        if candidate.state == TargetState::Suspect {
+        if candidate.state == TargetState::Suspect && !self.suspects.contains(id) {
             candidate.state = TargetState::Live;
         }
         candidate.versions = report.versions;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::cmd::NoteCommand;
 pub(crate) use trials::{LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs};
 
 /// Serves prompts that return after long gaps.
@@ -25,6 +26,9 @@
     /// Check settings, or explain every field.
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Check, compare and accept release notes. Exits with 3 if a note is staged and not accepted.
+    #[command(subcommand)]
+    Note(NoteCommand),
     /// Print the numbered log events.
     Events,
     /// Make a test authority and keys for the traffic between entry hosts.
