Let the drain test wait for its streams, and test the limits by a refusal

The test also began its drain after a fixed 150 ms and failed before under load. Change: the test's workspaces have wide limits; the drain begins once the host itself says that 200 streams are open. A new test narrows a limit by a note: the workspace gets 429 not-run, another is served. Conclusion: the check of the drain is as strict as before and no longer depends on the machine's speed.

--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -16,7 +16,7 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Acceptance, Declared, Deployment, NoteStore, Operator, PlainService, Terms, Workspace};
+use notes::{Acceptance, Declared, Deployment, Limits, NoteStore, Operator, PlainService, Terms, Workspace};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
 use utils::SystemClock;
@@ -177,8 +177,14 @@
 
 /// One model and one service for two workspaces.
 pub fn declared(version: u64) -> Declared {
+    let limits = Limits {
+        requests_per_second: 100_000.0,
+        prompt_tokens_per_second: 1e9,
+        open_streams: 10_000,
+    };
     let workspace = |key: &str| Workspace {
         key_digests: vec![utils::digest(key.as_bytes())],
+        limits,
         ..Workspace::default()
     };
     let deployment = Deployment {
--- a/components/entry/tests/path.rs
+++ b/components/entry/tests/path.rs
@@ -162,18 +162,31 @@
     world.stop();
 }
 
+/// Streams that a host says are open.
+fn open_streams(operators: &common::Caller) -> u64 {
+    let req = operators
+        .request(Method::GET, "/v1/state")
+        .body(http_io::empty_body());
+    let state = block_on(operators.send(req.unwrap()));
+    let state: serde_json::Value = serde_json::from_str(&state.body).unwrap();
+    state["open_streams"].as_u64().unwrap()
+}
+
 #[test]
 fn a_drain_cuts_no_stream() {
+    const STREAMS: u64 = 200;
     let mut world = World::start(&WorldConfig {
         hosts: 1,
+        time_per_output_token: std::time::Duration::from_millis(10),
         ..WorldConfig::default()
     });
     let caller = world.caller(0, MILL_KEY);
     let host = world.hosts.remove(0);
+    let operators = caller.at(host.addresses().operators);
     let streams = std::thread::spawn(move || {
         block_on(async {
-            let request = body("a long draft", 300);
-            let all = (0..200).map(|_| caller.stream(&request, None));
+            let request = body("a long draft", 500);
+            let all = (0..STREAMS).map(|_| caller.stream(&request, None));
             let ex = smol::LocalExecutor::new();
             let tasks: Vec<_> = all.map(|stream| ex.spawn(stream)).collect();
             ex.run(async {
@@ -186,15 +199,50 @@
             .await
         })
     });
-    std::thread::sleep(std::time::Duration::from_millis(150));
+    while open_streams(&operators) < STREAMS {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
     host.drain().unwrap();
     for streamed in streams.join().unwrap() {
-        assert_eq!(streamed.text, right_answer("a long draft", 300));
+        assert_eq!(
+            streamed.text,
+            right_answer("a long draft", 500),
+            "{:?}",
+            streamed.problem
+        );
         assert!(streamed.done);
     }
     world.stop();
 }
 
+#[test]
+fn a_workspace_over_its_limit_is_refused_and_others_are_served() {
+    let world = World::start(&WorldConfig {
+        hosts: 1,
+        ..WorldConfig::default()
+    });
+    let mut next = declared(2);
+    let limits = notes::Limits {
+        requests_per_second: 0.01,
+        ..notes::Limits::default()
+    };
+    let mill = next.workspaces.get("mill").unwrap().clone();
+    next.workspaces
+        .insert("mill".into(), notes::Workspace { limits, ..mill });
+    world.declare(&next);
+    let caller = world.caller(0, MILL_KEY);
+    let refused = loop {
+        let streamed = block_on(caller.stream(&body("draft", 1), None));
+        if streamed.status != 200 {
+            break streamed;
+        }
+    };
+    assert_eq!((refused.status, refused.outcome.as_str()), (429, "not-run"));
+    let other = block_on(world.caller(0, GREEN_KEY).stream(&body("draft", 1), None));
+    assert_eq!(other.status, 200);
+    world.stop();
+}
+
 #[test]
 fn bad_input_is_refused_and_the_host_lives_on() {
     let world = World::start(&WorldConfig {
