--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The control thread: owns the control state and publishes views.
 
 mod demand;
+mod kept;
 mod notes;
 mod peers;
 mod poll;
 mod state;
+mod watch;
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -23,6 +25,7 @@
 use crate::outcomes::Records;
 use crate::shared::Shared;
 use ::peers::{Arrived, Transport};
+use kept::KeptCache;
 use peers::PeerControl;
 use state::ControlState;
 
@@ -87,16 +90,29 @@
         stop.clone(),
     ));
     let (transport, arrivals) = sources.peers.unzip();
+    let (kept, exports) = KeptCache::new();
     let mut pollers = vec![
         ex.spawn(peers::tick(tx.clone())),
         ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx.clone())),
+        ex.spawn(poll::poll_loads(
+            shared.clone(),
+            client.clone(),
+            ex.clone(),
+            tx.clone(),
+        )),
+        ex.spawn(watch::watch_caches(
+            shared.clone(),
+            client.clone(),
+            ex.clone(),
+            tx.clone(),
+        )),
+        ex.spawn(watch::export(shared.clone(), client, exports, tx.clone())),
     ];
     pollers.extend(arrivals.map(|arrivals| ex.spawn(peers::receive(arrivals, tx))));
     let members = PeerControl::new(shared.clone(), transport.clone());
-    let state = ControlState::new(shared.clone(), members);
+    let state = ControlState::new(shared.clone(), members, kept);
     let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
         let _ = stop.recv().await;
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -9,11 +9,12 @@
 use errors::events;
 use http_io::{Executor, Shutdown, load_acceptor, shutdown_channel};
 use ledger::LedgerWriter;
-use policy::LeastLoaded;
+use policy::CacheAware;
 use slog::{Logger, info, o};
 use utils::{Clock, Incarnation, SystemClock};
 
 use crate::EntryError;
+use crate::cache::CacheCell;
 use crate::claims::{self, LiveHosts};
 use crate::control;
 use crate::gate::NoteGate;
@@ -150,6 +151,7 @@
     outcomes: Outcomes,
     ex: &Executor,
 ) -> Result<(Shared, LedgerWriter), Report<EntryError>> {
+    let cache: Arc<CacheCell> = Arc::default();
     let log = log.new(o!("host" => settings.host.id.to_string()));
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let incarnation = incarnation(&*clock);
@@ -173,7 +175,8 @@
         metrics: Metrics::new()?,
         view: ViewCell::default(),
         gate: NoteGate::default(),
-        placer: Arc::new(LeastLoaded),
+        placer: Arc::new(CacheAware::new(cache.clone())),
+        cache,
         sealer: Sealer::new(settings.secrets.resume),
         observer,
         outcomes,
