Serve through an outage of the table service by hearing other hosts

Cause: the protocol had rosters and probes, the daemon followed the table alone: a host stopped taking new drafts 1.8 s into an outage of the store. Change: heartbeats carry what a host holds and obeys, and their answers keep the holder fresh, counted from when the probe was sent; reads, writes and waits of the follower no longer block that. Up to three ranked hosts keep the roster equal to the registered runs of listed hosts, as changes of the head that pass the same acceptance as notes. A staged change that a peer has as its head is promoted with its content. Events 3010 to 3012. Ruled out: a longer freshness period (each acceptance waits for it). Conclusion: new work survives an outage as long as a host hears its region.

--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod notes;
 mod peers;
 mod poll;
+mod roster;
 mod state;
 
 use std::net::TcpListener;
@@ -80,6 +81,7 @@
         shared.settings.platform.address,
     ));
     let (tx, inputs) = async_channel::bounded(QUEUE_LENGTH);
+    let (told, heard) = async_channel::bounded(QUEUE_LENGTH);
     let front = ex.spawn(operators::serve(
         shared.clone(),
         operators,
@@ -91,11 +93,12 @@
         ex.spawn(peers::tick(tx.clone())),
         ex.spawn(store_records(shared.clone(), sources.records)),
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
-        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
+        ex.spawn(roster::keep(shared.clone(), platform.clone())),
+        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone(), heard)),
         ex.spawn(poll::poll_loads(shared.clone(), client, ex.clone(), tx.clone())),
     ];
     pollers.extend(arrivals.map(|arrivals| ex.spawn(peers::receive(arrivals, tx))));
-    let members = PeerControl::new(shared.clone(), transport.clone());
+    let members = PeerControl::new(shared.clone(), transport.clone(), told);
     let state = ControlState::new(shared.clone(), members);
     let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
@@ -165,6 +168,7 @@
             Work::Input(state::Input::Notes { obeyed, done }) => {
                 state.take_notes(obeyed);
                 state.publish();
+                state.tell_notes();
                 let _ = done.send(()).await;
                 continue;
             }
--- a/components/entry/src/control/notes.rs
+++ b/components/entry/src/control/notes.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -5,13 +6,13 @@
 use errors::events;
 use futures_lite::FutureExt;
 use notes::{
-    Content, Holder, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed, ObeyedBuilder,
-    head_interval, write_window,
+    Content, Holder, HolderEffect, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed,
+    ObeyedBuilder, head_interval, write_window,
 };
 use platform::{HttpPlatform, RowVersion};
 use rand::RngExt;
 use slog::{info, warn};
-use utils::Monotonic;
+use utils::{HostId, Incarnation, Monotonic};
 
 use super::poll::{Health, Inputs, jittered};
 use super::state::Input;
@@ -28,16 +29,22 @@
 const LONGEST_FAREWELL: Duration = Duration::from_millis(500);
 
 /// Follows the release notes: reads the head, publishes what must be obeyed, acknowledges what is staged.
-pub(crate) async fn follow(shared: Arc<Shared>, platform: Arc<HttpPlatform>, tx: Inputs) {
+pub(crate) async fn follow(
+    shared: Arc<Shared>,
+    platform: Arc<HttpPlatform>,
+    tx: Inputs,
+    heard: async_channel::Receiver<HeardNotes>,
+) {
     let store = NoteStore::new(platform.clone(), platform);
-    let mut follower = Follower::new(shared, store, tx);
+    let mut follower = Follower::new(shared, store, tx, heard);
     follower.wait_for_turn().await;
     loop {
         if follower.is_registered().await {
             follower.read().await;
             follower.acknowledge().await;
         }
-        smol::Timer::after(follower.next_wait()).await;
+        let wait = smol::Timer::after(follower.next_wait());
+        follower.while_hearing(wait).await;
     }
 }
 
@@ -74,6 +81,19 @@
     }
 }
 
+/// What another entry host said about the notes in a heartbeat.
+#[derive(Debug)]
+pub(crate) struct HeardNotes {
+    /// The other host.
+    pub from: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// When the probe that it answers was sent; `None` if it answers none.
+    pub probe_sent: Option<Monotonic>,
+    /// What it holds and obeys.
+    pub state: NoteState,
+}
+
 /// One host's part in bringing notes into force.
 struct Follower {
     /// State of all threads.
@@ -86,6 +106,10 @@
     holder: Holder,
     /// Builds the views.
     builder: ObeyedBuilder,
+    /// Content of what the holder knows.
+    content: Option<Content>,
+    /// What other entry hosts say.
+    heard: async_channel::Receiver<HeardNotes>,
     /// The host's row and its version; `None` while they are not known.
     row: Option<(RowVersion, HostRow)>,
     /// State of the last published view.
@@ -103,12 +127,19 @@
 }
 
 impl Follower {
-    fn new(shared: Arc<Shared>, store: NoteStore, tx: Inputs) -> Self {
+    fn new(
+        shared: Arc<Shared>,
+        store: NoteStore,
+        tx: Inputs,
+        heard: async_channel::Receiver<HeardNotes>,
+    ) -> Self {
         let host = &shared.settings.host;
         Self {
             reader: NoteReader::new(store.clone()),
             holder: Holder::new(host.id.clone(), shared.incarnation, host.region.clone()),
             builder: ObeyedBuilder::default(),
+            content: None,
+            heard,
             row: None,
             published: NoteState::default(),
             tx,
@@ -132,13 +163,61 @@
         smol::Timer::after(self.spread()).await;
     }
 
+    /// Waits for something while what other hosts say keeps counting.
+    async fn while_hearing<T>(&mut self, work: impl Future<Output = T>) -> T {
+        let heard = self.heard.clone();
+        let mut work = std::pin::pin!(work);
+        loop {
+            let done = async { Waited::Done(work.as_mut().await) };
+            let next = async { heard.recv().await.map_or(Waited::Closed, Waited::Heard) };
+            match done.or(next).await {
+                Waited::Done(value) => return value,
+                Waited::Heard(heard) => self.hear(&heard).await,
+                Waited::Closed => return work.await,
+            }
+        }
+    }
+
+    /// Takes what another host said: it keeps this one serving, or shows that a staged change is accepted.
+    async fn hear(&mut self, heard: &HeardNotes) {
+        let effects = match heard.probe_sent {
+            Some(sent) => self
+                .holder
+                .on_answer(&heard.from, heard.incarnation, sent, &heard.state),
+            None => self.holder.on_peer_state(&heard.state),
+        };
+        if effects.contains(&HolderEffect::Publish) {
+            self.promote_staged();
+        }
+        self.publish().await;
+        self.log_confirmation();
+    }
+
+    /// Makes the content that of the staged change, which another host has as its head.
+    fn promote_staged(&mut self) {
+        let Some(content) = &mut self.content else {
+            return;
+        };
+        let Some(note) = content.staged.take() else {
+            return;
+        };
+        match notes::apply(&content.declared, &note) {
+            Ok(next) => content.declared = Arc::new(next),
+            Err(e) => {
+                warn!(self.shared.log, "note can not be read"; events::NOTE_REJECTED, "error" => %e.current_context());
+                self.content = None;
+            }
+        }
+    }
+
     /// Registers this run if that is not done: before the first reading, so that no earlier run can
     /// acknowledge after it, and after an acknowledgement whose answer is lost.
     async fn is_registered(&mut self) -> bool {
         if self.row.is_some() || self.is_superseded {
             return true;
         }
-        let registered = self.store.register(first_row(&self.shared)).await;
+        let (store, row) = (self.store.clone(), first_row(&self.shared));
+        let registered = self.while_hearing(async move { store.register(row).await }).await;
         self.row = self.health.note(platform_error(registered));
         if let Some((_, row)) = &self.row {
             self.holder.on_acknowledged(row.acknowledged);
@@ -151,7 +230,13 @@
 
     async fn read(&mut self) {
         let sent = self.shared.clock.now();
-        let read = self.reader.read().await;
+        let mut reader = std::mem::replace(&mut self.reader, NoteReader::new(self.store.clone()));
+        let reading = async move {
+            let read = reader.read().await;
+            (reader, read)
+        };
+        let (reader, read) = self.while_hearing(reading).await;
+        self.reader = reader;
         let content = match read {
             Err(e) if matches!(e.current_context(), NoteError::NoHead) => {
                 self.failures = 0;
@@ -170,12 +255,19 @@
         };
         self.failures = 0;
         self.holder.on_reading(sent, &content.reading);
-        self.publish(&content).await;
+        let holds = |seq| self.holder.head().is_some_and(|head| head.seq == seq);
+        if holds(content.reading.head.seq) {
+            self.content = Some(content);
+        }
+        self.publish().await;
         self.log_confirmation();
     }
 
     /// Publishes a changed view first, then lets work in under it.
-    async fn publish(&mut self, content: &Content) {
+    async fn publish(&mut self) {
+        let Some(content) = &self.content else {
+            return;
+        };
         let state = self.holder.state();
         let serves_until = self.holder.serves_until();
         if state != self.published {
@@ -202,12 +294,15 @@
         let Some(seq) = self.holder.unacknowledged() else {
             return;
         };
-        smol::Timer::after(self.spread()).await;
+        let turn = smol::Timer::after(self.spread());
+        self.while_hearing(turn).await;
         let Some((revision, mut row)) = self.row.take() else {
             return;
         };
         row.acknowledged = seq;
-        match self.store.update_host(revision, &row).await {
+        let (store, written) = (self.store.clone(), row.clone());
+        let write = async move { store.update_host(revision, &written).await };
+        match self.while_hearing(write).await {
             Ok(revision) => {
                 self.holder.on_acknowledged(seq);
                 self.row = Some((revision, row));
@@ -268,6 +363,16 @@
     }
 }
 
+/// What ends a wait.
+enum Waited<T> {
+    /// What was waited for.
+    Done(T),
+    /// Another host said something.
+    Heard(HeardNotes),
+    /// No host can say anything any more.
+    Closed,
+}
+
 /// The platform's part in a failure, for the log; other failures count as unreadable answers.
 fn platform_error<T>(result: Result<T, Report<NoteError>>) -> Result<T, Report<platform::PlatformError>> {
     result.map_err(|e| match *e.current_context() {
--- a/components/entry/src/control/peers.rs
+++ b/components/entry/src/control/peers.rs
@@ -8,11 +8,13 @@
 use membership::{
     Effect, Identity, Input, Membership, MembershipEvent, MembershipView, Observation, TargetLiveness,
 };
+use notes::NoteState;
 use platform::{HostRole, HostState, ListedHost};
 use slog::{info, warn};
 use utils::TargetId;
 
 use super::demand::DemandExchange;
+use super::notes::HeardNotes;
 use super::state::Input as ControlInput;
 use crate::shared::Shared;
 
@@ -31,6 +33,8 @@
     unprobed: Vec<ListedHost>,
     /// What workspaces ask of the other hosts.
     demand: DemandExchange,
+    /// Takes what other hosts say about the notes; a full channel drops, the next heartbeat says it again.
+    told: async_channel::Sender<HeardNotes>,
     /// Whether the other hosts know that this one leaves.
     has_left: bool,
 }
@@ -44,7 +48,11 @@
 }
 
 impl PeerControl {
-    pub(crate) fn new(shared: Arc<Shared>, transport: Option<Transport>) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        transport: Option<Transport>,
+        told: async_channel::Sender<HeardNotes>,
+    ) -> Self {
         let host = &shared.settings.host;
         let identity = Identity {
             id: host.id.clone(),
@@ -58,6 +66,7 @@
             transport,
             unprobed: Vec::new(),
             demand: DemandExchange::default(),
+            told,
             has_left: false,
         }
     }
@@ -83,6 +92,12 @@
         }
     }
 
+    /// Tells the other hosts what this one holds and obeys.
+    pub(crate) fn tell_notes(&mut self, state: &NoteState) -> Option<Members> {
+        let notes = postcard::to_stdvec(state).unwrap_or_default();
+        self.step(Input::Notes(notes))
+    }
+
     /// Takes how a target answered this host.
     pub(crate) fn observe(&mut self, target: &TargetId, answered: bool) -> Option<Members> {
         let observation = match answered {
@@ -129,7 +144,24 @@
                 Effect::ViewChanged => changed = true,
                 Effect::Log(event) => self.log(&event),
                 Effect::DemandHeard { from, demand } => self.demand.hear(from, &demand, now),
-                Effect::NotesHeard { .. } | Effect::QuarantineHeard(_) => {}
+                Effect::NotesHeard {
+                    from,
+                    incarnation,
+                    probe_sent,
+                    notes,
+                    ..
+                } => {
+                    if let Ok(state) = postcard::from_bytes(&notes) {
+                        let heard = HeardNotes {
+                            from,
+                            incarnation,
+                            probe_sent,
+                            state,
+                        };
+                        let _ = self.told.try_send(heard);
+                    }
+                }
+                Effect::QuarantineHeard(_) => {}
             }
         }
         changed.then(|| self.members(&self.membership.view(now)))
--- /dev/null
+++ b/components/entry/src/control/roster.rs
@@ -0,0 +1,193 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use errors::events;
+use notes::{Acceptance, Head, HostRow, NoteError, NoteStore, Operator, Proposal, RegionRoster, Terms};
+use platform::HttpPlatform;
+use slog::{info, warn};
+use utils::{HostId, Monotonic, RegionId, rendezvous_order};
+
+use super::poll::jittered;
+use crate::shared::Shared;
+
+/// Key under which hosts are ranked for the work on the roster.
+const RANK_KEY: &[u8] = b"roster";
+/// Hosts that look at the roster; the others cause no reads for it.
+const KEEPERS: usize = 3;
+/// Time between two looks.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a difference must last, and what each rank waits longer than the one before.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Longest wait for enough acknowledgements in one go; the next look goes on with the same change.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Members from which on two of a region must hear each other to serve without the table service.
+const PAIR_FROM: usize = 3;
+
+/// Keeps the roster equal to the hosts that run, so that they may serve while the table service is away.
+///
+/// Without keys for heartbeats hosts can not hear each other; the roster stays empty then.
+pub(crate) async fn keep(shared: Arc<Shared>, platform: Arc<HttpPlatform>) {
+    if shared.settings.peers == config::PeerSettings::default() {
+        return std::future::pending().await;
+    }
+    let store = NoteStore::new(platform.clone(), platform);
+    let operator = Operator {
+        store,
+        clock: shared.clock.clone(),
+    };
+    let mut keeper = Keeper {
+        shared,
+        operator,
+        differs_since: None,
+    };
+    loop {
+        smol::Timer::after(jittered(INTERVAL)).await;
+        if let Err(e) = keeper.look().await {
+            keeper.differs_since = None;
+            if !matches!(e.current_context(), NoteError::NoHead | NoteError::Platform(_)) {
+                warn!(keeper.shared.log, "roster not changed"; events::ROSTER_UNCHANGED, "reason" => %e.current_context());
+            }
+        }
+    }
+}
+
+/// Changes the roster when hosts come and go.
+struct Keeper {
+    /// State of all threads.
+    shared: Arc<Shared>,
+    /// Takes changes to acceptance.
+    operator: Operator,
+    /// Since when the roster differs from the hosts that run.
+    differs_since: Option<Monotonic>,
+}
+
+impl Keeper {
+    async fn look(&mut self) -> Result<(), Report<NoteError>> {
+        let Some(rank) = self.rank() else {
+            return Ok(());
+        };
+        let head = self.operator.store.head().await?;
+        let terms = self.operator.store.terms(head.row.terms).await?;
+        let wanted = rosters(&self.operator.store.hosts().await?, &|host| self.is_live(host));
+        if wanted == terms.regions {
+            self.differs_since = None;
+            return Ok(());
+        }
+        let now = self.shared.clock.now();
+        let since = *self.differs_since.get_or_insert(now);
+        if now.saturating_sub(since) < SETTLING * (rank + 1) {
+            return Ok(());
+        }
+        match &head.row.staged {
+            None => {
+                self.propose(
+                    head,
+                    Terms {
+                        regions: wanted,
+                        ..terms
+                    },
+                )
+                .await
+            }
+            Some(staged) if staged.note.is_none() => self.accept(head).await,
+            // A note goes first; its operator sees it through.
+            Some(_) => Ok(()),
+        }
+    }
+
+    async fn propose(&mut self, head: Head, terms: Terms) -> Result<(), Report<NoteError>> {
+        let proposal = Proposal {
+            note: None,
+            terms: Some(terms),
+        };
+        let head = self.operator.store.stage(&head, &proposal).await?;
+        self.accept(head).await
+    }
+
+    async fn accept(&mut self, head: Head) -> Result<(), Report<NoteError>> {
+        let base = self.operator.store.declared(&head.row, None).await?;
+        match self.operator.accept(head, &base, PATIENCE, |_| {}).await? {
+            Acceptance::InForce(head) => {
+                self.differs_since = None;
+                info!(self.shared.log, "roster changed"; events::ROSTER_CHANGED, "change" => head.row.seq);
+            }
+            Acceptance::Waiting { status, .. } => {
+                let missing = status.regions.values().flat_map(|region| &region.missing);
+                let missing: Vec<_> = missing.map(|host| host.to_string()).collect();
+                info!(self.shared.log, "roster waits for hosts"; events::ROSTER_WAITS, "missing" => missing.join(" "));
+            }
+        }
+        Ok(())
+    }
+
+    /// This host's place among those that look at the roster.
+    fn rank(&self) -> Option<u32> {
+        if self.shared.is_draining() {
+            return None;
+        }
+        let live = self.shared.live_hosts.load();
+        let ranked = rendezvous_order(RANK_KEY, live.iter().map(|host| &**host));
+        let own = &*self.shared.settings.host.id;
+        let place = ranked.iter().take(KEEPERS).position(|host| *host == own)?;
+        u32::try_from(place).ok()
+    }
+
+    fn is_live(&self, host: &HostId) -> bool {
+        self.shared.live_hosts.load().contains(host)
+    }
+}
+
+/// The rosters that the registered runs of live hosts make up.
+fn rosters(rows: &[HostRow], is_live: &dyn Fn(&HostId) -> bool) -> BTreeMap<RegionId, RegionRoster> {
+    let mut regions: BTreeMap<RegionId, RegionRoster> = BTreeMap::new();
+    for row in rows.iter().filter(|row| !row.is_stopped && is_live(&row.host)) {
+        let roster = regions.entry(row.region.clone()).or_default();
+        roster.members.insert(row.host.clone(), row.incarnation);
+    }
+    for roster in regions.values_mut() {
+        roster.serving = if roster.members.len() >= PAIR_FROM { 2 } else { 1 };
+    }
+    regions
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(host: &str, region: &str, is_stopped: bool) -> HostRow {
+        HostRow {
+            host: host.into(),
+            incarnation: 7,
+            region: region.into(),
+            address: ([127, 0, 0, 1], 0).into(),
+            acknowledged: 0,
+            is_stopped,
+            are_earlier_ended: true,
+        }
+    }
+
+    #[test]
+    fn a_roster_holds_live_hosts_that_have_not_stopped() {
+        let rows = [
+            row("a-1", "a", false),
+            row("a-2", "a", false),
+            row("a-3", "a", false),
+            row("a-4", "a", true),
+            row("b-1", "b", false),
+            row("b-2", "b", false),
+        ];
+        let regions = rosters(&rows, &|host| &**host != "b-2");
+        let names = |region: &str| {
+            regions[region]
+                .members
+                .keys()
+                .map(|h| h.to_string())
+                .collect::<Vec<_>>()
+        };
+        assert_eq!(names("a"), ["a-1", "a-2", "a-3"]);
+        assert_eq!(names("b"), ["b-1"]);
+        assert_eq!((regions["a"].serving, regions["b"].serving), (2, 1));
+    }
+}
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -177,6 +177,12 @@
         self.obeyed = obeyed;
     }
 
+    /// Tells the other hosts what the published view obeys.
+    pub(crate) fn tell_notes(&mut self) {
+        let members = self.peers.tell_notes(&self.obeyed.state());
+        self.take_members(members);
+    }
+
     fn take_load(&mut self, id: &TargetId, report: Option<LoadReport>) {
         let Some(candidate) = self
             .keys_by_id
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -118,12 +118,17 @@
         world
     }
 
-    /// Brings into force what is declared, by a note.
-    pub fn declare(&self, declared: &Declared) {
+    /// Where the notes are.
+    pub fn notes(&self) -> NoteStore {
         let client = Client::new(self.ex.clone(), ClientConfig::default());
         let platform = Arc::new(HttpPlatform::new(client, self.platform.addr()));
+        NoteStore::new(platform.clone(), platform)
+    }
+
+    /// Brings into force what is declared, by a note.
+    pub fn declare(&self, declared: &Declared) {
         let operator = Operator {
-            store: NoteStore::new(platform.clone(), platform),
+            store: self.notes(),
             clock: Arc::new(SystemClock::new()),
         };
         let id = format!("note-{}", declared.version);
--- /dev/null
+++ b/components/entry/tests/outage.rs
@@ -0,0 +1,112 @@
+//! Entry hosts that hear each other keep serving while the table service is away.
+
+mod common;
+
+use std::path::Path;
+use std::time::Duration;
+
+use common::{Caller, MILL_KEY, MODEL, World, WorldConfig, body, declared};
+use config::PeerSettings;
+use entry::Daemon;
+use platform::{HostRole, ListedHost};
+use smol::block_on;
+use standins::{Answer, PlatformFaults};
+
+/// Outage; several times the freshness period of the notes.
+const OUTAGE: Duration = Duration::from_secs(8);
+/// Hosts of the region.
+const HOSTS: usize = 3;
+
+fn start(world: &World, dir: &Path, i: usize) -> Daemon {
+    let mut settings = common::settings(i, world.platform.addr(), Duration::from_millis(400));
+    let id = settings.host.id.clone();
+    settings.peers = PeerSettings {
+        authority: Some(dir.join("authority.pem")),
+        certificate: Some(dir.join(format!("{id}.pem"))),
+        key: Some(dir.join(format!("{id}.key"))),
+    };
+    let daemon = Daemon::start(settings, slog::Logger::root(slog::Discard, slog::o!())).unwrap();
+    let listed = ListedHost {
+        peer_address: daemon.addresses().peers,
+        serves: Vec::new(),
+        ..common::listed(&id, HostRole::Entry, daemon.addresses().callers, "")
+    };
+    world.platform.state().set_host(listed);
+    daemon
+}
+
+fn ask(caller: &Caller, prompt: &str) -> common::caller::Streamed {
+    block_on(caller.stream(&body(prompt, 5), None))
+}
+
+/// Hosts in the roster that is in force.
+fn roster(world: &World) -> usize {
+    let store = world.notes();
+    let terms = block_on(async { store.terms(store.head().await.unwrap().row.terms).await });
+    terms.map_or(0, |terms| {
+        terms.regions.values().map(|region| region.members.len()).sum()
+    })
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..1_200 {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("never: {what}");
+}
+
+#[test]
+fn new_drafts_are_served_through_an_outage_of_the_table_service() {
+    let dir = tempfile::tempdir().unwrap();
+    let names: Vec<_> = (0..HOSTS).map(|i| format!("entry-{i}").into()).collect();
+    peers::write_keys(dir.path(), &names).unwrap();
+    let mut world = World::start(&WorldConfig {
+        hosts: 0,
+        ..WorldConfig::default()
+    });
+    world.hosts = (0..HOSTS).map(|i| start(&world, dir.path(), i)).collect();
+    let callers: Vec<_> = (0..HOSTS).map(|i| world.caller(i, MILL_KEY)).collect();
+    until("a full roster", || roster(&world) == HOSTS);
+    // Every host reads the head that names the roster; until then it serves by its reads alone.
+    std::thread::sleep(Duration::from_millis(500));
+    until("all ready", || {
+        callers.iter().all(|c| ask(c, "warm up").status == 200)
+    });
+
+    world.platform.state().set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let began = std::time::Instant::now();
+    let mut served = 0;
+    while began.elapsed() < OUTAGE {
+        for (i, caller) in callers.iter().enumerate() {
+            let prompt = format!("draft {served}");
+            let streamed = ask(caller, &prompt);
+            assert_eq!(
+                streamed.status,
+                200,
+                "host {i} after {:?}: {:?}",
+                began.elapsed(),
+                streamed.problem
+            );
+            assert_eq!(streamed.text, Answer::new(MODEL, 1, &prompt).text(5));
+            served += 1;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let call = block_on(callers[0].call("/v1/services/ledger/grants", Some("grant-1"), "plaza"));
+    assert_eq!((call.status, call.outcome.as_str()), (503, "not-run"));
+
+    world.platform.state().set_faults(PlatformFaults::default());
+    let mut next = declared(2);
+    next.workspaces.remove("mill");
+    world.declare(&next);
+    until("the next note in force", || {
+        callers.iter().all(|c| ask(c, "late").status == 401)
+    });
+    world.stop();
+}
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -124,6 +124,21 @@
         "Another run has registered under this host's name; the host takes no new work.",
     );
 
+    pub const ROSTER_CHANGED: Event = event(
+        3010,
+        "roster_changed",
+        "The hosts that must acknowledge release notes have changed.",
+    );
+    pub const ROSTER_WAITS: Event = event(
+        3011,
+        "roster_waits",
+        "A change of the roster waits for hosts that have not confirmed.",
+    );
+    pub const ROSTER_UNCHANGED: Event = event(
+        3012,
+        "roster_unchanged",
+        "The roster could not be changed now; tried again.",
+    );
     pub const LIST_READ: Event = event(4001, "list_read", "The platform's list of hosts changed.");
     pub const LIST_DISTRUSTED: Event = event(
         4002,
@@ -180,6 +195,9 @@
     events::HEAD_UNCONFIRMED,
     events::HEAD_CONFIRMED,
     events::HOST_SUPERSEDED,
+    events::ROSTER_CHANGED,
+    events::ROSTER_WAITS,
+    events::ROSTER_UNCHANGED,
     events::LIST_READ,
     events::LIST_DISTRUSTED,
     events::PLATFORM_FAILED,
