--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -7,6 +7,7 @@
 use slog::Logger;
 use utils::{Clock, Incarnation};
 
+use crate::cache::CacheCell;
 use crate::claims::LiveHosts;
 use crate::gate::NoteGate;
 use crate::limits::Limiter;
@@ -33,6 +34,8 @@
     pub view: ViewCell,
     /// Until when the host may take new work, and under which notes.
     pub gate: NoteGate,
+    /// Where pieces of prompts are kept.
+    pub cache: Arc<CacheCell>,
     /// Decides where prompts run.
     pub placer: Arc<dyn Placer>,
     /// Makes and checks resume tokens.
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod drafts;
 mod failure;
+mod import;
 mod once;
 mod openai;
 mod relay;
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -18,7 +18,9 @@
 use http_io::{Client, ClientConfig, Executor};
 use notes::{Acceptance, Declared, Deployment, Limits, NoteStore, Operator, PlainService, Terms, Workspace};
 use platform::{HostRole, HostState, HttpPlatform, ListedHost};
-use standins::{Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig};
+use standins::{
+    Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
+};
 use utils::SystemClock;
 
 /// API key of the workspace `mill`.
@@ -45,6 +47,8 @@
     pub time_per_output_token: Duration,
     /// Longest wait without progress.
     pub progress: Duration,
+    /// Cache pieces that an engine holds.
+    pub cache_pieces: u32,
 }
 
 impl Default for WorldConfig {
@@ -54,6 +58,7 @@
             hosts: 2,
             time_per_output_token: Duration::from_millis(1),
             progress: Duration::from_millis(400),
+            cache_pieces: EngineConfig::default().cache_pieces,
         }
     }
 }
@@ -137,6 +142,14 @@
         assert!(matches!(accepted, Acceptance::InForce(_)));
     }
 
+    /// Starts a store host and puts it on the list.
+    pub fn add_store(&self) -> Running<Store> {
+        let store = Store::start(&self.ex, loopback(), StoreConfig::default()).unwrap();
+        let listed = listed("store-0", HostRole::Store, store.addr(), MODEL);
+        self.platform.state().set_host(listed);
+        store
+    }
+
     /// A caller at a host.
     pub fn caller(&self, host: usize, api_key: &str) -> Caller {
         let cfg = ClientConfig {
@@ -225,6 +238,7 @@
         models: vec![(MODEL.into(), 1)],
         slots: 512,
         time_per_output_token: cfg.time_per_output_token,
+        cache_pieces: cfg.cache_pieces,
         ..EngineConfig::default()
     };
     Engine::start(ex, loopback(), engine).unwrap()
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -94,6 +94,17 @@
         "The host ended before the results of all calls were recorded; their keys will say may-have-run.",
     );
 
+    pub const IMPORT_FAILED: Event = event(
+        2200,
+        "import_failed",
+        "A target could not read kept cache from a store in time; it computes the prompt again.",
+    );
+    pub const EXPORT_FAILED: Event = event(
+        2201,
+        "export_failed",
+        "Kept cache could not be written to a store.",
+    );
+
     pub const RESUMED: Event = event(2007, "stream_resumed", "A broken stream went on at its offset.");
 
     pub const NOTE_STAGED: Event = event(
@@ -189,6 +200,8 @@
     events::LEDGER_BACK,
     events::SETTLEMENTS_LEFT,
     events::RETRY_DECIDED,
+    events::IMPORT_FAILED,
+    events::EXPORT_FAILED,
     events::NOTE_STAGED,
     events::NOTE_IN_FORCE,
     events::NOTE_REJECTED,
