Count a draft at its target once, and pass a call's query on

Change: a guard counts a draft at its target from sending to its end; a failed try is told apart from the end. The query goes to the service and is part of what makes a call another one. Conclusion: the open counts can not drift by the number of tries.

--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -146,12 +146,16 @@
             Observation::FetchEnded { store, is_whole } => {
                 self.kept.fetch_ended(*store, *is_whole, &self.engines, now);
             }
-            Observation::Ended { key, failure } => {
+            Observation::Ended { key } => {
                 if let Some(candidate) = self.engines.targets.get_mut(*key) {
                     candidate.open = candidate.open.saturating_sub(1);
-                    if *failure == Some(TargetError::NotSent) {
-                        candidate.state = suspect(candidate.state);
-                    }
+                }
+            }
+            Observation::Failed { key, failure } => {
+                if let Some(candidate) = self.engines.targets.get_mut(*key)
+                    && *failure == TargetError::NotSent
+                {
+                    candidate.state = suspect(candidate.state);
                 }
             }
         }
--- a/components/entry/src/observe.rs
+++ b/components/entry/src/observe.rs
@@ -42,12 +42,17 @@
         /// Whether the target has the piece now.
         is_whole: bool,
     },
-    /// A draft ended at a target.
+    /// A draft is no longer open at a target.
     Ended {
         /// The target.
         key: CandidateKey,
-        /// Why it failed, if it did.
-        failure: Option<TargetError>,
+    },
+    /// A try at a target failed.
+    Failed {
+        /// The target.
+        key: CandidateKey,
+        /// Why.
+        failure: TargetError,
     },
 }
 
--- a/components/entry/src/traffic/calls.rs
+++ b/components/entry/src/traffic/calls.rs
@@ -42,7 +42,7 @@
         workspace: received.workspace.clone(),
         service: service.clone(),
         method: received.method.as_str().to_owned(),
-        path: path.to_owned(),
+        path: with_query(path, received.query.as_deref()),
         content_type: content_type(&received),
         idempotency_key: key,
         body: received.body.clone(),
@@ -159,6 +159,13 @@
     Ok((service, path))
 }
 
+fn with_query(path: &str, query: Option<&str>) -> String {
+    match query {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
 fn content_type(received: &Received) -> String {
     let found = received.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
     found.unwrap_or("application/octet-stream").to_owned()
--- a/components/entry/src/traffic/drafts.rs
+++ b/components/entry/src/traffic/drafts.rs
@@ -16,6 +16,7 @@
 use super::relay::Relay;
 use super::respond::id_text;
 use super::route::{Received, check_serving};
+use super::sent::SentDraft;
 use super::{Context, respond};
 use crate::cache::name_pieces;
 use crate::observe::Observation;
@@ -53,6 +54,8 @@
     pub excluded: Vec<TargetId>,
     /// Whether a target may have run the request.
     pub sent: bool,
+    /// Counts the draft at the target that it was sent to last.
+    pub sent_to: Option<SentDraft>,
 }
 
 /// A draft whose first event arrived.
@@ -138,6 +141,7 @@
             due,
             excluded: Vec::new(),
             sent: false,
+            sent_to: None,
         })
     }
 
@@ -165,10 +169,8 @@
     pub(crate) async fn open(&mut self) -> Result<Opened, Failure> {
         for target_number in 1..=MAX_TARGETS {
             let chosen = self.place()?;
-            self.cx.shared.observer.tell(Observation::Sent {
-                key: chosen.key,
-                tokens: self.req.prompt_tokens,
-            });
+            let tokens = self.req.prompt_tokens;
+            self.sent_to = Some(SentDraft::new(&self.cx.shared, chosen.key, tokens));
             let time_left = self.due.saturating_sub(self.cx.shared.clock.now());
             import(&self.cx, &chosen, self.req.weight_version, time_left).await;
             let failure = match self.wait_for_first(&chosen).await {
@@ -264,10 +266,6 @@
         self.req.attempt += 1;
         let engine = HttpEngine::new(self.cx.engines.clone(), chosen.address);
         let shared = &self.cx.shared;
-        shared.observer.tell(Observation::Sent {
-            key: chosen.key,
-            tokens: self.req.prompt_tokens,
-        });
         let limit = Duration::from_millis(shared.settings.timeouts.progress_ms);
         let req = self.req.clone();
         let open = async {
@@ -292,10 +290,8 @@
         self.excluded.push(chosen.target.clone());
         let shared = &self.cx.shared;
         shared.metrics.attempt("failed");
-        shared.observer.tell(Observation::Ended {
-            key: chosen.key,
-            failure: Some(failure),
-        });
+        let key = chosen.key;
+        shared.observer.tell(Observation::Failed { key, failure });
         warn!(shared.log, "attempt failed"; events::ATTEMPT_FAILED,
             "request" => id_text(self.received.id), "attempt" => self.req.attempt,
             "target" => &*chosen.target, "failure" => %failure);
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod respond;
 mod route;
+mod sent;
 
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/components/entry/src/traffic/relay.rs
+++ b/components/entry/src/traffic/relay.rs
@@ -17,8 +17,8 @@
 use super::openai::{Usage, Writer};
 use super::respond::id_text;
 use super::route::Received;
+use super::sent::SentDraft;
 use super::{Context, respond};
-use crate::observe::Observation;
 use crate::resume::{ResumePoint, TokenError};
 
 /// Tries to go on with a stream that broke, without a new token in between.
@@ -279,10 +279,6 @@
     fn answered(&mut self) {
         self.ended = true;
         let shared = &self.draft.cx.shared;
-        shared.observer.tell(Observation::Ended {
-            key: self.chosen.key,
-            failure: None,
-        });
         shared.metrics.attempt("ok");
         shared.metrics.request("draft", Outcome::Ran);
         shared.metrics.tokens(u64::from(self.offset));
@@ -294,10 +290,6 @@
 
     fn caller_gone(&self) {
         let shared = &self.draft.cx.shared;
-        shared.observer.tell(Observation::Ended {
-            key: self.chosen.key,
-            failure: None,
-        });
         self.draft.remember("streaming", Outcome::MayHaveRun, None);
         info!(shared.log, "caller closed the connection"; events::CALLER_GONE,
             "request" => id_text(self.draft.received.id), "tokens" => self.offset);
@@ -335,10 +327,7 @@
     })?;
     let guard = admit_resumed(cx)?;
     let (mut draft, chosen) = resumed_draft(cx, received, point)?;
-    cx.shared.observer.tell(Observation::Sent {
-        key: chosen.key,
-        tokens: 0,
-    });
+    draft.sent_to = Some(SentDraft::new(&cx.shared, chosen.key, 0));
     let tried = draft.try_at(&chosen, false).await;
     let (stream, first) = tried.map_err(|failure| Failure {
         kind: if failure == TargetError::VersionGone {
@@ -406,6 +395,7 @@
         due: began,
         excluded: Vec::new(),
         sent: true,
+        sent_to: None,
     };
     Ok((draft, chosen))
 }
--- a/components/entry/src/traffic/route.rs
+++ b/components/entry/src/traffic/route.rs
@@ -28,6 +28,8 @@
     pub method: Method,
     /// Path with its leading slash.
     pub path: String,
+    /// Query after the path, without the question mark.
+    pub query: Option<String>,
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
@@ -61,6 +63,7 @@
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = req.into_parts();
     let path = parts.uri.path().to_owned();
+    let query = parts.uri.query().map(str::to_owned);
     let workspace = authenticate(cx, &view, &parts.headers)?;
     if let Some(wanted) = path.strip_prefix("/v1/requests/") {
         return look_up(cx, &view, &workspace, wanted);
@@ -75,6 +78,7 @@
         view,
         method: parts.method,
         path,
+        query,
         headers: parts.headers,
         body,
     };
--- a/components/entry/tests/path.rs
+++ b/components/entry/tests/path.rs
@@ -51,6 +51,15 @@
     let again = block_on(world.caller(1, GREEN_KEY).call(path, Some("grant-1"), "plaza"));
     let other_body = block_on(world.caller(1, GREEN_KEY).call(path, Some("grant-1"), "common"));
     let no_key = block_on(world.caller(0, GREEN_KEY).call(path, None, "plaza"));
+    let other_query = block_on(world.caller(0, GREEN_KEY).call(
+        "/v1/services/ledger/grants?green=2",
+        Some("grant-1"),
+        "plaza",
+    ));
+    assert_eq!(
+        (other_query.status, other_query.outcome.as_str()),
+        (422, "not-run")
+    );
     assert_eq!((first.status, first.outcome.as_str()), (201, "ran"));
     assert_eq!(again.body, first.body);
     assert_eq!((other_body.status, other_body.outcome.as_str()), (422, "not-run"));
