--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod notes;
 mod peers;
 mod poll;
+mod roster;
 mod state;
 mod suspects;
 mod watch;
@@ -87,6 +88,7 @@
         shared.settings.platform.address,
     ));
     let (tx, inputs) = async_channel::bounded(QUEUE_LENGTH);
+    let (told, heard) = async_channel::bounded(QUEUE_LENGTH);
     let front = ex.spawn(operators::serve(
         shared.clone(),
         operators,
@@ -101,7 +103,8 @@
         ex.spawn(poll::poll_list(shared.clone(), platform.clone(), tx.clone())),
         ex.spawn(suspects::write(shared.clone(), platform.clone(), sources.news)),
         ex.spawn(suspects::scan(shared.clone(), platform.clone())),
-        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone())),
+        ex.spawn(roster::keep(shared.clone(), platform.clone())),
+        ex.spawn(notes::follow(shared.clone(), platform.clone(), tx.clone(), heard)),
         ex.spawn(poll::poll_loads(
             shared.clone(),
             client.clone(),
@@ -117,7 +120,7 @@
         ex.spawn(watch::export(shared.clone(), client, exports, tx.clone())),
     ];
     pollers.extend(arrivals.map(|arrivals| ex.spawn(peers::receive(arrivals, tx))));
-    let members = PeerControl::new(shared.clone(), transport.clone());
+    let members = PeerControl::new(shared.clone(), transport.clone(), told);
     let state = ControlState::new(shared.clone(), members, kept);
     let work = run_loop(state, inputs, sources.observations);
     let stopped = async {
@@ -187,6 +190,7 @@
             Work::Input(state::Input::Notes { obeyed, done }) => {
                 state.take_notes(obeyed);
                 state.publish();
+                state.tell_notes();
                 let _ = done.send(()).await;
                 continue;
             }
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod respond;
 mod route;
+mod sent;
 mod watch;
 
 use std::net::TcpListener;
