--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -142,6 +142,17 @@
                 row.over_budget
             )?;
         }
+        for deployment in [Deployment::PermisosVerdes, Deployment::Cadwaladr] {
+            for fault in Fault::ALL {
+                if let Some(gap) = self.gap(deployment, fault) {
+                    writeln!(
+                        f,
+                        "{deployment:?} {fault:?}: main measure {:+.1}% against the oracle",
+                        gap * 100.0
+                    )?;
+                }
+            }
+        }
         Ok(())
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,9 @@
 use clap::{Args, Parser, Subcommand};
 
 use crate::cmd::NoteCommand;
-pub(crate) use trials::{LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs};
+pub(crate) use trials::{
+    BenchPolicyArgs, LoadArgs, NamedAddress, OutputFormat, StandInArgs, StandInKind, TryArgs,
+};
 
 /// Serves prompts that return after long gaps.
 #[derive(Debug)]
@@ -39,6 +41,8 @@
     StandIn(StandInArgs),
     /// Send load to a running system and report latencies.
     Load(LoadArgs),
+    /// Compare placement with baselines and an oracle, in virtual time.
+    BenchPolicy(BenchPolicyArgs),
 }
 
 /// Arguments of `serve`.
--- a/src/cli/trials.rs
+++ b/src/cli/trials.rs
@@ -31,6 +31,27 @@
     pub format: OutputFormat,
 }
 
+/// Arguments of `bench-policy`.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct BenchPolicyArgs {
+    /// Seed of the traces.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Length of a trace, in virtual minutes; the first third is not counted.
+    #[arg(long, default_value_t = 180)]
+    pub minutes: u32,
+    /// Runs at once.
+    #[arg(long, default_value_t = 4)]
+    pub threads: usize,
+    /// Directory for the report as JSON and for plots as SVG.
+    #[arg(long, value_name = "DIR")]
+    pub out: Option<std::path::PathBuf>,
+    /// How the report is printed.
+    #[arg(long, value_enum, default_value = "table")]
+    pub format: OutputFormat,
+}
+
 /// What a stand-in stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(clap::ValueEnum)]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands; each only wires components together.
 
+mod bench_policy;
 mod config;
 mod events;
 mod keys;
@@ -9,6 +10,7 @@
 mod stand_in;
 mod try_it;
 
+pub(crate) use bench_policy::bench_policy;
 pub(crate) use config::{check_config, explain_config};
 pub(crate) use events::events;
 pub(crate) use keys::keys;
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
         Command::Try(args) => cmd::try_it(&args),
         Command::StandIn(args) => cmd::stand_in(&args),
         Command::Load(args) => cmd::load(&args),
+        Command::BenchPolicy(args) => cmd::bench_policy(&args),
     };
     exit::code_of(done)
 }
