--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -259,6 +259,36 @@
     .unwrap()
 }
 
+/// Starts a host with keys from `dir` for the other hosts, and lists it.
+pub fn start_with_keys(world: &World, dir: &std::path::Path, i: usize, log: slog::Logger) -> Daemon {
+    let mut settings = settings(i, world.platform.addr(), Duration::from_millis(400));
+    let id = settings.host.id.clone();
+    settings.peers = PeerSettings {
+        authority: Some(dir.join("authority.pem")),
+        certificate: Some(dir.join(format!("{id}.pem"))),
+        key: Some(dir.join(format!("{id}.key"))),
+    };
+    let daemon = Daemon::start(settings, log).unwrap();
+    let entry = ListedHost {
+        peer_address: daemon.addresses().peers,
+        serves: Vec::new(),
+        ..listed(&id, HostRole::Entry, daemon.addresses().callers, "")
+    };
+    world.platform.state().set_host(entry);
+    daemon
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..1_200 {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("never: {what}");
+}
+
 /// Settings of a host.
 pub fn settings(i: usize, platform: SocketAddr, progress: Duration) -> Settings {
     let platform = PlatformSettings {
--- a/components/entry/tests/heartbeats.rs
+++ b/components/entry/tests/heartbeats.rs
@@ -5,10 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::{World, WorldConfig};
-use config::PeerSettings;
+use common::{World, WorldConfig, start_with_keys, until};
 use entry::Daemon;
-use platform::{HostRole, ListedHost};
 use slog::{Drain, KV, Never, OwnedKVList, Record, Serializer};
 
 /// Names and peers of the events that a host logged.
@@ -40,23 +38,9 @@
 }
 
 fn start(world: &World, dir: &std::path::Path, i: usize) -> (Daemon, Events) {
-    let mut settings = common::settings(i, world.platform.addr(), Duration::from_millis(400));
-    let id = settings.host.id.clone();
-    settings.peers = PeerSettings {
-        authority: Some(dir.join("authority.pem")),
-        certificate: Some(dir.join(format!("{id}.pem"))),
-        key: Some(dir.join(format!("{id}.key"))),
-    };
     let events = Events::default();
     let log = slog::Logger::root(Keep(events.clone()), slog::o!());
-    let daemon = Daemon::start(settings, log).unwrap();
-    let entry = ListedHost {
-        peer_address: daemon.addresses().peers,
-        serves: Vec::new(),
-        ..common::listed(&id, HostRole::Entry, daemon.addresses().callers, "")
-    };
-    world.platform.state().set_host(entry);
-    (daemon, events)
+    (start_with_keys(world, dir, i, log), events)
 }
 
 fn has(events: &Events, name: &str, peer: &str) -> bool {
@@ -66,16 +50,6 @@
         .any(|line| line.contains(name) && line.contains(peer))
 }
 
-fn until(what: &str, holds: impl Fn() -> bool) {
-    for _ in 0..600 {
-        if holds() {
-            return;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    panic!("never: {what}");
-}
-
 #[test]
 fn a_killed_host_is_noticed_and_comes_back() {
     let dir = tempfile::tempdir().unwrap();
--- a/components/entry/tests/outage.rs
+++ b/components/entry/tests/outage.rs
@@ -5,10 +5,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use common::{Caller, MILL_KEY, MODEL, World, WorldConfig, body, declared};
-use config::PeerSettings;
+use common::{Caller, MILL_KEY, MODEL, World, WorldConfig, body, declared, start_with_keys, until};
 use entry::Daemon;
-use platform::{HostRole, ListedHost};
 use smol::block_on;
 use standins::{Answer, PlatformFaults};
 
@@ -18,21 +16,7 @@
 const HOSTS: usize = 3;
 
 fn start(world: &World, dir: &Path, i: usize) -> Daemon {
-    let mut settings = common::settings(i, world.platform.addr(), Duration::from_millis(400));
-    let id = settings.host.id.clone();
-    settings.peers = PeerSettings {
-        authority: Some(dir.join("authority.pem")),
-        certificate: Some(dir.join(format!("{id}.pem"))),
-        key: Some(dir.join(format!("{id}.key"))),
-    };
-    let daemon = Daemon::start(settings, slog::Logger::root(slog::Discard, slog::o!())).unwrap();
-    let listed = ListedHost {
-        peer_address: daemon.addresses().peers,
-        serves: Vec::new(),
-        ..common::listed(&id, HostRole::Entry, daemon.addresses().callers, "")
-    };
-    world.platform.state().set_host(listed);
-    daemon
+    start_with_keys(world, dir, i, slog::Logger::root(slog::Discard, slog::o!()))
 }
 
 fn ask(caller: &Caller, prompt: &str) -> common::caller::Streamed {
@@ -48,16 +32,6 @@
     })
 }
 
-fn until(what: &str, holds: impl Fn() -> bool) {
-    for _ in 0..1_200 {
-        if holds() {
-            return;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    panic!("never: {what}");
-}
-
 #[test]
 fn new_drafts_are_served_through_an_outage_of_the_table_service() {
     let dir = tempfile::tempdir().unwrap();
