--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -7,7 +7,7 @@
 use error_stack::{Report, ResultExt};
 use http_io::{Client, ClientConfig, Executor};
 use ledger::{ClaimRow, Holder, LedgerHandle, LedgerSettings, LedgerWriter, Protocol};
-use platform::HttpPlatform;
+use metadata::HttpPlatform;
 use slog::Logger;
 use utils::{Clock, HostId, Incarnation};
 
--- a/components/entry/src/control/kept.rs
+++ b/components/entry/src/control/kept.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use directory::Directory;
-use platform::ListedHost;
+use metadata::ListedHost;
 use policy::{
     CacheIndex, Candidate, CandidateKey, LinkMeter, PlacementView, Retention, StoreKey, StoreView,
     TransferStart, Transfers, WriteBack,
--- a/components/entry/src/control/mod.rs
+++ b/components/entry/src/control/mod.rs
@@ -19,7 +19,7 @@
 use futures_lite::FutureExt;
 use http_io::{Client, ClientConfig, Executor, Shutdown};
 use ledger::LedgerWriter;
-use platform::HttpPlatform;
+use metadata::HttpPlatform;
 use slog::warn;
 
 use crate::observe::Observation;
--- a/components/entry/src/control/notes.rs
+++ b/components/entry/src/control/notes.rs
@@ -9,7 +9,7 @@
     Content, Holder, HolderEffect, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed,
     ObeyedBuilder, head_interval, write_window,
 };
-use platform::{HttpPlatform, RowVersion};
+use metadata::{HttpPlatform, RowVersion};
 use rand::RngExt;
 use slog::{info, warn};
 use utils::{HostId, Incarnation, Monotonic};
@@ -59,7 +59,7 @@
     let late = async {
         smol::Timer::after(LONGEST_FAREWELL).await;
         Err(Report::new(NoteError::Platform(
-            platform::PlatformError::AnswerLost,
+            metadata::PlatformError::AnswerLost,
         )))
     };
     if let Err(e) = say.or(late).await {
@@ -374,9 +374,9 @@
 }
 
 /// The platform's part in a failure, for the log; other failures count as unreadable answers.
-fn platform_error<T>(result: Result<T, Report<NoteError>>) -> Result<T, Report<platform::PlatformError>> {
+fn platform_error<T>(result: Result<T, Report<NoteError>>) -> Result<T, Report<metadata::PlatformError>> {
     result.map_err(|e| match *e.current_context() {
         NoteError::Platform(kind) => e.change_context(kind),
-        _ => e.change_context(platform::PlatformError::Malformed),
+        _ => e.change_context(metadata::PlatformError::Malformed),
     })
 }
--- a/components/entry/src/control/peers.rs
+++ b/components/entry/src/control/peers.rs
@@ -9,7 +9,7 @@
     Effect, Identity, Input, Membership, MembershipEvent, MembershipView, Observation, TargetLiveness,
 };
 use notes::NoteState;
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use slog::{info, warn};
 use utils::TargetId;
 
--- a/components/entry/src/control/poll.rs
+++ b/components/entry/src/control/poll.rs
@@ -6,7 +6,7 @@
 use errors::events;
 use http_io::{Client, Executor};
 use membership::{Backoff, poll_interval};
-use platform::{HostList, HttpPlatform, PlatformError};
+use metadata::{HostList, HttpPlatform, PlatformError};
 use rand::RngExt;
 use slog::{info, warn};
 use targets::{Engine, HttpEngine};
--- a/components/entry/src/control/roster.rs
+++ b/components/entry/src/control/roster.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use errors::events;
 use notes::{Acceptance, Head, HostRow, NoteError, NoteStore, Operator, Proposal, RegionRoster, Terms};
-use platform::HttpPlatform;
+use metadata::HttpPlatform;
 use slog::{info, warn};
 use utils::{HostId, Monotonic, RegionId, rendezvous_order};
 
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -4,7 +4,7 @@
 use ::peers::Arrived;
 use errors::events;
 use notes::Obeyed;
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use policy::{Candidate, CandidateKey, PlacementView, TargetState};
 use slog::info;
 use targets::{LoadReport, TargetError};
--- a/components/entry/src/control/suspects.rs
+++ b/components/entry/src/control/suspects.rs
@@ -4,7 +4,7 @@
 
 use error_stack::Report;
 use errors::events;
-use platform::{
+use metadata::{
     Committed, Condition, Expect, HttpPlatform, PlatformError, Row, ScanRequest, TableService, Transaction,
     Write,
 };
--- a/components/entry/src/traffic/calls.rs
+++ b/components/entry/src/traffic/calls.rs
@@ -5,7 +5,7 @@
 use http_io::Body;
 use hyper::Response;
 use hyper::header::CONTENT_TYPE;
-use platform::HostState;
+use metadata::HostState;
 use rand::seq::IndexedRandom;
 use slog::info;
 use targets::{CallReply, CallRequest, HttpService, Service, TargetError};
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use notes::{Declared, Obeyed, Workspace};
-use platform::HostState;
+use metadata::HostState;
 use policy::PlacementView;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
 use notes::{Acceptance, Declared, Deployment, Limits, NoteStore, Operator, PlainService, Terms, Workspace};
-use platform::{HostRole, HostState, HttpPlatform, ListedHost};
+use metadata::{HostRole, HostState, HttpPlatform, ListedHost};
 use standins::{
     Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
 };
--- a/components/entry/tests/members.rs
+++ b/components/entry/tests/members.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{MILL_KEY, World, WorldConfig, body};
-use platform::{HostRole, HostState};
+use metadata::{HostRole, HostState};
 use smol::block_on;
 
 /// Time in which a leaving target must get no more new work.
--- a/components/entry/tests/quarantine.rs
+++ b/components/entry/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use common::{Caller, MILL_KEY, MODEL, World, WorldConfig, body, listed};
 use errors::Outcome;
 use hyper::Method;
-use platform::HostRole;
+use metadata::HostRole;
 use smol::block_on;
 use standins::{Answer, EngineFaults, PlatformFaults};
 
--- /dev/null
+++ b/components/gateway/src/beliefs.rs
@@ -0,0 +1,313 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use utils::{ModelId, Monotonic};
+
+use crate::ports::{Decode, DeclaredRecord, Record, Snapshot, Table, UnusableRecord};
+use crate::quarantine::Fingerprint;
+use crate::view::{HostEntry, Named, View};
+use crate::{Declared, Target};
+
+/// Start of the keys under which entry hosts register themselves.
+pub(crate) const HOST_PREFIX: &str = "host/";
+/// Start of the keys of requests that crash targets.
+pub(crate) const QUARANTINE_PREFIX: &str = "crash/";
+
+/// Rows of a table and the version up to which they are known.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TableState {
+    /// Rows by key.
+    pub rows: BTreeMap<String, Record>,
+    /// Newest version that was heard of.
+    pub version: u64,
+    /// Whether the table was ever read whole.
+    pub is_read: bool,
+}
+
+/// Who told the host about a row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Learned {
+    /// The platform's store.
+    Store,
+    /// Another entry host.
+    Peer,
+}
+
+/// Connection to the store, as its calls show it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreLink {
+    /// Calls are answered, since this moment; `None` since the start.
+    Up(Option<Monotonic>),
+    /// Calls fail.
+    Down,
+}
+
+/// What the host believes about declarations, targets and other hosts. A state machine without I/O.
+///
+/// Versions only grow: a row that is older than the one held is ignored, so a late or stale answer can't bring back what
+/// has been replaced. Entries that vanish while the store was away may only have lapsed; they stay until
+/// the grace after its return has passed.
+pub struct Beliefs {
+    /// Reads rows.
+    decode: Arc<dyn Decode>,
+    /// Time for which an entry that is missing after an outage may still come back.
+    return_grace: Duration,
+    /// Rows as they were read.
+    tables: HashMap<Table, TableState>,
+    /// State of the store.
+    link: StoreLink,
+    /// Declared state.
+    declared: Option<Arc<Declared>>,
+    /// Named weights.
+    weights: HashMap<ModelId, Named>,
+    /// Usable targets by key.
+    targets: BTreeMap<String, Arc<Target>>,
+    /// Targets whose entry vanished around an outage.
+    doubtful: BTreeMap<String, Arc<Target>>,
+    /// Entry hosts.
+    hosts: BTreeMap<String, HostEntry>,
+    /// Requests that crash targets.
+    quarantined: HashSet<Fingerprint>,
+    /// Whether the view has to be published again.
+    is_changed: bool,
+}
+
+impl Beliefs {
+    /// A host that knows nothing.
+    pub fn new(decode: Arc<dyn Decode>, return_grace: Duration) -> Self {
+        Self {
+            decode,
+            return_grace,
+            tables: HashMap::new(),
+            link: StoreLink::Up(None),
+            declared: None,
+            weights: HashMap::new(),
+            targets: BTreeMap::new(),
+            doubtful: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            quarantined: HashSet::new(),
+            is_changed: false,
+        }
+    }
+
+    /// The version up to which a table is known, once it was read whole.
+    pub fn known(&self, table: Table) -> Option<u64> {
+        let state = self.tables.get(&table)?;
+        state.is_read.then_some(state.version)
+    }
+
+    /// Rows of a table that are newer than a version, removed ones included; for other hosts.
+    pub fn newer_than(&self, table: Table, version: u64) -> Snapshot {
+        let Some(state) = self.tables.get(&table).filter(|state| state.is_read) else {
+            return Snapshot::default();
+        };
+        let newer = state.rows.values().filter(|row| row.version > version);
+        Snapshot {
+            records: newer.cloned().collect(),
+            version: state.version,
+        }
+    }
+
+    /// A call to the store was answered. True if calls failed before.
+    pub fn store_answered(&mut self, now: Monotonic) -> bool {
+        let was_down = self.link == StoreLink::Down;
+        if was_down {
+            self.link = StoreLink::Up(Some(now));
+        }
+        was_down
+    }
+
+    /// A call to the store failed. True if calls were answered before.
+    pub fn store_failed(&mut self) -> bool {
+        let was_up = self.link != StoreLink::Down;
+        self.link = StoreLink::Down;
+        was_up
+    }
+
+    /// Whether calls to the store fail.
+    pub fn is_store_down(&self) -> bool {
+        self.link == StoreLink::Down
+    }
+
+    /// Takes a whole table. Rows that it lacks are gone; an older answer than what is held is ignored.
+    pub fn replace(&mut self, table: Table, snapshot: Snapshot, now: Monotonic) -> Vec<Report<UnusableRecord>> {
+        let state = self.tables.entry(table).or_default();
+        if snapshot.version < state.version {
+            return Vec::new();
+        }
+        let kept: HashSet<&str> = snapshot.records.iter().map(|r| r.key.as_str()).collect();
+        let gone = state.rows.values().filter(|row| row.value.is_some());
+        let gone = gone.filter(|row| !kept.contains(row.key.as_str()));
+        let mut records: Vec<Record> = gone
+            .map(|row| Record {
+                key: row.key.clone(),
+                value: None,
+                version: snapshot.version,
+            })
+            .collect();
+        state.is_read = true;
+        records.extend(snapshot.records);
+        let changed = Snapshot {
+            records,
+            version: snapshot.version,
+        };
+        self.is_changed = true;
+        self.apply(table, changed, Learned::Store, now)
+    }
+
+    /// Takes rows that changed.
+    pub fn apply(
+        &mut self,
+        table: Table,
+        changed: Snapshot,
+        from: Learned,
+        now: Monotonic,
+    ) -> Vec<Report<UnusableRecord>> {
+        let state = self.tables.entry(table).or_default();
+        if from == Learned::Peer && changed.version > 0 {
+            state.is_read = true;
+        }
+        state.version = state.version.max(changed.version);
+        let mut unusable = Vec::new();
+        for record in changed.records {
+            if let Err(e) = self.take(table, record, from, now) {
+                unusable.push(e);
+            }
+        }
+        unusable
+    }
+
+    /// Removes the entries that did not come back in time after an outage.
+    pub fn tick(&mut self, now: Monotonic) {
+        let StoreLink::Up(Some(back_at)) = self.link else {
+            return;
+        };
+        if now < back_at + self.return_grace {
+            return;
+        }
+        self.link = StoreLink::Up(None);
+        if !self.doubtful.is_empty() {
+            self.doubtful.clear();
+            self.is_changed = true;
+        }
+    }
+
+    /// The view to publish, if anything has changed since the last one.
+    pub fn publish(&mut self) -> Option<View> {
+        if !std::mem::take(&mut self.is_changed) {
+            return None;
+        }
+        let mut targets: HashMap<_, Vec<_>> = HashMap::new();
+        for target in self.targets.values().chain(self.doubtful.values()) {
+            if !target.is_leaving {
+                targets
+                    .entry(target.service.clone())
+                    .or_default()
+                    .push(target.clone());
+            }
+        }
+        let hosts = self.hosts.values().map(|h| (h.name.clone(), h.clone()));
+        Some(View {
+            declared: self.declared.clone(),
+            targets,
+            weights: self.weights.clone(),
+            hosts: hosts.collect(),
+            quarantined: self.quarantined.clone(),
+            knows_targets: self.known(Table::Targets).is_some(),
+        })
+    }
+
+    fn take(
+        &mut self,
+        table: Table,
+        record: Record,
+        from: Learned,
+        now: Monotonic,
+    ) -> Result<(), Report<UnusableRecord>> {
+        let state = self.tables.entry(table).or_default();
+        let held = state.rows.get(&record.key);
+        if held.is_some_and(|held| held.version >= record.version) {
+            return Ok(());
+        }
+        state.rows.insert(record.key.clone(), record.clone());
+        self.is_changed = true;
+        match table {
+            Table::Declared => self.take_declared(&record, now),
+            Table::Targets => self.take_target(record, from),
+            Table::Shared => self.take_shared(&record),
+            Table::Orders => Ok(()),
+        }
+    }
+
+    fn take_declared(&mut self, record: &Record, now: Monotonic) -> Result<(), Report<UnusableRecord>> {
+        if record.value.is_none() {
+            return Ok(());
+        }
+        match self.decode.declared(record)? {
+            DeclaredRecord::All(declared) => {
+                let held = self.declared.as_ref().map_or(0, |held| held.version);
+                if declared.version > held {
+                    self.declared = Some(Arc::from(declared));
+                }
+            }
+            DeclaredRecord::Weights(named) => {
+                let held = self.weights.get(&named.model).map_or(0, |held| held.version);
+                if named.version > held {
+                    let version = named.version;
+                    let learned_at = now;
+                    self.weights.insert(named.model, Named { version, learned_at });
+                }
+            }
+            DeclaredRecord::Other => {}
+        }
+        Ok(())
+    }
+
+    fn take_target(&mut self, record: Record, from: Learned) -> Result<(), Report<UnusableRecord>> {
+        if record.value.is_none() {
+            self.remove_target(&record.key, from);
+            return Ok(());
+        }
+        let decoded = self.decode.target(&record);
+        if decoded.is_err() {
+            self.targets.remove(&record.key);
+        }
+        self.doubtful.remove(&record.key);
+        self.targets.insert(record.key, Arc::new(decoded?));
+        Ok(())
+    }
+
+    /// A host that reaches the store has resolved doubts itself; what it calls gone is gone.
+    fn remove_target(&mut self, key: &str, from: Learned) {
+        let Some(target) = self.targets.remove(key) else {
+            if from == Learned::Peer {
+                self.doubtful.remove(key);
+            }
+            return;
+        };
+        if from == Learned::Store && self.link != StoreLink::Up(None) {
+            self.doubtful.insert(key.to_owned(), target);
+        }
+    }
+
+    fn take_shared(&mut self, record: &Record) -> Result<(), Report<UnusableRecord>> {
+        if let Some(name) = record.key.strip_prefix(HOST_PREFIX) {
+            let entry = record.value.as_deref();
+            let entry = entry.map(serde_json::from_slice::<HostEntry>).transpose();
+            match entry.map_err(|e| Report::new(e).change_context(UnusableRecord))? {
+                Some(entry) => self.hosts.insert(name.to_owned(), entry),
+                None => self.hosts.remove(name),
+            };
+        }
+        if let Some(text) = record.key.strip_prefix(QUARANTINE_PREFIX) {
+            let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
+            match record.value {
+                Some(_) => self.quarantined.insert(fingerprint),
+                None => self.quarantined.remove(&fingerprint),
+            };
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/follow.rs
@@ -0,0 +1,76 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+
+use super::{Control, TICK};
+use crate::Learned;
+use crate::ports::{Changes, Snapshot, StoreError, Table};
+
+/// Longest wait of the store for a change: a connection that has gone silent is noticed after it.
+const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
+/// First pause after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(900);
+
+/// What a call to the store brought.
+enum Heard {
+    /// A whole table.
+    Whole(Snapshot),
+    /// What changed.
+    Changed(Snapshot),
+    /// Nothing; the table has to be read again.
+    Forgotten,
+}
+
+/// Keeps the host's copy of a table up to date.
+pub(crate) async fn follow(control: Arc<Control>, table: Table) {
+    let mut backoff = FIRST_BACKOFF;
+    let mut must_read = false;
+    loop {
+        let heard = hear(&control, table, must_read).await;
+        control.note_store(heard.is_ok());
+        let now = control.traffic.now();
+        match heard {
+            Ok(Heard::Whole(snapshot)) => {
+                must_read = false;
+                control.update(|beliefs| beliefs.replace(table, snapshot, now));
+            }
+            Ok(Heard::Changed(changed)) => {
+                control.update(|beliefs| beliefs.apply(table, changed, Learned::Store, now));
+            }
+            Ok(Heard::Forgotten) => must_read = true,
+            Err(_) => {
+                smol::Timer::after(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
+                backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                continue;
+            }
+        }
+        backoff = FIRST_BACKOFF;
+    }
+}
+
+async fn hear(control: &Control, table: Table, must_read: bool) -> Result<Heard, Report<StoreError>> {
+    let known = control.beliefs().known(table);
+    let Some(after) = known.filter(|_| !must_read) else {
+        return Ok(Heard::Whole(control.store.read(table).await?));
+    };
+    Ok(match control.store.follow(table, after, FOLLOW_WAIT).await? {
+        Changes::Known(changed) => Heard::Changed(changed),
+        Changes::Forgotten => Heard::Forgotten,
+    })
+}
+
+/// Does what only time brings about.
+pub(crate) async fn tick(control: Arc<Control>) {
+    loop {
+        smol::Timer::after(TICK).await;
+        let now = control.traffic.now();
+        control.update(|beliefs| {
+            beliefs.tick(now);
+            Vec::new()
+        });
+        control.traffic.clean();
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/mod.rs
@@ -0,0 +1,110 @@
+//! The control thread: follows the store and other hosts, publishes what the host believes, and orders weights.
+
+mod follow;
+mod orders;
+mod peers;
+mod register;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use errors::events;
+use http_io::{Executor, Shutdown};
+use slog::{info, warn};
+use utils::Incarnation;
+
+use crate::ports::{Decode, EngineControl, RecordStore, Table, UnusableRecord};
+use crate::quarantine::Fingerprint;
+use crate::traffic::Traffic;
+use crate::Beliefs;
+
+/// Pause between looks at what only time changes.
+const TICK: Duration = Duration::from_millis(200);
+
+/// The control thread's state.
+pub(crate) struct Control {
+    /// Shared with the traffic thread.
+    pub traffic: Arc<Traffic>,
+    /// The platform's store.
+    pub store: Arc<dyn RecordStore>,
+    /// Engines.
+    pub engines: Arc<dyn EngineControl>,
+    /// Run of this process.
+    pub incarnation: Incarnation,
+    /// Runs the control thread's tasks.
+    pub ex: Executor,
+    /// What the host believes.
+    beliefs: Mutex<Beliefs>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        traffic: Arc<Traffic>,
+        store: Arc<dyn RecordStore>,
+        engines: Arc<dyn EngineControl>,
+        decode: Arc<dyn Decode>,
+        incarnation: Incarnation,
+        ex: Executor,
+    ) -> Self {
+        let beliefs = Beliefs::new(decode, traffic.settings.bounds.return_grace);
+        Self {
+            traffic,
+            store,
+            engines,
+            incarnation,
+            ex,
+            beliefs: Mutex::new(beliefs),
+        }
+    }
+
+    /// Runs until `stop` resolves.
+    pub(crate) async fn run(self: Arc<Self>, crashed: async_channel::Receiver<Fingerprint>, stop: Shutdown) {
+        let tasks = [
+            self.ex.spawn(follow::follow(self.clone(), Table::Declared)),
+            self.ex.spawn(follow::follow(self.clone(), Table::Targets)),
+            self.ex.spawn(follow::follow(self.clone(), Table::Shared)),
+            self.ex.spawn(follow::tick(self.clone())),
+            self.ex.spawn(peers::ask(self.clone())),
+            self.ex.spawn(register::register(self.clone())),
+            self.ex.spawn(register::report_crashes(self.clone(), crashed)),
+            self.ex.spawn(orders::give_orders(self.clone())),
+        ];
+        let server = peers::serve(self.clone(), stop.clone());
+        server.await;
+        for task in tasks {
+            task.cancel().await;
+        }
+        register::deregister(&self).await;
+    }
+
+    /// What the host believes.
+    pub(crate) fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
+        self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what the host believes and publishes it.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut Beliefs) -> Vec<error_stack::Report<UnusableRecord>>) {
+        let mut beliefs = self.beliefs();
+        for unusable in change(&mut beliefs) {
+            warn!(self.traffic.log, "unusable row"; events::RECORD_UNUSABLE, "error" => format!("{unusable:?}"));
+        }
+        let Some(view) = beliefs.publish() else { return };
+        info!(self.traffic.log, "beliefs changed"; events::BELIEFS_CHANGED,
+            "declared" => view.declared.as_ref().map_or(0, |d| d.version),
+            "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
+            "hosts" => view.hosts.len());
+        self.traffic.view.store(Arc::new(view));
+    }
+
+    /// A call to the store was answered, or failed.
+    pub(crate) fn note_store(&self, is_answered: bool) {
+        let log = &self.traffic.log;
+        let now = self.traffic.now();
+        if is_answered && self.beliefs().store_answered(now) {
+            info!(log, "the store answers again"; events::STORE_BACK);
+        }
+        if !is_answered && self.beliefs().store_failed() {
+            warn!(log, "the store does not answer"; events::STORE_LOST);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/orders.rs
@@ -0,0 +1,214 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use error_stack::Report;
+use errors::events;
+use membership::{Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, OrderLease, WriteOutcome};
+use metadata::Expect;
+use slog::info;
+use utils::rendezvous_order;
+
+use super::Control;
+use crate::ports::{Record, RecordWrite, RecordWritten, StoreError, Table, WeightsOrder};
+use crate::weights::{LoadOrder, Rollout, RolloutInput};
+use crate::{NamedWeights, Target};
+
+/// Key of the lease's row.
+const LEASE_KEY: &str = "lease";
+/// Time for which a write of the row lets its holder give orders.
+const LEASE_LENGTH: Duration = Duration::from_millis(2_100);
+/// Orders stop this long before the lease lapses.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// Most loads that the row holds.
+const MOST_LOADS: usize = 64;
+/// Hosts that are prepared to hold the lease.
+const CONTENDERS: usize = 3;
+/// Pause between steps of the holder.
+const HOLDER_STEP: Duration = Duration::from_millis(100);
+/// Pause between looks of a host that does not hold the lease.
+const STANDBY_STEP: Duration = Duration::from_millis(700);
+/// Names what the contenders are ranked for.
+const DUTY: &[u8] = b"orders";
+
+/// State of the host's part in giving orders.
+struct Orders {
+    /// The control thread.
+    control: Arc<Control>,
+    /// The lease.
+    lease: Mutex<OrderLease>,
+    /// The loads.
+    rollout: Mutex<Rollout>,
+}
+
+/// Takes part in the lease for orders; gives orders while it is held.
+pub(crate) async fn give_orders(control: Arc<Control>) {
+    let settings = &control.traffic.settings;
+    let own = Identity {
+        id: settings.name.clone(),
+        region: settings.region.clone(),
+        incarnation: control.incarnation,
+    };
+    let rules = LeaseRules {
+        length: LEASE_LENGTH,
+        margin: LEASE_MARGIN,
+        flight: settings.bounds.order_lease,
+        limit: MOST_LOADS,
+    };
+    let orders = Arc::new(Orders {
+        control,
+        lease: Mutex::new(OrderLease::new(own, rules)),
+        rollout: Mutex::default(),
+    });
+    loop {
+        orders.step().await;
+        let pause = if orders.is_holder() { HOLDER_STEP } else { STANDBY_STEP };
+        smol::Timer::after(pause).await;
+    }
+}
+
+impl Orders {
+    fn lease(&self) -> MutexGuard<'_, OrderLease> {
+        self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn rollout(&self) -> MutexGuard<'_, Rollout> {
+        self.rollout.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_holder(&self) -> bool {
+        self.lease().is_held(self.control.traffic.now())
+    }
+
+    /// Whether this host is one of those that take the lease when nobody holds it.
+    fn is_contender(&self) -> bool {
+        let traffic = &self.control.traffic;
+        let view = traffic.view.load();
+        let names = view.hosts.keys().map(|name| &**name);
+        let order = rendezvous_order(DUTY, names);
+        let own = &*traffic.settings.name;
+        let has_engines = view.targets.values().flatten().any(|t| !t.models.is_empty());
+        has_engines && !traffic.is_draining() && order.iter().take(CONTENDERS).any(|name| *name == own)
+    }
+
+    async fn step(self: &Arc<Self>) {
+        let was_holder = self.is_holder();
+        let wanted = was_holder && !self.control.traffic.is_draining() || self.is_contender();
+        self.step_lease(wanted).await;
+        let is_holder = self.is_holder();
+        if is_holder && !was_holder {
+            info!(self.control.traffic.log, "lease taken"; events::LEASE_TAKEN);
+        }
+        if is_holder {
+            self.step_rollout().await;
+        }
+    }
+
+    async fn step_lease(&self, wanted: bool) {
+        let now = self.control.traffic.now();
+        let effect = self.lease().step(LeaseInput::Tick { wanted }, now);
+        let input = match effect {
+            None => return,
+            Some(LeaseEffect::Read) => match self.read_row().await {
+                Ok(found) => LeaseInput::Read(found),
+                Err(_) => LeaseInput::ReadFailed,
+            },
+            Some(LeaseEffect::Write { expect, row }) => LeaseInput::Written(self.write_row(expect, &row).await),
+        };
+        let now = self.control.traffic.now();
+        self.lease().step(input, now);
+    }
+
+    async fn read_row(&self) -> Result<Option<(LeaseRow, u64)>, Report<StoreError>> {
+        let snapshot = self.control.store.read(Table::Orders).await;
+        self.control.note_store(snapshot.is_ok());
+        let row = |record: Record| {
+            let row = serde_json::from_slice(record.value.as_deref()?).ok()?;
+            Some((row, record.version))
+        };
+        let mut records = snapshot?.records.into_iter();
+        Ok(records.find(|record| record.key == LEASE_KEY).and_then(row))
+    }
+
+    async fn write_row(&self, expect: Expect, row: &LeaseRow) -> WriteOutcome {
+        let write = RecordWrite {
+            table: Table::Orders,
+            key: LEASE_KEY.to_owned(),
+            expect: Some(match expect {
+                Expect::Absent => 0,
+                Expect::Version(version) => version,
+            }),
+            value: serde_json::to_vec(row).ok(),
+        };
+        match self.control.store.write(write).await {
+            Ok(RecordWritten::Applied(version)) => WriteOutcome::Applied(version),
+            Ok(RecordWritten::Refused) => WriteOutcome::Refused,
+            Err(_) => WriteOutcome::Unknown,
+        }
+    }
+
+    async fn step_rollout(self: &Arc<Self>) {
+        let now = self.control.traffic.now();
+        let view = self.control.traffic.view.load_full();
+        let loads = self.lease().loads().to_vec();
+        let orders = self.rollout().next(&view, &loads, now);
+        let mut calls = Vec::new();
+        for order in orders {
+            match order {
+                LoadOrder::Start(slot) => {
+                    self.lease().step(LeaseInput::Start(slot), now);
+                }
+                LoadOrder::End(target) => {
+                    self.lease().step(LeaseInput::End(target), now);
+                }
+                LoadOrder::Query(target) => {
+                    let orders = self.clone();
+                    calls.push(self.control.ex.spawn(async move { orders.query(&target).await }));
+                }
+                LoadOrder::Load {
+                    target,
+                    weights,
+                    revision,
+                } => {
+                    let orders = self.clone();
+                    let call = async move { orders.load(&target, weights, revision).await };
+                    calls.push(self.control.ex.spawn(call));
+                }
+            }
+        }
+        for call in calls {
+            call.detach();
+        }
+    }
+
+    async fn query(&self, target: &Target) {
+        let report = self.control.engines.report(target.address).await;
+        let input = match report {
+            Ok(report) if report.born_ms == target.born_ms => RolloutInput::Reported(report),
+            _ => RolloutInput::Silent,
+        };
+        self.rollout().take(target, input);
+    }
+
+    async fn load(&self, target: &Target, weights: NamedWeights, revision: u64) {
+        let is_fenced = self.control.traffic.settings.bounds.is_fenced;
+        // Right before the send: a process that stood still must not give an order with a lapsed lease.
+        let epoch = self.lease().epoch_for(is_fenced, self.control.traffic.now());
+        let Some(epoch) = epoch else {
+            self.rollout().take(target, RolloutInput::Ordered(Some(crate::ports::OrderAnswer::Conflict)));
+            return;
+        };
+        let order = WeightsOrder {
+            instance: target.instance.clone(),
+            model: weights.model.clone(),
+            version: weights.version,
+            holder: self.control.traffic.settings.name.to_string(),
+            epoch,
+            revision,
+        };
+        let answer = self.control.engines.order(target.address, order).await;
+        info!(self.control.traffic.log, "weights ordered"; events::WEIGHTS_ORDERED,
+            "target" => &target.instance, "version" => weights.version, "epoch" => epoch,
+            "revision" => revision, "answer" => format!("{:?}", answer.as_ref().ok()));
+        self.rollout().take(target, RolloutInput::Ordered(answer.ok()));
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/peers.rs
@@ -0,0 +1,149 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::events;
+use futures_lite::FutureExt;
+use http_io::{
+    Body, Client, ClientConfig, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body, full_body, read_limited,
+};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use super::Control;
+use crate::Learned;
+use crate::ports::{Snapshot, Table};
+
+/// Path on which hosts tell each other what changed.
+const CHANGES_PATH: &str = "/changes";
+/// Pause between questions while the store does not answer.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest message, in bytes.
+const MAX_MESSAGE: usize = 16 << 20;
+/// Tables that hosts pass on.
+const PASSED_ON: [Table; 3] = [Table::Declared, Table::Targets, Table::Shared];
+
+/// What a host knows already.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+struct Question {
+    /// Versions of the tables.
+    known: Vec<(Table, u64)>,
+}
+
+/// What another host knows beyond that.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+struct Told {
+    /// Rows that changed.
+    changes: Vec<(Table, Snapshot)>,
+}
+
+/// Answers other hosts until `stop` resolves.
+pub(crate) async fn serve(control: Arc<Control>, stop: Shutdown) {
+    let addr = control.traffic.settings.peers;
+    let server = match Server::bind(addr, ServerConfig::default()) {
+        Ok(server) => server,
+        Err(e) => {
+            warn!(control.traffic.log, "no listener for other hosts"; events::CONNECTION_FAILED, "error" => %e);
+            let _ = stop.recv().await;
+            return;
+        }
+    };
+    let ex = control.ex.clone();
+    let handler: Handler = Arc::new(move |req| {
+        let control = control.clone();
+        let answer: HandlerFuture = Box::pin(async move { tell(&control, req).await });
+        answer
+    });
+    server.run(ex, handler, stop).await;
+}
+
+async fn tell(control: &Control, req: Request<Incoming>) -> Response<Body> {
+    let body = read_limited(req.into_body(), MAX_MESSAGE).await;
+    let question = body.ok().and_then(|bytes| postcard::from_bytes::<Question>(&bytes).ok());
+    let Some(question) = question else {
+        let mut res = Response::new(empty_body());
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+        return res;
+    };
+    let beliefs = control.beliefs();
+    let known = |table: Table| {
+        let found = question.known.iter().find(|(t, _)| *t == table);
+        found.map_or(0, |(_, version)| *version)
+    };
+    let changes = PASSED_ON.map(|table| (table, beliefs.newer_than(table, known(table))));
+    let told = Told { changes: changes.into() };
+    Response::new(full_body(postcard::to_allocvec(&told).unwrap_or_default()))
+}
+
+/// Asks other hosts for changes while the store does not answer.
+pub(crate) async fn ask(control: Arc<Control>) {
+    let cfg = ClientConfig {
+        response_timeout: ANSWER_TIMEOUT,
+        idle_per_address: 1,
+        ..ClientConfig::default()
+    };
+    let client = Client::new(control.ex.clone(), cfg);
+    loop {
+        let pause = ASK_INTERVAL.mul_f64(0.8 + 0.4 * rand::random::<f64>());
+        smol::Timer::after(pause).await;
+        let is_ignorant = !control.traffic.view.load().is_able();
+        if !control.beliefs().is_store_down() && !is_ignorant {
+            continue;
+        }
+        let Some(peer) = choose_peer(&control) else { continue };
+        if let Some(told) = ask_one(&control, &client, peer).await {
+            learn(&control, peer, told);
+        }
+    }
+}
+
+/// Any host that is known from the store, else one of the seeds.
+fn choose_peer(control: &Control) -> Option<SocketAddr> {
+    let settings = &control.traffic.settings;
+    let view = control.traffic.view.load();
+    let listed = view.hosts.values().map(|host| host.peers);
+    let mut peers: Vec<_> = listed.chain(settings.seeds.iter().copied()).collect();
+    peers.retain(|peer| *peer != settings.peers);
+    peers.choose(&mut rand::rng()).copied()
+}
+
+async fn ask_one(control: &Control, client: &Client, peer: SocketAddr) -> Option<Told> {
+    let known = |table: Table| (table, control.beliefs().known(table).unwrap_or(0));
+    let question = Question {
+        known: PASSED_ON.map(known).into(),
+    };
+    let req = Request::builder()
+        .method(Method::POST)
+        .uri(CHANGES_PATH)
+        .header("host", peer.to_string())
+        .body(full_body(postcard::to_allocvec(&question).ok()?))
+        .ok()?;
+    let answer = async {
+        let res = client.send(peer, req).await.ok()?;
+        let bytes = read_limited(res.into_body(), MAX_MESSAGE).await.ok()?;
+        postcard::from_bytes::<Told>(&bytes).ok()
+    };
+    let late = async {
+        smol::Timer::after(ANSWER_TIMEOUT).await;
+        None
+    };
+    answer.or(late).await
+}
+
+fn learn(control: &Control, peer: SocketAddr, told: Told) {
+    let now = control.traffic.now();
+    let rows: usize = told.changes.iter().map(|(_, snapshot)| snapshot.records.len()).sum();
+    if rows > 0 {
+        info!(control.traffic.log, "another host told"; events::PEER_READ, "peer" => %peer, "rows" => rows);
+    }
+    for (table, snapshot) in told.changes {
+        control.update(|beliefs| beliefs.apply(table, snapshot, Learned::Peer, now));
+    }
+}
--- /dev/null
+++ b/components/gateway/src/daemon.rs
@@ -0,0 +1,208 @@
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime};
+
+use error_stack::{Report, ResultExt};
+use errors::events;
+use http_io::{
+    Body, Executor, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body, shutdown_channel,
+};
+use hyper::{Response, StatusCode};
+use slog::{Logger, info};
+use utils::{Clock, SystemClock};
+
+use crate::control::Control;
+use crate::ports::{Decode, EngineControl, Heads, RecordStore};
+use crate::traffic::{Traffic, serve};
+use crate::{GatewayError, HostSettings};
+
+/// Longest silence of a caller's connection.
+const CALLER_IDLE: Duration = Duration::from_secs(16);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 100;
+/// Fingerprints that wait to be told to other hosts.
+const CRASH_QUEUE: usize = 256;
+/// Time in which the balancer notices that a host is not ready any more.
+const NOTICE: Duration = Duration::from_millis(3_500);
+/// Time without a request after which a leaving host has no callers left.
+const QUIET: Duration = Duration::from_millis(1_000);
+/// Part of the grace that is left for closing connections.
+const CLOSING: Duration = Duration::from_millis(1_200);
+/// Pause between looks at a leaving host's work.
+const DRAIN_STEP: Duration = Duration::from_millis(100);
+
+/// What a platform brings to a daemon.
+pub struct Parts {
+    /// The store, built on the executor of the control thread.
+    pub store: Arc<dyn RecordStore>,
+    /// Engines, as the store.
+    pub engines: Arc<dyn EngineControl>,
+    /// Reads rows.
+    pub decode: Arc<dyn Decode>,
+    /// Reads and writes heads.
+    pub heads: Arc<dyn Heads>,
+}
+
+/// A running entry host on a platform: one thread for control state, one for traffic.
+pub struct Daemon {
+    /// State of the traffic thread.
+    traffic: Arc<Traffic>,
+    /// Dropped to end the traffic thread.
+    stop_traffic: async_channel::Sender<()>,
+    /// Dropped to end the control thread.
+    stop_control: async_channel::Sender<()>,
+    /// The threads.
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts the threads of an entry host; `parts` are built on the control thread's executor.
+    ///
+    /// # Errors
+    /// [`GatewayError::Listen`] for an address that is taken; nothing runs then.
+    pub fn start(
+        settings: HostSettings,
+        parts: impl FnOnce(&Executor) -> Parts,
+        log: Logger,
+    ) -> Result<Self, Report<GatewayError>> {
+        let callers = bind(settings.callers)?;
+        let readiness = bind(settings.readiness)?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let incarnation = since_epoch(clock.wall()).as_nanos() as u64;
+        let control_ex: Executor = Arc::new(smol::Executor::new());
+        let traffic_ex: Executor = Arc::new(smol::Executor::new());
+        let parts = parts(&control_ex);
+        let (crashed_tx, crashed) = async_channel::bounded(CRASH_QUEUE);
+        let heads = parts.heads.clone();
+        let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crashed_tx);
+        let traffic = Arc::new(traffic);
+        let control = Control::new(
+            traffic.clone(),
+            parts.store,
+            parts.engines,
+            parts.decode,
+            incarnation,
+            control_ex.clone(),
+        );
+        let (stop_traffic, traffic_stopped) = shutdown_channel();
+        let (stop_control, control_stopped) = shutdown_channel();
+        let control = Arc::new(control);
+        let threads = vec![
+            spawn("control", move || {
+                smol::block_on(control_ex.run(control.run(crashed, control_stopped)));
+            })?,
+            spawn("traffic", {
+                let traffic = traffic.clone();
+                move || run_traffic(traffic, callers, readiness, traffic_stopped)
+            })?,
+        ];
+        info!(traffic.log, "accepting connections"; events::HOST_STARTED,
+            "host" => &*traffic.settings.name, "callers" => %traffic.settings.callers);
+        Ok(Self {
+            traffic,
+            stop_traffic,
+            stop_control,
+            threads,
+        })
+    }
+
+    /// Reports not ready, serves what still comes until callers have gone elsewhere, finishes all open work and joins the
+    /// threads.
+    ///
+    /// # Errors
+    /// [`GatewayError::Panicked`] if a thread did not end by itself.
+    pub fn drain(self) -> Result<(), Report<GatewayError>> {
+        let traffic = &self.traffic;
+        let log = traffic.log.clone();
+        traffic.draining.store(true, Ordering::Release);
+        info!(log, "draining"; events::DRAIN_STARTED, "open" => traffic.open.load(Ordering::Acquire));
+        wait_for_callers(traffic);
+        drop(self.stop_traffic);
+        drop(self.stop_control);
+        for thread in self.threads {
+            thread.join().map_err(|_| GatewayError::Panicked)?;
+        }
+        info!(log, "stopped"; events::HOST_STOPPED);
+        Ok(())
+    }
+}
+
+/// Waits until the balancer has noticed and no request came for a while, at most for the grace.
+fn wait_for_callers(traffic: &Traffic) {
+    let started = traffic.now();
+    let last = started + traffic.settings.bounds.shutdown_grace.saturating_sub(CLOSING);
+    let mut quiet_since = started;
+    while traffic.now() < last {
+        std::thread::sleep(DRAIN_STEP);
+        let now = traffic.now();
+        if traffic.open.load(Ordering::Acquire) > 0 {
+            quiet_since = now;
+        }
+        if now >= started + NOTICE && now >= quiet_since + QUIET {
+            return;
+        }
+    }
+}
+
+fn run_traffic(traffic: Arc<Traffic>, callers: TcpListener, readiness: TcpListener, stop: Shutdown) {
+    let ex = traffic.ex.clone();
+    let cfg = ServerConfig {
+        header_timeout: CALLER_IDLE,
+        max_headers: MAX_HEADERS,
+        max_head_bytes: MAX_HEAD_BYTES,
+        tls: None,
+    };
+    let (callers, readiness) = match (Server::from_std(callers, cfg.clone()), Server::from_std(readiness, cfg)) {
+        (Ok(callers), Ok(readiness)) => (callers, readiness),
+        (Err(e), _) | (_, Err(e)) => {
+            slog::error!(traffic.log, "can not listen"; events::CONNECTION_FAILED, "error" => %e);
+            return;
+        }
+    };
+    let answer = handler(traffic.clone(), |cx, req| Box::pin(serve(cx, req)));
+    let ready = handler(traffic, |cx, req| {
+        Box::pin(async move { readiness_of(&cx, req.uri().path()) })
+    });
+    let run = async {
+        let readiness = ex.spawn(readiness.run(ex.clone(), ready, stop.clone()));
+        callers.run(ex.clone(), answer, stop.clone()).await;
+        readiness.await;
+    };
+    smol::block_on(ex.run(run));
+}
+
+fn handler(
+    traffic: Arc<Traffic>,
+    answer: impl Fn(Arc<Traffic>, hyper::Request<hyper::body::Incoming>) -> HandlerFuture + Send + Sync + 'static,
+) -> Handler {
+    Arc::new(move |req| answer(traffic.clone(), req))
+}
+
+fn readiness_of(traffic: &Traffic, path: &str) -> Response<Body> {
+    let mut res = Response::new(empty_body());
+    *res.status_mut() = match path == traffic.heads.readiness_path() {
+        false => StatusCode::NOT_FOUND,
+        true if traffic.is_ready() => StatusCode::OK,
+        true => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    res
+}
+
+fn since_epoch(wall: SystemTime) -> Duration {
+    wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Report<GatewayError>> {
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .change_context(GatewayError::Thread)
+}
+
+fn bind(addr: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
+    TcpListener::bind(addr).change_context(GatewayError::Listen(addr))
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,40 @@
+//! Requests on declared routes: which workspace may call what, where a request runs, and how its answer comes back.
+//!
+//! The crate decides and knows no wire format. What a deployment's platform speaks is behind the traits in [`ports`].
+
+mod beliefs;
+mod budget;
+mod call;
+mod control;
+mod daemon;
+mod declared;
+mod error;
+mod events_text;
+mod host;
+mod load;
+mod placement;
+pub mod ports;
+mod quarantine;
+mod sessions;
+mod target;
+mod traffic;
+mod view;
+mod weights;
+
+pub use beliefs::{Beliefs, Learned, TableState};
+pub use budget::RetryShare;
+pub use call::{AnswerFacts, CallFacts, LoadNote, PromptPart, PromptShape, SendFacts};
+pub use daemon::{Daemon, Parts};
+pub use declared::{
+    CallerLimits, Declared, EngineSpec, NamedWeights, Repeat, Route, Service, ServiceShare, StoreSpec, Workspace,
+};
+pub use error::GatewayError;
+pub use host::{Bounds, HostSettings};
+pub use load::{LoadEstimate, Outcome};
+pub use placement::{Candidate, Choice, Demand, choose};
+pub use quarantine::{Crashes, Fingerprint};
+pub use sessions::Sessions;
+pub use target::Target;
+pub use traffic::{EventCutter, Progress};
+pub use view::{HostEntry, View};
+pub use weights::{LoadOrder, Rollout, RolloutInput};
--- /dev/null
+++ b/components/gateway/src/load.rs
@@ -0,0 +1,137 @@
+use std::time::Duration;
+
+use utils::Monotonic;
+
+use crate::LoadNote;
+
+/// Weight of a new sample in the running averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Age at which half of what others were reported to run counts no more.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// First pause after a target could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after a target could not be reached.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Pause after a target turned a request away.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Latency assumed before the first answer, in milliseconds.
+const FIRST_LATENCY_MS: f64 = 20.0;
+
+/// How a send ended, as far as it says something of the target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// It answered well, this long after the send.
+    Answered(Duration),
+    /// It answered with a failure of its own.
+    Failed,
+    /// It turned the request away without running it.
+    TurnedAway,
+    /// No connection, or the connection broke off.
+    Unreachable,
+}
+
+/// What a host knows of a target's load and health: its own sends, and what the target says with its answers.
+///
+/// Reports lag, and several hosts see the same idle target at once; own sends since the report are therefore added, and what
+/// others run fades with the report's age.
+#[derive(Debug, Clone, Default)]
+pub struct LoadEstimate {
+    /// Own requests that the target has.
+    own: u32,
+    /// Prompt tokens of own requests that have not got their first token.
+    own_reading: u64,
+    /// Requests of other hosts as of the last report, and when it came.
+    others: f64,
+    /// When the last report came.
+    reported_at: Monotonic,
+    /// Running average of the time to an answer.
+    latency_ms: Option<f64>,
+    /// Running share of failures.
+    failures: f64,
+    /// No sends before this moment.
+    paused_until: Monotonic,
+    /// Pauses in a row.
+    pauses: u32,
+}
+
+impl LoadEstimate {
+    /// A request is sent whose prompt has this many tokens to read.
+    pub fn begin(&mut self, tokens: u64) {
+        self.own += 1;
+        self.own_reading += tokens;
+    }
+
+    /// The target has read the prompt.
+    pub fn note_read(&mut self, tokens: u64) {
+        self.own_reading = self.own_reading.saturating_sub(tokens);
+    }
+
+    /// The request is over.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Takes the load that came with an answer.
+    pub fn note_load(&mut self, note: LoadNote, now: Monotonic) {
+        let all = f64::from(note.running + note.waiting);
+        self.others = (all - f64::from(self.own)).max(0.0);
+        self.reported_at = now;
+    }
+
+    /// Takes the end of a send.
+    pub fn note(&mut self, outcome: Outcome, now: Monotonic) {
+        let failed = match outcome {
+            Outcome::Answered(took) => {
+                let ms = took.as_secs_f64() * 1e3;
+                let known = self.latency_ms.unwrap_or(ms);
+                self.latency_ms = Some(known + SAMPLE_WEIGHT * (ms - known));
+                self.pauses = 0;
+                0.0
+            }
+            Outcome::Failed => 1.0,
+            Outcome::TurnedAway => {
+                self.paused_until = self.paused_until.max(now + FULL_PAUSE);
+                return;
+            }
+            Outcome::Unreachable => {
+                let pause = FIRST_PAUSE * 2u32.pow(self.pauses.min(5));
+                self.paused_until = now + pause.min(LONGEST_PAUSE);
+                self.pauses += 1;
+                1.0
+            }
+        };
+        self.failures += SAMPLE_WEIGHT * (failed - self.failures);
+    }
+
+    /// Whether the target is left alone for now.
+    pub fn is_paused(&self, now: Monotonic) -> bool {
+        now < self.paused_until
+    }
+
+    /// Requests that the target is thought to have.
+    pub fn requests(&self, now: Monotonic) -> f64 {
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let fade = 0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
+        f64::from(self.own) + self.others * fade
+    }
+
+    /// Prompt tokens that the target has to read before a new request's.
+    pub fn reading(&self) -> u64 {
+        self.own_reading
+    }
+
+    /// Own requests that the target has.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Average time to an answer, in milliseconds.
+    pub fn latency_ms(&self) -> f64 {
+        self.latency_ms.unwrap_or(FIRST_LATENCY_MS)
+    }
+
+    /// Running share of failures.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+}
--- /dev/null
+++ b/components/gateway/src/placement.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const READ_TOKENS_PER_MS: f64 = 80.0;
+/// Time from an idle engine's first look at a read prompt to its first token, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 45.0;
+/// Time by which each running request delays the others' tokens and reads, in milliseconds.
+const DELAY_PER_REQUEST_MS: f64 = 2.0;
+/// Cost of reading a thousand tokens again, against an average request's worth.
+const REREAD_COST_PER_1000: f64 = 0.25;
+/// Share of the latency target at which an answer is not yet at risk to be late.
+const SAFE_SHARE: f64 = 0.4;
+/// Cost of an answer that is sure to be late.
+const LATE_COST: f64 = 0.8;
+/// Cost of each latency target of waiting, however early the answer is.
+const WAIT_COST: f64 = 0.3;
+/// Cost of an answer made by weights that have been replaced.
+const OLD_WEIGHTS_COST: f64 = 0.8;
+/// Cost of a failure.
+const FAILURE_COST: f64 = 1.0;
+/// Costs of carrying a request and its answer to another failure domain and to another region.
+const CARRY_COST: [f64; 3] = [0.0, 0.02, 0.08];
+/// Round trips to the same failure domain, another one of the region, and another region, in milliseconds.
+const ROUND_TRIP_MS: [f64; 3] = [0.2, 3.0, 17.0];
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Tokens of its prompt, 0 for a plain request.
+    pub tokens: u32,
+    /// Tokens of its prompt that a target may hold already.
+    pub shared_tokens: u32,
+    /// Time within which its answer is worth most.
+    pub latency_target: Duration,
+}
+
+/// A target that may take a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// 0 in the host's failure domain, 1 in its region, 2 elsewhere.
+    pub distance: usize,
+    /// Requests that it is thought to have.
+    pub requests: f64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Prompt tokens that it reads first.
+    pub reading: u64,
+    /// Chance that it holds the shared part of the prompt.
+    pub resident: f64,
+    /// Average time to an answer, in milliseconds.
+    pub latency_ms: f64,
+    /// Share of its answers that are failures.
+    pub failures: f64,
+    /// Whether newer weights have been named than it has.
+    pub has_old_weights: bool,
+}
+
+/// The candidate that was chosen, and why.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Its cost against an average request's worth.
+    pub cost: f64,
+    /// Expected time to the first byte, in milliseconds.
+    pub expected_ms: f64,
+}
+
+/// Chooses the candidate that costs least: the risk of a late answer, prompt tokens read again, what is carried between
+/// failure domains, failures and replaced weights, all against an average request's worth. `draw` from 0 to 1 breaks ties,
+/// so that hosts with equal views don't all choose the same target.
+pub fn choose(demand: &Demand, candidates: &[Candidate], draw: f64) -> Option<Choice> {
+    let spread = candidates.len().max(1);
+    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+        let expected_ms = expected_ms(demand, candidate);
+        let shift = (index + (draw * spread as f64) as usize) % spread;
+        let cost = cost(demand, candidate, expected_ms) + 1e-4 * shift as f64;
+        Choice {
+            index,
+            cost,
+            expected_ms,
+        }
+    });
+    costs.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+fn expected_ms(demand: &Demand, c: &Candidate) -> f64 {
+    let carry = ROUND_TRIP_MS[c.distance.min(2)];
+    let slots = f64::from(c.slots.max(1));
+    if demand.tokens == 0 {
+        let waiting = (c.requests + 1.0 - slots).max(0.0) / slots;
+        let busy = c.requests / slots;
+        return carry + c.latency_ms * (1.0 + 0.3 * busy + waiting);
+    }
+    let to_read = f64::from(demand.tokens) - c.resident * f64::from(demand.shared_tokens);
+    let read_ms = (c.reading as f64 + to_read.max(0.0)) / READ_TOKENS_PER_MS;
+    let full = (c.requests + 1.0 - slots).max(0.0) * FIRST_TOKEN_MS;
+    carry + FIRST_TOKEN_MS + read_ms + c.requests * DELAY_PER_REQUEST_MS + full
+}
+
+fn cost(demand: &Demand, c: &Candidate, expected_ms: f64) -> f64 {
+    let target_ms = (demand.latency_target.as_secs_f64() * 1e3).max(1.0);
+    let share = expected_ms / target_ms;
+    let risk = ((share - SAFE_SHARE) / (1.0 - SAFE_SHARE)).clamp(0.0, 1.0);
+    let reread = (1.0 - c.resident) * f64::from(demand.shared_tokens) / 1e3 * REREAD_COST_PER_1000;
+    let old = if c.has_old_weights { OLD_WEIGHTS_COST } else { 0.0 };
+    LATE_COST * risk
+        + WAIT_COST * share
+        + reread
+        + CARRY_COST[c.distance.min(2)]
+        + FAILURE_COST * c.failures
+        + old
+}
--- /dev/null
+++ b/components/gateway/src/quarantine.rs
@@ -0,0 +1,101 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use utils::{Monotonic, digest};
+
+/// Names a request by path, workspace and body, whoever sends it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Fingerprint([u8; 16]);
+
+/// Crashes with the same request aboard after which it runs no more.
+const CRASHES_TO_QUARANTINE: u32 = 2;
+/// Time after which a crash is forgotten.
+const MEMORY: Duration = Duration::from_secs(120);
+/// Most requests remembered; the oldest are forgotten first.
+const MOST_REMEMBERED: usize = 4_096;
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    ///
+    /// ```
+    /// use gateway::Fingerprint;
+    ///
+    /// let one = Fingerprint::of("/a/", "mill", b"body");
+    /// assert_eq!(one, Fingerprint::of("/a/", "mill", b"body"));
+    /// assert_ne!(one, Fingerprint::of("/b/", "mill", b"body"));
+    /// assert_eq!(Fingerprint::parse(&one.text()), Some(one));
+    /// ```
+    pub fn of(path: &str, workspace: &str, body: &[u8]) -> Self {
+        let mut text = Vec::with_capacity(path.len() + workspace.len() + body.len() + 16);
+        for part in [path.as_bytes(), workspace.as_bytes(), body] {
+            text.extend_from_slice(&(part.len() as u64).to_le_bytes());
+            text.extend_from_slice(part);
+        }
+        let mut first = [0; 16];
+        first.copy_from_slice(&digest(&text).as_bytes()[..16]);
+        Self(first)
+    }
+
+    /// As hexadecimal digits.
+    pub fn text(&self) -> String {
+        self.0.iter().map(|b| format!("{b:02x}")).collect()
+    }
+
+    /// Reads what [`Fingerprint::text`] wrote.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut bytes = [0; 16];
+        if text.len() != 32 || !text.is_ascii() {
+            return None;
+        }
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+/// Counts crashes of targets by the requests that were aboard.
+///
+/// A server that goes down takes many innocent requests with it, but the same one is rarely aboard twice. A success clears
+/// a request.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    /// Crashes and the time of the last one.
+    seen: HashMap<Fingerprint, (u32, Monotonic)>,
+}
+
+impl Crashes {
+    /// A target went down with the request aboard; true if the request is to run no more.
+    pub fn note_crash(&mut self, fingerprint: Fingerprint, now: Monotonic) -> bool {
+        self.forget(now);
+        let entry = self.seen.entry(fingerprint).or_insert((0, now));
+        *entry = (entry.0 + 1, now);
+        entry.0 >= CRASHES_TO_QUARANTINE
+    }
+
+    /// The request ended well.
+    pub fn note_success(&mut self, fingerprint: &Fingerprint) {
+        self.seen.remove(fingerprint);
+    }
+
+    /// Whether a crash is held against the request.
+    pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        self.seen.contains_key(fingerprint)
+    }
+
+    /// Whether the request is to run no more.
+    pub fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
+        self.seen
+            .get(fingerprint)
+            .is_some_and(|(crashes, _)| *crashes >= CRASHES_TO_QUARANTINE)
+    }
+
+    fn forget(&mut self, now: Monotonic) {
+        self.seen.retain(|_, (_, at)| now < *at + MEMORY);
+        while self.seen.len() >= MOST_REMEMBERED {
+            let oldest = self.seen.iter().min_by_key(|(_, (_, at))| *at);
+            let Some(oldest) = oldest.map(|(f, _)| *f) else { return };
+            self.seen.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/traffic/admit.rs
@@ -0,0 +1,61 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::ProblemKind;
+use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+
+use super::refusal::Refusal;
+use crate::declared::{Route, Workspace};
+use crate::{CallFacts, Declared, View};
+
+/// Wait before a host that knows nothing yet is asked again.
+const STARTING_WAIT: Duration = Duration::from_millis(500);
+
+/// A request that is allowed.
+pub(crate) struct Admitted {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its workspace, if the route needs one.
+    pub workspace: Option<Arc<Workspace>>,
+    /// What was declared when it was admitted.
+    pub declared: Arc<Declared>,
+}
+
+/// Whether a request is allowed by what is declared.
+pub(crate) fn admit(view: &View, parts: &Parts, facts: &CallFacts) -> Result<Admitted, Refusal> {
+    let Some(declared) = view.declared.clone().filter(|_| view.is_able()) else {
+        let refusal = Refusal::not_run(ProblemKind::NotServing, "this host has not learned yet what is declared");
+        return Err(refusal.after(STARTING_WAIT));
+    };
+    check_framing(parts)?;
+    let host = host_of(parts).unwrap_or_default();
+    let Some(route) = declared.route(host, parts.uri.path()).cloned() else {
+        return Err(Refusal::not_run(ProblemKind::NotFound, "no route matches host and path"));
+    };
+    let workspace = facts.key.as_deref().and_then(|key| declared.workspace(key)).cloned();
+    if declared.needs_keys() && !route.is_anonymous && workspace.is_none() {
+        let detail = "no workspace holds this API key";
+        return Err(Refusal::not_run(ProblemKind::UnknownApiKey, detail));
+    }
+    Ok(Admitted {
+        route,
+        workspace,
+        declared,
+    })
+}
+
+/// Requests whose length can be read in two ways are not passed on.
+fn check_framing(parts: &Parts) -> Result<(), Refusal> {
+    let lengths = parts.headers.get_all(CONTENT_LENGTH).iter().count();
+    let codings = parts.headers.get_all(TRANSFER_ENCODING).iter().count();
+    if lengths + codings > 1 {
+        return Err(Refusal::not_run(ProblemKind::MalformedRequest, "the length of the body is given twice"));
+    }
+    Ok(())
+}
+
+fn host_of(parts: &Parts) -> Option<&str> {
+    let host = parts.headers.get(HOST)?.to_str().ok()?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
--- /dev/null
+++ b/components/gateway/src/traffic/connect.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
+use http_io::{Body, Executor, HttpError};
+use hyper::client::conn::http1::{self, SendRequest};
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use socket2::{SockRef, TcpKeepalive};
+
+/// Longest time to open a connection: a round trip between regions, and the handshake of a busy target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time without an acknowledgement of sent bytes after which a connection is dead.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Silence after which a connection is probed, and the pause between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is dead.
+const PROBES: u32 = 2;
+
+/// An open connection to a target; dropping it closes the socket.
+pub(crate) struct Connection {
+    /// Sends requests.
+    pub sender: SendRequest<Body>,
+    /// Reads and writes the socket.
+    _driver: smol::Task<()>,
+}
+
+/// Opens a connection that notices by itself when its other end is gone.
+pub(crate) async fn connect(ex: &Executor, address: SocketAddr) -> Result<Connection, Report<HttpError>> {
+    let open = async {
+        let stream = TcpStream::connect(address)
+            .await
+            .change_context(HttpError::Connect)?;
+        watch_over(&stream).change_context(HttpError::Connect)?;
+        http1::handshake(FuturesIo::new(stream))
+            .await
+            .change_context(HttpError::Connect)
+    };
+    let late = async {
+        smol::Timer::after(CONNECT_TIMEOUT).await;
+        Err(Report::new(HttpError::Connect))
+    };
+    let (sender, conn) = open.or(late).await?;
+    let driver = ex.spawn(async move {
+        // Errors reach the exchange through its sender or body.
+        let _ = conn.await;
+    });
+    Ok(Connection {
+        sender,
+        _driver: driver,
+    })
+}
+
+fn watch_over(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
--- /dev/null
+++ b/components/gateway/src/traffic/exchange.rs
@@ -0,0 +1,328 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_io::full_body;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Method, Request};
+use utils::Monotonic;
+
+use super::connect::{Connection, connect};
+use super::pipeline::Call;
+use super::place::Placed;
+use super::state::Traffic;
+use crate::call::{AnswerFacts, SendFacts};
+use crate::load::Outcome;
+use crate::weights::run_id;
+use crate::Target;
+
+/// Longest answer that is held back until it is whole, in bytes.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// How a try at a target ended.
+pub(crate) enum Tried {
+    /// No byte of the request reached the target.
+    NotSent,
+    /// The target states that it did not run the request.
+    NotRun(AnswerFacts),
+    /// The request was sent; nothing proves that it did not run.
+    Unknown,
+    /// The caller's time is up.
+    TimedOut,
+    /// An answer, of which the head has come.
+    Answered(Box<Answer>),
+}
+
+/// An answer whose body is still to be read.
+pub(crate) struct Answer {
+    /// Head, without what concerns only the target's connection.
+    pub parts: Parts,
+    /// What the head says.
+    pub facts: AnswerFacts,
+    /// The body.
+    pub body: Incoming,
+    /// The exchange; ends when it is dropped.
+    pub exchange: Exchange,
+}
+
+/// One request at one target. Counts in the target's load until it is dropped; the connection closes with it unless it was
+/// given back.
+pub(crate) struct Exchange {
+    /// The traffic thread's state.
+    cx: Arc<Traffic>,
+    /// The target.
+    pub target: Arc<Target>,
+    /// The connection.
+    conn: Option<Connection>,
+    /// Prompt tokens that count as not read yet.
+    reading: u64,
+    /// When the request was sent.
+    sent_at: Monotonic,
+}
+
+impl Exchange {
+    /// The first byte of the answer has come.
+    fn note_first_byte(&mut self, facts: &AnswerFacts, status: u16) {
+        let now = self.cx.now();
+        let reading = std::mem::take(&mut self.reading);
+        let took = now.saturating_sub(self.sent_at);
+        self.cx.with_slot(&self.target, |slot| {
+            slot.load.note_read(reading);
+            if let Some(load) = facts.load {
+                slot.load.note_load(load, now);
+            }
+            slot.seen_weights = slot.seen_weights.max(facts.weights);
+            let outcome = match status {
+                _ if facts.is_not_run => Outcome::TurnedAway,
+                500.. => Outcome::Failed,
+                _ => Outcome::Answered(took),
+            };
+            // A misdirected request says nothing of the target's load.
+            if !facts.is_misdirected {
+                slot.load.note(outcome, now);
+            }
+        });
+    }
+
+    /// The body was read to its end: the connection can take the next request.
+    pub(crate) fn finish(mut self, facts: &AnswerFacts) {
+        let now = self.cx.now();
+        let Some(conn) = self.conn.take() else { return };
+        self.cx.with_slot(&self.target, |slot| match facts.is_closing {
+            true => slot.release(),
+            false => slot.keep(conn, facts.keep_alive, now),
+        });
+    }
+
+    /// The connection broke off.
+    pub(crate) fn note_broken(&self) {
+        let now = self.cx.now();
+        self.cx
+            .with_slot(&self.target, |slot| slot.load.note(Outcome::Failed, now));
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let reading = self.reading;
+        let is_open = self.conn.take().is_some();
+        self.cx.with_slot(&self.target, |slot| {
+            slot.load.note_read(reading);
+            slot.load.end();
+            if is_open {
+                slot.release();
+            }
+        });
+    }
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+pub(crate) async fn exchange(
+    cx: &Arc<Traffic>,
+    call: &Call,
+    placed: &Placed,
+    resume_after: Option<String>,
+) -> Tried {
+    let target = placed.target.clone();
+    let Some(conn) = open(cx, call, &target).await else {
+        return Tried::NotSent;
+    };
+    cx.with_slot(&target, |slot| slot.load.begin(placed.tokens));
+    let mut exchange = Exchange {
+        cx: cx.clone(),
+        target: target.clone(),
+        conn: Some(conn),
+        reading: placed.tokens,
+        sent_at: cx.now(),
+    };
+    // Connecting takes time; what was true before may not be any more.
+    if !cx.view.load().holds(&target) {
+        return Tried::NotSent;
+    }
+    let time_left = call.until.saturating_sub(cx.now());
+    let Some(req) = request(cx, call, placed, time_left, resume_after) else {
+        return Tried::NotSent;
+    };
+    let Some(conn) = exchange.conn.as_mut() else {
+        return Tried::NotSent;
+    };
+    let answer = async { Some(conn.sender.try_send_request(req).await) };
+    let late = async {
+        smol::Timer::after(time_left).await;
+        None
+    };
+    let res = match answer.or(late).await {
+        None => return Tried::TimedOut,
+        Some(Ok(res)) => res,
+        Some(Err(mut e)) => {
+            let is_sent = e.take_message().is_none();
+            if is_sent {
+                exchange.note_broken();
+            }
+            return if is_sent { Tried::Unknown } else { Tried::NotSent };
+        }
+    };
+    let (parts, body) = res.into_parts();
+    judge(cx, call, exchange, parts, body).await
+}
+
+/// Sorts an answer by what its head says.
+async fn judge(cx: &Traffic, call: &Call, mut exchange: Exchange, mut parts: Parts, body: Incoming) -> Tried {
+    let facts = cx.heads.read_answer(parts.status.as_u16(), &parts.headers);
+    let is_other = facts.id.as_deref().is_some_and(|id| id != call.id);
+    if is_other {
+        // The answer of an earlier request on this connection; the own one can't be told from it any more.
+        return Tried::Unknown;
+    }
+    exchange.note_first_byte(&facts, parts.status.as_u16());
+    if facts.is_not_run || facts.is_misdirected {
+        let rest = read_whole(body, call.until.saturating_sub(cx.now())).await;
+        if rest.is_some() {
+            exchange.finish(&facts);
+        }
+        return Tried::NotRun(facts);
+    }
+    strip_connection_headers(&mut parts.headers);
+    Tried::Answered(Box::new(Answer {
+        parts,
+        facts,
+        body,
+        exchange,
+    }))
+}
+
+/// Reads a body to its end; `None` if it breaks off or takes too long.
+pub(crate) async fn read_whole(body: Incoming, time_left: Duration) -> Option<Bytes> {
+    let read = async {
+        let limited = http_body_util::Limited::new(body, MAX_WHOLE_BYTES);
+        limited.collect().await.ok().map(|all| all.to_bytes())
+    };
+    let late = async {
+        smol::Timer::after(time_left).await;
+        None
+    };
+    read.or(late).await
+}
+
+/// An idle connection to a target, or a new one within this host's part of the target's limit.
+async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Option<Connection> {
+    let limit = connection_share(cx, call);
+    let (idle, has_room) = cx.with_slot(target, |slot| {
+        let idle = slot.take_idle(cx.now());
+        let has_room = idle.is_none() && slot.reserve(limit);
+        (idle, has_room)
+    });
+    if idle.is_some() || !has_room {
+        return idle;
+    }
+    let mut reserved = Reserved { cx, target, is_used: false };
+    match connect(&cx.ex, target.address).await {
+        Ok(conn) => {
+            reserved.is_used = true;
+            Some(conn)
+        }
+        Err(e) => {
+            slog::debug!(cx.log, "no connection"; errors::events::ROUTE_TRY_FAILED,
+                "request" => &call.id, "target" => &target.instance, "error" => %e);
+            let now = cx.now();
+            cx.with_slot(target, |slot| slot.load.note(Outcome::Unreachable, now));
+            None
+        }
+    }
+}
+
+/// A place among a target's connections that is given back if no connection takes it.
+struct Reserved<'a> {
+    /// The traffic thread's state.
+    cx: &'a Traffic,
+    /// The target.
+    target: &'a Target,
+    /// Whether a connection has taken the place.
+    is_used: bool,
+}
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.cx.with_slot(self.target, super::pool::TargetSlot::release);
+        }
+    }
+}
+
+/// This host's part of the connections that a target accepts from all hosts together.
+fn connection_share(cx: &Traffic, call: &Call) -> usize {
+    let view = cx.view.load();
+    let declared = view.declared.as_ref();
+    let service = declared.and_then(|declared| declared.service(&call.service));
+    let limit = service.map_or(u32::MAX, |service| service.connection_limit);
+    (limit as usize / view.host_count()).max(2)
+}
+
+fn request(
+    cx: &Traffic,
+    call: &Call,
+    placed: &Placed,
+    time_left: Duration,
+    resume_after: Option<String>,
+) -> Option<Request<http_io::Body>> {
+    let mut headers = call.headers.clone();
+    strip_connection_headers(&mut headers);
+    let facts = SendFacts {
+        time_left,
+        instance: placed.target.instance.clone(),
+        workspace: call.workspace.as_ref().map(|w| w.name.clone()),
+        cache_salt: call.cache_salt(placed.weights),
+        weights: placed.weights,
+        priority: call.rank(),
+        resume_after,
+    };
+    cx.heads.write_send(&mut headers, &facts);
+    let mut req = Request::builder()
+        .method(call.method.clone())
+        .uri(call.target_uri.clone())
+        .body(full_body(call.body.clone()))
+        .ok()?;
+    *req.headers_mut() = headers;
+    // Lengths are set from the body that was read.
+    if call.body.is_empty() && call.method == Method::GET {
+        req.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    }
+    Some(req)
+}
+
+/// Removes the headers that concern one connection only, those named by `Connection` included.
+pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(TRANSFER_ENCODING);
+}
+
+/// Names the run of the target that an exchange uses.
+pub(crate) fn run_of(exchange: &Exchange) -> utils::TargetId {
+    run_id(&exchange.target)
+}
--- /dev/null
+++ b/components/gateway/src/traffic/mod.rs
@@ -0,0 +1,16 @@
+//! The way of a request: admitted, placed, sent, answered. Runs on the traffic thread.
+
+mod admit;
+mod connect;
+mod exchange;
+mod pipeline;
+mod place;
+mod pool;
+mod refusal;
+mod relay;
+mod state;
+mod stream_events;
+
+pub(crate) use pipeline::serve;
+pub(crate) use state::Traffic;
+pub use stream_events::{EventCutter, Progress};
--- /dev/null
+++ b/components/gateway/src/traffic/relay.rs
@@ -0,0 +1,202 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use errors::events;
+use futures_lite::FutureExt;
+use futures_lite::stream;
+use http_body_util::BodyExt;
+use http_io::{Body, HttpError, stream_body};
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use slog::info;
+
+use super::exchange::{Answer, Exchange, Tried, exchange, run_of};
+use super::pipeline::{Call, OpenRequest, Tries, may_resume, note_crash};
+use super::place::place;
+use super::state::Traffic;
+use super::stream_events::EventCutter;
+use crate::AnswerFacts;
+
+/// A stream on its way to the caller. The caller's connection drives it; when the caller leaves, it is dropped with the
+/// target's connection.
+struct Relay {
+    /// The traffic thread's state.
+    cx: Arc<Traffic>,
+    /// The request.
+    call: Call,
+    /// Tries so far.
+    tries: Tries,
+    /// Cuts at event ends.
+    cutter: EventCutter,
+    /// Where the events come from.
+    source: Option<Source>,
+    /// Counts as open until the end.
+    _open: OpenRequest,
+}
+
+/// A target's half of a stream.
+struct Source {
+    /// The events.
+    body: Incoming,
+    /// What the head said.
+    facts: AnswerFacts,
+    /// The exchange.
+    exchange: Exchange,
+}
+
+/// What the target sent next.
+enum Next {
+    /// Bytes.
+    Data(Bytes),
+    /// The stream is complete.
+    End,
+    /// It broke off.
+    Broken,
+    /// The route's time is up.
+    TimedOut,
+}
+
+/// Passes a stream on as it comes.
+pub(crate) fn relay(cx: Arc<Traffic>, call: Call, answer: Answer, tries: Tries, open: OpenRequest) -> Response<Body> {
+    let Answer {
+        mut parts,
+        facts,
+        body,
+        exchange,
+    } = answer;
+    if may_resume(&call) {
+        // Another target may add to what this one announced.
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    let cutter = EventCutter::after(call.last_event.clone());
+    let relay = Relay {
+        cx,
+        call,
+        tries,
+        cutter,
+        source: Some(Source { body, facts, exchange }),
+        _open: open,
+    };
+    let chunks = stream::unfold(relay, |mut relay| async move {
+        let item = relay.next().await?;
+        Some((item, relay))
+    });
+    Response::from_parts(parts, stream_body(chunks))
+}
+
+impl Relay {
+    /// The next bytes for the caller; an error cuts the answer, so that it does not look complete.
+    async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
+        loop {
+            let source = self.source.as_mut()?;
+            match read(&self.cx, &self.call, source).await {
+                Next::Data(bytes) => {
+                    let whole = self.cutter.push(&bytes);
+                    if !whole.is_empty() {
+                        return Some(Ok(whole));
+                    }
+                }
+                Next::End => return self.end(),
+                Next::TimedOut => {
+                    self.source = None;
+                    self.log_cut("the route's time is up");
+                    return Some(Err(HttpError::TimedOut));
+                }
+                Next::Broken => {
+                    self.note_broken();
+                    if !self.resume().await {
+                        self.log_cut("the target broke off");
+                        return Some(Err(HttpError::Interrupted));
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) -> Option<Result<Bytes, HttpError>> {
+        let source = self.source.take()?;
+        let run = run_of(&source.exchange);
+        source.exchange.finish(&source.facts);
+        self.cx.known().crashes.note_success(&self.call.fingerprint);
+        info!(self.cx.log, "answered"; events::ROUTE_ANSWERED, "request" => &self.call.id, "target" => &*run,
+            "events" => self.cutter.progress().events, "tries" => self.tries.sends);
+        let rest = self.cutter.finish();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn note_broken(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.exchange.note_broken();
+            self.tries.tried.push(run_of(&source.exchange));
+        }
+        note_crash(&self.cx, &self.call);
+        self.cutter.drop_partial();
+    }
+
+    /// Goes on at another target after the last whole event.
+    async fn resume(&mut self) -> bool {
+        let progress = self.cutter.progress();
+        let is_known = progress.last_event.is_some() || progress.events == 0;
+        if !may_resume(&self.call) || !is_known {
+            return false;
+        }
+        let after = progress.last_event.clone();
+        while self.tries.may_send(&self.cx, &self.call) {
+            let Some(placed) = place(&self.cx, &self.call, &self.tries.tried) else {
+                return false;
+            };
+            self.tries.tried.push(crate::weights::run_id(&placed.target));
+            match exchange(&self.cx, &self.call, &placed, after.clone()).await {
+                Tried::NotSent => {}
+                Tried::NotRun(_) => self.tries.sends += 1,
+                Tried::Unknown => {
+                    self.tries.sends += 1;
+                    self.tries.runs += 1;
+                }
+                Tried::TimedOut => return false,
+                Tried::Answered(answer) => {
+                    self.tries.sends += 1;
+                    self.tries.runs += 1;
+                    if !answer.parts.status.is_success() {
+                        continue;
+                    }
+                    info!(self.cx.log, "resumed"; events::ROUTE_RESUMED, "request" => &self.call.id,
+                        "target" => &placed.target.instance, "after" => after.as_deref().unwrap_or(""));
+                    let Answer {
+                        facts, body, exchange, ..
+                    } = *answer;
+                    self.source = Some(Source { body, facts, exchange });
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    fn log_cut(&self, reason: &'static str) {
+        info!(self.cx.log, "cut"; events::ROUTE_CUT, "request" => &self.call.id,
+            "events" => self.cutter.progress().events, "reason" => reason);
+    }
+}
+
+async fn read(cx: &Traffic, call: &Call, source: &mut Source) -> Next {
+    let frame = async {
+        loop {
+            match source.body.frame().await {
+                None => return Next::End,
+                Some(Err(_)) => return Next::Broken,
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Next::Data(bytes);
+                    }
+                }
+            }
+        }
+    };
+    let late = async {
+        smol::Timer::after(call.until.saturating_sub(cx.now())).await;
+        Next::TimedOut
+    };
+    frame.or(late).await
+}
--- /dev/null
+++ b/components/gateway/src/traffic/state.rs
@@ -0,0 +1,135 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use http_io::Executor;
+use slog::Logger;
+use utils::{Clock, Monotonic, ServiceId, TargetId};
+
+use super::pool::TargetSlot;
+use crate::ports::Heads;
+use crate::quarantine::{Crashes, Fingerprint};
+use crate::weights::run_id;
+use crate::{HostSettings, RetryShare, Sessions, Target, View};
+
+/// What the traffic thread knows beside the view.
+#[derive(Default)]
+pub(crate) struct Known {
+    /// Connections, load and health by run of a target.
+    pub slots: HashMap<TargetId, TargetSlot>,
+    /// Budgets of repeats by service.
+    pub budgets: HashMap<ServiceId, RetryShare>,
+    /// Where sessions were sent.
+    pub sessions: Sessions,
+    /// Requests that were aboard crashes.
+    pub crashes: Crashes,
+}
+
+/// Everything that a request's way needs.
+pub(crate) struct Traffic {
+    /// Settings of the host.
+    pub settings: HostSettings,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// What the host believes.
+    pub view: ArcSwap<View>,
+    /// Reads and writes heads.
+    pub heads: Arc<dyn Heads>,
+    /// Runs connections.
+    pub ex: Executor,
+    /// Log.
+    pub log: Logger,
+    /// Whether the host is about to end.
+    pub draining: AtomicBool,
+    /// Requests under way.
+    pub open: AtomicUsize,
+    /// Requests to quarantine everywhere.
+    pub crashed: async_channel::Sender<Fingerprint>,
+    /// What the traffic thread knows.
+    known: Mutex<Known>,
+}
+
+impl Traffic {
+    pub(crate) fn new(
+        settings: HostSettings,
+        clock: Arc<dyn Clock>,
+        heads: Arc<dyn Heads>,
+        ex: Executor,
+        log: Logger,
+        crashed: async_channel::Sender<Fingerprint>,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            view: ArcSwap::default(),
+            heads,
+            ex,
+            log,
+            draining: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            crashed,
+            known: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Monotonic {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view.load().is_able()
+    }
+
+    pub(crate) fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs `f` on what is known of a target.
+    pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
+        f(self.known().slots.entry(run_id(target)).or_default())
+    }
+
+    /// Counts a request of a service.
+    pub(crate) fn note_request(&self, service: &ServiceId) {
+        let now = self.now();
+        self.with_budget(service, |share| share.note_request(now));
+    }
+
+    /// Takes one repeat out of a service's budget.
+    pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let hosts = self.view.load().host_count();
+        self.with_budget(service, |share| share.take(hosts, now))
+    }
+
+    /// Closes old connections and forgets targets that are gone.
+    pub(crate) fn clean(&self) {
+        let now = self.now();
+        let view = self.view.load();
+        let listed = view.targets.values().flatten();
+        let listed: std::collections::HashSet<TargetId> = listed.map(|target| run_id(target)).collect();
+        let mut known = self.known();
+        known
+            .slots
+            .retain(|id, slot| listed.contains(id) || slot.load.own() > 0);
+        for slot in known.slots.values_mut() {
+            slot.close_old(now);
+        }
+    }
+
+    fn with_budget<T>(&self, service: &ServiceId, f: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let bounds = self.settings.bounds;
+        let mut known = self.known();
+        let share = known
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryShare::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window));
+        f(share)
+    }
+}
--- a/components/ledger/src/batch.rs
+++ b/components/ledger/src/batch.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashSet, VecDeque};
 
 use error_stack::Report;
-use platform::{Committed, PlatformError, Row, RowKey, RowVersion, Transaction};
+use metadata::{Committed, PlatformError, Row, RowKey, RowVersion, Transaction};
 
 use crate::{ClaimRow, Found, RowWrite};
 
--- a/components/ledger/src/handle.rs
+++ b/components/ledger/src/handle.rs
@@ -3,7 +3,7 @@
 use std::time::UNIX_EPOCH;
 
 use async_channel::{Receiver, Sender};
-use platform::RowKey;
+use metadata::RowKey;
 use smol::Timer;
 use smol::future::or;
 use utils::{Digest, Monotonic, TargetId};
--- a/components/ledger/src/job.rs
+++ b/components/ledger/src/job.rs
@@ -1,4 +1,4 @@
-use platform::{Expect, RowKey, RowVersion};
+use metadata::{Expect, RowKey, RowVersion};
 
 use crate::{ClaimRow, ClaimState, Found, RowWrite, WriteResult};
 
--- a/components/ledger/src/protocol.rs
+++ b/components/ledger/src/protocol.rs
@@ -1,7 +1,7 @@
 use charts::{ClaimChart, EventKey, StateKey};
 use error_stack::{Report, ResultExt};
 use errors::Outcome;
-use platform::{Expect, RowKey, RowVersion};
+use metadata::{Expect, RowKey, RowVersion};
 use utils::{Monotonic, TargetId};
 
 use crate::{ClaimRow, ClaimState, Found, Job, LedgerError, RecordedReply, RefusedReason, RowWrite, Verdict};
--- a/components/ledger/src/row.rs
+++ b/components/ledger/src/row.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use platform::{Expect, Row, RowKey, RowVersion, Transaction};
+use metadata::{Expect, Row, RowKey, RowVersion, Transaction};
 use serde::{Deserialize, Serialize};
 use utils::{Digest, HostId, Incarnation, RequestId, ServiceId, TargetId, WorkspaceId};
 
--- a/components/ledger/src/writer.rs
+++ b/components/ledger/src/writer.rs
@@ -5,7 +5,7 @@
 use async_channel::{Receiver, Sender};
 use error_stack::Report;
 use errors::events;
-use platform::{BoxFuture, PlatformError, TableService};
+use metadata::{BoxFuture, PlatformError, TableService};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use smol::Timer;
--- a/components/ledger/tests/batch.rs
+++ b/components/ledger/tests/batch.rs
@@ -1,7 +1,7 @@
 //! Writes that share a transaction.
 
 use ledger::{AttemptId, Batch, Batcher, ClaimRow, ClaimState, Holder, RowWrite, WriteResult};
-use platform::{Expect, MemoryTable};
+use metadata::{Expect, MemoryTable};
 
 fn insert(key: &str, attempt: u128) -> RowWrite {
     RowWrite {
--- a/components/ledger/tests/faults/sim.rs
+++ b/components/ledger/tests/faults/sim.rs
@@ -5,7 +5,7 @@
 use ledger::{
     AttemptId, Batch, ClaimRow, ClaimState, Effect, Holder, Input, Protocol, RefusedReason, Verdict,
 };
-use platform::{Committed, PlatformError, Transaction};
+use metadata::{Committed, PlatformError, Transaction};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use utils::Monotonic;
--- a/components/ledger/tests/faults/store.rs
+++ b/components/ledger/tests/faults/store.rs
@@ -2,7 +2,7 @@
 
 use error_stack::Report;
 use ledger::{Batch, ClaimRow, Found, Input, JobStep, WriteResult};
-use platform::{Committed, PlatformError};
+use metadata::{Committed, PlatformError};
 use rand::RngExt;
 use std::time::Duration;
 
--- a/components/ledger/tests/faults/world.rs
+++ b/components/ledger/tests/faults/world.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use ledger::{RecordedBody, RecordedReply};
-use platform::MemoryTable;
+use metadata::MemoryTable;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use utils::Monotonic;
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -9,7 +9,7 @@
     AttemptId, CallKey, ClaimRow, Holder, LedgerHandle, LedgerSettings, LedgerWriter, NewCall, Protocol,
     RecordedBody, RecordedReply,
 };
-use platform::{
+use metadata::{
     BoxFuture, Committed, MemoryTable, PlatformError, Row, RowKey, ScanRequest, TableService, Transaction,
 };
 use smol::{LocalExecutor, Task};
--- a/components/membership/src/hosts.rs
+++ b/components/membership/src/hosts.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use platform::{HostState, ListedHost};
+use metadata::{HostState, ListedHost};
 use utils::{HostId, Monotonic, RegionId};
 
 use crate::membership::is_entry;
--- a/components/membership/src/input.rs
+++ b/components/membership/src/input.rs
@@ -1,4 +1,4 @@
-use platform::ListedHost;
+use metadata::ListedHost;
 use utils::{HostId, Incarnation, Monotonic, RegionId, TargetId};
 
 use crate::{Demand, Heartbeat, Quarantined, TargetSummary};
--- a/components/membership/src/lease.rs
+++ b/components/membership/src/lease.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use platform::{Committed, Expect, RowVersion, Transaction};
+use metadata::{Committed, Expect, RowVersion, Transaction};
 use serde::{Deserialize, Serialize};
 use utils::{Epoch, HostId, Incarnation, ModelId, Monotonic, TargetId, WeightVersion};
 
--- a/components/membership/src/measure.rs
+++ b/components/membership/src/measure.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use utils::{Clock, HostId, Monotonic};
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{HostRole, ListedHost};
+use metadata::{HostRole, ListedHost};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use utils::{HostId, Incarnation, Monotonic, RegionId};
--- a/components/membership/src/ownership.rs
+++ b/components/membership/src/ownership.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use platform::HostRole;
+use metadata::HostRole;
 use utils::{Digest, HostId, ModelId, RegionId, TargetId, rendezvous_score};
 
 use crate::MembershipView;
--- a/components/membership/src/peer.rs
+++ b/components/membership/src/peer.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::ListedHost;
+use metadata::ListedHost;
 use utils::{HostId, Incarnation, Monotonic};
 
 use crate::{Damping, HostStatus, HostTag, Rumour};
--- a/components/membership/src/pool.rs
+++ b/components/membership/src/pool.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use utils::RegionId;
 
 /// Share of a pool whose loss at once is not believed without other evidence.
--- a/components/membership/src/rollout.rs
+++ b/components/membership/src/rollout.rs
@@ -157,7 +157,7 @@
 fn serving(view: &MembershipView, model: &ModelId) -> BTreeMap<RegionId, Vec<TargetId>> {
     let mut found: BTreeMap<RegionId, Vec<TargetId>> = BTreeMap::new();
     for (id, target) in &view.targets {
-        let serves = target.listed.role == platform::HostRole::Engine && target.listed.serves.contains(model);
+        let serves = target.listed.role == metadata::HostRole::Engine && target.listed.serves.contains(model);
         if serves && target.liveness == TargetLiveness::Live {
             found
                 .entry(target.listed.region.clone())
--- a/components/membership/src/target.rs
+++ b/components/membership/src/target.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use utils::{Monotonic, TargetId};
 
 use crate::pool::{Pool, distrusted, is_distrusted, pools};
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::ListedHost;
+use metadata::ListedHost;
 use utils::{HostId, Incarnation, Monotonic, RegionId, TargetId};
 
 use crate::TargetSummary;
--- a/components/membership/tests/liveness.rs
+++ b/components/membership/tests/liveness.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use membership::{Input, MembershipEvent, Observation, TargetLiveness, TargetSummary, TargetTag, Why};
-use platform::{HostRole, HostState};
+use metadata::{HostRole, HostState};
 use support::{Cluster, listed};
 
 fn seconds(n: u64) -> Duration {
--- a/components/membership/tests/rollout.rs
+++ b/components/membership/tests/rollout.rs
@@ -8,7 +8,7 @@
     Identity, Installed, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, MembershipView, ORDERS_KEY,
     OrderLease, Rollout, TargetEntry, TargetLiveness, Wanted, Why, WriteOutcome,
 };
-use platform::{HostRole, HostState, ListedHost, MemoryTable};
+use metadata::{HostRole, HostState, ListedHost, MemoryTable};
 use targets::OrderKind;
 use utils::{Monotonic, TargetId, WeightVersion};
 
--- a/components/membership/tests/support/mod.rs
+++ b/components/membership/tests/support/mod.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use membership::{Effect, Identity, Input, Membership, MembershipEvent, MembershipView, TargetLiveness};
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 use utils::{HostId, Monotonic};
 
 /// Step of the virtual time.
--- a/components/platform/src/memory.rs
+++ b/components/metadata/src/memory.rs
@@ -11,7 +11,7 @@
 /// A table in memory, for stand-ins, specifications and tests.
 ///
 /// ```
-/// use platform::{Committed, Expect, MemoryTable, Transaction};
+/// use metadata::{Committed, Expect, MemoryTable, Transaction};
 ///
 /// let table = MemoryTable::default();
 /// let insert = Transaction::default().put("k", Expect::Absent, serde_json::json!(1));
--- a/components/platform/src/table.rs
+++ b/components/metadata/src/table.rs
@@ -75,7 +75,7 @@
     /// Adds a condition and a row to store.
     ///
     /// ```
-    /// use platform::{Expect, Transaction};
+    /// use metadata::{Expect, Transaction};
     ///
     /// let tx = Transaction::default().put("head", Expect::Absent, serde_json::json!({"version": 1}));
     /// assert_eq!(tx.writes.len(), 1);
--- a/components/notes/src/error.rs
+++ b/components/notes/src/error.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use platform::PlatformError;
+use metadata::PlatformError;
 use serde::Serialize;
 use utils::{HostId, NoteVersion};
 
--- a/components/notes/src/holder.rs
+++ b/components/notes/src/holder.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::RowVersion;
+use metadata::RowVersion;
 use utils::{HostId, Incarnation, Monotonic, NoteVersion, RegionId};
 
 use crate::{HeadSeq, NoteEcho, NoteState, RegionRoster, Terms};
--- a/components/notes/src/staging.rs
+++ b/components/notes/src/staging.rs
@@ -1,7 +1,7 @@
 use std::time::SystemTime;
 
 use error_stack::Report;
-use platform::{Committed, Expect, Transaction, Write};
+use metadata::{Committed, Expect, Transaction, Write};
 use serde::{Deserialize, Serialize};
 use utils::NoteVersion;
 
--- a/components/notes/src/store.rs
+++ b/components/notes/src/store.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
-use platform::{
+use metadata::{
     Committed, Expect, ObjectStore, PlatformError, Row, RowVersion, ScanRequest, TableService, Transaction,
     Write,
 };
--- a/components/notes/tests/notes/support.rs
+++ b/components/notes/tests/notes/support.rs
@@ -7,7 +7,7 @@
 
 use error_stack::Report;
 use notes::{HostRow, NoteFile, NoteStore, RegionRoster, Terms};
-use platform::{
+use metadata::{
     BoxFuture, Committed, MemoryTable, ObjectStore, PlatformError, Row, RowKey, ScanRequest, TableService,
     Transaction,
 };
--- a/components/peers/tests/sockets.rs
+++ b/components/peers/tests/sockets.rs
@@ -4,7 +4,7 @@
 
 use membership::{Input, MembershipEvent, Observation, TargetLiveness};
 use peers::generate_keys;
-use platform::HostRole;
+use metadata::HostRole;
 use support::node::{Node, Ready, SharedList};
 use support::relay::{self, SharedRules};
 use support::{executor, ip, listed, until};
--- a/components/peers/tests/support/mod.rs
+++ b/components/peers/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::{HostRole, HostState, ListedHost};
+use metadata::{HostRole, HostState, ListedHost};
 
 /// Address of host `number` of test `net`.
 pub(crate) fn ip(net: u8, number: usize) -> IpAddr {
--- a/components/peers/tests/support/node.rs
+++ b/components/peers/tests/support/node.rs
@@ -5,7 +5,7 @@
 use futures_lite::FutureExt;
 use membership::{Effect, Identity, Input, Membership, MembershipEvent, MembershipView};
 use peers::{Arrived, HostKeys, PeerTls, Transport, TransportOptions};
-use platform::ListedHost;
+use metadata::ListedHost;
 use utils::{Clock, SystemClock};
 
 const TICK: Duration = Duration::from_millis(250);
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -9,7 +9,7 @@
 use http_io::{Body, Executor, HandlerFuture, HttpError};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use platform::{Committed, ListedHost, MemoryTable, ReadRequest, ScanRequest, Transaction};
+use metadata::{Committed, ListedHost, MemoryTable, ReadRequest, ScanRequest, Transaction};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
--- a/components/standins/tests/clients.rs
+++ b/components/standins/tests/clients.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use platform::{
+use metadata::{
     Committed, Expect, HostList, HostRole, HostState, HttpPlatform, ListedHost, ObjectStore, ScanRequest,
     TableService, Transaction,
 };
--- a/components/standins/tests/platform_faults.rs
+++ b/components/standins/tests/platform_faults.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http_io::Executor;
-use platform::{Expect, HostList, HttpPlatform, PlatformError, TableService, Transaction};
+use metadata::{Expect, HostList, HttpPlatform, PlatformError, TableService, Transaction};
 use standins::{Odds, Platform, PlatformConfig, PlatformFaults, Running};
 use support::{client, loopback, run};
 
--- a/components/targets/src/lib.rs
+++ b/components/targets/src/lib.rs
@@ -18,7 +18,7 @@
 pub use error::TargetError;
 pub use order::{Order, OrderKind, OrderReply};
 pub use piece::{Manifest, PIECE_TOKENS, PieceId, TransferRequest};
-pub use platform::BoxFuture;
+pub use metadata::BoxFuture;
 pub use service::{CallOutcome, CallReply, CallRequest, Service};
 pub use service_http::HttpService;
 pub use store::{Catalogue, Store};
--- a/components/trial/src/deployment.rs
+++ b/components/trial/src/deployment.rs
@@ -9,7 +9,7 @@
 use http_io::{Client, ClientConfig, Executor};
 use loadgen::{Entry, Preset};
 use notes::{Acceptance, Declared, Note, NoteError, NoteStore, Operator, Terms};
-use platform::{HostRole, HostState, HttpPlatform, ListedHost};
+use metadata::{HostRole, HostState, HttpPlatform, ListedHost};
 use slog::Logger;
 use standins::{
     Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
--- a/components/utils/src/clock.rs
+++ b/components/utils/src/clock.rs
@@ -1,5 +1,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
+
+use rustix::time::{ClockId, clock_gettime};
 
 /// Time since an arbitrary start that is fixed for the life of a process.
 pub type Monotonic = Duration;
@@ -24,14 +26,14 @@
 #[derive(Debug, Clone)]
 pub struct SystemClock {
     /// Start of the monotonic time.
-    start: Instant,
+    start: Duration,
 }
 
 impl SystemClock {
     /// Starts counting from now.
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: boot_time(),
         }
     }
 }
@@ -44,7 +46,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Monotonic {
-        self.start.elapsed()
+        boot_time().saturating_sub(self.start)
     }
 
     fn wall(&self) -> SystemTime {
@@ -52,6 +54,12 @@
     }
 }
 
+/// Time since the machine was started, suspension included.
+fn boot_time() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
+}
+
 /// A clock that tests and benches move by hand.
 ///
 /// ```
--- a/specs/src/at_most_once/world.rs
+++ b/specs/src/at_most_once/world.rs
@@ -1,6 +1,6 @@
 use errors::Outcome;
 use ledger::{ClaimRow, ClaimState, Effect, Found, Job, RowWrite, Try, WriteResult};
-use platform::{Expect, RowVersion};
+use metadata::{Expect, RowVersion};
 
 use super::CallInvariant;
 
--- a/specs/src/orders.rs
+++ b/specs/src/orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use membership::{Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, OrderLease, WriteOutcome};
-use platform::Expect;
+use metadata::Expect;
 use utils::{Epoch, Monotonic, TargetId};
 
 use crate::Spec;
--- a/specs/src/orders/world.rs
+++ b/specs/src/orders/world.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use membership::{LeaseInput, LoadSlot, WriteOutcome};
-use platform::Expect;
+use metadata::Expect;
 use utils::Epoch;
 
 use super::{Call, Checked, Flying, OrdersWorld, RULES, TARGETS, Write, seconds, target};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -50,8 +50,11 @@
 #[derive(Args)]
 pub(crate) struct ServeArgs {
     /// Settings of the host, YAML.
-    #[arg(long, value_name = "FILE")]
-    pub config: PathBuf,
+    #[arg(long, value_name = "FILE", required_unless_present = "platform")]
+    pub config: Option<PathBuf>,
+    /// Run on the users' platform, with the settings that it gives.
+    #[arg(long, conflicts_with = "config")]
+    pub platform: bool,
 }
 
 /// Subcommands of `config`.
--- a/src/cmd/note/session.rs
+++ b/src/cmd/note/session.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use http_io::{Client, ClientConfig, Executor};
 use notes::{NoteError, NoteStore, Operator};
-use platform::HttpPlatform;
+use metadata::HttpPlatform;
 use utils::SystemClock;
 
 use crate::exit::CommandError;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -13,7 +13,10 @@
 
 /// Runs an entry host until a signal asks it to end.
 pub(crate) fn serve(args: &ServeArgs) -> Result<(), Report<CommandError>> {
-    let settings = Settings::load(&args.config).change_context(CommandError::Usage)?;
+    let Some(file) = &args.config else {
+        return serve_platform();
+    };
+    let settings = Settings::load(file).change_context(CommandError::Usage)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(CommandError::Failed)?;
     let (log, guard) = logger(settings.log.format);
     let daemon = Daemon::start(settings, log).change_context(CommandError::Failed)?;
@@ -23,6 +26,25 @@
     done
 }
 
+/// Runs an entry host on the users' platform until a signal asks it to end.
+fn serve_platform() -> Result<(), Report<CommandError>> {
+    let file = std::env::var(platform::SETTINGS_VARIABLE).change_context(CommandError::Usage)?;
+    let settings = platform::load_settings(file.as_ref()).change_context(CommandError::Usage)?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).change_context(CommandError::Failed)?;
+    let (log, guard) = logger(LogFormat::Json);
+    let parts = {
+        let settings = settings.clone();
+        move |ex: &http_io::Executor| platform::parts(&settings, ex)
+    };
+    let daemon = gateway::Daemon::start(settings, parts, log).change_context(CommandError::Failed)?;
+    // Nothing that may change in the file while the process runs is used.
+    while let Some(Ok(Signal::Hup)) = smol::block_on(signals.next()) {}
+    let done = daemon.drain().change_context(CommandError::Failed);
+    drop(guard);
+    done
+}
+
 /// A logger to standard error; its lines are written until the guard is dropped.
 fn logger(format: LogFormat) -> (Logger, slog_async::AsyncGuard) {
     match format {
--- a/tests/note.rs
+++ b/tests/note.rs
@@ -131,11 +131,11 @@
         ..notes::Terms::default()
     };
     assert_eq!(world.note(&["init", "--freshness-ms", "50"]).code, 0);
-    let row = platform::Write::Put {
+    let row = metadata::Write::Put {
         key: "notes/terms/00000000000000000001".to_owned(),
         value: serde_json::to_value(&terms).unwrap(),
     };
-    store.apply(&platform::Transaction {
+    store.apply(&metadata::Transaction {
         conditions: Vec::new(),
         writes: vec![row],
     });
