Keep the control thread alive: a client that keeps no idle connections panicked

Cause: http_io's pool removed the oldest of no connections when none are to be kept; the control thread, which asks engines that way, died with the first order, and the process went on serving old beliefs.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub use load::{LoadEstimate, Outcome};
 pub use placement::{Candidate, Choice, Demand, choose};
 pub use quarantine::{Crashes, Fingerprint};
-pub use sessions::Sessions;
+pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
 pub use traffic::{EventCutter, Progress};
 pub use view::{HostEntry, View};
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -56,7 +56,7 @@
 
     /// Keeps a connection for the next request to the address.
     pub(crate) fn put(&self, addr: SocketAddr, conn: Connection) {
-        if conn.sender.is_closed() {
+        if conn.sender.is_closed() || self.per_address == 0 {
             return;
         }
         let mut idle = self.lock();
--- a/components/http/tests/exchange.rs
+++ b/components/http/tests/exchange.rs
@@ -160,3 +160,25 @@
         serving.await;
     });
 }
+
+#[test]
+fn a_client_that_keeps_no_idle_connections_closes_them() {
+    run(async |ex| {
+        let handler: Handler = Arc::new(|_| Box::pin(async { Response::new(full_body("ok")) }));
+        let server = Server::bind(loopback(), ServerConfig::default()).unwrap();
+        let addr = server.local_addr().unwrap();
+        let (stop, stopped) = shutdown_channel();
+        let serving = ex.spawn(server.run(ex.clone(), handler, stopped));
+        let cfg = ClientConfig {
+            idle_per_address: 0,
+            ..ClientConfig::default()
+        };
+        let client = Client::new(ex, cfg);
+        for _ in 0..2 {
+            let res = client.send(addr, get("/")).await.unwrap();
+            assert_eq!(read_limited(res.into_body(), 10).await.unwrap(), "ok");
+        }
+        drop(stop);
+        serving.await;
+    });
+}
