--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -213,6 +213,7 @@
     pub const RECORD_UNUSABLE: Event = event(5012, "record_unusable", "A row of the platform's store can not be used.");
     pub const BELIEFS_CHANGED: Event = event(5013, "beliefs_changed", "The host believes something new of declarations, targets or hosts.");
     pub const PEER_READ: Event = event(5014, "peer_read", "Another host told what changed while the store does not answer.");
+    pub const KEPT_DROPPED: Event = event(5015, "kept_dropped", "A store of kept cache was told to drop parts of replaced weights.");
     pub const LEASE_TAKEN: Event = event(5020, "lease_taken", "The host may give orders to engines.");
     pub const WEIGHTS_ORDERED: Event = event(5021, "weights_ordered", "An engine was ordered to load weights; gives its answer.");
 }
@@ -271,6 +272,7 @@
     events::RECORD_UNUSABLE,
     events::BELIEFS_CHANGED,
     events::PEER_READ,
+    events::KEPT_DROPPED,
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
 ];
--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -70,6 +70,8 @@
     hosts: BTreeMap<String, HostEntry>,
     /// Requests that crash targets.
     quarantined: HashSet<Fingerprint>,
+    /// Whether the declared state was read before the change at hand.
+    saw_declared: bool,
     /// Whether the view has to be published again.
     is_changed: bool,
 }
@@ -88,6 +90,7 @@
             doubtful: BTreeMap::new(),
             hosts: BTreeMap::new(),
             quarantined: HashSet::new(),
+            saw_declared: false,
             is_changed: false,
         }
     }
@@ -176,6 +179,7 @@
                 unusable.push(e);
             }
         }
+        self.saw_declared |= table == Table::Declared && self.known(table).is_some();
         unusable
     }
 
@@ -256,7 +260,7 @@
                 let held = self.weights.get(&named.model).map_or(0, |held| held.version);
                 if named.version > held {
                     let version = named.version;
-                    let learned_at = now;
+                    let learned_at = self.saw_declared.then_some(now);
                     self.weights.insert(named.model, Named { version, learned_at });
                 }
             }
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -2,6 +2,8 @@
 
 use utils::{ModelId, WorkspaceId};
 
+use crate::kept::CachePlan;
+
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -79,6 +81,8 @@
     pub priority: Option<u8>,
     /// Last event that the caller has; replaces what the caller sent.
     pub resume_after: Option<String>,
+    /// Kept cache to use.
+    pub cache: CachePlan,
 }
 
 /// Load that a target reports with an answer.
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod peers;
 mod register;
+mod stores;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,7 +14,8 @@
 use slog::{info, warn};
 use utils::Incarnation;
 
-use crate::ports::{Decode, EngineControl, RecordStore, Table, UnusableRecord};
+use crate::daemon::Parts;
+use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
 use crate::quarantine::Fingerprint;
 use crate::traffic::Traffic;
 use crate::Beliefs;
@@ -29,6 +31,8 @@
     pub store: Arc<dyn RecordStore>,
     /// Engines.
     pub engines: Arc<dyn EngineControl>,
+    /// Stores of kept cache.
+    pub stores: Arc<dyn KeptStores>,
     /// Run of this process.
     pub incarnation: Incarnation,
     /// Runs the control thread's tasks.
@@ -40,17 +44,16 @@
 impl Control {
     pub(crate) fn new(
         traffic: Arc<Traffic>,
-        store: Arc<dyn RecordStore>,
-        engines: Arc<dyn EngineControl>,
-        decode: Arc<dyn Decode>,
+        parts: Parts,
         incarnation: Incarnation,
         ex: Executor,
     ) -> Self {
-        let beliefs = Beliefs::new(decode, traffic.settings.bounds.return_grace);
+        let beliefs = Beliefs::new(parts.decode, traffic.settings.bounds.return_grace);
         Self {
             traffic,
-            store,
-            engines,
+            store: parts.store,
+            engines: parts.engines,
+            stores: parts.stores,
             incarnation,
             ex,
             beliefs: Mutex::new(beliefs),
@@ -68,6 +71,7 @@
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
             self.ex.spawn(orders::give_orders(self.clone())),
+            self.ex.spawn(stores::follow_stores(self.clone())),
         ];
         let server = peers::serve(self.clone(), stop.clone());
         server.await;
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -14,7 +14,7 @@
 use utils::{Clock, SystemClock};
 
 use crate::control::Control;
-use crate::ports::{Decode, EngineControl, Heads, RecordStore};
+use crate::ports::{Decode, EngineControl, Heads, KeptStores, RecordStore};
 use crate::traffic::{Traffic, serve};
 use crate::{GatewayError, HostSettings};
 
@@ -41,6 +41,8 @@
     pub store: Arc<dyn RecordStore>,
     /// Engines, as the store.
     pub engines: Arc<dyn EngineControl>,
+    /// Stores of kept cache, as the store.
+    pub stores: Arc<dyn KeptStores>,
     /// Reads rows.
     pub decode: Arc<dyn Decode>,
     /// Reads and writes heads.
@@ -82,9 +84,7 @@
         let traffic = Arc::new(traffic);
         let control = Control::new(
             traffic.clone(),
-            parts.store,
-            parts.engines,
-            parts.decode,
+            parts,
             incarnation,
             control_ex.clone(),
         );
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -84,6 +84,8 @@
     pub domain: FailureDomainId,
     /// Tokens that it holds.
     pub capacity_tokens: u64,
+    /// Questions for changes that it answers at once.
+    pub questions: u32,
 }
 
 /// A service.
--- /dev/null
+++ b/components/gateway/src/kept/plan.rs
@@ -0,0 +1,171 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use utils::{Monotonic, RegionId, rendezvous_score};
+
+use super::directory::{PartKey, StoreDirectory};
+use crate::PromptShape;
+
+/// Time after which a save that was not reported whole is tried again.
+const SAVE_AGAIN_AFTER: Duration = Duration::from_secs(4);
+/// Shortest part that is worth a transfer.
+const MIN_TOKENS: u32 = 64;
+/// Longest time for a fetch to end; the prompt is read instead after it.
+const FETCH_TIME: Duration = Duration::from_millis(2_500);
+/// Saves remembered before old ones are forgotten.
+const MOST_SAVES: usize = 20_000;
+
+/// A store as it is declared.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreAt {
+    /// Its address.
+    pub address: Arc<str>,
+    /// Whether it stands in the engine's failure domain.
+    pub is_near: bool,
+    /// Tokens that it holds.
+    pub capacity_tokens: u64,
+}
+
+/// What a request fetches and saves; one entry for each part of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CachePlan {
+    /// Where each part is fetched from.
+    pub fetch: Vec<Option<Arc<str>>>,
+    /// Where each part is saved.
+    pub save: Vec<Option<Arc<str>>>,
+    /// Until when a fetch may take, on the servers' clock in milliseconds.
+    pub fetch_until_ms: Option<u64>,
+}
+
+/// A request for which a plan is made.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanRequest<'a> {
+    /// Its prompt.
+    pub prompt: &'a PromptShape,
+    /// Its salt.
+    pub salt: &'a str,
+    /// Stores in the engine's region.
+    pub stores: &'a [StoreAt],
+    /// An engine in the region that is likely to hold the prompt, if it is not the one chosen.
+    pub home: Option<&'a Arc<str>>,
+    /// Whether the engine has the newest weights; what replaced weights made is not worth to be kept.
+    pub is_saving: bool,
+}
+
+/// What this host knows of all stores.
+#[derive(Debug, Default)]
+pub struct KeptCache {
+    /// Directories by address.
+    stores: HashMap<Arc<str>, StoreDirectory>,
+    /// When saves were asked for.
+    saves: HashMap<PartKey, Monotonic>,
+    /// The servers' clock less the own one, in milliseconds.
+    clock_offset_ms: Option<i64>,
+}
+
+impl KeptCache {
+    /// The directory of a store.
+    pub fn store(&mut self, address: &Arc<str>) -> &mut StoreDirectory {
+        self.stores.entry(address.clone()).or_default()
+    }
+
+    /// Takes the servers' clock.
+    pub fn note_clock(&mut self, clock_ms: u64, now: Monotonic) {
+        self.clock_offset_ms = Some(clock_ms as i64 - now.as_millis() as i64);
+    }
+
+    /// Forgets the stores that are not declared any more.
+    pub fn retain(&mut self, declared: impl Fn(&str) -> bool) {
+        self.stores.retain(|address, _| declared(address));
+    }
+
+    /// Whether a store of the list holds the session's part.
+    pub fn is_kept(&self, prompt: &PromptShape, salt: &str, stores: &[StoreAt]) -> bool {
+        let Some(part) = prompt.session() else { return false };
+        let key = key_of(salt, &part.id);
+        self.holder(&key, stores).is_some()
+    }
+
+    /// What a request fetches and saves. Parts come from a store that holds them whole, else from the engine that is
+    /// likely to have them; what no store of the region holds is saved.
+    pub fn plan(&mut self, req: &PlanRequest<'_>, now: Monotonic) -> CachePlan {
+        let mut plan = CachePlan::default();
+        // The last part is the request's own and does not return.
+        let shared = req.prompt.parts.len().saturating_sub(1);
+        for (i, part) in req.prompt.parts.iter().enumerate() {
+            let is_worth = i < shared && part.tokens >= MIN_TOKENS;
+            let key = key_of(req.salt, &part.id);
+            let holder = self.holder(&key, req.stores).cloned();
+            let is_kept = holder.is_some();
+            let fetch = holder.or_else(|| req.home.cloned()).filter(|_| is_worth);
+            let save = (is_worth && !is_kept && req.is_saving).then(|| self.choose_store(&key, req.stores, now));
+            plan.fetch.push(fetch);
+            plan.save.push(save.flatten());
+        }
+        if plan.fetch.iter().any(Option::is_some) {
+            let until = (now + FETCH_TIME).as_millis() as i64;
+            plan.fetch_until_ms = self.clock_offset_ms.map(|offset| (until + offset).max(0) as u64);
+        }
+        plan
+    }
+
+    fn holder<'a>(&self, key: &PartKey, stores: &'a [StoreAt]) -> Option<&'a Arc<str>> {
+        let holds = |store: &&StoreAt| self.stores.get(&store.address).is_some_and(|known| known.holds(key));
+        let found = stores.iter().filter(holds).max_by_key(|store| store.is_near);
+        found.map(|store| &store.address)
+    }
+
+    /// The store for a part: near the engine, by capacity, the same on every host.
+    fn choose_store(&mut self, key: &PartKey, stores: &[StoreAt], now: Monotonic) -> Option<Arc<str>> {
+        if self.saves.get(key).is_some_and(|at| now < *at + SAVE_AGAIN_AFTER) {
+            return None;
+        }
+        let answers = |store: &&StoreAt| {
+            let known = self.stores.get(&store.address);
+            known.is_some_and(|known| known.epoch().is_some() && known.tokens() < store.capacity_tokens)
+        };
+        let near = stores.iter().filter(|store| store.is_near).filter(answers);
+        let any = stores.iter().filter(answers);
+        let weigh = |store: &&StoreAt| weight(key, store);
+        let by_weight = |a: &&StoreAt, b: &&StoreAt| weigh(a).total_cmp(&weigh(b));
+        let found = near.max_by(by_weight).or_else(|| any.max_by(by_weight))?;
+        let address = found.address.clone();
+        if self.saves.len() >= MOST_SAVES {
+            self.saves.retain(|_, at| now < *at + SAVE_AGAIN_AFTER);
+        }
+        self.saves.insert(key.clone(), now);
+        Some(address)
+    }
+}
+
+/// Rendezvous hashing by capacity.
+fn weight(key: &PartKey, store: &StoreAt) -> f64 {
+    let score = rendezvous_score(key.id.as_bytes(), &store.address);
+    let unit = (score as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    store.capacity_tokens as f64 / -unit.ln()
+}
+
+fn key_of(salt: &str, id: &str) -> PartKey {
+    PartKey {
+        salt: salt.into(),
+        id: id.into(),
+    }
+}
+
+/// Stores in the region of an engine.
+pub(crate) fn stores_near<'a>(
+    stores: impl Iterator<Item = &'a crate::StoreSpec>,
+    domain: &str,
+    region_of: impl Fn(&str) -> Option<RegionId>,
+) -> Vec<StoreAt> {
+    let region = region_of(domain);
+    stores
+        .filter(|store| region_of(&store.domain) == region)
+        .map(|store| StoreAt {
+            address: store.address.clone(),
+            is_near: *store.domain == *domain,
+            capacity_tokens: store.capacity_tokens,
+        })
+        .collect()
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,7 +10,9 @@
 mod declared;
 mod error;
 mod events_text;
+mod freshness;
 mod host;
+mod kept;
 mod load;
 mod placement;
 pub mod ports;
@@ -29,12 +31,16 @@
     CallerLimits, Declared, EngineSpec, NamedWeights, Repeat, Route, Service, ServiceShare, StoreSpec, Workspace,
 };
 pub use error::GatewayError;
+pub use freshness::{OldWeights, old_weights};
 pub use host::{Bounds, HostSettings};
+pub use kept::{
+    CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList, salt_of, weights_of_salt,
+};
 pub use load::{LoadEstimate, Outcome};
 pub use placement::{Candidate, Choice, Demand, choose};
 pub use quarantine::{Crashes, Fingerprint};
 pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
 pub use traffic::{EventCutter, Progress};
-pub use view::{HostEntry, View};
+pub use view::{HostEntry, Named, View};
 pub use weights::{LoadOrder, Rollout, RolloutInput};
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -8,6 +8,7 @@
 use metadata::BoxFuture;
 use serde::{Deserialize, Serialize};
 
+use crate::kept::{PartKey, StoreChanges, StoreList};
 use crate::{AnswerFacts, CallFacts, Declared, NamedWeights, SendFacts, Target};
 
 /// Tables of the platform's store that the gateway uses.
@@ -217,3 +218,31 @@
         order: WeightsOrder,
     ) -> BoxFuture<'_, Result<OrderAnswer, Report<EngineSilent>>>;
 }
+
+/// A store of kept cache did not answer, or refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("the store of kept cache did not answer")]
+pub struct KeptSilent;
+
+/// Stores of kept cache.
+pub trait KeptStores: Send + Sync {
+    /// Waits at most `wait` for changes.
+    fn changes<'a>(
+        &'a self,
+        address: &'a str,
+        since: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<StoreChanges, Report<KeptSilent>>>;
+
+    /// All that a store holds.
+    fn list<'a>(&'a self, address: &'a str) -> BoxFuture<'a, Result<StoreList, Report<KeptSilent>>>;
+
+    /// Has a store drop parts, if it is still in the given run.
+    fn drop_parts<'a>(
+        &'a self,
+        address: &'a str,
+        epoch: u64,
+        parts: &'a [PartKey],
+    ) -> BoxFuture<'a, Result<(), Report<KeptSilent>>>;
+}
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -289,6 +289,7 @@
         weights: placed.weights,
         priority: call.rank(),
         resume_after,
+        cache: placed.cache.clone(),
     };
     cx.heads.write_send(&mut headers, &facts);
     let mut req = Request::builder()
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -19,10 +19,11 @@
 use super::relay::relay;
 use super::state::Traffic;
 use crate::declared::{Repeat, Route, Workspace};
+use crate::kept::{salt_of, wall_of};
 use crate::placement::Demand;
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
-use crate::{CallFacts, PromptShape, View, events_text};
+use crate::{CallFacts, PromptShape, events_text};
 
 /// Most sends of one request, those that were turned away included.
 const MOST_SENDS: u32 = 4;
@@ -80,7 +81,7 @@
     pub(crate) fn session_key(&self) -> Option<SessionKey> {
         let prompt = self.prompt.as_ref()?;
         let part = prompt.session()?;
-        let wall = self.wall();
+        let wall = wall_of(self.workspace.as_deref());
         let text = format!("{wall}\n{}\n{}", prompt.model, part.id);
         let digest = utils::digest(text.as_bytes());
         let mut first = [0; 8];
@@ -90,8 +91,7 @@
 
     /// Kept cache is shared only under the same name: the workspace if it is isolated, and the weight version.
     pub(crate) fn cache_salt(&self, weights: Option<u64>) -> Option<String> {
-        self.prompt.as_ref()?;
-        Some(format!("{}.{}", self.wall(), weights.unwrap_or(0)))
+        Some(salt_of(self.workspace.as_deref(), self.model()?, weights.unwrap_or(0)))
     }
 
     /// Rank at the target: the workspace's goes before the route's.
@@ -100,17 +100,6 @@
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
         Some(workspace.unwrap_or(self.route.priority).min(9))
     }
-
-    /// Whether the weights that were replaced may serve no more requests.
-    pub(crate) fn is_old_weights_forbidden(&self, view: &View, deadline: Duration, now: Monotonic) -> bool {
-        let named = self.model().and_then(|model| view.weights.get(model));
-        named.is_some_and(|named| now + Duration::from_secs(1) >= named.learned_at + deadline)
-    }
-
-    fn wall(&self) -> &str {
-        let isolated = self.workspace.as_ref().filter(|w| w.is_isolated);
-        isolated.map_or("all", |w| &w.name)
-    }
 }
 
 /// Counts a request as open while it is held.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -4,13 +4,18 @@
 
 use super::pipeline::Call;
 use super::state::{Known, Traffic};
+use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
+use crate::kept::{CachePlan, PlanRequest};
 use crate::placement::{Candidate, Choice, choose};
 use crate::sessions::SessionKey;
 use crate::view::View;
 use crate::weights::run_id;
 use crate::Target;
 
+/// What a part that a store of the region holds counts as, against one that the target holds itself.
+const KEPT_CHANCE: f64 = 0.85;
+
 /// Where a request goes.
 pub(crate) struct Placed {
     /// The target.
@@ -21,6 +26,8 @@
     pub choice: Choice,
     /// Prompt tokens that it has to read, as far as is known.
     pub tokens: u64,
+    /// Kept cache to use.
+    pub cache: CachePlan,
 }
 
 /// Chooses a target for a request among those that it was not sent to; `None` if there is none.
@@ -42,30 +49,66 @@
     if let Some(session) = session {
         rank(&mut targets, session);
     }
-    let late = call.is_old_weights_forbidden(&view, cx.settings.bounds.weights_deadline, now);
+    let old = old_weights_use(cx, &known, &view, call, now);
     let mut candidates = Vec::with_capacity(targets.len());
     for (position, target) in targets.iter().enumerate() {
         let candidate = candidate(cx, &known, &view, call, target, session.map(|s| (s, position)), now);
         candidates.push(candidate);
     }
-    if late {
-        let fresh: Vec<_> = candidates.iter().map(|c| !c.has_old_weights).collect();
-        retain_by(&mut targets, &fresh);
-        retain_by(&mut candidates, &fresh);
+    match old {
+        OldWeights::Allowed => candidates.iter_mut().for_each(|c| c.has_old_weights = false),
+        OldWeights::Avoided => {}
+        OldWeights::Forbidden => {
+            let fresh: Vec<_> = candidates.iter().map(|c| !c.has_old_weights).collect();
+            retain_by(&mut targets, &fresh);
+            retain_by(&mut candidates, &fresh);
+        }
     }
     let choice = choose(&call.demand(), &candidates, rand::random())?;
     let target = targets[choice.index].clone();
     let candidate = candidates[choice.index];
     let demand = call.demand();
     let held = candidate.resident * f64::from(demand.shared_tokens);
+    let weights = weights_at(&known, &target, call);
+    drop(known);
+    let home = targets.first().copied().filter(|home| home.instance != target.instance);
+    let cache = cache_plan(cx, &view, call, &target, weights, home);
     Some(Placed {
-        weights: weights_at(&known, &target, call),
+        weights,
+        cache,
         target,
         choice,
         tokens: (f64::from(demand.tokens) - held).max(0.0) as u64,
     })
 }
 
+/// What the request fetches from stores or from the session's home, and what it saves.
+fn cache_plan(
+    cx: &Traffic,
+    view: &View,
+    call: &Call,
+    target: &Target,
+    weights: Option<u64>,
+    home: Option<&Arc<Target>>,
+) -> CachePlan {
+    let (Some(prompt), Some(salt)) = (&call.prompt, call.cache_salt(weights)) else {
+        return CachePlan::default();
+    };
+    let region_of = |domain: &str| cx.settings.regions.get(domain);
+    let is_near = |home: &&Arc<Target>| region_of(&home.domain) == region_of(&target.domain);
+    let home: Option<Arc<str>> = home.filter(is_near).map(|home| home.address.to_string().into());
+    let named = view.weights.get(&prompt.model).map_or(0, |named| named.version);
+    let req = PlanRequest {
+        prompt,
+        salt: &salt,
+        stores: &cx.stores_near(view, target),
+        home: home.as_ref(),
+        is_saving: weights.unwrap_or(0) >= named,
+    };
+    let now = cx.now();
+    cx.kept().plan(&req, now)
+}
+
 fn candidate(
     cx: &Traffic,
     known: &Known,
@@ -77,7 +120,8 @@
 ) -> Candidate {
     let id = run_id(target);
     let load = known.slots.get(&id).map(|slot| slot.load.clone()).unwrap_or_default();
-    let resident = session.map_or(0.0, |(session, rank)| known.sessions.chance(session, &id, rank, now));
+    let chance = session.map_or(0.0, |(session, rank)| known.sessions.chance(session, &id, rank, now));
+    let resident = if is_kept(cx, view, known, call, target) { chance.max(KEPT_CHANCE) } else { chance };
     let named = call.model().and_then(|model| view.weights.get(model));
     let weights = weights_at(known, target, call);
     Candidate {
@@ -96,6 +140,25 @@
     }
 }
 
+/// Whether a store in the target's region holds the session's part.
+fn is_kept(cx: &Traffic, view: &View, known: &Known, call: &Call, target: &Target) -> bool {
+    let salt = call.cache_salt(weights_at(known, target, call));
+    let (Some(prompt), Some(salt)) = (&call.prompt, salt) else {
+        return false;
+    };
+    cx.kept().is_kept(prompt, &salt, &cx.stores_near(view, target))
+}
+
+/// How the engines of the call's model may be used that have not got the newest weights.
+fn old_weights_use(cx: &Traffic, known: &Known, view: &View, call: &Call, now: utils::Monotonic) -> OldWeights {
+    let Some(named) = call.model().and_then(|model| view.weights.get(model)) else {
+        return OldWeights::Allowed;
+    };
+    let mut engines = view.targets_of(&call.service).iter();
+    let is_under_way = engines.any(|target| weights_at(known, target, call) >= Some(named.version));
+    old_weights(named, cx.settings.bounds.weights_deadline, is_under_way, now)
+}
+
 /// The version that a target has: what its entry says, or newer if its answers showed so.
 fn weights_at(known: &Known, target: &Target, call: &Call) -> Option<u64> {
     let listed = target.weights_of(call.model()?);
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -8,6 +8,7 @@
 use utils::{Clock, Monotonic, ServiceId, TargetId};
 
 use super::pool::TargetSlot;
+use crate::kept::{KeptCache, StoreAt, stores_near};
 use crate::ports::Heads;
 use crate::quarantine::{Crashes, Fingerprint};
 use crate::weights::run_id;
@@ -48,6 +49,8 @@
     pub crashed: async_channel::Sender<Fingerprint>,
     /// What the traffic thread knows.
     known: Mutex<Known>,
+    /// What is known of the stores of kept cache.
+    kept: Mutex<KeptCache>,
 }
 
 impl Traffic {
@@ -70,6 +73,7 @@
             open: AtomicUsize::new(0),
             crashed,
             known: Mutex::default(),
+            kept: Mutex::default(),
         }
     }
 
@@ -90,6 +94,20 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn kept(&self) -> MutexGuard<'_, KeptCache> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stores of kept cache in the region of a target.
+    pub(crate) fn stores_near(&self, view: &View, target: &Target) -> Vec<StoreAt> {
+        let Some(declared) = &view.declared else {
+            return Vec::new();
+        };
+        let stores = declared.services().filter_map(|service| service.store.as_ref());
+        let region_of = |domain: &str| self.settings.regions.get(domain).cloned();
+        stores_near(stores, &target.domain, region_of)
+    }
+
     /// Runs `f` on what is known of a target.
     pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
         f(self.known().slots.entry(run_id(target)).or_default())
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -25,8 +25,8 @@
 pub struct Named {
     /// Version.
     pub version: u64,
-    /// When this host learned of it.
-    pub learned_at: Monotonic,
+    /// When this host learned of it; `None` if it was named before the host started, nobody knows when.
+    pub learned_at: Option<Monotonic>,
 }
 
 /// What the host believes, as the traffic thread sees it. Immutable once published.
