Take nothing new after a third of the grace, and end within it

Change: after a third of the grace the listener and idle connections close; what is open may finish; what is left shortly before the end is cut.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -26,14 +26,13 @@
 const MAX_HEADERS: usize = 100;
 /// Fingerprints that wait to be told to other hosts.
 const CRASH_QUEUE: usize = 256;
-/// Time in which the balancer notices that a host is not ready any more.
-const NOTICE: Duration = Duration::from_millis(3_500);
-/// Time without a request after which a leaving host has no callers left.
-const QUIET: Duration = Duration::from_millis(1_000);
-/// Part of the grace that is left for closing connections.
-const CLOSING: Duration = Duration::from_millis(1_200);
+/// Part of the grace in which the balancer notices that a host is not ready any more, and in which requests are still taken. The
+/// rest is for finishing them.
+const TAKING_PART: f64 = 0.33;
+/// Part of the grace that is left for ending the process.
+const ENDING: Duration = Duration::from_millis(250);
 /// Pause between looks at a leaving host's work.
-const DRAIN_STEP: Duration = Duration::from_millis(100);
+const DRAIN_STEP: Duration = Duration::from_millis(50);
 
 /// What a platform brings to a daemon.
 pub struct Parts {
@@ -55,10 +54,14 @@
     traffic: Arc<Traffic>,
     /// Dropped to end the traffic thread.
     stop_traffic: async_channel::Sender<()>,
+    /// Dropped to end the traffic thread without finishing open work.
+    abort_traffic: async_channel::Sender<()>,
     /// Dropped to end the control thread.
     stop_control: async_channel::Sender<()>,
-    /// The threads.
-    threads: Vec<JoinHandle<()>>,
+    /// The traffic thread.
+    traffic_thread: JoinHandle<()>,
+    /// The control thread.
+    control_thread: JoinHandle<()>,
 }
 
 impl Daemon {
@@ -91,27 +94,28 @@
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (stop_control, control_stopped) = shutdown_channel();
         let control = Arc::new(control);
-        let threads = vec![
-            spawn("control", move || {
-                smol::block_on(control_ex.run(control.run(crashed, control_stopped)));
-            })?,
-            spawn("traffic", {
-                let traffic = traffic.clone();
-                move || run_traffic(traffic, callers, readiness, traffic_stopped)
-            })?,
-        ];
+        let (abort_traffic, traffic_aborted) = shutdown_channel();
+        let control_thread = spawn("control", move || {
+            smol::block_on(control_ex.run(control.run(crashed, control_stopped)));
+        })?;
+        let traffic_thread = spawn("traffic", {
+            let traffic = traffic.clone();
+            move || run_traffic(traffic, callers, readiness, traffic_stopped, traffic_aborted)
+        })?;
         info!(traffic.log, "accepting connections"; events::HOST_STARTED,
             "host" => &*traffic.settings.name, "callers" => %traffic.settings.callers);
         Ok(Self {
             traffic,
             stop_traffic,
+            abort_traffic,
             stop_control,
-            threads,
+            traffic_thread,
+            control_thread,
         })
     }
 
-    /// Reports not ready, serves what still comes until callers have gone elsewhere, finishes all open work and joins the
-    /// threads.
+    /// Reports not ready and serves what still comes until the balancer has noticed. Takes nothing new then, finishes open work
+    /// within the grace and joins the threads.
     ///
     /// # Errors
     /// [`GatewayError::Panicked`] if a thread did not end by itself.
@@ -120,35 +124,29 @@
         let log = traffic.log.clone();
         traffic.draining.store(true, Ordering::Release);
         info!(log, "draining"; events::DRAIN_STARTED, "open" => traffic.open.load(Ordering::Acquire));
-        wait_for_callers(traffic);
+        let grace = traffic.settings.bounds.shutdown_grace;
+        let ends_at = traffic.now() + grace.saturating_sub(ENDING);
+        std::thread::sleep(grace.mul_f64(TAKING_PART));
         drop(self.stop_traffic);
-        drop(self.stop_control);
-        for thread in self.threads {
-            thread.join().map_err(|_| GatewayError::Panicked)?;
+        while !self.traffic_thread.is_finished() && traffic.now() < ends_at {
+            std::thread::sleep(DRAIN_STEP);
         }
+        drop(self.abort_traffic);
+        self.traffic_thread.join().map_err(|_| GatewayError::Panicked)?;
+        drop(self.stop_control);
+        self.control_thread.join().map_err(|_| GatewayError::Panicked)?;
         info!(log, "stopped"; events::HOST_STOPPED);
         Ok(())
     }
 }
 
-/// Waits until the balancer has noticed and no request came for a while, at most for the grace.
-fn wait_for_callers(traffic: &Traffic) {
-    let started = traffic.now();
-    let last = started + traffic.settings.bounds.shutdown_grace.saturating_sub(CLOSING);
-    let mut quiet_since = started;
-    while traffic.now() < last {
-        std::thread::sleep(DRAIN_STEP);
-        let now = traffic.now();
-        if traffic.open.load(Ordering::Acquire) > 0 {
-            quiet_since = now;
-        }
-        if now >= started + NOTICE && now >= quiet_since + QUIET {
-            return;
-        }
-    }
-}
-
-fn run_traffic(traffic: Arc<Traffic>, callers: TcpListener, readiness: TcpListener, stop: Shutdown) {
+fn run_traffic(
+    traffic: Arc<Traffic>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    stop: Shutdown,
+    abort: Shutdown,
+) {
     let ex = traffic.ex.clone();
     let cfg = ServerConfig {
         header_timeout: CALLER_IDLE,
@@ -169,7 +167,9 @@
     });
     let run = async {
         let readiness = ex.spawn(readiness.run(ex.clone(), ready, stop.clone()));
-        callers.run(ex.clone(), answer, stop.clone()).await;
+        callers
+            .run_or_abort(ex.clone(), answer, stop.clone(), abort)
+            .await;
         readiness.await;
     };
     smol::block_on(ex.run(run));
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -12,8 +12,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause after a target could not be reached.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
-/// Pause after a target turned a request away.
+/// Pause after a target turned a request away because it was full.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after a target turned a request away because it changes its weights.
+const LOADING_PAUSE: Duration = Duration::from_millis(1_000);
 /// Latency assumed before the first answer, in milliseconds.
 const FIRST_LATENCY_MS: f64 = 20.0;
 
@@ -26,6 +28,8 @@
     Failed,
     /// It turned the request away without running it.
     TurnedAway,
+    /// As [`Outcome::TurnedAway`], while newer weights are named than it has.
+    Loading,
     /// No connection, or the connection broke off.
     Unreachable,
 }
@@ -42,6 +46,8 @@
     own_reading: u64,
     /// Requests of other hosts as of the last report, and when it came.
     others: f64,
+    /// Requests that waited as of the last report.
+    waiting: f64,
     /// When the last report came.
     reported_at: Monotonic,
     /// Running average of the time to an answer.
@@ -75,6 +81,7 @@
     pub fn note_load(&mut self, note: LoadNote, now: Monotonic) {
         let all = f64::from(note.running + note.waiting);
         self.others = (all - f64::from(self.own)).max(0.0);
+        self.waiting = f64::from(note.waiting);
         self.reported_at = now;
     }
 
@@ -93,6 +100,10 @@
                 self.paused_until = self.paused_until.max(now + FULL_PAUSE);
                 return;
             }
+            Outcome::Loading => {
+                self.paused_until = self.paused_until.max(now + LOADING_PAUSE);
+                return;
+            }
             Outcome::Unreachable => {
                 let pause = FIRST_PAUSE * 2u32.pow(self.pauses.min(5));
                 self.paused_until = now + pause.min(LONGEST_PAUSE);
@@ -110,9 +121,18 @@
 
     /// Requests that the target is thought to have.
     pub fn requests(&self, now: Monotonic) -> f64 {
+        f64::from(self.own) + self.others * self.fade(now)
+    }
+
+    /// Requests that are thought to wait for their turn.
+    pub fn waiting(&self, now: Monotonic) -> f64 {
+        self.waiting * self.fade(now)
+    }
+
+    /// What a report counts at its age.
+    fn fade(&self, now: Monotonic) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
-        let fade = 0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
-        f64::from(self.own) + self.others * fade
+        0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
     }
 
     /// Prompt tokens that the target has to read before a new request's.
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -8,6 +8,8 @@
 const FIRST_TOKEN_MS: f64 = 45.0;
 /// Time by which each running request delays the others' tokens and reads, in milliseconds.
 const DELAY_PER_REQUEST_MS: f64 = 2.0;
+/// Time until a waiting request's prompt is read, in milliseconds.
+const WAITING_MS: f64 = 50.0;
 /// Cost of reading a thousand tokens again, against an average request's worth.
 const REREAD_COST_PER_1000: f64 = 0.25;
 /// Share of the latency target at which an answer is not yet at risk to be late.
@@ -43,6 +45,8 @@
     pub distance: usize,
     /// Requests that it is thought to have.
     pub requests: f64,
+    /// Requests that wait there for their turn.
+    pub waiting: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Prompt tokens that it reads first.
@@ -98,7 +102,7 @@
     let to_read = f64::from(demand.tokens) - c.resident * f64::from(demand.shared_tokens);
     let read_ms = (c.reading as f64 + to_read.max(0.0)) / READ_TOKENS_PER_MS;
     let full = (c.requests + 1.0 - slots).max(0.0) * FIRST_TOKEN_MS;
-    carry + FIRST_TOKEN_MS + read_ms + c.requests * DELAY_PER_REQUEST_MS + full
+    carry + FIRST_TOKEN_MS + read_ms + c.waiting * WAITING_MS + c.requests * DELAY_PER_REQUEST_MS + full
 }
 
 fn cost(demand: &Demand, c: &Candidate, expected_ms: f64) -> f64 {
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -76,7 +76,7 @@
 
 impl Exchange {
     /// The first byte of the answer has come.
-    fn note_first_byte(&mut self, facts: &AnswerFacts, status: u16) {
+    fn note_first_byte(&mut self, facts: &AnswerFacts, status: u16, is_behind: bool) {
         let now = self.cx.now();
         let reading = std::mem::take(&mut self.reading);
         let took = now.saturating_sub(self.sent_at);
@@ -87,6 +87,7 @@
             }
             slot.seen_weights = slot.seen_weights.max(facts.weights);
             let outcome = match status {
+                _ if facts.is_not_run && is_behind => Outcome::Loading,
                 _ if facts.is_not_run => Outcome::TurnedAway,
                 500.. => Outcome::Failed,
                 _ => Outcome::Answered(took),
@@ -177,18 +178,28 @@
         }
     };
     let (parts, body) = res.into_parts();
-    judge(cx, call, exchange, parts, body).await
+    judge(cx, call, placed, exchange, parts, body).await
 }
 
 /// Sorts an answer by what its head says.
-async fn judge(cx: &Traffic, call: &Call, mut exchange: Exchange, mut parts: Parts, body: Incoming) -> Tried {
+async fn judge(
+    cx: &Traffic,
+    call: &Call,
+    placed: &Placed,
+    mut exchange: Exchange,
+    mut parts: Parts,
+    body: Incoming,
+) -> Tried {
+    let view = cx.view.load();
+    let named = call.model().and_then(|model| view.weights.get(model));
+    let is_behind = named.is_some_and(|named| placed.weights < Some(named.version));
     let facts = cx.heads.read_answer(parts.status.as_u16(), &parts.headers);
     let is_other = facts.id.as_deref().is_some_and(|id| id != call.id);
     if is_other {
         // The answer of an earlier request on this connection; the own one can't be told from it any more.
         return Tried::Unknown;
     }
-    exchange.note_first_byte(&facts, parts.status.as_u16());
+    exchange.note_first_byte(&facts, parts.status.as_u16(), is_behind);
     if facts.is_not_run || facts.is_misdirected {
         let rest = read_whole(body, call.until.saturating_sub(cx.now())).await;
         if rest.is_some() {
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -131,6 +131,7 @@
             Distance::Far => 2,
         },
         requests: load.requests(now),
+        waiting: load.waiting(now),
         slots: target.slots,
         reading: load.reading(),
         resident,
