Refuse what finds no room at engines, the least urgent first

Change: own requests without a first byte after 250 ms count as waiting; what other hosts have fades to what is typical instead of to nothing; a request that fits in no engine's memory is refused at once while requests are known to wait, ranks 1 and 2 before rank 0.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,8 +36,8 @@
 pub use kept::{
     CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList, salt_of, weights_of_salt,
 };
-pub use load::{LoadEstimate, Outcome};
-pub use placement::{Candidate, Choice, Demand, choose};
+pub use load::{LoadEstimate, Outcome, Work};
+pub use placement::{Candidate, Choice, Decision, Demand, decide};
 pub use quarantine::{Crashes, Fingerprint};
 pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -6,8 +6,10 @@
 
 /// Weight of a new sample in the running averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Age at which half of what others were reported to run counts no more.
+/// Age at which a report counts half, and what is typical the other half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// Time without a first byte after which a request is taken to wait at its target.
+const OVERDUE_AFTER: Duration = Duration::from_millis(250);
 /// First pause after a target could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause after a target could not be reached.
@@ -34,6 +36,15 @@
     Unreachable,
 }
 
+/// What a request takes of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Tokens of memory that it needs until its end.
+    pub memory: u64,
+    /// Prompt tokens that have to be read.
+    pub reading: u64,
+}
+
 /// What a host knows of a target's load and health: its own sends, and what the target says with its answers.
 ///
 /// Reports lag, and several hosts see the same idle target at once; own sends since the report are therefore added, and what
@@ -42,8 +53,12 @@
 pub struct LoadEstimate {
     /// Own requests that the target has.
     own: u32,
+    /// Memory of own requests, in tokens.
+    own_memory: u64,
     /// Prompt tokens of own requests that have not got their first token.
     own_reading: u64,
+    /// When own requests were sent that have not got their first byte.
+    unanswered: Vec<Monotonic>,
     /// Requests of other hosts as of the last report, and when it came.
     others: f64,
     /// Requests that waited as of the last report.
@@ -61,20 +76,26 @@
 }
 
 impl LoadEstimate {
-    /// A request is sent whose prompt has this many tokens to read.
-    pub fn begin(&mut self, tokens: u64) {
+    /// A request is sent.
+    pub fn begin(&mut self, work: Work, now: Monotonic) {
         self.own += 1;
-        self.own_reading += tokens;
+        self.unanswered.push(now);
+        self.own_memory += work.memory;
+        self.own_reading += work.reading;
     }
 
-    /// The target has read the prompt.
-    pub fn note_read(&mut self, tokens: u64) {
+    /// The first byte has come of a request, or its end: the target has read the prompt.
+    pub fn note_read(&mut self, tokens: u64, sent_at: Monotonic) {
         self.own_reading = self.own_reading.saturating_sub(tokens);
+        if let Some(found) = self.unanswered.iter().position(|at| *at == sent_at) {
+            self.unanswered.swap_remove(found);
+        }
     }
 
     /// The request is over.
-    pub fn end(&mut self) {
+    pub fn end(&mut self, work: Work) {
         self.own = self.own.saturating_sub(1);
+        self.own_memory = self.own_memory.saturating_sub(work.memory);
     }
 
     /// Takes the load that came with an answer.
@@ -119,14 +140,32 @@
         now < self.paused_until
     }
 
-    /// Requests that the target is thought to have.
-    pub fn requests(&self, now: Monotonic) -> f64 {
-        f64::from(self.own) + self.others * self.fade(now)
+    /// Requests that the target is thought to have, if other hosts typically have `typical` at a target.
+    pub fn requests(&self, typical: f64, now: Monotonic) -> f64 {
+        f64::from(self.own) + self.others(typical, now)
     }
 
-    /// Requests that are thought to wait for their turn.
+    /// Requests that are thought to wait for their turn: reported ones, or own ones that are overdue.
     pub fn waiting(&self, now: Monotonic) -> f64 {
-        self.waiting * self.fade(now)
+        let is_overdue = |at: &&Monotonic| now > **at + OVERDUE_AFTER;
+        let overdue = self.unanswered.iter().filter(is_overdue).count();
+        (self.waiting * self.fade(now)).max(overdue as f64)
+    }
+
+    /// Memory that is thought to be taken, in tokens, if a request of another host takes `each`.
+    pub fn memory(&self, each: f64, typical: f64, now: Monotonic) -> f64 {
+        self.own_memory as f64 + self.others(typical, now) * each
+    }
+
+    /// Memory of own requests, in tokens.
+    pub fn own_memory(&self) -> u64 {
+        self.own_memory
+    }
+
+    /// Requests of other hosts: what the last report said, the less the older it is.
+    fn others(&self, typical: f64, now: Monotonic) -> f64 {
+        let fade = self.fade(now);
+        self.others * fade + typical * (1.0 - fade)
     }
 
     /// What a report counts at its age.
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -27,6 +27,13 @@
 /// Round trips to the same failure domain, another one of the region, and another region, in milliseconds.
 const ROUND_TRIP_MS: [f64; 3] = [0.2, 3.0, 17.0];
 
+/// Share of an engine's memory that requests of each rank may fill: the less urgent leave room for the urgent.
+const FILL_BY_RANK: [f64; 3] = [1.1, 0.95, 0.85];
+/// Requests that may wait at an engine before one of each rank goes there.
+const WAITING_BY_RANK: [f64; 3] = [8.0, 2.0, 0.7];
+/// Requests that have to wait somewhere before any is refused for want of room.
+const FULL_EVIDENCE: f64 = 1.0;
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
@@ -34,6 +41,10 @@
     pub tokens: u32,
     /// Tokens of its prompt that a target may hold already.
     pub shared_tokens: u32,
+    /// Tokens of an engine's memory that it takes until its end.
+    pub memory: u32,
+    /// Rank; 0 goes first.
+    pub rank: u8,
     /// Time within which its answer is worth most.
     pub latency_target: Duration,
 }
@@ -47,6 +58,8 @@
     pub requests: f64,
     /// Requests that wait there for their turn.
     pub waiting: f64,
+    /// Memory that is thought to be taken, and all of it, in tokens.
+    pub memory: (f64, u64),
     /// Requests that it runs at once.
     pub slots: u32,
     /// Prompt tokens that it reads first.
@@ -73,12 +86,50 @@
     pub expected_ms: f64,
 }
 
+/// What placement decides.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Decision {
+    /// Send it there.
+    Send(Choice),
+    /// No engine has room for a request of this rank; it would wait and make others late.
+    Full,
+    /// There is no candidate.
+    Nobody,
+}
+
+/// Chooses a candidate for a request, or refuses it.
+///
+/// Answers overload: with fewer engines or more requests than usual their memory fills, prompts wait, kept prompts yield
+/// and are read again, and everything is late. Requests that find no room are refused at once, the least urgent first; they
+/// are refused only while requests are known to wait.
+pub fn decide(demand: &Demand, candidates: &[Candidate], draw: f64) -> Decision {
+    let fits = |c: &Candidate| has_room(demand, c);
+    if demand.tokens == 0 || candidates.iter().any(fits) {
+        let allowed: Vec<bool> = candidates.iter().map(|c| demand.tokens == 0 || fits(c)).collect();
+        return choose(demand, candidates, &allowed, draw).map_or(Decision::Nobody, Decision::Send);
+    }
+    let waiting: f64 = candidates.iter().map(|c| c.waiting).sum();
+    if waiting >= FULL_EVIDENCE {
+        return Decision::Full;
+    }
+    let all = vec![true; candidates.len()];
+    choose(demand, candidates, &all, draw).map_or(Decision::Nobody, Decision::Send)
+}
+
+fn has_room(demand: &Demand, c: &Candidate) -> bool {
+    let rank = usize::from(demand.rank).min(FILL_BY_RANK.len() - 1);
+    let (taken, all) = c.memory;
+    let fits = taken + f64::from(demand.memory) <= all as f64 * FILL_BY_RANK[rank];
+    fits && c.waiting <= WAITING_BY_RANK[rank]
+}
+
 /// Chooses the candidate that costs least: the risk of a late answer, prompt tokens read again, what is carried between
 /// failure domains, failures and replaced weights, all against an average request's worth. `draw` from 0 to 1 breaks ties,
 /// so that hosts with equal views don't all choose the same target.
-pub fn choose(demand: &Demand, candidates: &[Candidate], draw: f64) -> Option<Choice> {
+fn choose(demand: &Demand, candidates: &[Candidate], allowed: &[bool], draw: f64) -> Option<Choice> {
     let spread = candidates.len().max(1);
-    let costs = candidates.iter().enumerate().map(|(index, candidate)| {
+    let allowed = candidates.iter().enumerate().filter(|(index, _)| allowed[*index]);
+    let costs = allowed.map(|(index, candidate)| {
         let expected_ms = expected_ms(demand, candidate);
         let shift = (index + (draw * spread as f64) as usize) % spread;
         let cost = cost(demand, candidate, expected_ms) + 1e-4 * shift as f64;
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -16,7 +16,7 @@
 use super::place::Placed;
 use super::state::Traffic;
 use crate::call::{AnswerFacts, SendFacts};
-use crate::load::Outcome;
+use crate::load::{Outcome, Work};
 use crate::weights::run_id;
 use crate::Target;
 
@@ -68,8 +68,8 @@
     pub target: Arc<Target>,
     /// The connection.
     conn: Option<Connection>,
-    /// Prompt tokens that count as not read yet.
-    reading: u64,
+    /// What counts in the target's load; `reading` until the first byte.
+    work: Work,
     /// When the request was sent.
     sent_at: Monotonic,
 }
@@ -78,10 +78,10 @@
     /// The first byte of the answer has come.
     fn note_first_byte(&mut self, facts: &AnswerFacts, status: u16, is_behind: bool) {
         let now = self.cx.now();
-        let reading = std::mem::take(&mut self.reading);
+        let reading = std::mem::take(&mut self.work.reading);
         let took = now.saturating_sub(self.sent_at);
         self.cx.with_slot(&self.target, |slot| {
-            slot.load.note_read(reading);
+            slot.load.note_read(reading, self.sent_at);
             if let Some(load) = facts.load {
                 slot.load.note_load(load, now);
             }
@@ -119,11 +119,11 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        let reading = self.reading;
+        let (work, sent_at) = (self.work, self.sent_at);
         let is_open = self.conn.take().is_some();
         self.cx.with_slot(&self.target, |slot| {
-            slot.load.note_read(reading);
-            slot.load.end();
+            slot.load.note_read(work.reading, sent_at);
+            slot.load.end(work);
             if is_open {
                 slot.release();
             }
@@ -142,13 +142,14 @@
     let Some(conn) = open(cx, call, &target).await else {
         return Tried::NotSent;
     };
-    cx.with_slot(&target, |slot| slot.load.begin(placed.tokens));
+    let sent_at = cx.now();
+    cx.with_slot(&target, |slot| slot.load.begin(placed.work, sent_at));
     let mut exchange = Exchange {
         cx: cx.clone(),
         target: target.clone(),
         conn: Some(conn),
-        reading: placed.tokens,
-        sent_at: cx.now(),
+        work: placed.work,
+        sent_at,
     };
     // Connecting takes time; what was true before may not be any more.
     if !cx.view.load().holds(&target) {
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -14,7 +14,7 @@
 
 use super::admit::{Admitted, admit};
 use super::exchange::{Answer, Tried, exchange, read_whole, run_of};
-use super::place::place;
+use super::place::{NoPlace, place};
 use super::refusal::Refusal;
 use super::relay::relay;
 use super::state::Traffic;
@@ -31,6 +31,9 @@
 const MOST_UNREACHABLE: u32 = 6;
 /// Wait before a refused request is worth another try.
 const REFUSED_WAIT: Duration = Duration::from_millis(300);
+/// Part of the route's timeout after which a request that found no room is worth another try. Spread, so that those who were
+/// refused together do not return together.
+const FULL_WAIT_PART: f64 = 0.12;
 /// Time left below which a request is not sent any more.
 const SHORTEST_USEFUL: Duration = Duration::from_millis(10);
 
@@ -73,6 +76,8 @@
         Demand {
             tokens: prompt.map_or(0, |p| p.tokens_in),
             shared_tokens: prompt.map_or(0, PromptShape::shared_tokens),
+            memory: prompt.map_or(0, |p| p.tokens_in + p.tokens_out / 2),
+            rank: self.rank().unwrap_or(0),
             latency_target: self.route.latency_target,
         }
     }
@@ -222,6 +227,8 @@
     pub runs: u32,
     /// Targets that could not be reached.
     unreachable: u32,
+    /// Why it had no place at last.
+    no_place: Option<NoPlace>,
     /// A failure that a target answered; delivered if nothing better comes.
     failure: Option<(hyper::http::response::Parts, Bytes)>,
 }
@@ -236,11 +243,17 @@
         is_allowed && (self.sends == 0 || cx.take_repeat(&call.service))
     }
 
-    fn refusal(&self) -> Refusal {
+    fn refusal(&self, call: &Call) -> Refusal {
         if self.runs > 0 {
             return Refusal::unknown(ProblemKind::OutcomeUnknown, "a target took the request and did not answer");
         }
-        Refusal::not_run(ProblemKind::NoTarget, "no target took the request").after(REFUSED_WAIT)
+        match self.no_place {
+            Some(NoPlace::Full) => {
+                let wait = call.route.timeout.mul_f64(FULL_WAIT_PART * (0.7 + 0.6 * rand::random::<f64>()));
+                Refusal::not_run(ProblemKind::Overloaded, "every target is full").after(wait)
+            }
+            _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request").after(REFUSED_WAIT),
+        }
     }
 }
 
@@ -249,8 +262,12 @@
     cx.note_request(&call.service);
     let mut tries = Tries::default();
     while tries.may_send(cx, &call) {
-        let Some(placed) = place(cx, &call, &tries.tried) else {
-            break;
+        let placed = match place(cx, &call, &tries.tried) {
+            Ok(placed) => placed,
+            Err(reason) => {
+                tries.no_place = Some(reason);
+                break;
+            }
         };
         events_text::placed(&cx.log, &call.id, &placed.target.instance, &placed.choice, tries.sends + 1);
         let run = crate::weights::run_id(&placed.target);
@@ -297,7 +314,7 @@
     if let Some((parts, body)) = tries.failure.take() {
         return Response::from_parts(parts, full_body(body));
     }
-    refuse(cx, &call, &tries.refusal())
+    refuse(cx, &call, &tries.refusal(&call))
 }
 
 /// What becomes of an answer.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -7,7 +7,8 @@
 use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest};
-use crate::placement::{Candidate, Choice, choose};
+use crate::load::Work;
+use crate::placement::{Candidate, Choice, Decision, decide};
 use crate::sessions::SessionKey;
 use crate::view::View;
 use crate::weights::run_id;
@@ -16,6 +17,9 @@
 /// What a part that a store of the region holds counts as, against one that the target holds itself.
 const KEPT_CHANCE: f64 = 0.85;
 
+/// Memory of a request while this host has none of its own, in tokens.
+const TYPICAL_MEMORY: f64 = 4_000.0;
+
 /// Where a request goes.
 pub(crate) struct Placed {
     /// The target.
@@ -24,14 +28,23 @@
     pub weights: Option<u64>,
     /// Why it was chosen.
     pub choice: Choice,
-    /// Prompt tokens that it has to read, as far as is known.
-    pub tokens: u64,
+    /// What it takes of the target, as far as is known.
+    pub work: Work,
     /// Kept cache to use.
     pub cache: CachePlan,
 }
 
-/// Chooses a target for a request among those that it was not sent to; `None` if there is none.
-pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Option<Placed> {
+/// Why a request has no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoPlace {
+    /// Every target is full.
+    Full,
+    /// There is no target that it may go to.
+    Nobody,
+}
+
+/// Chooses a target for a request among those that it was not sent to.
+pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, NoPlace> {
     let view = cx.view.load();
     let known = cx.known();
     let now = cx.now();
@@ -43,16 +56,20 @@
     };
     let mut targets: Vec<_> = all.iter().copied().filter(|t| !is_paused(t)).collect();
     if targets.is_empty() {
-        targets = all;
+        targets = all.clone();
     }
     let session = call.session_key();
+    let engine = engine_memory(&view, call);
+    let others = others_of(&known, &all, view.host_count());
     if let Some(session) = session {
         rank(&mut targets, session);
     }
     let old = old_weights_use(cx, &known, &view, call, now);
     let mut candidates = Vec::with_capacity(targets.len());
     for (position, target) in targets.iter().enumerate() {
-        let candidate = candidate(cx, &known, &view, call, target, session.map(|s| (s, position)), now);
+        let candidate = candidate(cx, &known, &view, call, target, session.map(|s| (s, position)), others, now);
+        let taken = known.slots.get(&run_id(target)).map_or(0.0, |slot| slot.load.memory(others.memory, others.requests, now));
+        let candidate = Candidate { memory: (taken, engine), ..candidate };
         candidates.push(candidate);
     }
     match old {
@@ -64,7 +81,11 @@
             retain_by(&mut candidates, &fresh);
         }
     }
-    let choice = choose(&call.demand(), &candidates, rand::random())?;
+    let choice = match decide(&call.demand(), &candidates, rand::random()) {
+        Decision::Send(choice) => choice,
+        Decision::Full => return Err(NoPlace::Full),
+        Decision::Nobody => return Err(NoPlace::Nobody),
+    };
     let target = targets[choice.index].clone();
     let candidate = candidates[choice.index];
     let demand = call.demand();
@@ -73,15 +94,45 @@
     drop(known);
     let home = targets.first().copied().filter(|home| home.instance != target.instance);
     let cache = cache_plan(cx, &view, call, &target, weights, home);
-    Some(Placed {
+    Ok(Placed {
         weights,
         cache,
         target,
         choice,
-        tokens: (f64::from(demand.tokens) - held).max(0.0) as u64,
+        work: Work {
+            memory: demand.memory.into(),
+            reading: (f64::from(demand.tokens) - held).max(0.0) as u64,
+        },
     })
 }
 
+/// Memory of an engine of the call's service, in tokens.
+fn engine_memory(view: &View, call: &Call) -> u64 {
+    let service = view.declared.as_ref().and_then(|declared| declared.service(&call.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    engine.map_or(u64::MAX, |engine| engine.memory_tokens)
+}
+
+/// What other hosts are taken to have at a target of which nothing is known: as much as this host has on average.
+#[derive(Debug, Clone, Copy)]
+struct Others {
+    /// Requests.
+    requests: f64,
+    /// Memory that each of them takes, in tokens.
+    memory: f64,
+}
+
+fn others_of(known: &Known, targets: &[&Arc<Target>], hosts: usize) -> Others {
+    let loads = targets.iter().filter_map(|target| known.slots.get(&run_id(target)));
+    let (memory, requests) = loads.fold((0, 0), |(memory, requests), slot| {
+        (memory + slot.load.own_memory(), requests + u64::from(slot.load.own()))
+    });
+    Others {
+        requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
+        memory: if requests == 0 { TYPICAL_MEMORY } else { memory as f64 / requests as f64 },
+    }
+}
+
 /// What the request fetches from stores or from the session's home, and what it saves.
 fn cache_plan(
     cx: &Traffic,
@@ -116,6 +167,7 @@
     call: &Call,
     target: &Arc<Target>,
     session: Option<(SessionKey, usize)>,
+    others: Others,
     now: utils::Monotonic,
 ) -> Candidate {
     let id = run_id(target);
@@ -130,8 +182,9 @@
             Distance::Region => 1,
             Distance::Far => 2,
         },
-        requests: load.requests(now),
+        requests: load.requests(others.requests, now),
         waiting: load.waiting(now),
+        memory: (0.0, u64::MAX),
         slots: target.slots,
         reading: load.reading(),
         resident,
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -143,7 +143,7 @@
         }
         let after = progress.last_event.clone();
         while self.tries.may_send(&self.cx, &self.call) {
-            let Some(placed) = place(&self.cx, &self.call, &self.tries.tried) else {
+            let Ok(placed) = place(&self.cx, &self.call, &self.tries.tried) else {
                 return false;
             };
             self.tries.tried.push(crate::weights::run_id(&placed.target));
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -15,7 +15,7 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(1_500);
 /// One engine in this many of a model may load at once. Most of a load's time the engine waits for its running requests, so
 /// that few of them read weights at the same moment.
-const LOADING_PART: usize = 3;
+const LOADING_PART: usize = 2;
 
 /// What to do next.
 #[derive(Debug, Clone, PartialEq)]
