--- a/components/entry/src/control/notes.rs
+++ b/components/entry/src/control/notes.rs
@@ -5,11 +5,11 @@
 use error_stack::Report;
 use errors::events;
 use futures_lite::FutureExt;
+use metadata::{HttpPlatform, RowVersion};
 use notes::{
     Content, Holder, HolderEffect, HostRow, NoteError, NoteReader, NoteState, NoteStore, Obeyed,
     ObeyedBuilder, head_interval, write_window,
 };
-use metadata::{HttpPlatform, RowVersion};
 use rand::RngExt;
 use slog::{info, warn};
 use utils::{HostId, Incarnation, Monotonic};
--- a/components/entry/src/control/peers.rs
+++ b/components/entry/src/control/peers.rs
@@ -8,8 +8,8 @@
 use membership::{
     Effect, Identity, Input, Membership, MembershipEvent, MembershipView, Observation, TargetLiveness,
 };
-use notes::NoteState;
 use metadata::{HostRole, HostState, ListedHost};
+use notes::NoteState;
 use slog::{info, warn};
 use utils::TargetId;
 
--- a/components/entry/src/control/roster.rs
+++ b/components/entry/src/control/roster.rs
@@ -4,8 +4,8 @@
 
 use error_stack::Report;
 use errors::events;
-use notes::{Acceptance, Head, HostRow, NoteError, NoteStore, Operator, Proposal, RegionRoster, Terms};
 use metadata::HttpPlatform;
+use notes::{Acceptance, Head, HostRow, NoteError, NoteStore, Operator, Proposal, RegionRoster, Terms};
 use slog::{info, warn};
 use utils::{HostId, Monotonic, RegionId, rendezvous_order};
 
--- a/components/entry/src/control/state.rs
+++ b/components/entry/src/control/state.rs
@@ -3,8 +3,8 @@
 
 use ::peers::Arrived;
 use errors::events;
-use notes::Obeyed;
 use metadata::{HostRole, HostState, ListedHost};
+use notes::Obeyed;
 use policy::{Candidate, CandidateKey, PlacementView, TargetState};
 use slog::info;
 use targets::{LoadReport, TargetError};
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use notes::{Declared, Obeyed, Workspace};
 use metadata::HostState;
+use notes::{Declared, Obeyed, Workspace};
 use policy::PlacementView;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -16,8 +16,8 @@
 };
 use entry::Daemon;
 use http_io::{Client, ClientConfig, Executor};
-use notes::{Acceptance, Declared, Deployment, Limits, NoteStore, Operator, PlainService, Terms, Workspace};
 use metadata::{HostRole, HostState, HttpPlatform, ListedHost};
+use notes::{Acceptance, Declared, Deployment, Limits, NoteStore, Operator, PlainService, Terms, Workspace};
 use standins::{
     Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
 };
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -202,20 +202,64 @@
         "The control thread did not run for a while; what it heard before is stale.",
     );
 
-    pub const ROUTE_PLACED: Event = event(5001, "route_placed", "A request on a declared route goes to a target; gives the cost and the expected time.");
-    pub const ROUTE_REFUSED: Event = event(5002, "route_refused", "A request on a declared route was refused; says whether it ran.");
-    pub const ROUTE_ANSWERED: Event = event(5003, "route_answered", "A request on a declared route got its answer.");
-    pub const ROUTE_TRY_FAILED: Event = event(5004, "route_try_failed", "A try at a target failed; says what is known about it.");
+    pub const ROUTE_PLACED: Event = event(
+        5001,
+        "route_placed",
+        "A request on a declared route goes to a target; gives the cost and the expected time.",
+    );
+    pub const ROUTE_REFUSED: Event = event(
+        5002,
+        "route_refused",
+        "A request on a declared route was refused; says whether it ran.",
+    );
+    pub const ROUTE_ANSWERED: Event = event(
+        5003,
+        "route_answered",
+        "A request on a declared route got its answer.",
+    );
+    pub const ROUTE_TRY_FAILED: Event = event(
+        5004,
+        "route_try_failed",
+        "A try at a target failed; says what is known about it.",
+    );
     pub const ROUTE_CUT: Event = event(5005, "route_cut", "A stream on a declared route ended early.");
-    pub const ROUTE_RESUMED: Event = event(5006, "route_resumed", "A stream on a declared route went on at another target.");
-    pub const STORE_LOST: Event = event(5010, "store_lost", "Calls to the platform's store fail; other hosts are asked for changes.");
+    pub const ROUTE_RESUMED: Event = event(
+        5006,
+        "route_resumed",
+        "A stream on a declared route went on at another target.",
+    );
+    pub const STORE_LOST: Event = event(
+        5010,
+        "store_lost",
+        "Calls to the platform's store fail; other hosts are asked for changes.",
+    );
     pub const STORE_BACK: Event = event(5011, "store_back", "The platform's store answers again.");
-    pub const RECORD_UNUSABLE: Event = event(5012, "record_unusable", "A row of the platform's store can not be used.");
-    pub const BELIEFS_CHANGED: Event = event(5013, "beliefs_changed", "The host believes something new of declarations, targets or hosts.");
-    pub const PEER_READ: Event = event(5014, "peer_read", "Another host told what changed while the store does not answer.");
-    pub const KEPT_DROPPED: Event = event(5015, "kept_dropped", "A store of kept cache was told to drop parts of replaced weights.");
+    pub const RECORD_UNUSABLE: Event = event(
+        5012,
+        "record_unusable",
+        "A row of the platform's store can not be used.",
+    );
+    pub const BELIEFS_CHANGED: Event = event(
+        5013,
+        "beliefs_changed",
+        "The host believes something new of declarations, targets or hosts.",
+    );
+    pub const PEER_READ: Event = event(
+        5014,
+        "peer_read",
+        "Another host told what changed while the store does not answer.",
+    );
+    pub const KEPT_DROPPED: Event = event(
+        5015,
+        "kept_dropped",
+        "A store of kept cache was told to drop parts of replaced weights.",
+    );
     pub const LEASE_TAKEN: Event = event(5020, "lease_taken", "The host may give orders to engines.");
-    pub const WEIGHTS_ORDERED: Event = event(5021, "weights_ordered", "An engine was ordered to load weights; gives its answer.");
+    pub const WEIGHTS_ORDERED: Event = event(
+        5021,
+        "weights_ordered",
+        "An engine was ordered to load weights; gives its answer.",
+    );
 }
 
 /// Every event, ordered by number.
--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use utils::{ModelId, Monotonic};
 
-use crate::ports::{Decode, DeclaredRecord, Record, Snapshot, Table, UnusableRecord};
+use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::quarantine::Fingerprint;
 use crate::view::{HostEntry, Named, View};
 use crate::{Declared, Target};
@@ -135,7 +135,12 @@
     }
 
     /// Takes a whole table. Rows that it lacks are gone; an older answer than what is held is ignored.
-    pub fn replace(&mut self, table: Table, snapshot: Snapshot, now: Monotonic) -> Vec<Report<UnusableRecord>> {
+    pub fn replace(
+        &mut self,
+        table: Table,
+        snapshot: Snapshot,
+        now: Monotonic,
+    ) -> Vec<Report<UnusableRecord>> {
         let state = self.tables.entry(table).or_default();
         if snapshot.version < state.version {
             return Vec::new();
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -14,11 +14,11 @@
 use slog::{info, warn};
 use utils::Incarnation;
 
+use crate::Beliefs;
 use crate::daemon::Parts;
 use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
 use crate::quarantine::Fingerprint;
 use crate::traffic::Traffic;
-use crate::Beliefs;
 
 /// Pause between looks at what only time changes.
 const TICK: Duration = Duration::from_millis(200);
@@ -42,12 +42,7 @@
 }
 
 impl Control {
-    pub(crate) fn new(
-        traffic: Arc<Traffic>,
-        parts: Parts,
-        incarnation: Incarnation,
-        ex: Executor,
-    ) -> Self {
+    pub(crate) fn new(traffic: Arc<Traffic>, parts: Parts, incarnation: Incarnation, ex: Executor) -> Self {
         let beliefs = Beliefs::new(parts.decode, traffic.settings.bounds.return_grace);
         Self {
             traffic,
@@ -87,7 +82,10 @@
     }
 
     /// Changes what the host believes and publishes it.
-    pub(crate) fn update(&self, change: impl FnOnce(&mut Beliefs) -> Vec<error_stack::Report<UnusableRecord>>) {
+    pub(crate) fn update(
+        &self,
+        change: impl FnOnce(&mut Beliefs) -> Vec<error_stack::Report<UnusableRecord>>,
+    ) {
         let mut beliefs = self.beliefs();
         for unusable in change(&mut beliefs) {
             warn!(self.traffic.log, "unusable row"; events::RECORD_UNUSABLE, "error" => format!("{unusable:?}"));
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -61,7 +61,11 @@
     });
     loop {
         orders.step().await;
-        let pause = if orders.is_holder() { HOLDER_STEP } else { STANDBY_STEP };
+        let pause = if orders.is_holder() {
+            HOLDER_STEP
+        } else {
+            STANDBY_STEP
+        };
         smol::Timer::after(pause).await;
     }
 }
@@ -112,7 +116,9 @@
                 Ok(found) => LeaseInput::Read(found),
                 Err(_) => LeaseInput::ReadFailed,
             },
-            Some(LeaseEffect::Write { expect, row }) => LeaseInput::Written(self.write_row(expect, &row).await),
+            Some(LeaseEffect::Write { expect, row }) => {
+                LeaseInput::Written(self.write_row(expect, &row).await)
+            }
         };
         let now = self.control.traffic.now();
         self.lease().step(input, now);
@@ -197,7 +203,10 @@
             self.lease().epoch_for(&run_id(target), is_fenced, now)
         };
         let Some(epoch) = epoch else {
-            self.rollout().take(target, RolloutInput::Ordered(Some(crate::ports::OrderAnswer::Conflict)));
+            self.rollout().take(
+                target,
+                RolloutInput::Ordered(Some(crate::ports::OrderAnswer::Conflict)),
+            );
             return;
         };
         let order = WeightsOrder {
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -5,7 +5,8 @@
 use errors::events;
 use futures_lite::FutureExt;
 use http_io::{
-    Body, Client, ClientConfig, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body, full_body, read_limited,
+    Body, Client, ClientConfig, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body,
+    full_body, read_limited,
 };
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -66,7 +67,9 @@
 
 async fn tell(control: &Control, req: Request<Incoming>) -> Response<Body> {
     let body = read_limited(req.into_body(), MAX_MESSAGE).await;
-    let question = body.ok().and_then(|bytes| postcard::from_bytes::<Question>(&bytes).ok());
+    let question = body
+        .ok()
+        .and_then(|bytes| postcard::from_bytes::<Question>(&bytes).ok());
     let Some(question) = question else {
         let mut res = Response::new(empty_body());
         *res.status_mut() = StatusCode::BAD_REQUEST;
@@ -78,7 +81,9 @@
         found.map_or(0, |(_, version)| *version)
     };
     let changes = PASSED_ON.map(|table| (table, beliefs.newer_than(table, known(table))));
-    let told = Told { changes: changes.into() };
+    let told = Told {
+        changes: changes.into(),
+    };
     Response::new(full_body(postcard::to_allocvec(&told).unwrap_or_default()))
 }
 
@@ -97,7 +102,9 @@
         if !control.beliefs().is_store_down() && !is_ignorant {
             continue;
         }
-        let Some(peer) = choose_peer(&control) else { continue };
+        let Some(peer) = choose_peer(&control) else {
+            continue;
+        };
         if let Some(told) = ask_one(&control, &client, peer).await {
             learn(&control, peer, told);
         }
@@ -139,7 +146,11 @@
 
 fn learn(control: &Control, peer: SocketAddr, told: Told) {
     let now = control.traffic.now();
-    let rows: usize = told.changes.iter().map(|(_, snapshot)| snapshot.records.len()).sum();
+    let rows: usize = told
+        .changes
+        .iter()
+        .map(|(_, snapshot)| snapshot.records.len())
+        .sum();
     if rows > 0 {
         info!(control.traffic.log, "another host told"; events::PEER_READ, "peer" => %peer, "rows" => rows);
     }
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -104,14 +104,22 @@
     let view = control.traffic.view.load_full();
     let names = view.hosts.keys().map(|name| &**name);
     let owner = rendezvous_order(store.address.as_bytes(), names);
-    if owner.first().is_none_or(|owner| **owner != *control.traffic.settings.name) {
+    if owner
+        .first()
+        .is_none_or(|owner| **owner != *control.traffic.settings.name)
+    {
         return;
     }
     let old = old_parts(control, &view, store);
     let Some((epoch, old)) = old.filter(|(_, old)| !old.is_empty()) else {
         return;
     };
-    if control.stores.drop_parts(&store.address, epoch, &old).await.is_ok() {
+    if control
+        .stores
+        .drop_parts(&store.address, epoch, &old)
+        .await
+        .is_ok()
+    {
         info!(control.traffic.log, "dropped cache of old weights"; errors::events::KEPT_DROPPED,
             "store" => &*store.address, "parts" => old.len());
         control.traffic.kept().store(&store.address).note_dropped(&old);
@@ -126,7 +134,9 @@
         let is_rested = named.learned_at.is_none_or(|at| now >= at + OLD_WEIGHTS_REST);
         is_rested && versions.all(|version| version >= named.version)
     });
-    let settled: Vec<_> = settled.map(|(model, named)| (model.clone(), named.version)).collect();
+    let settled: Vec<_> = settled
+        .map(|(model, named)| (model.clone(), named.version))
+        .collect();
     let mut kept = control.traffic.kept();
     let known = kept.store(&store.address);
     let is_old = |key: &&PartKey| {
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -85,12 +85,7 @@
         let heads = parts.heads.clone();
         let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crashed_tx);
         let traffic = Arc::new(traffic);
-        let control = Control::new(
-            traffic.clone(),
-            parts,
-            incarnation,
-            control_ex.clone(),
-        );
+        let control = Control::new(traffic.clone(), parts, incarnation, control_ex.clone());
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (stop_control, control_stopped) = shutdown_channel();
         let control = Arc::new(control);
@@ -154,7 +149,10 @@
         max_head_bytes: MAX_HEAD_BYTES,
         tls: None,
     };
-    let (callers, readiness) = match (Server::from_std(callers, cfg.clone()), Server::from_std(readiness, cfg)) {
+    let (callers, readiness) = match (
+        Server::from_std(callers, cfg.clone()),
+        Server::from_std(readiness, cfg),
+    ) {
         (Ok(callers), Ok(readiness)) => (callers, readiness),
         (Err(e), _) | (_, Err(e)) => {
             slog::error!(traffic.log, "can not listen"; events::CONNECTION_FAILED, "error" => %e);
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -36,11 +36,19 @@
 pub fn old_weights(named: &Named, deadline: Duration, is_under_way: bool, now: Monotonic) -> OldWeights {
     let Some(learned_at) = named.learned_at else {
         // Named before this host started. Engines that have them show that it is some time ago.
-        return if is_under_way { OldWeights::Forbidden } else { OldWeights::Avoided };
+        return if is_under_way {
+            OldWeights::Forbidden
+        } else {
+            OldWeights::Avoided
+        };
     };
     let age = now.saturating_sub(learned_at);
     if age >= deadline.mul_f64(SENDING_PART) {
         return OldWeights::Forbidden;
     }
-    if age >= FREE_TIME { OldWeights::Avoided } else { OldWeights::Allowed }
+    if age >= FREE_TIME {
+        OldWeights::Avoided
+    } else {
+        OldWeights::Allowed
+    }
 }
--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -82,7 +82,9 @@
 
     /// Whether a store of the list holds the session's part.
     pub fn is_kept(&self, prompt: &PromptShape, salt: &str, stores: &[StoreAt]) -> bool {
-        let Some(part) = prompt.session() else { return false };
+        let Some(part) = prompt.session() else {
+            return false;
+        };
         let key = key_of(salt, &part.id);
         self.holder(&key, stores).is_some()
     }
@@ -99,7 +101,8 @@
             let holder = self.holder(&key, req.stores).cloned();
             let is_kept = holder.is_some();
             let fetch = holder.or_else(|| req.home.cloned()).filter(|_| is_worth);
-            let save = (is_worth && !is_kept && req.is_saving).then(|| self.choose_store(&key, req.stores, now));
+            let save =
+                (is_worth && !is_kept && req.is_saving).then(|| self.choose_store(&key, req.stores, now));
             plan.fetch.push(fetch);
             plan.save.push(save.flatten());
         }
@@ -111,7 +114,11 @@
     }
 
     fn holder<'a>(&self, key: &PartKey, stores: &'a [StoreAt]) -> Option<&'a Arc<str>> {
-        let holds = |store: &&StoreAt| self.stores.get(&store.address).is_some_and(|known| known.holds(key));
+        let holds = |store: &&StoreAt| {
+            self.stores
+                .get(&store.address)
+                .is_some_and(|known| known.holds(key))
+        };
         let found = stores.iter().filter(holds).max_by_key(|store| store.is_near);
         found.map(|store| &store.address)
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,13 +28,15 @@
 pub use call::{AnswerFacts, CallFacts, LoadNote, PromptPart, PromptShape, SendFacts};
 pub use daemon::{Daemon, Parts};
 pub use declared::{
-    CallerLimits, Declared, EngineSpec, NamedWeights, Repeat, Route, Service, ServiceShare, StoreSpec, Workspace,
+    CallerLimits, Declared, EngineSpec, NamedWeights, Repeat, Route, Service, ServiceShare, StoreSpec,
+    Workspace,
 };
 pub use error::GatewayError;
 pub use freshness::{OldWeights, old_weights};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
-    CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList, salt_of, weights_of_salt,
+    CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList,
+    salt_of, weights_of_salt,
 };
 pub use load::{LoadEstimate, Outcome, Work};
 pub use placement::{Candidate, Choice, Decision, Demand, decide};
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -94,7 +94,9 @@
         self.seen.retain(|_, (_, at)| now < *at + MEMORY);
         while self.seen.len() >= MOST_REMEMBERED {
             let oldest = self.seen.iter().min_by_key(|(_, (_, at))| *at);
-            let Some(oldest) = oldest.map(|(f, _)| *f) else { return };
+            let Some(oldest) = oldest.map(|(f, _)| *f) else {
+                return;
+            };
             self.seen.remove(&oldest);
         }
     }
--- a/components/gateway/src/traffic/admit.rs
+++ b/components/gateway/src/traffic/admit.rs
@@ -25,15 +25,25 @@
 /// Whether a request is allowed by what is declared.
 pub(crate) fn admit(view: &View, parts: &Parts, facts: &CallFacts) -> Result<Admitted, Refusal> {
     let Some(declared) = view.declared.clone().filter(|_| view.is_able()) else {
-        let refusal = Refusal::not_run(ProblemKind::NotServing, "this host has not learned yet what is declared");
+        let refusal = Refusal::not_run(
+            ProblemKind::NotServing,
+            "this host has not learned yet what is declared",
+        );
         return Err(refusal.after(STARTING_WAIT));
     };
     check_framing(parts)?;
     let host = host_of(parts).unwrap_or_default();
     let Some(route) = declared.route(host, parts.uri.path()).cloned() else {
-        return Err(Refusal::not_run(ProblemKind::NotFound, "no route matches host and path"));
+        return Err(Refusal::not_run(
+            ProblemKind::NotFound,
+            "no route matches host and path",
+        ));
     };
-    let workspace = facts.key.as_deref().and_then(|key| declared.workspace(key)).cloned();
+    let workspace = facts
+        .key
+        .as_deref()
+        .and_then(|key| declared.workspace(key))
+        .cloned();
     if declared.needs_keys() && !route.is_anonymous && workspace.is_none() {
         let detail = "no workspace holds this API key";
         return Err(Refusal::not_run(ProblemKind::UnknownApiKey, detail));
@@ -50,7 +60,10 @@
     let lengths = parts.headers.get_all(CONTENT_LENGTH).iter().count();
     let codings = parts.headers.get_all(TRANSFER_ENCODING).iter().count();
     if lengths + codings > 1 {
-        return Err(Refusal::not_run(ProblemKind::MalformedRequest, "the length of the body is given twice"));
+        return Err(Refusal::not_run(
+            ProblemKind::MalformedRequest,
+            "the length of the body is given twice",
+        ));
     }
     Ok(())
 }
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -15,10 +15,10 @@
 use super::pipeline::Call;
 use super::place::Placed;
 use super::state::Traffic;
+use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
 use crate::load::{Outcome, Work};
 use crate::weights::run_id;
-use crate::Target;
 
 /// Longest answer that is held back until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 1 << 20;
@@ -241,7 +241,11 @@
     if idle.is_some() || !has_room {
         return idle;
     }
-    let mut reserved = Reserved { cx, target, is_used: false };
+    let mut reserved = Reserved {
+        cx,
+        target,
+        is_used: false,
+    };
     match connect(&cx.ex, target.address).await {
         Ok(conn) => {
             reserved.is_used = true;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -96,7 +96,11 @@
 
     /// Kept cache is shared only under the same name: the workspace if it is isolated, and the weight version.
     pub(crate) fn cache_salt(&self, weights: Option<u64>) -> Option<String> {
-        Some(salt_of(self.workspace.as_deref(), self.model()?, weights.unwrap_or(0)))
+        Some(salt_of(
+            self.workspace.as_deref(),
+            self.model()?,
+            weights.unwrap_or(0),
+        ))
     }
 
     /// Rank at the target: the workspace's goes before the route's.
@@ -193,10 +197,15 @@
     match read.or(late).await {
         Some(Ok(bytes)) => Ok(bytes),
         Some(Err(e)) => Err(match e.current_context() {
-            HttpError::TooLarge { .. } => Refusal::not_run(ProblemKind::BodyTooLarge, "the body is too large"),
+            HttpError::TooLarge { .. } => {
+                Refusal::not_run(ProblemKind::BodyTooLarge, "the body is too large")
+            }
             _ => Refusal::not_run(ProblemKind::MalformedRequest, "the body ended early"),
         }),
-        None => Err(Refusal::not_run(ProblemKind::SlowSender, "the body did not arrive in time")),
+        None => Err(Refusal::not_run(
+            ProblemKind::SlowSender,
+            "the body did not arrive in time",
+        )),
     }
 }
 
@@ -245,11 +254,17 @@
 
     fn refusal(&self, call: &Call) -> Refusal {
         if self.runs > 0 {
-            return Refusal::unknown(ProblemKind::OutcomeUnknown, "a target took the request and did not answer");
+            return Refusal::unknown(
+                ProblemKind::OutcomeUnknown,
+                "a target took the request and did not answer",
+            );
         }
         match self.no_place {
             Some(NoPlace::Full) => {
-                let wait = call.route.timeout.mul_f64(FULL_WAIT_PART * (0.7 + 0.6 * rand::random::<f64>()));
+                let wait = call
+                    .route
+                    .timeout
+                    .mul_f64(FULL_WAIT_PART * (0.7 + 0.6 * rand::random::<f64>()));
                 Refusal::not_run(ProblemKind::Overloaded, "every target is full").after(wait)
             }
             _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request").after(REFUSED_WAIT),
@@ -269,7 +284,13 @@
                 break;
             }
         };
-        events_text::placed(&cx.log, &call.id, &placed.target.instance, &placed.choice, tries.sends + 1);
+        events_text::placed(
+            &cx.log,
+            &call.id,
+            &placed.target.instance,
+            &placed.choice,
+            tries.sends + 1,
+        );
         let run = crate::weights::run_id(&placed.target);
         if let (Some(session), true) = (call.session_key(), tries.runs == 0) {
             let now = cx.now();
@@ -299,7 +320,11 @@
                 log_try(cx, &call, &placed.target.instance, "no answer");
             }
             Tried::TimedOut => {
-                return refuse(cx, &call, &Refusal::unknown(ProblemKind::DeadlineUnreachable, "no answer in time"));
+                return refuse(
+                    cx,
+                    &call,
+                    &Refusal::unknown(ProblemKind::DeadlineUnreachable, "no answer in time"),
+                );
             }
             Tried::Answered(answer) => {
                 tries.sends += 1;
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -4,6 +4,7 @@
 
 use super::pipeline::Call;
 use super::state::{Known, Traffic};
+use crate::Target;
 use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest};
@@ -12,7 +13,6 @@
 use crate::sessions::SessionKey;
 use crate::view::View;
 use crate::weights::run_id;
-use crate::Target;
 
 /// What a part that a store of the region holds counts as, against one that the target holds itself.
 const KEPT_CHANCE: f64 = 0.85;
@@ -67,9 +67,24 @@
     let old = old_weights_use(cx, &known, &view, call, now);
     let mut candidates = Vec::with_capacity(targets.len());
     for (position, target) in targets.iter().enumerate() {
-        let candidate = candidate(cx, &known, &view, call, target, session.map(|s| (s, position)), others, now);
-        let taken = known.slots.get(&run_id(target)).map_or(0.0, |slot| slot.load.memory(others.memory, others.requests, now));
-        let candidate = Candidate { memory: (taken, engine), ..candidate };
+        let candidate = candidate(
+            cx,
+            &known,
+            &view,
+            call,
+            target,
+            session.map(|s| (s, position)),
+            others,
+            now,
+        );
+        let taken = known
+            .slots
+            .get(&run_id(target))
+            .map_or(0.0, |slot| slot.load.memory(others.memory, others.requests, now));
+        let candidate = Candidate {
+            memory: (taken, engine),
+            ..candidate
+        };
         candidates.push(candidate);
     }
     match old {
@@ -92,7 +107,10 @@
     let held = candidate.resident * f64::from(demand.shared_tokens);
     let weights = weights_at(&known, &target, call);
     drop(known);
-    let home = targets.first().copied().filter(|home| home.instance != target.instance);
+    let home = targets
+        .first()
+        .copied()
+        .filter(|home| home.instance != target.instance);
     let cache = cache_plan(cx, &view, call, &target, weights, home);
     Ok(Placed {
         weights,
@@ -108,7 +126,10 @@
 
 /// Memory of an engine of the call's service, in tokens.
 fn engine_memory(view: &View, call: &Call) -> u64 {
-    let service = view.declared.as_ref().and_then(|declared| declared.service(&call.service));
+    let service = view
+        .declared
+        .as_ref()
+        .and_then(|declared| declared.service(&call.service));
     let engine = service.and_then(|service| service.engine.as_ref());
     engine.map_or(u64::MAX, |engine| engine.memory_tokens)
 }
@@ -123,13 +144,22 @@
 }
 
 fn others_of(known: &Known, targets: &[&Arc<Target>], hosts: usize) -> Others {
-    let loads = targets.iter().filter_map(|target| known.slots.get(&run_id(target)));
+    let loads = targets
+        .iter()
+        .filter_map(|target| known.slots.get(&run_id(target)));
     let (memory, requests) = loads.fold((0, 0), |(memory, requests), slot| {
-        (memory + slot.load.own_memory(), requests + u64::from(slot.load.own()))
+        (
+            memory + slot.load.own_memory(),
+            requests + u64::from(slot.load.own()),
+        )
     });
     Others {
         requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
-        memory: if requests == 0 { TYPICAL_MEMORY } else { memory as f64 / requests as f64 },
+        memory: if requests == 0 {
+            TYPICAL_MEMORY
+        } else {
+            memory as f64 / requests as f64
+        },
     }
 }
 
@@ -171,11 +201,21 @@
     now: utils::Monotonic,
 ) -> Candidate {
     let id = run_id(target);
-    let load = known.slots.get(&id).map(|slot| slot.load.clone()).unwrap_or_default();
+    let load = known
+        .slots
+        .get(&id)
+        .map(|slot| slot.load.clone())
+        .unwrap_or_default();
     let named = call.model().and_then(|model| view.weights.get(model));
     let weights = weights_at(known, target, call);
-    let chance = session.map_or(0.0, |(session, rank)| known.sessions.chance(versioned(session, weights), &id, rank, now));
-    let resident = if is_kept(cx, view, known, call, target) { chance.max(KEPT_CHANCE) } else { chance };
+    let chance = session.map_or(0.0, |(session, rank)| {
+        known.sessions.chance(versioned(session, weights), &id, rank, now)
+    });
+    let resident = if is_kept(cx, view, known, call, target) {
+        chance.max(KEPT_CHANCE)
+    } else {
+        chance
+    };
     Candidate {
         distance: match cx.settings.distance(&target.domain) {
             Distance::Domain => 0,
@@ -204,7 +244,13 @@
 }
 
 /// How the engines of the call's model may be used that have not got the newest weights.
-fn old_weights_use(cx: &Traffic, known: &Known, view: &View, call: &Call, now: utils::Monotonic) -> OldWeights {
+fn old_weights_use(
+    cx: &Traffic,
+    known: &Known,
+    view: &View,
+    call: &Call,
+    now: utils::Monotonic,
+) -> OldWeights {
     let Some(named) = call.model().and_then(|model| view.weights.get(model)) else {
         return OldWeights::Allowed;
     };
@@ -216,7 +262,10 @@
 /// The version that a target has: what its entry says, or newer if its answers showed so.
 fn weights_at(known: &Known, target: &Target, call: &Call) -> Option<u64> {
     let listed = target.weights_of(call.model()?);
-    let seen = known.slots.get(&run_id(target)).and_then(|slot| slot.seen_weights);
+    let seen = known
+        .slots
+        .get(&run_id(target))
+        .and_then(|slot| slot.seen_weights);
     listed.max(seen)
 }
 
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -58,7 +58,13 @@
 }
 
 /// Passes a stream on as it comes.
-pub(crate) fn relay(cx: Arc<Traffic>, call: Call, answer: Answer, tries: Tries, open: OpenRequest) -> Response<Body> {
+pub(crate) fn relay(
+    cx: Arc<Traffic>,
+    call: Call,
+    answer: Answer,
+    tries: Tries,
+    open: OpenRequest,
+) -> Response<Body> {
     let Answer {
         mut parts,
         facts,
@@ -75,7 +81,11 @@
         call,
         tries,
         cutter,
-        source: Some(Source { body, facts, exchange }),
+        source: Some(Source {
+            body,
+            facts,
+            exchange,
+        }),
         _open: open,
     };
     let chunks = stream::unfold(relay, |mut relay| async move {
@@ -164,9 +174,16 @@
                     info!(self.cx.log, "resumed"; events::ROUTE_RESUMED, "request" => &self.call.id,
                         "target" => &placed.target.instance, "after" => after.as_deref().unwrap_or(""));
                     let Answer {
-                        facts, body, exchange, ..
+                        facts,
+                        body,
+                        exchange,
+                        ..
                     } = *answer;
-                    self.source = Some(Source { body, facts, exchange });
+                    self.source = Some(Source {
+                        body,
+                        facts,
+                        exchange,
+                    });
                     return true;
                 }
             }
--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -35,7 +35,10 @@
     pub fn after(last_event: Option<String>) -> Self {
         Self {
             buf: BytesMut::new(),
-            progress: Progress { last_event, events: 0 },
+            progress: Progress {
+                last_event,
+                events: 0,
+            },
         }
     }
 
@@ -45,7 +48,11 @@
         let Some(end) = last_event_end(&self.buf) else {
             // An event without an end can't be resumed; it is passed on as it is.
             let is_endless = self.buf.len() > MAX_EVENT_BYTES;
-            return if is_endless { self.buf.split().freeze() } else { Bytes::new() };
+            return if is_endless {
+                self.buf.split().freeze()
+            } else {
+                Bytes::new()
+            };
         };
         let whole = self.buf.split_to(end).freeze();
         self.note(&whole);
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -95,13 +95,15 @@
     pub fn next(&mut self, view: &View, loads: &[LoadSlot], now: Monotonic) -> Vec<LoadOrder> {
         let mut orders = Vec::new();
         let mut behind = behind(view);
-        self.loaded.retain(|id, _| behind.iter().any(|(target, _)| run_id(target) == *id));
+        self.loaded
+            .retain(|id, _| behind.iter().any(|(target, _)| run_id(target) == *id));
         behind.retain(|(target, weights)| {
             let loaded = self.loaded.get(&run_id(target));
             loaded.is_none_or(|version| *version < weights.version)
         });
         let limit = (engines(view) / LOADING_PART).max(1);
-        self.progress.retain(|id, _| loads.iter().any(|slot| slot.target == *id));
+        self.progress
+            .retain(|id, _| loads.iter().any(|slot| slot.target == *id));
         for slot in loads {
             let found = behind.iter().find(|(target, _)| run_id(target) == slot.target);
             match found {
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -15,7 +15,11 @@
     let mut beliefs = Beliefs::new(decode(), GRACE);
     let rows = [row("t1", "target s 1", 5), row("t2", "target s 1", 6)];
     beliefs.replace(Table::Targets, snapshot(6, rows), ms(0));
-    beliefs.replace(Table::Declared, snapshot(7, [row("config", "declared 3", 7)]), ms(0));
+    beliefs.replace(
+        Table::Declared,
+        snapshot(7, [row("config", "declared 3", 7)]),
+        ms(0),
+    );
     beliefs
 }
 
@@ -30,7 +34,11 @@
     let mut beliefs = Beliefs::new(decode(), GRACE);
     beliefs.replace(Table::Targets, snapshot(1, []), ms(0));
     assert!(!beliefs.publish().unwrap().is_able());
-    beliefs.replace(Table::Declared, snapshot(2, [row("config", "declared 1", 2)]), ms(0));
+    beliefs.replace(
+        Table::Declared,
+        snapshot(2, [row("config", "declared 1", 2)]),
+        ms(0),
+    );
     assert!(beliefs.publish().unwrap().is_able());
 }
 
@@ -39,7 +47,11 @@
     let mut beliefs = beliefs();
     let newer = snapshot(9, [row("config", "declared 4", 9)]);
     beliefs.apply(Table::Declared, newer, Learned::Store, ms(10));
-    beliefs.replace(Table::Declared, snapshot(8, [row("config", "declared 3", 7)]), ms(20));
+    beliefs.replace(
+        Table::Declared,
+        snapshot(8, [row("config", "declared 3", 7)]),
+        ms(20),
+    );
     assert_eq!(beliefs.publish().unwrap().declared.unwrap().version, 4);
 }
 
@@ -71,7 +83,12 @@
 #[test]
 fn an_entry_that_vanishes_while_the_store_is_sound_is_gone() {
     let mut beliefs = beliefs();
-    beliefs.apply(Table::Targets, snapshot(8, [removed("t1", 8)]), Learned::Store, ms(10));
+    beliefs.apply(
+        Table::Targets,
+        snapshot(8, [removed("t1", 8)]),
+        Learned::Store,
+        ms(10),
+    );
     assert_eq!(names(&beliefs.publish().unwrap()), ["t2"]);
 }
 
@@ -94,7 +111,12 @@
 fn what_a_host_with_a_sound_store_calls_gone_is_gone_here_too() {
     let mut beliefs = beliefs();
     beliefs.store_failed();
-    beliefs.apply(Table::Targets, snapshot(8, [removed("t1", 8)]), Learned::Peer, ms(10));
+    beliefs.apply(
+        Table::Targets,
+        snapshot(8, [removed("t1", 8)]),
+        Learned::Peer,
+        ms(10),
+    );
     assert_eq!(names(&beliefs.publish().unwrap()), ["t2"]);
 }
 
--- a/components/gateway/tests/kept.rs
+++ b/components/gateway/tests/kept.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use gateway::{
-    KeptCache, KeptEvent, PartKey, PlanRequest, PromptPart, PromptShape, StoreAt, StoreChanges, StoreDirectory, StoreList,
+    KeptCache, KeptEvent, PartKey, PlanRequest, PromptPart, PromptShape, StoreAt, StoreChanges,
+    StoreDirectory, StoreList,
 };
 use support::ms;
 
@@ -31,7 +32,10 @@
 }
 
 fn prompt() -> PromptShape {
-    let part = |id: &str, tokens| PromptPart { id: id.into(), tokens };
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
     PromptShape {
         model: "m".into(),
         tokens_in: 9_500,
--- a/components/gateway/tests/overload.rs
+++ b/components/gateway/tests/overload.rs
@@ -61,7 +61,10 @@
         reading: 60_000,
         ..engine()
     };
-    let kept_by_a_store = Candidate { resident: 0.85, ..engine() };
+    let kept_by_a_store = Candidate {
+        resident: 0.85,
+        ..engine()
+    };
     assert_eq!(sent(&prompt(2), &[home, kept_by_a_store]), 1);
 }
 
@@ -83,7 +86,10 @@
         memory: (159_000.0, MEMORY),
         ..engine()
     };
-    assert!(matches!(decide(&prompt(2), &vec![filled; 4], 0.5), Decision::Send(_)));
+    assert!(matches!(
+        decide(&prompt(2), &vec![filled; 4], 0.5),
+        Decision::Send(_)
+    ));
 }
 
 #[test]
@@ -109,7 +115,10 @@
 
 #[test]
 fn a_grey_target_gets_less() {
-    let grey = Candidate { failures: 0.4, ..engine() };
+    let grey = Candidate {
+        failures: 0.4,
+        ..engine()
+    };
     let plain = Demand {
         tokens: 0,
         shared_tokens: 0,
@@ -117,7 +126,19 @@
         rank: 0,
         latency_target: Duration::from_millis(120),
     };
-    assert_eq!(sent(&plain, &[grey, Candidate { distance: 1, ..engine() }]), 1);
+    assert_eq!(
+        sent(
+            &plain,
+            &[
+                grey,
+                Candidate {
+                    distance: 1,
+                    ..engine()
+                }
+            ]
+        ),
+        1
+    );
 }
 
 #[test]
@@ -127,14 +148,20 @@
         waiting: 9.0,
         ..engine()
     };
-    let plain = Demand { tokens: 0, ..prompt(2) };
+    let plain = Demand {
+        tokens: 0,
+        ..prompt(2)
+    };
     assert!(matches!(decide(&plain, &[busy], 0.5), Decision::Send(_)));
 }
 
 #[test]
 fn an_engine_that_answers_nothing_counts_as_waiting() {
     let mut load = LoadEstimate::default();
-    let work = Work { memory: 12_000, reading: 12_000 };
+    let work = Work {
+        memory: 12_000,
+        reading: 12_000,
+    };
     load.begin(work, ms(0));
     load.begin(work, ms(100));
     assert_eq!(load.waiting(ms(200)), 0.0);
@@ -146,7 +173,11 @@
 #[test]
 fn an_old_report_fades_to_what_is_typical() {
     let mut load = LoadEstimate::default();
-    let note = LoadNote { running: 40, waiting: 10, slots: 64 };
+    let note = LoadNote {
+        running: 40,
+        waiting: 10,
+        slots: 64,
+    };
     load.note_load(note, ms(0));
     assert_eq!(load.requests(8.0, ms(0)), 50.0);
     let faded = load.requests(8.0, ms(20_000));
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use gateway::ports::{Decode, DeclaredRecord, Record, Snapshot, UnusableRecord};
+use gateway::ports::{DeclaredRecord, Decode, Record, Snapshot, UnusableRecord};
 use gateway::{CallerLimits, Declared, NamedWeights, Target};
 
 /// Reads rows of the form `declared N`, `weights MODEL N` and `target SERVICE VERSION [leaving]`.
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -14,7 +14,13 @@
     let all = targets.iter().cloned().map(Arc::new).collect();
     view.targets.insert("s".into(), all);
     let learned_at = Some(ms(0));
-    view.weights.insert("m".into(), Named { version: 2, learned_at });
+    view.weights.insert(
+        "m".into(),
+        Named {
+            version: 2,
+            learned_at,
+        },
+    );
     view
 }
 
@@ -48,7 +54,10 @@
     let view = view(&[target("e", 1)]);
     let mut rollout = Rollout::default();
     let engine = target("e", 1);
-    assert!(matches!(rollout.next(&view, &[slot("e")], ms(0))[..], [LoadOrder::Query(_)]));
+    assert!(matches!(
+        rollout.next(&view, &[slot("e")], ms(0))[..],
+        [LoadOrder::Query(_)]
+    ));
     rollout.take(&engine, report(1, 7, false));
     let orders = rollout.next(&view, &[slot("e")], ms(100));
     assert!(matches!(orders[..], [LoadOrder::Load { revision: 7, .. }]));
@@ -60,13 +69,19 @@
     let mut rollout = Rollout::default();
     let engine = target("e", 1);
     rollout.take(&engine, report(1, 0, false));
-    assert!(matches!(rollout.next(&view, &[slot("e")], ms(0))[..], [LoadOrder::Load { .. }]));
+    assert!(matches!(
+        rollout.next(&view, &[slot("e")], ms(0))[..],
+        [LoadOrder::Load { .. }]
+    ));
     rollout.take(&engine, RolloutInput::Ordered(None));
     rollout.take(&engine, report(1, 0, false));
     let early = rollout.next(&view, &[slot("e")], ms(1_000));
     assert!(!early.iter().any(|order| matches!(order, LoadOrder::Load { .. })));
     rollout.take(&engine, report(1, 0, false));
-    assert!(matches!(rollout.next(&view, &[slot("e")], ms(2_000))[..], [LoadOrder::Load { .. }]));
+    assert!(matches!(
+        rollout.next(&view, &[slot("e")], ms(2_000))[..],
+        [LoadOrder::Load { .. }]
+    ));
 }
 
 #[test]
@@ -99,8 +114,14 @@
 
 #[test]
 fn weights_named_before_the_start_forbid_old_ones_once_any_engine_has_them() {
-    let named = Named { version: 2, learned_at: None };
+    let named = Named {
+        version: 2,
+        learned_at: None,
+    };
     let deadline = ms(10_000);
     assert_eq!(old_weights(&named, deadline, true, ms(0)), OldWeights::Forbidden);
-    assert_eq!(old_weights(&named, deadline, false, ms(60_000)), OldWeights::Avoided);
+    assert_eq!(
+        old_weights(&named, deadline, false, ms(60_000)),
+        OldWeights::Avoided
+    );
 }
--- a/components/notes/tests/notes/support.rs
+++ b/components/notes/tests/notes/support.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use error_stack::Report;
-use notes::{HostRow, NoteFile, NoteStore, RegionRoster, Terms};
 use metadata::{
     BoxFuture, Committed, MemoryTable, ObjectStore, PlatformError, Row, RowKey, ScanRequest, TableService,
     Transaction,
 };
+use notes::{HostRow, NoteFile, NoteStore, RegionRoster, Terms};
 
 /// What happens to a transaction.
 #[derive(Clone, Copy, PartialEq)]
--- a/components/peers/tests/sockets.rs
+++ b/components/peers/tests/sockets.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use membership::{Input, MembershipEvent, Observation, TargetLiveness};
-use peers::generate_keys;
 use metadata::HostRole;
+use peers::generate_keys;
 use support::node::{Node, Ready, SharedList};
 use support::relay::{self, SharedRules};
 use support::{executor, ip, listed, until};
--- a/components/peers/tests/support/node.rs
+++ b/components/peers/tests/support/node.rs
@@ -4,8 +4,8 @@
 
 use futures_lite::FutureExt;
 use membership::{Effect, Identity, Input, Membership, MembershipEvent, MembershipView};
-use peers::{Arrived, HostKeys, PeerTls, Transport, TransportOptions};
 use metadata::ListedHost;
+use peers::{Arrived, HostKeys, PeerTls, Transport, TransportOptions};
 use utils::{Clock, SystemClock};
 
 const TICK: Duration = Duration::from_millis(250);
--- a/components/targets/src/lib.rs
+++ b/components/targets/src/lib.rs
@@ -16,9 +16,9 @@
 };
 pub use engine_http::HttpEngine;
 pub use error::TargetError;
+pub use metadata::BoxFuture;
 pub use order::{Order, OrderKind, OrderReply};
 pub use piece::{Manifest, PIECE_TOKENS, PieceId, TransferRequest};
-pub use metadata::BoxFuture;
 pub use service::{CallOutcome, CallReply, CallRequest, Service};
 pub use service_http::HttpService;
 pub use store::{Catalogue, Store};
--- a/components/trial/src/deployment.rs
+++ b/components/trial/src/deployment.rs
@@ -8,8 +8,8 @@
 use error_stack::{Report, ResultExt};
 use http_io::{Client, ClientConfig, Executor};
 use loadgen::{Entry, Preset};
-use notes::{Acceptance, Declared, Note, NoteError, NoteStore, Operator, Terms};
 use metadata::{HostRole, HostState, HttpPlatform, ListedHost};
+use notes::{Acceptance, Declared, Note, NoteError, NoteStore, Operator, Terms};
 use slog::Logger;
 use standins::{
     Engine, EngineConfig, Platform, PlatformConfig, Running, Service, ServiceConfig, Store, StoreConfig,
--- a/components/utils/src/clock.rs
+++ b/components/utils/src/clock.rs
@@ -32,9 +32,7 @@
 impl SystemClock {
     /// Starts counting from now.
     pub fn new() -> Self {
-        Self {
-            start: boot_time(),
-        }
+        Self { start: boot_time() }
     }
 }
 
--- a/src/cmd/note/session.rs
+++ b/src/cmd/note/session.rs
@@ -4,8 +4,8 @@
 
 use error_stack::{Report, ResultExt};
 use http_io::{Client, ClientConfig, Executor};
-use notes::{NoteError, NoteStore, Operator};
 use metadata::HttpPlatform;
+use notes::{NoteError, NoteStore, Operator};
 use utils::SystemClock;
 
 use crate::exit::CommandError;
