Let running requests go on while weights load, and count replaced weights from their own naming

Cause 1: an engine told to let its requests end first takes 3 to 6 s of every load for that (requests of up to 1,120 tokens). Change: orders leave running requests alone; every named version keeps its own moment.

--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -262,12 +262,11 @@
                 }
             }
             DeclaredRecord::Weights(named) => {
-                let held = self.weights.get(&named.model).map_or(0, |held| held.version);
-                if named.version > held {
-                    let version = named.version;
-                    let learned_at = self.saw_declared.then_some(now);
-                    self.weights.insert(named.model, Named { version, learned_at });
-                }
+                let learned_at = self.saw_declared.then_some(now);
+                self.weights
+                    .entry(named.model)
+                    .or_default()
+                    .add(named.version, learned_at);
             }
             DeclaredRecord::Other => {}
         }
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -9,7 +9,7 @@
 use utils::rendezvous_order;
 
 use super::Control;
-use crate::ports::{Record, RecordWrite, RecordWritten, StoreError, Table, WeightsOrder};
+use crate::ports::{Record, RecordWrite, RecordWritten, Running, StoreError, Table, WeightsOrder};
 use crate::weights::{LoadOrder, Rollout, RolloutInput, run_id};
 use crate::{NamedWeights, Target};
 
@@ -27,6 +27,8 @@
 const HOLDER_STEP: Duration = Duration::from_millis(100);
 /// Pause between looks of a host that does not hold the lease.
 const STANDBY_STEP: Duration = Duration::from_millis(700);
+/// What becomes of requests that run at an engine that gets new weights.
+const RUNNING: Running = Running::GoOn;
 /// Names what the contenders are ranked for.
 const DUTY: &[u8] = b"orders";
 
@@ -213,6 +215,7 @@
             instance: target.instance.clone(),
             model: weights.model.clone(),
             version: weights.version,
+            running: RUNNING,
             holder: self.control.traffic.settings.name.to_string(),
             epoch,
             revision,
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -131,11 +131,11 @@
     let settled = view.weights.iter().filter(|(model, named)| {
         let engines = view.targets.values().flatten();
         let mut versions = engines.filter_map(|target| target.weights_of(model));
-        let is_rested = named.learned_at.is_none_or(|at| now >= at + OLD_WEIGHTS_REST);
-        is_rested && versions.all(|version| version >= named.version)
+        let is_rested = named.newest_at().is_none_or(|at| now >= at + OLD_WEIGHTS_REST);
+        is_rested && versions.all(|version| version >= named.newest())
     });
     let settled: Vec<_> = settled
-        .map(|(model, named)| (model.clone(), named.version))
+        .map(|(model, named)| (model.clone(), named.newest()))
         .collect();
     let mut kept = control.traffic.kept();
     let known = kept.store(&store.address);
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -20,21 +20,31 @@
     Forbidden,
 }
 
-/// How engines with replaced weights may be used, `deadline` after naming being the last moment at which a request may begin
-/// on them. `is_under_way` says whether any engine has the new ones.
+/// How an engine with weights of `version` may be used, `deadline` after naming being the last moment at which a request may
+/// begin on replaced ones. `is_under_way` says whether any engine has newer ones.
 ///
 /// ```
 /// use std::time::Duration;
 /// use gateway::{Named, OldWeights, old_weights};
 ///
-/// let named = Named { version: 2, learned_at: Some(Duration::from_secs(100)) };
+/// let named = Named::new(2, Some(Duration::from_secs(100)));
 /// let deadline = Duration::from_secs(10);
-/// assert_eq!(old_weights(&named, deadline, true, Duration::from_millis(100_500)), OldWeights::Allowed);
-/// assert_eq!(old_weights(&named, deadline, true, Duration::from_secs(104)), OldWeights::Avoided);
-/// assert_eq!(old_weights(&named, deadline, true, Duration::from_secs(107)), OldWeights::Forbidden);
+/// let at = |ms| old_weights(&named, 1, deadline, true, Duration::from_millis(ms));
+/// assert_eq!(at(100_500), OldWeights::Allowed);
+/// assert_eq!(at(104_000), OldWeights::Avoided);
+/// assert_eq!(at(107_000), OldWeights::Forbidden);
 /// ```
-pub fn old_weights(named: &Named, deadline: Duration, is_under_way: bool, now: Monotonic) -> OldWeights {
-    let Some(learned_at) = named.learned_at else {
+pub fn old_weights(
+    named: &Named,
+    version: u64,
+    deadline: Duration,
+    is_under_way: bool,
+    now: Monotonic,
+) -> OldWeights {
+    let Some(replaced_at) = named.replaced_at(version) else {
+        return OldWeights::Allowed;
+    };
+    let Some(replaced_at) = replaced_at else {
         // Named before this host started. Engines that have them show that it is some time ago.
         return if is_under_way {
             OldWeights::Forbidden
@@ -42,7 +52,7 @@
             OldWeights::Avoided
         };
     };
-    let age = now.saturating_sub(learned_at);
+    let age = now.saturating_sub(replaced_at);
     if age >= deadline.mul_f64(SENDING_PART) {
         return OldWeights::Forbidden;
     }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -170,6 +170,15 @@
     pub revision: u64,
 }
 
+/// What becomes of requests that run when their engine changes its weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Running {
+    /// They end first; the engine takes nothing new until then.
+    EndFirst,
+    /// They go on with the cache that they have.
+    GoOn,
+}
+
 /// An order to load weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightsOrder {
@@ -179,6 +188,8 @@
     pub model: utils::ModelId,
     /// The version to load.
     pub version: u64,
+    /// What becomes of running requests.
+    pub running: Running,
     /// Who gives the order.
     pub holder: String,
     /// Fencing number.
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -193,7 +193,7 @@
 ) -> Tried {
     let view = cx.view.load();
     let named = call.model().and_then(|model| view.weights.get(model));
-    let is_behind = named.is_some_and(|named| placed.weights < Some(named.version));
+    let is_behind = named.is_some_and(|named| placed.weights < Some(named.newest()));
     let facts = cx.heads.read_answer(parts.status.as_u16(), &parts.headers);
     let is_other = facts.id.as_deref().is_some_and(|id| id != call.id);
     if is_other {
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -1,24 +1,23 @@
 use std::sync::Arc;
 
-use utils::{TargetId, rendezvous_score};
+use utils::{Monotonic, TargetId, rendezvous_score};
 
 use super::pipeline::Call;
 use super::state::{Known, Traffic};
 use crate::Target;
 use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
-use crate::kept::{CachePlan, PlanRequest};
+use crate::kept::{CachePlan, PlanRequest, StoreAt};
 use crate::load::Work;
 use crate::placement::{Candidate, Choice, Decision, decide};
 use crate::sessions::SessionKey;
 use crate::view::View;
 use crate::weights::run_id;
 
-/// What a part that a store of the region holds counts as, against one that the target holds itself.
-const KEPT_CHANCE: f64 = 0.85;
-
 /// Memory of a request while this host has none of its own, in tokens.
 const TYPICAL_MEMORY: f64 = 4_000.0;
+/// What a part that a store of the region holds counts as, against one that the target holds itself.
+const KEPT_CHANCE: f64 = 0.85;
 
 /// Where a request goes.
 pub(crate) struct Placed {
@@ -47,74 +46,28 @@
 pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, NoPlace> {
     let view = cx.view.load();
     let known = cx.known();
-    let now = cx.now();
-    let usable = |target: &&Arc<Target>| !tried.contains(&run_id(target));
-    let all: Vec<&Arc<Target>> = view.targets_of(&call.service).iter().filter(usable).collect();
-    let is_paused = |target: &Arc<Target>| {
-        let slot = known.slots.get(&run_id(target));
-        slot.is_some_and(|slot| slot.load.is_paused(now))
-    };
-    let mut targets: Vec<_> = all.iter().copied().filter(|t| !is_paused(t)).collect();
-    if targets.is_empty() {
-        targets = all.clone();
-    }
+    let survey = Survey::new(cx, &view, &known, call);
+    let mut targets = survey.targets(tried);
     let session = call.session_key();
-    let engine = engine_memory(&view, call);
-    let others = others_of(&known, &all, view.host_count());
     if let Some(session) = session {
         rank(&mut targets, session);
     }
-    let old = old_weights_use(cx, &known, &view, call, now);
-    let mut candidates = Vec::with_capacity(targets.len());
-    for (position, target) in targets.iter().enumerate() {
-        let candidate = candidate(
-            cx,
-            &known,
-            &view,
-            call,
-            target,
-            session.map(|s| (s, position)),
-            others,
-            now,
-        );
-        let taken = known
-            .slots
-            .get(&run_id(target))
-            .map_or(0.0, |slot| slot.load.memory(others.memory, others.requests, now));
-        let candidate = Candidate {
-            memory: (taken, engine),
-            ..candidate
-        };
-        candidates.push(candidate);
-    }
-    match old {
-        OldWeights::Allowed => candidates.iter_mut().for_each(|c| c.has_old_weights = false),
-        OldWeights::Avoided => {}
-        OldWeights::Forbidden => {
-            let fresh: Vec<_> = candidates.iter().map(|c| !c.has_old_weights).collect();
-            retain_by(&mut targets, &fresh);
-            retain_by(&mut candidates, &fresh);
-        }
-    }
-    let choice = match decide(&call.demand(), &candidates, rand::random()) {
+    let candidates = targets.iter().enumerate();
+    let candidates = candidates.map(|(position, target)| survey.candidate(target, session, position));
+    let candidates: Vec<_> = candidates.collect();
+    let demand = call.demand();
+    let choice = match decide(&demand, &candidates, rand::random()) {
         Decision::Send(choice) => choice,
         Decision::Full => return Err(NoPlace::Full),
         Decision::Nobody => return Err(NoPlace::Nobody),
     };
     let target = targets[choice.index].clone();
-    let candidate = candidates[choice.index];
-    let demand = call.demand();
-    let held = candidate.resident * f64::from(demand.shared_tokens);
-    let weights = weights_at(&known, &target, call);
-    drop(known);
-    let home = targets
-        .first()
-        .copied()
-        .filter(|home| home.instance != target.instance);
-    let cache = cache_plan(cx, &view, call, &target, weights, home);
+    let home = targets.first().copied().filter(|home| **home != target);
+    let held = candidates[choice.index].resident * f64::from(demand.shared_tokens);
+    let weights = survey.weights_at(&target);
     Ok(Placed {
+        cache: survey.cache_plan(&target, weights, home),
         weights,
-        cache,
         target,
         choice,
         work: Work {
@@ -124,14 +77,24 @@
     })
 }
 
-/// Memory of an engine of the call's service, in tokens.
-fn engine_memory(view: &View, call: &Call) -> u64 {
-    let service = view
-        .declared
-        .as_ref()
-        .and_then(|declared| declared.service(&call.service));
-    let engine = service.and_then(|service| service.engine.as_ref());
-    engine.map_or(u64::MAX, |engine| engine.memory_tokens)
+/// What is known for one placement.
+struct Survey<'a> {
+    /// The traffic thread's state.
+    cx: &'a Traffic,
+    /// What the host believes.
+    view: &'a View,
+    /// What the traffic thread knows.
+    known: &'a Known,
+    /// The request.
+    call: &'a Call,
+    /// What other hosts are taken to have at a target.
+    others: Others,
+    /// Memory of an engine of the service, in tokens.
+    engine_memory: u64,
+    /// Whether any engine has the newest weights.
+    is_under_way: bool,
+    /// Time.
+    now: Monotonic,
 }
 
 /// What other hosts are taken to have at a target of which nothing is known: as much as this host has on average.
@@ -143,130 +106,144 @@
     memory: f64,
 }
 
-fn others_of(known: &Known, targets: &[&Arc<Target>], hosts: usize) -> Others {
-    let loads = targets
-        .iter()
-        .filter_map(|target| known.slots.get(&run_id(target)));
-    let (memory, requests) = loads.fold((0, 0), |(memory, requests), slot| {
-        (
-            memory + slot.load.own_memory(),
-            requests + u64::from(slot.load.own()),
-        )
-    });
-    Others {
-        requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
-        memory: if requests == 0 {
-            TYPICAL_MEMORY
-        } else {
-            memory as f64 / requests as f64
-        },
+impl<'a> Survey<'a> {
+    fn new(cx: &'a Traffic, view: &'a View, known: &'a Known, call: &'a Call) -> Self {
+        let targets = view.targets_of(&call.service);
+        let mut survey = Self {
+            cx,
+            view,
+            known,
+            call,
+            others: others_of(known, targets, view.host_count()),
+            engine_memory: engine_memory(view, call),
+            is_under_way: false,
+            now: cx.now(),
+        };
+        let newest = call.model().and_then(|model| view.weights.get(model));
+        survey.is_under_way = newest.is_some_and(|named| {
+            let newest = Some(named.newest());
+            targets.iter().any(|target| survey.weights_at(target) >= newest)
+        });
+        survey
     }
-}
 
-/// What the request fetches from stores or from the session's home, and what it saves.
-fn cache_plan(
-    cx: &Traffic,
-    view: &View,
-    call: &Call,
-    target: &Target,
-    weights: Option<u64>,
-    home: Option<&Arc<Target>>,
-) -> CachePlan {
-    let (Some(prompt), Some(salt)) = (&call.prompt, call.cache_salt(weights)) else {
-        return CachePlan::default();
-    };
-    let region_of = |domain: &str| cx.settings.regions.get(domain);
-    let is_near = |home: &&Arc<Target>| region_of(&home.domain) == region_of(&target.domain);
-    let home: Option<Arc<str>> = home.filter(is_near).map(|home| home.address.to_string().into());
-    let named = view.weights.get(&prompt.model).map_or(0, |named| named.version);
-    let req = PlanRequest {
-        prompt,
-        salt: &salt,
-        stores: &cx.stores_near(view, target),
-        home: home.as_ref(),
-        is_saving: weights.unwrap_or(0) >= named,
-    };
-    let now = cx.now();
-    cx.kept().plan(&req, now)
-}
+    /// Targets that may take the request; those that were not reached lately only if there is no other.
+    fn targets(&self, tried: &[TargetId]) -> Vec<&'a Arc<Target>> {
+        let is_allowed = |target: &&Arc<Target>| {
+            !tried.contains(&run_id(target)) && self.old_weights(target) != OldWeights::Forbidden
+        };
+        let listed = self.view.targets_of(&self.call.service).iter();
+        let all: Vec<_> = listed.filter(is_allowed).collect();
+        let is_paused = |target: &Target| {
+            let slot = self.known.slots.get(&run_id(target));
+            slot.is_some_and(|slot| slot.load.is_paused(self.now))
+        };
+        let sound: Vec<_> = all.iter().copied().filter(|target| !is_paused(target)).collect();
+        if sound.is_empty() { all } else { sound }
+    }
 
-fn candidate(
-    cx: &Traffic,
-    known: &Known,
-    view: &View,
-    call: &Call,
-    target: &Arc<Target>,
-    session: Option<(SessionKey, usize)>,
-    others: Others,
-    now: utils::Monotonic,
-) -> Candidate {
-    let id = run_id(target);
-    let load = known
-        .slots
-        .get(&id)
-        .map(|slot| slot.load.clone())
-        .unwrap_or_default();
-    let named = call.model().and_then(|model| view.weights.get(model));
-    let weights = weights_at(known, target, call);
-    let chance = session.map_or(0.0, |(session, rank)| {
-        known.sessions.chance(versioned(session, weights), &id, rank, now)
-    });
-    let resident = if is_kept(cx, view, known, call, target) {
-        chance.max(KEPT_CHANCE)
-    } else {
-        chance
-    };
-    Candidate {
-        distance: match cx.settings.distance(&target.domain) {
-            Distance::Domain => 0,
-            Distance::Region => 1,
-            Distance::Far => 2,
-        },
-        requests: load.requests(others.requests, now),
-        waiting: load.waiting(now),
-        memory: (0.0, u64::MAX),
-        slots: target.slots,
-        reading: load.reading(),
-        resident,
-        latency_ms: load.latency_ms(),
-        failures: load.failures(),
-        has_old_weights: named.is_some_and(|named| weights.is_some_and(|version| version < named.version)),
+    fn candidate(&self, target: &Target, session: Option<SessionKey>, position: usize) -> Candidate {
+        let id = run_id(target);
+        let load = self.known.slots.get(&id).map(|slot| &slot.load);
+        let fresh = crate::LoadEstimate::default();
+        let load = load.unwrap_or(&fresh);
+        let weights = self.weights_at(target);
+        let chance = session.map_or(0.0, |session| {
+            let session = versioned(session, weights);
+            self.known.sessions.chance(session, &id, position, self.now)
+        });
+        let is_kept = self.is_kept(target, weights);
+        Candidate {
+            distance: match self.cx.settings.distance(&target.domain) {
+                Distance::Domain => 0,
+                Distance::Region => 1,
+                Distance::Far => 2,
+            },
+            requests: load.requests(self.others.requests, self.now),
+            waiting: load.waiting(self.now),
+            memory: (
+                load.memory(self.others.memory, self.others.requests, self.now),
+                self.engine_memory,
+            ),
+            slots: target.slots,
+            reading: load.reading(),
+            resident: if is_kept { chance.max(KEPT_CHANCE) } else { chance },
+            latency_ms: load.latency_ms(),
+            failures: load.failures(),
+            has_old_weights: self.old_weights(target) == OldWeights::Avoided,
+        }
     }
-}
 
-/// Whether a store in the target's region holds the session's part.
-fn is_kept(cx: &Traffic, view: &View, known: &Known, call: &Call, target: &Target) -> bool {
-    let salt = call.cache_salt(weights_at(known, target, call));
-    let (Some(prompt), Some(salt)) = (&call.prompt, salt) else {
-        return false;
-    };
-    cx.kept().is_kept(prompt, &salt, &cx.stores_near(view, target))
+    /// The version that a target has: what its entry says, or newer if its answers showed so.
+    fn weights_at(&self, target: &Target) -> Option<u64> {
+        let listed = target.weights_of(self.call.model()?);
+        let slot = self.known.slots.get(&run_id(target));
+        listed.max(slot.and_then(|slot| slot.seen_weights))
+    }
+
+    /// How a target may be used if newer weights were named than it has.
+    fn old_weights(&self, target: &Target) -> OldWeights {
+        let named = self.call.model().and_then(|model| self.view.weights.get(model));
+        let (Some(named), Some(version)) = (named, self.weights_at(target)) else {
+            return OldWeights::Allowed;
+        };
+        let deadline = self.cx.settings.bounds.weights_deadline;
+        old_weights(named, version, deadline, self.is_under_way, self.now)
+    }
+
+    fn stores(&self, target: &Target) -> Vec<StoreAt> {
+        self.cx.stores_near(self.view, target)
+    }
+
+    /// Whether a store in the target's region holds the session's part.
+    fn is_kept(&self, target: &Target, weights: Option<u64>) -> bool {
+        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
+            return false;
+        };
+        self.cx.kept().is_kept(prompt, &salt, &self.stores(target))
+    }
+
+    /// What the request fetches from stores or from the session's home, and what it saves.
+    fn cache_plan(&self, target: &Target, weights: Option<u64>, home: Option<&Arc<Target>>) -> CachePlan {
+        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
+            return CachePlan::default();
+        };
+        let region_of = |domain: &str| self.cx.settings.regions.get(domain);
+        let is_near = |home: &&Arc<Target>| region_of(&home.domain) == region_of(&target.domain);
+        let home: Option<Arc<str>> = home.filter(is_near).map(|home| home.address.to_string().into());
+        let named = self.view.weights.get(&prompt.model);
+        let req = PlanRequest {
+            prompt,
+            salt: &salt,
+            stores: &self.stores(target),
+            home: home.as_ref(),
+            is_saving: named.is_none_or(|named| weights.unwrap_or(0) >= named.newest()),
+        };
+        self.cx.kept().plan(&req, self.now)
+    }
 }
 
-/// How the engines of the call's model may be used that have not got the newest weights.
-fn old_weights_use(
-    cx: &Traffic,
-    known: &Known,
-    view: &View,
-    call: &Call,
-    now: utils::Monotonic,
-) -> OldWeights {
-    let Some(named) = call.model().and_then(|model| view.weights.get(model)) else {
-        return OldWeights::Allowed;
-    };
-    let mut engines = view.targets_of(&call.service).iter();
-    let is_under_way = engines.any(|target| weights_at(known, target, call) >= Some(named.version));
-    old_weights(named, cx.settings.bounds.weights_deadline, is_under_way, now)
+/// Memory of an engine of the call's service, in tokens.
+fn engine_memory(view: &View, call: &Call) -> u64 {
+    let declared = view.declared.as_ref();
+    let service = declared.and_then(|declared| declared.service(&call.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    engine.map_or(u64::MAX, |engine| engine.memory_tokens)
 }
 
-/// The version that a target has: what its entry says, or newer if its answers showed so.
-fn weights_at(known: &Known, target: &Target, call: &Call) -> Option<u64> {
-    let listed = target.weights_of(call.model()?);
-    let seen = known
-        .slots
-        .get(&run_id(target))
-        .and_then(|slot| slot.seen_weights);
-    listed.max(seen)
+fn others_of(known: &Known, targets: &[Arc<Target>], hosts: usize) -> Others {
+    let slots = targets.iter().filter_map(|target| known.slots.get(&run_id(target)));
+    let (memory, requests) = slots.fold((0, 0), |(memory, requests), slot| {
+        (
+            memory + slot.load.own_memory(),
+            requests + u64::from(slot.load.own()),
+        )
+    });
+    let each = memory as f64 / requests.max(1) as f64;
+    Others {
+        requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
+        memory: if requests == 0 { TYPICAL_MEMORY } else { each },
+    }
 }
 
 /// A session's cache under one weight version; another version has to read it anew.
@@ -279,8 +256,3 @@
     let key = session.to_le_bytes();
     targets.sort_by_cached_key(|target| std::cmp::Reverse(rendezvous_score(&key, &target.instance)));
 }
-
-fn retain_by<T>(list: &mut Vec<T>, keep: &[bool]) {
-    let mut keep = keep.iter();
-    list.retain(|_| keep.next().copied().unwrap_or(false));
-}
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -20,13 +20,52 @@
     pub peers: SocketAddr,
 }
 
-/// Weights that were named for a model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Weights that were named for a model. Each version is due from its own naming, also when a newer one follows.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Named {
-    /// Version.
-    pub version: u64,
-    /// When this host learned of it; `None` if it was named before the host started, nobody knows when.
-    pub learned_at: Option<Monotonic>,
+    /// Versions, oldest first, with the moment at which this host learned of each; `None` if it was named before the host
+    /// started, nobody knows when.
+    versions: Vec<(u64, Option<Monotonic>)>,
+}
+
+impl Named {
+    /// Most versions remembered; engines are rarely that far behind.
+    const MOST: usize = 16;
+
+    /// A version that was named.
+    pub fn new(version: u64, learned_at: Option<Monotonic>) -> Self {
+        Self {
+            versions: vec![(version, learned_at)],
+        }
+    }
+
+    /// The newest version.
+    pub fn newest(&self) -> u64 {
+        self.versions.last().map_or(0, |(version, _)| *version)
+    }
+
+    /// Takes a newer version; an older one is ignored. True if it is newer.
+    pub fn add(&mut self, version: u64, learned_at: Option<Monotonic>) -> bool {
+        let is_newer = version > self.newest();
+        if is_newer {
+            self.versions.push((version, learned_at));
+        }
+        if self.versions.len() > Self::MOST {
+            self.versions.remove(0);
+        }
+        is_newer
+    }
+
+    /// When the first version was named that replaced the given one; outer `None` if none did.
+    pub fn replaced_at(&self, version: u64) -> Option<Option<Monotonic>> {
+        let newer = self.versions.iter().find(|(named, _)| *named > version);
+        newer.map(|(_, learned_at)| *learned_at)
+    }
+
+    /// When the newest version was named, if this host has seen it.
+    pub fn newest_at(&self) -> Option<Monotonic> {
+        self.versions.last().and_then(|(_, learned_at)| *learned_at)
+    }
 }
 
 /// What the host believes, as the traffic thread sees it. Immutable once published.
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -160,9 +160,9 @@
     for target in view.targets.values().flatten() {
         let late = target.models.iter().find_map(|(model, version)| {
             let named = view.weights.get(model)?;
-            (*version < named.version).then(|| NamedWeights {
+            (*version < named.newest()).then(|| NamedWeights {
                 model: model.clone(),
-                version: named.version,
+                version: named.newest(),
             })
         });
         found.extend(late.map(|weights| (target.clone(), weights)));
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -147,9 +147,10 @@
     let mut beliefs = Beliefs::new(decode(), GRACE);
     let first = snapshot(3, [row("version/m", "weights m 2", 3)]);
     beliefs.replace(Table::Declared, first, ms(100));
-    assert_eq!(beliefs.publish().unwrap().weights["m"].learned_at, None);
+    assert_eq!(beliefs.publish().unwrap().weights["m"].newest_at(), None);
     let next = snapshot(4, [row("version/m", "weights m 3", 4)]);
     beliefs.apply(Table::Declared, next, Learned::Store, ms(200));
-    let named = beliefs.publish().unwrap().weights["m"];
-    assert_eq!((named.version, named.learned_at), (3, Some(ms(200))));
+    let view = beliefs.publish().unwrap();
+    let named = &view.weights["m"];
+    assert_eq!((named.newest(), named.newest_at()), (3, Some(ms(200))));
 }
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -13,14 +13,7 @@
     let mut view = View::default();
     let all = targets.iter().cloned().map(Arc::new).collect();
     view.targets.insert("s".into(), all);
-    let learned_at = Some(ms(0));
-    view.weights.insert(
-        "m".into(),
-        Named {
-            version: 2,
-            learned_at,
-        },
-    );
+    view.weights.insert("m".into(), Named::new(2, Some(ms(0))));
     view
 }
 
@@ -114,14 +107,22 @@
 
 #[test]
 fn weights_named_before_the_start_forbid_old_ones_once_any_engine_has_them() {
-    let named = Named {
-        version: 2,
-        learned_at: None,
-    };
+    let named = Named::new(2, None);
+    let deadline = ms(10_000);
+    let at = |is_under_way| old_weights(&named, 1, deadline, is_under_way, ms(60_000));
+    assert_eq!(at(true), OldWeights::Forbidden);
+    assert_eq!(at(false), OldWeights::Avoided);
+}
+
+#[test]
+fn a_version_is_due_from_its_own_naming_also_when_a_newer_one_follows() {
+    let mut named = Named::new(1, None);
+    assert!(named.add(2, Some(ms(2_000))));
+    assert!(named.add(3, Some(ms(5_000))));
+    assert!(!named.add(2, Some(ms(6_000))));
     let deadline = ms(10_000);
-    assert_eq!(old_weights(&named, deadline, true, ms(0)), OldWeights::Forbidden);
-    assert_eq!(
-        old_weights(&named, deadline, false, ms(60_000)),
-        OldWeights::Avoided
-    );
+    let at = |version, now| old_weights(&named, version, deadline, true, ms(now));
+    assert_eq!(at(1, 9_000), OldWeights::Forbidden);
+    assert_eq!(at(2, 9_000), OldWeights::Avoided);
+    assert_eq!(at(3, 60_000), OldWeights::Allowed);
 }
