--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -13,9 +13,8 @@
 const REPORT_AGE: Duration = Duration::from_millis(300);
 /// Time after which an order without a visible effect is given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(1_500);
-/// One engine in this many of a model may load at once. Most of a load's time the engine waits for its running requests, so
-/// that few of them read weights at the same moment.
-const LOADING_PART: usize = 2;
+/// One engine in this many of a model may load at once; the others serve meanwhile.
+const LOADING_PART: usize = 3;
 
 /// What to do next.
 #[derive(Debug, Clone, PartialEq)]
