Keep a leaving host's door open, take what it can finish and refuse the rest

Change: requests that can end before the host does are taken, others are refused as not run with a Retry-After; the host ends as soon as nothing is open.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -11,11 +11,11 @@
 };
 use hyper::{Response, StatusCode};
 use slog::{Logger, info};
-use utils::{Clock, SystemClock};
+use utils::{Clock, Monotonic, SystemClock};
 
 use crate::control::Control;
 use crate::ports::{Decode, EngineControl, Heads, KeptStores, RecordStore};
-use crate::traffic::{Traffic, serve};
+use crate::traffic::{Leaving, Traffic, serve};
 use crate::{GatewayError, HostSettings};
 
 /// Longest silence of a caller's connection.
@@ -26,11 +26,13 @@
 const MAX_HEADERS: usize = 100;
 /// Fingerprints that wait to be told to other hosts.
 const CRASH_QUEUE: usize = 256;
-/// Part of the grace in which the balancer notices that a host is not ready any more, and in which requests are still taken. The
-/// rest is for finishing them.
+/// Part of the grace in which the balancer notices that a host is not ready any more, and in which any request is still taken.
+/// After it only those are taken that end before the process does.
 const TAKING_PART: f64 = 0.33;
 /// Part of the grace that is left for ending the process.
 const ENDING: Duration = Duration::from_millis(250);
+/// Part of the grace that is left for closing connections.
+const CLOSING: Duration = Duration::from_millis(150);
 /// Pause between looks at a leaving host's work.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -109,19 +111,21 @@
         })
     }
 
-    /// Reports not ready and serves what still comes until the balancer has noticed. Takes nothing new then, finishes open work
-    /// within the grace and joins the threads.
+    /// Reports not ready and serves what still comes until the balancer has noticed. Takes only what it can finish then, ends as
+    /// soon as nothing is open, at the latest with the grace, and joins the threads.
     ///
     /// # Errors
     /// [`GatewayError::Panicked`] if a thread did not end by itself.
     pub fn drain(self) -> Result<(), Report<GatewayError>> {
         let traffic = &self.traffic;
         let log = traffic.log.clone();
-        traffic.draining.store(true, Ordering::Release);
         info!(log, "draining"; events::DRAIN_STARTED, "open" => traffic.open.load(Ordering::Acquire));
         let grace = traffic.settings.bounds.shutdown_grace;
-        let ends_at = traffic.now() + grace.saturating_sub(ENDING);
-        std::thread::sleep(grace.mul_f64(TAKING_PART));
+        let started = traffic.now();
+        let ends_at = started + grace.saturating_sub(ENDING);
+        let picky_from = started + grace.mul_f64(TAKING_PART);
+        traffic.leave(Leaving { picky_from, ends_at });
+        wait_for_work(traffic, picky_from, ends_at);
         drop(self.stop_traffic);
         while !self.traffic_thread.is_finished() && traffic.now() < ends_at {
             std::thread::sleep(DRAIN_STEP);
@@ -135,6 +139,19 @@
     }
 }
 
+/// Waits until the balancer has noticed and nothing is open, at most until the last moment to close connections in order.
+fn wait_for_work(traffic: &Traffic, picky_from: Monotonic, ends_at: Monotonic) {
+    let last = ends_at.saturating_sub(CLOSING);
+    loop {
+        let now = traffic.now();
+        let is_idle = traffic.open.load(Ordering::Acquire) == 0;
+        if now >= last || (now >= picky_from && is_idle) {
+            return;
+        }
+        std::thread::sleep(DRAIN_STEP);
+    }
+}
+
 fn run_traffic(
     traffic: Arc<Traffic>,
     callers: TcpListener,
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -12,5 +12,5 @@
 mod stream_events;
 
 pub(crate) use pipeline::serve;
-pub(crate) use state::Traffic;
+pub(crate) use state::{Leaving, Traffic};
 pub use stream_events::{EventCutter, Progress};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -31,6 +31,12 @@
 const MOST_UNREACHABLE: u32 = 6;
 /// Wait before a refused request is worth another try.
 const REFUSED_WAIT: Duration = Duration::from_millis(300);
+/// Time until the first token at a loaded engine.
+const LONGEST_READ: Duration = Duration::from_millis(1_500);
+/// Time for each token at a loaded engine.
+const LONGEST_TOKEN: Duration = Duration::from_millis(20);
+/// Wait before a request that came to a leaving host is worth a try at another.
+const LEAVING_WAIT: Duration = Duration::from_millis(100);
 /// Part of the route's timeout after which a request that found no room is worth another try. Spread, so that those who were
 /// refused together do not return together.
 const FULL_WAIT_PART: f64 = 0.12;
@@ -162,6 +168,10 @@
     } = admit(&view, &parts, &facts)?;
     let wait = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = started + wait;
+    if !cx.can_finish(until.min(started + longest_run(&facts))) {
+        let refusal = Refusal::not_run(ProblemKind::NotServing, "this host is about to end");
+        return Err(refusal.after(LEAVING_WAIT));
+    }
     let body = read_body(body, declared.limits.body_bytes, wait).await?;
     let service = draw_service(&route);
     let workspace_name = workspace.as_ref().map_or("", |w| &w.name);
@@ -188,6 +198,12 @@
     })
 }
 
+/// How long a request may take at a loaded engine, by the tokens that it may generate; unknown without.
+fn longest_run(facts: &CallFacts) -> Duration {
+    let tokens = facts.prompt.as_ref().map(|prompt| prompt.tokens_out);
+    tokens.map_or(Duration::MAX / 2, |tokens| LONGEST_READ + LONGEST_TOKEN * tokens)
+}
+
 async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
     let read = async { Some(read_limited(body, limit).await) };
     let late = async {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
 use http_io::Executor;
@@ -27,6 +27,15 @@
     pub crashes: Crashes,
 }
 
+/// When a host that is about to end does what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Leaving {
+    /// From now on it takes only what it can finish.
+    pub picky_from: Monotonic,
+    /// When it ends.
+    pub ends_at: Monotonic,
+}
+
 /// Everything that a request's way needs.
 pub(crate) struct Traffic {
     /// Settings of the host.
@@ -41,8 +50,8 @@
     pub ex: Executor,
     /// Log.
     pub log: Logger,
-    /// Whether the host is about to end.
-    pub draining: AtomicBool,
+    /// Set once the host is about to end.
+    leaving: OnceLock<Leaving>,
     /// Requests under way.
     pub open: AtomicUsize,
     /// Requests to quarantine everywhere.
@@ -69,7 +78,7 @@
             heads,
             ex,
             log,
-            draining: AtomicBool::new(false),
+            leaving: OnceLock::new(),
             open: AtomicUsize::new(0),
             crashed,
             known: Mutex::default(),
@@ -82,7 +91,18 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.leaving.get().is_some()
+    }
+
+    /// The host is about to end. Only the first call counts.
+    pub(crate) fn leave(&self, leaving: Leaving) {
+        let _ = self.leaving.set(leaving);
+    }
+
+    /// Whether a request that may last until a moment can still be taken.
+    pub(crate) fn can_finish(&self, until: Monotonic) -> bool {
+        let leaving = self.leaving.get();
+        leaving.is_none_or(|leaving| self.now() < leaving.picky_from || until < leaving.ends_at)
     }
 
     /// Whether the balancer should send callers here.
