Ask the store less often, and close kept connections of a leaving host before its door

A host waits 300 ms after a change of targets before it asks again, and 15 s for what hosts share. Leaving hosts: callers with a kept connection were refused once each after a third of the grace; kept connections close then and only new ones are still taken. A suspected request is refused as not run with 503 instead of 422: it may be innocent.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -8,7 +8,11 @@
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 
 /// Longest wait of the store for a change: a connection that has gone silent is noticed after it.
-const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
+const FOLLOW_WAIT: Duration = Duration::from_millis(3_000);
+/// The same for what hosts share, which none depends on from one moment to the next.
+const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
+/// Pause after a change, so that many changes in a row take few calls.
+const CHANGE_PAUSE: Duration = Duration::from_millis(300);
 /// First pause after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls.
@@ -38,7 +42,11 @@
                 control.update(|beliefs| beliefs.replace(table, snapshot, now));
             }
             Ok(Heard::Changed(changed)) => {
+                let is_busy = !changed.records.is_empty() && table != Table::Declared;
                 control.update(|beliefs| beliefs.apply(table, changed, Learned::Store, now));
+                if is_busy {
+                    smol::Timer::after(CHANGE_PAUSE).await;
+                }
             }
             Ok(Heard::Forgotten) => must_read = true,
             Err(_) => {
@@ -53,10 +61,15 @@
 
 async fn hear(control: &Control, table: Table, must_read: bool) -> Result<Heard, Report<StoreError>> {
     let known = control.beliefs().known(table);
+    let wait = if table == Table::Shared {
+        FOLLOW_SHARED_WAIT
+    } else {
+        FOLLOW_WAIT
+    };
     let Some(after) = known.filter(|_| !must_read) else {
         return Ok(Heard::Whole(control.store.read(table).await?));
     };
-    Ok(match control.store.follow(table, after, FOLLOW_WAIT).await? {
+    Ok(match control.store.follow(table, after, wait).await? {
         Changes::Known(changed) => Heard::Changed(changed),
         Changes::Forgotten => Heard::Forgotten,
     })
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -7,7 +7,8 @@
 use error_stack::{Report, ResultExt};
 use errors::events;
 use http_io::{
-    Body, Executor, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body, shutdown_channel,
+    Body, Executor, Handler, HandlerFuture, HttpError, Server, ServerConfig, Shutdown, empty_body,
+    shutdown_channel,
 };
 use hyper::{Response, StatusCode};
 use slog::{Logger, info};
@@ -54,6 +55,8 @@
 pub struct Daemon {
     /// State of the traffic thread.
     traffic: Arc<Traffic>,
+    /// Dropped to close the connections that callers have kept, once their requests are finished.
+    stop_kept: async_channel::Sender<()>,
     /// Dropped to end the traffic thread.
     stop_traffic: async_channel::Sender<()>,
     /// Dropped to end the traffic thread without finishing open work.
@@ -88,6 +91,7 @@
         let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crashed_tx);
         let traffic = Arc::new(traffic);
         let control = Control::new(traffic.clone(), parts, incarnation, control_ex.clone());
+        let (stop_kept, kept_stopped) = shutdown_channel();
         let (stop_traffic, traffic_stopped) = shutdown_channel();
         let (stop_control, control_stopped) = shutdown_channel();
         let control = Arc::new(control);
@@ -97,12 +101,18 @@
         })?;
         let traffic_thread = spawn("traffic", {
             let traffic = traffic.clone();
-            move || run_traffic(traffic, callers, readiness, traffic_stopped, traffic_aborted)
+            let signals = Signals {
+                stop_kept: kept_stopped,
+                stop: traffic_stopped,
+                abort: traffic_aborted,
+            };
+            move || run_traffic(traffic, callers, readiness, signals)
         })?;
         info!(traffic.log, "accepting connections"; events::HOST_STARTED,
             "host" => &*traffic.settings.name, "callers" => %traffic.settings.callers);
         Ok(Self {
             traffic,
+            stop_kept,
             stop_traffic,
             abort_traffic,
             stop_control,
@@ -125,7 +135,9 @@
         let ends_at = started + grace.saturating_sub(ENDING);
         let picky_from = started + grace.mul_f64(TAKING_PART);
         traffic.leave(Leaving { picky_from, ends_at });
-        wait_for_work(traffic, picky_from, ends_at);
+        std::thread::sleep(picky_from.saturating_sub(traffic.now()));
+        drop(self.stop_kept);
+        wait_for_work(traffic, ends_at);
         drop(self.stop_traffic);
         while !self.traffic_thread.is_finished() && traffic.now() < ends_at {
             std::thread::sleep(DRAIN_STEP);
@@ -139,26 +151,37 @@
     }
 }
 
-/// Waits until the balancer has noticed and nothing is open, at most until the last moment to close connections in order.
-fn wait_for_work(traffic: &Traffic, picky_from: Monotonic, ends_at: Monotonic) {
+/// Waits until nothing is open, at most until the last moment to close connections in order.
+fn wait_for_work(traffic: &Traffic, ends_at: Monotonic) {
     let last = ends_at.saturating_sub(CLOSING);
-    loop {
-        let now = traffic.now();
-        let is_idle = traffic.open.load(Ordering::Acquire) == 0;
-        if now >= last || (now >= picky_from && is_idle) {
-            return;
-        }
+    while traffic.now() < last && traffic.open.load(Ordering::Acquire) > 0 {
         std::thread::sleep(DRAIN_STEP);
     }
 }
 
-fn run_traffic(
+/// What ends the traffic thread, each resolved when its sender is dropped.
+struct Signals {
+    /// Connections that callers have kept are closed; new ones are still taken, as a balancer without another host sends them.
+    stop_kept: Shutdown,
+    /// Nothing is taken any more; what is open is finished.
+    stop: Shutdown,
+    /// What is open is cut.
+    abort: Shutdown,
+}
+
+fn run_traffic(traffic: Arc<Traffic>, callers: TcpListener, readiness: TcpListener, signals: Signals) {
+    let log = traffic.log.clone();
+    if let Err(e) = serve_callers(traffic, callers, readiness, signals) {
+        slog::error!(log, "can not listen"; events::CONNECTION_FAILED, "error" => %e);
+    }
+}
+
+fn serve_callers(
     traffic: Arc<Traffic>,
     callers: TcpListener,
     readiness: TcpListener,
-    stop: Shutdown,
-    abort: Shutdown,
-) {
+    signals: Signals,
+) -> Result<(), Report<HttpError>> {
     let ex = traffic.ex.clone();
     let cfg = ServerConfig {
         header_timeout: CALLER_IDLE,
@@ -166,28 +189,30 @@
         max_head_bytes: MAX_HEAD_BYTES,
         tls: None,
     };
-    let (callers, readiness) = match (
-        Server::from_std(callers, cfg.clone()),
-        Server::from_std(readiness, cfg),
-    ) {
-        (Ok(callers), Ok(readiness)) => (callers, readiness),
-        (Err(e), _) | (_, Err(e)) => {
-            slog::error!(traffic.log, "can not listen"; events::CONNECTION_FAILED, "error" => %e);
-            return;
-        }
-    };
+    let late = callers.try_clone().change_context(HttpError::Listen)?;
+    let callers = Server::from_std(callers, cfg.clone())?;
+    let late = Server::from_std(late, cfg.clone())?;
+    let readiness = Server::from_std(readiness, cfg)?;
     let answer = handler(traffic.clone(), |cx, req| Box::pin(serve(cx, req)));
     let ready = handler(traffic, |cx, req| {
         Box::pin(async move { readiness_of(&cx, req.uri().path()) })
     });
+    let Signals {
+        stop_kept,
+        stop,
+        abort,
+    } = signals;
     let run = async {
         let readiness = ex.spawn(readiness.run(ex.clone(), ready, stop.clone()));
-        callers
-            .run_or_abort(ex.clone(), answer, stop.clone(), abort)
-            .await;
+        let kept = callers.run_or_abort(ex.clone(), answer.clone(), stop_kept.clone(), abort.clone());
+        let kept = ex.spawn(kept);
+        let _ = stop_kept.recv().await;
+        late.run_or_abort(ex.clone(), answer, stop, abort).await;
+        kept.await;
         readiness.await;
     };
     smol::block_on(ex.run(run));
+    Ok(())
 }
 
 fn handler(
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -35,6 +35,8 @@
 const LONGEST_READ: Duration = Duration::from_millis(1_500);
 /// Time for each token at a loaded engine.
 const LONGEST_TOKEN: Duration = Duration::from_millis(20);
+/// Wait before a request that was aboard crashes is worth another try; it may be innocent.
+const QUARANTINE_WAIT: Duration = Duration::from_secs(5);
 /// Wait before a request that came to a leaving host is worth a try at another.
 const LEAVING_WAIT: Duration = Duration::from_millis(100);
 /// Part of the route's timeout after which a request that found no room is worth another try. Spread, so that those who were
@@ -179,7 +181,7 @@
     let fingerprint = Fingerprint::of(target_uri, workspace_name, &body);
     if view.quarantined.contains(&fingerprint) || cx.known().crashes.is_quarantined(&fingerprint) {
         let detail = "targets that ran this request have crashed";
-        return Err(Refusal::not_run(ProblemKind::Quarantined, detail));
+        return Err(Refusal::not_run(ProblemKind::NoTarget, detail).after(QUARANTINE_WAIT));
     }
     let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
     Ok(Call {
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -232,7 +232,9 @@
 }
 
 fn others_of(known: &Known, targets: &[Arc<Target>], hosts: usize) -> Others {
-    let slots = targets.iter().filter_map(|target| known.slots.get(&run_id(target)));
+    let slots = targets
+        .iter()
+        .filter_map(|target| known.slots.get(&run_id(target)));
     let (memory, requests) = slots.fold((0, 0), |(memory, requests), slot| {
         (
             memory + slot.load.own_memory(),
