--- a/src/cli.rs
+++ b/src/cli.rs
@@ -65,9 +65,16 @@
     Check {
         /// Settings of a host, YAML.
         file: PathBuf,
+        /// The file is in the format of the users' platform.
+        #[arg(long)]
+        platform: bool,
     },
     /// Print every field with its unit, default and allowed values.
-    Explain,
+    Explain {
+        /// Explain the format of the users' platform.
+        #[arg(long)]
+        platform: bool,
+    },
 }
 
 /// Arguments of `keys`.
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -6,14 +6,23 @@
 use crate::exit::CommandError;
 
 /// Checks a file of settings.
-pub(crate) fn check_config(file: &Path) -> Result<(), Report<CommandError>> {
-    Settings::load(file).change_context(CommandError::Usage)?;
+pub(crate) fn check_config(file: &Path, is_platform: bool) -> Result<(), Report<CommandError>> {
+    if is_platform {
+        platform::load_settings(file).change_context(CommandError::Usage)?;
+    } else {
+        Settings::load(file).change_context(CommandError::Usage)?;
+    }
     println!("{}: ok", file.display());
     Ok(())
 }
 
 /// Prints every field of the settings.
-pub(crate) fn explain_config() -> Result<(), Report<CommandError>> {
-    print!("{}", config::explain());
+pub(crate) fn explain_config(is_platform: bool) -> Result<(), Report<CommandError>> {
+    let text = if is_platform {
+        platform::explain_settings()
+    } else {
+        config::explain()
+    };
+    print!("{text}");
     Ok(())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,8 +13,8 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Serve(args) => cmd::serve(&args),
-        Command::Config(ConfigCommand::Check { file }) => cmd::check_config(&file),
-        Command::Config(ConfigCommand::Explain) => cmd::explain_config(),
+        Command::Config(ConfigCommand::Check { file, platform }) => cmd::check_config(&file, platform),
+        Command::Config(ConfigCommand::Explain { platform }) => cmd::explain_config(platform),
         Command::Note(command) => cmd::note(&command),
         Command::Events => cmd::events(),
         Command::Keys(args) => cmd::keys(&args),
