Share crashes at the first one, and count requests, sends and first bytes

A request that may run only once crashes one target a host; a host told the others only after its second crash, so nine hosts could lose nine targets to one request. Now each crash is a row of the shared table once the target takes no connection any more, and two rows from any hosts quarantine the request; one host removes a row after 120 s. Tests: two hosts with one crash each, forgetting, success.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -228,6 +228,16 @@
         "route_resumed",
         "A stream on a declared route went on at another target.",
     );
+    pub const CRASH_UNTOLD: Event = event(
+        5007,
+        "crash_untold",
+        "Too many requests were aboard crashes at once; other hosts are not told of this one.",
+    );
+    pub const METRICS_MISSING: Event = event(
+        5008,
+        "metrics_missing",
+        "The metrics can not be exported; requests are served without them.",
+    );
     pub const STORE_LOST: Event = event(
         5010,
         "store_lost",
@@ -311,6 +321,8 @@
     events::ROUTE_TRY_FAILED,
     events::ROUTE_CUT,
     events::ROUTE_RESUMED,
+    events::CRASH_UNTOLD,
+    events::METRICS_MISSING,
     events::STORE_LOST,
     events::STORE_BACK,
     events::RECORD_UNUSABLE,
--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -6,14 +6,14 @@
 use utils::{ModelId, Monotonic};
 
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{CRASHES_TO_QUARANTINE, Fingerprint, MEMORY};
 use crate::view::{HostEntry, Named, View};
 use crate::{Declared, Target};
 
 /// Start of the keys under which entry hosts register themselves.
 pub(crate) const HOST_PREFIX: &str = "host/";
-/// Start of the keys of requests that crash targets.
-pub(crate) const QUARANTINE_PREFIX: &str = "crash/";
+/// Start of the keys of crashes: `crash/FINGERPRINT/HOST/NUMBER`, a row for each crash that a host has seen.
+pub(crate) const CRASH_PREFIX: &str = "crash/";
 
 /// Rows of a table and the version up to which they are known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -68,8 +68,8 @@
     doubtful: BTreeMap<String, Arc<Target>>,
     /// Entry hosts.
     hosts: BTreeMap<String, HostEntry>,
-    /// Requests that crash targets.
-    quarantined: HashSet<Fingerprint>,
+    /// Crashes by key, with the request that was aboard and when this host learned of it.
+    crashes: BTreeMap<String, (Fingerprint, Monotonic)>,
     /// Whether the declared state was read before the change at hand.
     saw_declared: bool,
     /// Whether the view has to be published again.
@@ -89,7 +89,7 @@
             targets: BTreeMap::new(),
             doubtful: BTreeMap::new(),
             hosts: BTreeMap::new(),
-            quarantined: HashSet::new(),
+            crashes: BTreeMap::new(),
             saw_declared: false,
             is_changed: false,
         }
@@ -188,6 +188,12 @@
         unusable
     }
 
+    /// Keys of crashes that are old enough to be forgotten.
+    pub fn old_crashes(&self, now: Monotonic) -> Vec<String> {
+        let old = self.crashes.iter().filter(|(_, (_, at))| now >= *at + MEMORY);
+        old.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Removes the entries that did not come back in time after an outage.
     pub fn tick(&mut self, now: Monotonic) {
         let StoreLink::Up(Some(back_at)) = self.link else {
@@ -223,7 +229,7 @@
             targets,
             weights: self.weights.clone(),
             hosts: hosts.collect(),
-            quarantined: self.quarantined.clone(),
+            quarantined: self.quarantined(),
             knows_targets: self.known(Table::Targets).is_some(),
         })
     }
@@ -245,7 +251,7 @@
         match table {
             Table::Declared => self.take_declared(&record, now),
             Table::Targets => self.take_target(record, from),
-            Table::Shared => self.take_shared(&record),
+            Table::Shared => self.take_shared(&record, now),
             Table::Orders => Ok(()),
         }
     }
@@ -300,7 +306,7 @@
         }
     }
 
-    fn take_shared(&mut self, record: &Record) -> Result<(), Report<UnusableRecord>> {
+    fn take_shared(&mut self, record: &Record, now: Monotonic) -> Result<(), Report<UnusableRecord>> {
         if let Some(name) = record.key.strip_prefix(HOST_PREFIX) {
             let entry = record.value.as_deref();
             let entry = entry.map(serde_json::from_slice::<HostEntry>).transpose();
@@ -309,13 +315,24 @@
                 None => self.hosts.remove(name),
             };
         }
-        if let Some(text) = record.key.strip_prefix(QUARANTINE_PREFIX) {
+        if let Some(text) = record.key.strip_prefix(CRASH_PREFIX) {
+            let text = text.split('/').next().unwrap_or_default();
             let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
             match record.value {
-                Some(_) => self.quarantined.insert(fingerprint),
-                None => self.quarantined.remove(&fingerprint),
+                Some(_) => self.crashes.insert(record.key.clone(), (fingerprint, now)),
+                None => self.crashes.remove(&record.key),
             };
         }
         Ok(())
     }
+
+    /// Requests that were aboard crashes often enough, whichever hosts saw them.
+    fn quarantined(&self) -> HashSet<Fingerprint> {
+        let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
+        for (fingerprint, _) in self.crashes.values() {
+            *counts.entry(*fingerprint).or_default() += 1;
+        }
+        counts.retain(|_, count| *count >= CRASHES_TO_QUARANTINE);
+        counts.into_keys().collect()
+    }
 }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -17,7 +17,7 @@
 use crate::Beliefs;
 use crate::daemon::Parts;
 use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Crash;
 use crate::traffic::Traffic;
 
 /// Pause between looks at what only time changes.
@@ -56,7 +56,7 @@
     }
 
     /// Runs until `stop` resolves.
-    pub(crate) async fn run(self: Arc<Self>, crashed: async_channel::Receiver<Fingerprint>, stop: Shutdown) {
+    pub(crate) async fn run(self: Arc<Self>, crashed: async_channel::Receiver<Crash>, stop: Shutdown) {
         let tasks = [
             self.ex.spawn(follow::follow(self.clone(), Table::Declared)),
             self.ex.spawn(follow::follow(self.clone(), Table::Targets)),
@@ -65,6 +65,7 @@
             self.ex.spawn(peers::ask(self.clone())),
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
+            self.ex.spawn(register::forget_crashes(self.clone())),
             self.ex.spawn(orders::give_orders(self.clone())),
             self.ex.spawn(stores::follow_stores(self.clone())),
         ];
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -1,18 +1,25 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use smol::net::TcpStream;
+use utils::rendezvous_order;
 
 use super::Control;
-use crate::beliefs::{HOST_PREFIX, QUARANTINE_PREFIX};
+use crate::beliefs::{CRASH_PREFIX, HOST_PREFIX};
 use crate::ports::{RecordWrite, Table};
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Crash;
 use crate::view::HostEntry;
 
 /// Pause before a failed write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Longest time that a leaving host spends on its entry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for a target that is up to take a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between looks for old crashes.
+const FORGET_INTERVAL: Duration = Duration::from_secs(15);
 /// Tries to tell the others of a request that crashes targets.
 const CRASH_TRIES: usize = 5;
 
@@ -47,28 +54,70 @@
 }
 
 fn put(control: &Control, value: Option<Vec<u8>>) -> RecordWrite {
-    RecordWrite {
-        table: Table::Shared,
-        key: format!("{HOST_PREFIX}{}", control.traffic.settings.name),
-        expect: None,
-        value,
-    }
+    shared(format!("{HOST_PREFIX}{}", control.traffic.settings.name), value)
 }
 
-/// Tells all hosts of requests that crash targets.
-pub(crate) async fn report_crashes(control: Arc<Control>, crashed: async_channel::Receiver<Fingerprint>) {
-    while let Ok(fingerprint) = crashed.recv().await {
+/// Tells all hosts of targets that went down with a request aboard.
+pub(crate) async fn report_crashes(control: Arc<Control>, crashed: async_channel::Receiver<Crash>) {
+    while let Ok(crash) = crashed.recv().await {
+        // A connection that broke off is no crash while its target still takes others.
+        if crash.count == 1 && is_up(crash.address).await {
+            continue;
+        }
+        let key = format!(
+            "{CRASH_PREFIX}{}/{}/{}",
+            crash.fingerprint.text(),
+            control.traffic.settings.name,
+            crash.count
+        );
         for _ in 0..CRASH_TRIES {
-            let write = RecordWrite {
-                table: Table::Shared,
-                key: format!("{QUARANTINE_PREFIX}{}", fingerprint.text()),
-                expect: None,
-                value: Some(Vec::new()),
-            };
-            if control.store.write(write).await.is_ok() {
+            if control
+                .store
+                .write(shared(key.clone(), Some(Vec::new())))
+                .await
+                .is_ok()
+            {
                 break;
             }
             smol::Timer::after(RETRY_PAUSE).await;
         }
     }
 }
+
+/// Whether a target takes connections.
+async fn is_up(address: SocketAddr) -> bool {
+    let connect = async { TcpStream::connect(address).await.is_ok() };
+    let late = async {
+        smol::Timer::after(PROBE_TIMEOUT).await;
+        false
+    };
+    connect.or(late).await
+}
+
+/// Removes old crashes from the shared table, each by one host.
+pub(crate) async fn forget_crashes(control: Arc<Control>) {
+    loop {
+        smol::Timer::after(FORGET_INTERVAL).await;
+        let now = control.traffic.now();
+        let view = control.traffic.view.load_full();
+        let own = &*control.traffic.settings.name;
+        let old = control.beliefs().old_crashes(now);
+        for key in old {
+            let names = view.hosts.keys().map(|name| &**name);
+            let is_mine = rendezvous_order(key.as_bytes(), names).first() == Some(&own);
+            if is_mine && control.store.write(shared(key, None)).await.is_err() {
+                break;
+            }
+        }
+    }
+}
+
+/// A write to the shared table.
+fn shared(key: String, value: Option<Vec<u8>>) -> RecordWrite {
+    RecordWrite {
+        table: Table::Shared,
+        key,
+        expect: None,
+        value,
+    }
+}
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 use error_stack::{Report, ResultExt};
 use errors::events;
 use http_io::{
-    Body, Executor, Handler, HandlerFuture, HttpError, Server, ServerConfig, Shutdown, empty_body,
+    Body, Executor, Handler, HandlerFuture, HttpError, Server, ServerConfig, Shutdown, empty_body, full_body,
     shutdown_channel,
 };
 use hyper::{Response, StatusCode};
@@ -34,6 +34,8 @@
 const ENDING: Duration = Duration::from_millis(250);
 /// Part of the grace that is left for closing connections.
 const CLOSING: Duration = Duration::from_millis(150);
+/// Path of the metrics, beside the balancer's question.
+const METRICS_PATH: &str = "/metrics";
 /// Pause between looks at a leaving host's work.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -223,6 +225,9 @@
 }
 
 fn readiness_of(traffic: &Traffic, path: &str) -> Response<Body> {
+    if path == METRICS_PATH {
+        return Response::new(full_body(traffic.telemetry.text()));
+    }
     let mut res = Response::new(empty_body());
     *res.status_mut() = match path == traffic.heads.readiness_path() {
         false => StatusCode::NOT_FOUND,
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -8,9 +8,9 @@
 pub struct Fingerprint([u8; 16]);
 
 /// Crashes with the same request aboard after which it runs no more.
-const CRASHES_TO_QUARANTINE: u32 = 2;
+pub(crate) const CRASHES_TO_QUARANTINE: u32 = 2;
 /// Time after which a crash is forgotten.
-const MEMORY: Duration = Duration::from_secs(120);
+pub(crate) const MEMORY: Duration = Duration::from_secs(120);
 /// Most requests remembered; the oldest are forgotten first.
 const MOST_REMEMBERED: usize = 4_096;
 
@@ -54,6 +54,17 @@
     }
 }
 
+/// A target went down with a request aboard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The target.
+    pub address: std::net::SocketAddr,
+    /// How many crashes this host has seen with the request aboard, this one included.
+    pub count: u32,
+}
+
 /// Counts crashes of targets by the requests that were aboard.
 ///
 /// A server that goes down takes many innocent requests with it, but the same one is rarely aboard twice. A success clears
@@ -65,12 +76,12 @@
 }
 
 impl Crashes {
-    /// A target went down with the request aboard; true if the request is to run no more.
-    pub fn note_crash(&mut self, fingerprint: Fingerprint, now: Monotonic) -> bool {
+    /// A target went down with the request aboard; says how often that happened.
+    pub fn note_crash(&mut self, fingerprint: Fingerprint, now: Monotonic) -> u32 {
         self.forget(now);
         let entry = self.seen.entry(fingerprint).or_insert((0, now));
         *entry = (entry.0 + 1, now);
-        entry.0 >= CRASHES_TO_QUARANTINE
+        entry.0
     }
 
     /// The request ended well.
@@ -78,11 +89,6 @@
         self.seen.remove(fingerprint);
     }
 
-    /// Whether a crash is held against the request.
-    pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
-        self.seen.contains_key(fingerprint)
-    }
-
     /// Whether the request is to run no more.
     pub fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
         self.seen
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -18,6 +18,7 @@
 use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
 use crate::load::{Outcome, Work};
+use crate::telemetry::SendResult;
 use crate::weights::run_id;
 
 /// Longest answer that is held back until it is whole, in bytes.
@@ -80,6 +81,7 @@
         let now = self.cx.now();
         let reading = std::mem::take(&mut self.work.reading);
         let took = now.saturating_sub(self.sent_at);
+        self.cx.telemetry.first_byte(took);
         self.cx.with_slot(&self.target, |slot| {
             slot.load.note_read(reading, self.sent_at);
             if let Some(load) = facts.load {
@@ -138,6 +140,18 @@
     placed: &Placed,
     resume_after: Option<String>,
 ) -> Tried {
+    let tried = try_target(cx, call, placed, resume_after).await;
+    let result = match &tried {
+        Tried::NotSent => SendResult::NotSent,
+        Tried::NotRun(_) => SendResult::NotRun,
+        Tried::Unknown | Tried::TimedOut => SendResult::NoAnswer,
+        Tried::Answered(_) => SendResult::Answered,
+    };
+    cx.telemetry.sent(&call.id, &placed.target.instance, result);
+    tried
+}
+
+async fn try_target(cx: &Arc<Traffic>, call: &Call, placed: &Placed, resume_after: Option<String>) -> Tried {
     let target = placed.target.clone();
     let Some(conn) = open(cx, call, &target).await else {
         return Tried::NotSent;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use errors::{ProblemKind, events};
+use errors::ProblemKind;
 use futures_lite::FutureExt;
 use http_io::{Body, HttpError, full_body, read_limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
-use slog::info;
 use utils::{ModelId, Monotonic, ServiceId, TargetId};
 
 use super::admit::{Admitted, admit};
@@ -21,9 +20,9 @@
 use crate::declared::{Repeat, Route, Workspace};
 use crate::kept::{salt_of, wall_of};
 use crate::placement::Demand;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{Crash, Fingerprint};
 use crate::sessions::SessionKey;
-use crate::{CallFacts, PromptShape, events_text};
+use crate::{CallFacts, PromptShape, Target};
 
 /// Most sends of one request, those that were turned away included.
 const MOST_SENDS: u32 = 4;
@@ -302,13 +301,8 @@
                 break;
             }
         };
-        events_text::placed(
-            &cx.log,
-            &call.id,
-            &placed.target.instance,
-            &placed.choice,
-            tries.sends + 1,
-        );
+        cx.telemetry
+            .placed(&call.id, &placed.target.instance, &placed.choice, tries.sends + 1);
         let run = crate::weights::run_id(&placed.target);
         if let (Some(session), true) = (call.session_key(), tries.runs == 0) {
             let now = cx.now();
@@ -328,14 +322,12 @@
                 if !shows_newer {
                     tries.tried.push(run);
                 }
-                log_try(cx, &call, &placed.target.instance, "not run");
             }
             Tried::Unknown => {
                 tries.sends += 1;
                 tries.runs += 1;
-                note_crash(cx, &call);
+                note_crash(cx, &call, &placed.target);
                 tries.tried.push(run);
-                log_try(cx, &call, &placed.target.instance, "no answer");
             }
             Tried::TimedOut => {
                 return refuse(
@@ -385,7 +377,7 @@
     } = answer;
     let Some(bytes) = read_whole(body, call.until.saturating_sub(cx.now())).await else {
         exchange.note_broken();
-        note_crash(cx, call);
+        note_crash(cx, call, &exchange.target);
         tries.tried.push(run);
         return Settled::Again;
     };
@@ -398,17 +390,22 @@
     if is_good {
         cx.known().crashes.note_success(&call.fingerprint);
     }
-    info!(cx.log, "answered"; events::ROUTE_ANSWERED, "request" => &call.id, "target" => &*run,
-        "status" => parts.status.as_u16(), "tries" => tries.sends);
+    cx.telemetry
+        .answered(&call.id, &run, parts.status.as_u16(), 0, tries.sends);
     Settled::Whole(Response::from_parts(parts, full_body(bytes)))
 }
 
-/// A target went silent with the request aboard.
-pub(crate) fn note_crash(cx: &Traffic, call: &Call) {
+/// A target broke off with the request aboard.
+pub(crate) fn note_crash(cx: &Traffic, call: &Call, target: &Target) {
     let now = cx.now();
-    if cx.known().crashes.note_crash(call.fingerprint, now) {
-        // The channel is drained by the control thread; when it is full the quarantine stays local.
-        let _ = cx.crashed.try_send(call.fingerprint);
+    let count = cx.known().crashes.note_crash(call.fingerprint, now);
+    let crash = Crash {
+        fingerprint: call.fingerprint,
+        address: target.address,
+        count,
+    };
+    if cx.crashed.try_send(crash).is_err() {
+        cx.telemetry.crash_untold(&call.id);
     }
 }
 
@@ -418,13 +415,7 @@
 }
 
 fn log_refusal(cx: &Traffic, id: &str, refusal: &Refusal) {
-    info!(cx.log, "refused"; events::ROUTE_REFUSED, "request" => id,
-        "outcome" => refusal.outcome.as_str(), "reason" => refusal.detail);
-}
-
-fn log_try(cx: &Traffic, call: &Call, target: &str, outcome: &'static str) {
-    info!(cx.log, "try failed"; events::ROUTE_TRY_FAILED, "request" => &call.id,
-        "target" => target, "outcome" => outcome);
+    cx.telemetry.refused(id, refusal.outcome, refusal.detail);
 }
 
 /// Whether a broken stream may go on at another target.
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use errors::events;
 use futures_lite::FutureExt;
 use futures_lite::stream;
 use http_body_util::BodyExt;
@@ -9,7 +8,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use slog::info;
 
 use super::exchange::{Answer, Exchange, Tried, exchange, run_of};
 use super::pipeline::{Call, OpenRequest, Tries, may_resume, note_crash};
@@ -129,8 +127,10 @@
         let run = run_of(&source.exchange);
         source.exchange.finish(&source.facts);
         self.cx.known().crashes.note_success(&self.call.fingerprint);
-        info!(self.cx.log, "answered"; events::ROUTE_ANSWERED, "request" => &self.call.id, "target" => &*run,
-            "events" => self.cutter.progress().events, "tries" => self.tries.sends);
+        let events = self.cutter.progress().events;
+        self.cx
+            .telemetry
+            .answered(&self.call.id, &run, 200, events, self.tries.sends);
         let rest = self.cutter.finish();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -139,8 +139,8 @@
         if let Some(source) = self.source.take() {
             source.exchange.note_broken();
             self.tries.tried.push(run_of(&source.exchange));
+            note_crash(&self.cx, &self.call, &source.exchange.target);
         }
-        note_crash(&self.cx, &self.call);
         self.cutter.drop_partial();
     }
 
@@ -171,8 +171,10 @@
                     if !answer.parts.status.is_success() {
                         continue;
                     }
-                    info!(self.cx.log, "resumed"; events::ROUTE_RESUMED, "request" => &self.call.id,
-                        "target" => &placed.target.instance, "after" => after.as_deref().unwrap_or(""));
+                    let after = after.as_deref().unwrap_or_default();
+                    self.cx
+                        .telemetry
+                        .resumed(&self.call.id, &placed.target.instance, after);
                     let Answer {
                         facts,
                         body,
@@ -192,8 +194,8 @@
     }
 
     fn log_cut(&self, reason: &'static str) {
-        info!(self.cx.log, "cut"; events::ROUTE_CUT, "request" => &self.call.id,
-            "events" => self.cutter.progress().events, "reason" => reason);
+        let events = self.cutter.progress().events;
+        self.cx.telemetry.cut(&self.call.id, events, reason);
     }
 }
 
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -10,7 +10,8 @@
 use super::pool::TargetSlot;
 use crate::kept::{KeptCache, StoreAt, stores_near};
 use crate::ports::Heads;
-use crate::quarantine::{Crashes, Fingerprint};
+use crate::quarantine::{Crash, Crashes};
+use crate::telemetry::Telemetry;
 use crate::weights::run_id;
 use crate::{HostSettings, RetryShare, Sessions, Target, View};
 
@@ -50,12 +51,14 @@
     pub ex: Executor,
     /// Log.
     pub log: Logger,
+    /// Log lines and metrics of requests.
+    pub telemetry: Telemetry,
     /// Set once the host is about to end.
     leaving: OnceLock<Leaving>,
     /// Requests under way.
     pub open: AtomicUsize,
     /// Requests to quarantine everywhere.
-    pub crashed: async_channel::Sender<Fingerprint>,
+    pub crashed: async_channel::Sender<Crash>,
     /// What the traffic thread knows.
     known: Mutex<Known>,
     /// What is known of the stores of kept cache.
@@ -69,7 +72,7 @@
         heads: Arc<dyn Heads>,
         ex: Executor,
         log: Logger,
-        crashed: async_channel::Sender<Fingerprint>,
+        crashed: async_channel::Sender<Crash>,
     ) -> Self {
         Self {
             settings,
@@ -77,6 +80,7 @@
             view: ArcSwap::default(),
             heads,
             ex,
+            telemetry: Telemetry::new(log.clone()),
             log,
             leaving: OnceLock::new(),
             open: AtomicUsize::new(0),
--- /dev/null
+++ b/components/gateway/tests/quarantine.rs
@@ -0,0 +1,63 @@
+//! Requests that crash the targets that run them, seen by several hosts.
+
+mod support;
+
+use std::time::Duration;
+
+use gateway::ports::Table;
+use gateway::{Beliefs, Crashes, Fingerprint, Learned};
+use support::{decode, ms, removed, row, snapshot};
+
+fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::of("/a/", "mill", body.as_bytes())
+}
+
+fn key(body: &str, host: &str, number: u32) -> String {
+    format!("crash/{}/{host}/{number}", fingerprint(body).text())
+}
+
+fn beliefs() -> Beliefs {
+    Beliefs::new(decode(), Duration::from_secs(2))
+}
+
+#[test]
+fn one_crash_each_at_two_hosts_is_enough() {
+    let mut beliefs = beliefs();
+    let rows = [
+        row(&key("bad", "one", 1), "", 1),
+        row(&key("good", "one", 1), "", 2),
+    ];
+    beliefs.apply(Table::Shared, snapshot(2, rows), Learned::Store, ms(0));
+    assert!(beliefs.publish().unwrap().quarantined.is_empty());
+    let rows = [row(&key("bad", "two", 1), "", 3)];
+    beliefs.apply(Table::Shared, snapshot(3, rows), Learned::Store, ms(100));
+    let quarantined = beliefs.publish().unwrap().quarantined;
+    assert!(quarantined.contains(&fingerprint("bad")) && quarantined.len() == 1);
+}
+
+#[test]
+fn old_crashes_are_named_for_removal_and_forgotten_once_removed() {
+    let mut beliefs = beliefs();
+    let rows = [
+        row(&key("bad", "one", 1), "", 1),
+        row(&key("bad", "one", 2), "", 2),
+    ];
+    beliefs.apply(Table::Shared, snapshot(2, rows), Learned::Store, ms(0));
+    assert!(beliefs.old_crashes(Duration::from_secs(119)).is_empty());
+    assert_eq!(beliefs.old_crashes(Duration::from_secs(120)).len(), 2);
+    let rows = [removed(&key("bad", "one", 1), 3)];
+    beliefs.apply(Table::Shared, snapshot(3, rows), Learned::Store, ms(0));
+    assert!(beliefs.publish().unwrap().quarantined.is_empty());
+}
+
+#[test]
+fn a_host_runs_a_request_no_more_after_two_crashes_and_again_after_a_success() {
+    let mut crashes = Crashes::default();
+    let bad = fingerprint("bad");
+    assert_eq!(crashes.note_crash(bad, ms(0)), 1);
+    assert!(!crashes.is_quarantined(&bad));
+    assert_eq!(crashes.note_crash(bad, ms(10)), 2);
+    assert!(crashes.is_quarantined(&bad));
+    crashes.note_success(&bad);
+    assert!(!crashes.is_quarantined(&bad));
+}
