--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -107,8 +107,6 @@
     pub is_misdirected: bool,
     /// Load of the target.
     pub load: Option<LoadNote>,
-    /// Instance that answered, if it says so.
-    pub instance: Option<String>,
     /// Weight version that served it.
     pub weights: Option<u64>,
     /// Time for which the target keeps the connection open without use.
--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -21,8 +21,6 @@
     pub is_leaving: bool,
     /// Weight versions of the models that it serves.
     pub models: Vec<(ModelId, u64)>,
-    /// Orders that it has accepted since its start.
-    pub revision: u64,
 }
 
 impl Target {
--- /dev/null
+++ b/components/gateway/src/traffic/accept.rs
@@ -0,0 +1,116 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::ProblemKind;
+use futures_lite::FutureExt;
+use http_io::{HttpError, read_limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use utils::ServiceId;
+
+use super::admit::{Admitted, admit};
+use super::refusal::Refusal;
+use super::request::Call;
+use super::state::Traffic;
+use crate::CallFacts;
+use crate::declared::Route;
+use crate::quarantine::Fingerprint;
+
+/// Time until the first token at a loaded engine.
+const LONGEST_READ: Duration = Duration::from_millis(1_500);
+/// Time for each token at a loaded engine.
+const LONGEST_TOKEN: Duration = Duration::from_millis(20);
+/// Wait before a request that came to a leaving host is worth a try at another.
+const LEAVING_WAIT: Duration = Duration::from_millis(100);
+/// Wait before a request that was aboard crashes is worth another try; it may be innocent.
+const QUARANTINE_WAIT: Duration = Duration::from_secs(5);
+
+/// Checks a request and reads its body.
+pub(crate) async fn accept(
+    cx: &Arc<Traffic>,
+    req: Request<Incoming>,
+    facts: CallFacts,
+) -> Result<Call, Refusal> {
+    let started = cx.now();
+    let (parts, body) = req.into_parts();
+    let view = cx.view.load_full();
+    let Admitted {
+        route,
+        workspace,
+        declared,
+    } = admit(&view, &parts, &facts)?;
+    let wait = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let until = started + wait;
+    if !cx.can_finish(until.min(started + longest_run(&facts))) {
+        let refusal = Refusal::not_run(ProblemKind::NotServing, "this host is about to end");
+        return Err(refusal.after(LEAVING_WAIT));
+    }
+    let body = read_body(body, declared.limits.body_bytes, wait).await?;
+    let service = draw_service(&route);
+    let workspace_name = workspace.as_ref().map_or("", |w| &w.name);
+    let target_uri = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fingerprint = Fingerprint::of(target_uri, workspace_name, &body);
+    if view.quarantined.contains(&fingerprint) || cx.known().crashes.is_quarantined(&fingerprint) {
+        let detail = "targets that ran this request have crashed";
+        return Err(Refusal::not_run(ProblemKind::NoTarget, detail).after(QUARANTINE_WAIT));
+    }
+    let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
+    Ok(Call {
+        id: facts.id.unwrap_or_default(),
+        target_uri: target_uri.parse().map_err(|_| malformed)?,
+        method: parts.method,
+        headers: parts.headers,
+        body,
+        route,
+        service,
+        workspace,
+        prompt: facts.prompt,
+        last_event: facts.last_event,
+        until,
+        fingerprint,
+    })
+}
+
+/// How long a request may take at a loaded engine, by the tokens that it may generate; unknown without.
+fn longest_run(facts: &CallFacts) -> Duration {
+    let tokens = facts.prompt.as_ref().map(|prompt| prompt.tokens_out);
+    tokens.map_or(Duration::MAX / 2, |tokens| LONGEST_READ + LONGEST_TOKEN * tokens)
+}
+
+async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
+    let read = async { Some(read_limited(body, limit).await) };
+    let late = async {
+        smol::Timer::after(wait).await;
+        None
+    };
+    match read.or(late).await {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(e)) => Err(match e.current_context() {
+            HttpError::TooLarge { .. } => {
+                Refusal::not_run(ProblemKind::BodyTooLarge, "the body is too large")
+            }
+            _ => Refusal::not_run(ProblemKind::MalformedRequest, "the body ended early"),
+        }),
+        None => Err(Refusal::not_run(
+            ProblemKind::SlowSender,
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+/// Draws one of the route's services by weight.
+fn draw_service(route: &Route) -> ServiceId {
+    let total: u32 = route.services.iter().map(|s| s.weight).sum();
+    let mut draw = rand::random_range(0..total.max(1));
+    for share in &route.services {
+        if draw < share.weight {
+            return share.service.clone();
+        }
+        draw -= share.weight;
+    }
+    route
+        .services
+        .first()
+        .map_or_else(ServiceId::default, |s| s.service.clone())
+}
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -12,8 +12,8 @@
 use utils::Monotonic;
 
 use super::connect::{Connection, connect};
-use super::pipeline::Call;
 use super::place::Placed;
+use super::request::Call;
 use super::state::Traffic;
 use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
@@ -23,6 +23,8 @@
 
 /// Longest answer that is held back until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Connections to a target that a host may open whatever the limits.
+const LEAST_CONNECTIONS: usize = 2;
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
@@ -293,13 +295,15 @@
     }
 }
 
-/// This host's part of the connections that a target accepts from all hosts together.
+/// This host's part of the connections that a target accepts from all hosts together, within what its own sockets allow.
 fn connection_share(cx: &Traffic, call: &Call) -> usize {
     let view = cx.view.load();
     let declared = view.declared.as_ref();
     let service = declared.and_then(|declared| declared.service(&call.service));
-    let limit = service.map_or(u32::MAX, |service| service.connection_limit);
-    (limit as usize / view.host_count()).max(2)
+    let limit = service.map_or(u32::MAX, |service| service.connection_limit) as usize;
+    let targets = view.targets.values().map(Vec::len).sum::<usize>();
+    let sockets = cx.settings.sockets / 2 / targets.max(1);
+    (limit / view.host_count()).min(sockets).max(LEAST_CONNECTIONS)
 }
 
 fn request(
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The way of a request: admitted, placed, sent, answered. Runs on the traffic thread.
 
+mod accept;
 mod admit;
 mod connect;
 mod exchange;
@@ -8,6 +9,7 @@
 mod pool;
 mod refusal;
 mod relay;
+mod request;
 mod state;
 mod stream_events;
 
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -2,7 +2,7 @@
 
 use utils::{Monotonic, TargetId, rendezvous_score};
 
-use super::pipeline::Call;
+use super::request::Call;
 use super::state::{Known, Traffic};
 use crate::Target;
 use crate::freshness::{OldWeights, old_weights};
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -10,8 +10,9 @@
 use hyper::header::CONTENT_LENGTH;
 
 use super::exchange::{Answer, Exchange, Tried, exchange, run_of};
-use super::pipeline::{Call, OpenRequest, Tries, may_resume, note_crash};
+use super::pipeline::{OpenRequest, Tries, may_resume, note_crash};
 use super::place::place;
+use super::request::Call;
 use super::state::Traffic;
 use super::stream_events::EventCutter;
 use crate::AnswerFacts;
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -63,7 +63,6 @@
         slots: 8,
         is_leaving: false,
         models: vec![("m".into(), version)],
-        revision: 0,
     }
 }
 
