Save nothing to a store in a new run until every host has noticed

Cause, found by reading: a host that is silent towards a store notices its restart after up to 2.2 s (wait, answer, pause); a store is back after 2 s. A host that still believed the old run could name a part that another host is just having saved, and an engine would fetch what is not whole. Saves wait 3 s after a host first hears of a run. The tokens of a store are counted as they come instead of summed for each request.

--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -84,7 +84,8 @@
         let Ok(list) = control.stores.list(&store.address).await else {
             return false;
         };
-        control.traffic.kept().store(&store.address).take_list(list);
+        let now = control.traffic.now();
+        control.traffic.kept().store(&store.address).take_list(list, now);
         return true;
     }
     let Ok(changes) = control.stores.changes(&store.address, next, CHANGE_WAIT).await else {
@@ -95,7 +96,7 @@
     if let Some(clock_ms) = changes.clock_ms {
         kept.note_clock(clock_ms, now);
     }
-    kept.store(&store.address).take_changes(changes);
+    kept.store(&store.address).take_changes(changes, now);
     true
 }
 
--- a/components/gateway/src/kept/directory.rs
+++ b/components/gateway/src/kept/directory.rs
@@ -1,4 +1,11 @@
 use std::collections::HashMap;
+use std::time::Duration;
+
+use utils::Monotonic;
+
+/// Time after which every host has noticed that a store was away: its longest wait for changes, the time for an answer, and the
+/// pause between questions.
+const NOTICED_AFTER: Duration = Duration::from_secs(3);
 
 /// Names a part under a salt.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -48,14 +55,16 @@
 /// that is being written must not be read.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StoreDirectory {
-    /// Run of the store, while it answers.
-    epoch: Option<u64>,
+    /// Run of the store and when this host first heard of it, while it answers.
+    run: Option<(u64, Monotonic)>,
     /// Where the next question goes on.
     next: u64,
     /// Whether the store has to be listed, as changes were missed.
     needs_list: bool,
     /// Whole parts with their tokens.
     parts: HashMap<PartKey, u32>,
+    /// Sum of their tokens.
+    tokens: u64,
 }
 
 impl StoreDirectory {
@@ -71,7 +80,12 @@
 
     /// Run of the store, while it answers.
     pub fn epoch(&self) -> Option<u64> {
-        self.epoch
+        self.run.map(|(epoch, _)| epoch)
+    }
+
+    /// Whether parts may be saved: a host that has not noticed a restart yet could fetch what is just being written.
+    pub fn takes_saves(&self, now: Monotonic) -> bool {
+        self.run.is_some_and(|(_, since)| now >= since + NOTICED_AFTER)
     }
 
     /// Whether the store is known to hold a part whole.
@@ -86,7 +100,7 @@
 
     /// Tokens that the store holds, as far as is known.
     pub fn tokens(&self) -> u64 {
-        self.parts.values().map(|tokens| u64::from(*tokens)).sum()
+        self.tokens
     }
 
     /// The store did not answer: it may have restarted since, so nothing that it held counts.
@@ -95,11 +109,11 @@
     }
 
     /// Takes changes.
-    pub fn take_changes(&mut self, changes: StoreChanges) {
-        if self.epoch != Some(changes.epoch) {
-            let is_first = self.epoch.is_none() && self.next == 0;
+    pub fn take_changes(&mut self, changes: StoreChanges, now: Monotonic) {
+        if self.epoch() != Some(changes.epoch) {
+            let is_first = self.run.is_none() && self.next == 0;
             self.forget();
-            self.epoch = Some(changes.epoch);
+            self.run = Some((changes.epoch, now));
             if !is_first {
                 return;
             }
@@ -108,24 +122,41 @@
         self.next = changes.next;
         for event in changes.events {
             match event.stored {
-                Some(tokens) => self.parts.insert(event.key, tokens),
-                None => self.parts.remove(&event.key),
-            };
+                Some(tokens) => self.add(event.key, tokens),
+                None => self.remove(&event.key),
+            }
         }
     }
 
     /// Takes a list.
-    pub fn take_list(&mut self, list: StoreList) {
-        self.epoch = Some(list.epoch);
+    pub fn take_list(&mut self, list: StoreList, now: Monotonic) {
+        if self.epoch() != Some(list.epoch) {
+            self.run = Some((list.epoch, now));
+        }
         self.next = list.next;
         self.needs_list = false;
-        self.parts = list.parts.into_iter().collect();
+        self.parts.clear();
+        self.tokens = 0;
+        for (key, tokens) in list.parts {
+            self.add(key, tokens);
+        }
     }
 
     /// Parts that this host has had dropped.
     pub fn note_dropped(&mut self, keys: &[PartKey]) {
         for key in keys {
-            self.parts.remove(key);
+            self.remove(key);
         }
     }
+
+    fn add(&mut self, key: PartKey, tokens: u32) {
+        self.remove(&key);
+        self.parts.insert(key, tokens);
+        self.tokens += u64::from(tokens);
+    }
+
+    fn remove(&mut self, key: &PartKey) {
+        let tokens = self.parts.remove(key).unwrap_or(0);
+        self.tokens -= u64::from(tokens);
+    }
 }
--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -130,7 +130,7 @@
         }
         let answers = |store: &&StoreAt| {
             let known = self.stores.get(&store.address);
-            known.is_some_and(|known| known.epoch().is_some() && known.tokens() < store.capacity_tokens)
+            known.is_some_and(|known| known.takes_saves(now) && known.tokens() < store.capacity_tokens)
         };
         let near = stores.iter().filter(|store| store.is_near).filter(answers);
         let any = stores.iter().filter(answers);
--- a/components/gateway/tests/kept.rs
+++ b/components/gateway/tests/kept.rs
@@ -55,9 +55,9 @@
 #[test]
 fn a_store_in_a_new_run_holds_nothing_of_before() {
     let mut known = StoreDirectory::default();
-    known.take_changes(changes(1, 2, &["b"]));
+    known.take_changes(changes(1, 2, &["b"]), ms(0));
     assert!(known.holds(&key("b")));
-    known.take_changes(changes(2, 9, &["c"]));
+    known.take_changes(changes(2, 9, &["c"]), ms(0));
     assert!(!known.holds(&key("b")) && !known.holds(&key("c")));
     assert_eq!(known.next(), 0);
 }
@@ -65,7 +65,7 @@
 #[test]
 fn a_store_that_does_not_answer_holds_nothing_that_may_be_fetched() {
     let mut known = StoreDirectory::default();
-    known.take_changes(changes(1, 2, &["b"]));
+    known.take_changes(changes(1, 2, &["b"]), ms(0));
     known.forget();
     assert!(!known.holds(&key("b")));
 }
@@ -77,14 +77,18 @@
         has_gap: true,
         ..changes(1, 2, &["b"])
     };
-    known.take_changes(gap);
+    known.take_changes(gap, ms(0));
     assert!(known.needs_list());
-    known.take_list(StoreList {
-        epoch: 1,
-        next: 5,
-        parts: vec![(key("c"), 10)],
-    });
+    known.take_list(
+        StoreList {
+            epoch: 1,
+            next: 5,
+            parts: vec![(key("c"), 10)],
+        },
+        ms(0),
+    );
     assert!(known.holds(&key("c")) && !known.holds(&key("b")) && !known.needs_list());
+    assert_eq!(known.tokens(), 10);
 }
 
 fn plan(kept: &mut KeptCache, stores: &[StoreAt], home: Option<&Arc<str>>, at: u64) -> gateway::CachePlan {
@@ -103,12 +107,12 @@
 fn shared_parts_are_saved_once_and_the_own_part_never() {
     let stores = [store("near", true), store("far", false)];
     let mut kept = KeptCache::default();
-    kept.store(&"near".into()).take_changes(changes(1, 0, &[]));
-    kept.store(&"far".into()).take_changes(changes(1, 0, &[]));
+    kept.store(&"near".into()).take_changes(changes(1, 0, &[]), ms(0));
+    kept.store(&"far".into()).take_changes(changes(1, 0, &[]), ms(0));
     let near = Some(Arc::from("near"));
-    let first = plan(&mut kept, &stores, None, 0);
+    let first = plan(&mut kept, &stores, None, 5_000);
     assert_eq!(first.save, [near.clone(), near, None]);
-    let again = plan(&mut kept, &stores, None, 1_000);
+    let again = plan(&mut kept, &stores, None, 6_000);
     assert_eq!(again.save, [None, None, None]);
 }
 
@@ -117,7 +121,8 @@
     let stores = [store("near", true)];
     let mut kept = KeptCache::default();
     kept.note_clock(50_000, ms(1_000));
-    kept.store(&"near".into()).take_changes(changes(1, 2, &["b"]));
+    kept.store(&"near".into())
+        .take_changes(changes(1, 2, &["b"]), ms(0));
     let plan = plan(&mut kept, &stores, None, 2_000);
     assert_eq!(plan.fetch, [None, Some("near".into()), None]);
     assert_eq!(plan.fetch_until_ms, Some(53_500));
@@ -137,3 +142,15 @@
     let plan = plan(&mut KeptCache::default(), &stores, None, 0);
     assert_eq!(plan.save, [None, None, None]);
 }
+
+#[test]
+fn a_store_in_a_new_run_gets_no_saves_until_every_host_has_forgotten_the_old_one() {
+    let stores = [store("near", true)];
+    let mut kept = KeptCache::default();
+    kept.store(&"near".into())
+        .take_changes(changes(1, 0, &[]), ms(10_000));
+    let at = |kept: &mut KeptCache, now| plan(kept, &stores, None, now).save;
+    assert_eq!(at(&mut kept, 12_900), [None, None, None]);
+    let near = Some(Arc::from("near"));
+    assert_eq!(at(&mut kept, 13_000), [near.clone(), near, None]);
+}
