Remove entries of hosts that are gone, and let every host order weights that are overdue

Cause, found by reading: a host that is lost for good leaves its entry in the shared table for ever. With each the others' shares of connections and repeats shrink, and once the first three in the order of contenders are such entries, nobody orders weights. Change: each host asks a random other one about every 15 s; one that does not answer twice loses its entry, under the condition that the entry has not changed; a living host registers again within 4 s. When weights are behind for 4 s any host contends for the lease. A plain answer that is late no longer counts as a crash of its target.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -264,6 +264,11 @@
         "kept_dropped",
         "A store of kept cache was told to drop parts of replaced weights.",
     );
+    pub const HOST_SILENT: Event = event(
+        5016,
+        "host_silent",
+        "Another host did not answer twice; its entry is removed unless it has registered again.",
+    );
     pub const LEASE_TAKEN: Event = event(5020, "lease_taken", "The host may give orders to engines.");
     pub const WEIGHTS_ORDERED: Event = event(
         5021,
@@ -329,6 +334,7 @@
     events::BELIEFS_CHANGED,
     events::PEER_READ,
     events::KEPT_DROPPED,
+    events::HOST_SILENT,
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
 ];
--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -101,6 +101,12 @@
         state.is_read.then_some(state.version)
     }
 
+    /// Version of a row that is there.
+    pub fn version_of(&self, table: Table, key: &str) -> Option<u64> {
+        let row = self.tables.get(&table)?.rows.get(key)?;
+        row.value.as_ref().map(|_| row.version)
+    }
+
     /// Rows of a table that are newer than a version, removed ones included; for other hosts.
     pub fn newer_than(&self, table: Table, version: u64) -> Snapshot {
         let Some(state) = self.tables.get(&table).filter(|state| state.is_read) else {
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -66,6 +66,7 @@
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
             self.ex.spawn(register::forget_crashes(self.clone())),
+            self.ex.spawn(register::remove_silent_hosts(self.clone())),
             self.ex.spawn(orders::give_orders(self.clone())),
             self.ex.spawn(stores::follow_stores(self.clone())),
         ];
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -10,7 +10,7 @@
 
 use super::Control;
 use crate::ports::{Record, RecordWrite, RecordWritten, Running, StoreError, Table, WeightsOrder};
-use crate::weights::{LoadOrder, Rollout, RolloutInput, run_id};
+use crate::weights::{LoadOrder, Rollout, RolloutInput, is_overdue, run_id};
 use crate::{NamedWeights, Target};
 
 /// Key of the lease's row.
@@ -85,15 +85,19 @@
         self.lease().is_held(self.control.traffic.now())
     }
 
-    /// Whether this host is one of those that take the lease when nobody holds it.
+    /// Whether this host is one of those that take the lease when nobody holds it. Entries of hosts that are gone may rank
+    /// first for a while; once weights are overdue, every host is.
     fn is_contender(&self) -> bool {
         let traffic = &self.control.traffic;
         let view = traffic.view.load();
+        let has_engines = view.targets.values().flatten().any(|t| !t.models.is_empty());
+        if !has_engines || traffic.is_draining() {
+            return false;
+        }
         let names = view.hosts.keys().map(|name| &**name);
         let order = rendezvous_order(DUTY, names);
         let own = &*traffic.settings.name;
-        let has_engines = view.targets.values().flatten().any(|t| !t.models.is_empty());
-        has_engines && !traffic.is_draining() && order.iter().take(CONTENDERS).any(|name| *name == own)
+        order.iter().take(CONTENDERS).any(|name| *name == own) || is_overdue(&view, traffic.now())
     }
 
     async fn step(self: &Arc<Self>) {
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -2,7 +2,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use errors::events;
 use futures_lite::FutureExt;
+use rand::seq::IndexedRandom;
+use slog::info;
 use smol::net::TcpStream;
 use utils::rendezvous_order;
 
@@ -12,18 +15,24 @@
 use crate::quarantine::Crash;
 use crate::view::HostEntry;
 
+/// Pause between looks whether the host is still registered.
+const REGISTER_INTERVAL: Duration = Duration::from_secs(4);
+/// Pause between questions to random other hosts.
+const SILENT_INTERVAL: Duration = Duration::from_secs(15);
+/// Pause before a host that did not answer is asked again.
+const SECOND_LOOK: Duration = Duration::from_secs(4);
 /// Pause before a failed write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Longest time that a leaving host spends on its entry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time for a target that is up to take a connection.
+/// Longest time for a target or host that is up to take a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between looks for old crashes.
 const FORGET_INTERVAL: Duration = Duration::from_secs(15);
 /// Tries to tell the others of a request that crashes targets.
 const CRASH_TRIES: usize = 5;
 
-/// Registers the host, so that others can ask it and share limits with it.
+/// Keeps the host registered, so that others can ask it and share limits with it.
 pub(crate) async fn register(control: Arc<Control>) {
     let settings = &control.traffic.settings;
     let entry = HostEntry {
@@ -33,11 +42,51 @@
     };
     let value = serde_json::to_vec(&entry).unwrap_or_default();
     loop {
-        let write = put(&control, Some(value.clone()));
-        if control.store.write(write).await.is_ok() {
-            return;
+        let is_listed = control.traffic.view.load().hosts.get(&entry.name) == Some(&entry);
+        if !is_listed {
+            let write = put(&control, Some(value.clone()));
+            let is_written = control.store.write(write).await.is_ok();
+            smol::Timer::after(if is_written {
+                REGISTER_INTERVAL
+            } else {
+                RETRY_PAUSE
+            })
+            .await;
+            continue;
+        }
+        smol::Timer::after(REGISTER_INTERVAL).await;
+    }
+}
+
+/// Removes the entries of hosts that are gone for good. Each host asks a random other one now and then, so that every host is
+/// asked about once an interval however many there are. A host that was only cut off registers again.
+pub(crate) async fn remove_silent_hosts(control: Arc<Control>) {
+    loop {
+        let pause = SILENT_INTERVAL.mul_f64(0.7 + 0.6 * rand::random::<f64>());
+        smol::Timer::after(pause).await;
+        let view = control.traffic.view.load_full();
+        let own = &control.traffic.settings.name;
+        let others: Vec<_> = view.hosts.values().filter(|host| host.name != *own).collect();
+        let Some(host) = others.choose(&mut rand::rng()) else {
+            continue;
+        };
+        let key = format!("{HOST_PREFIX}{}", host.name);
+        let version = control.beliefs().version_of(Table::Shared, &key);
+        if is_up(host.peers).await {
+            continue;
+        }
+        smol::Timer::after(SECOND_LOOK).await;
+        if is_up(host.peers).await {
+            continue;
         }
-        smol::Timer::after(RETRY_PAUSE).await;
+        let remove = RecordWrite {
+            expect: version,
+            ..shared(key, None)
+        };
+        // Refused if the host has registered again meanwhile; another host tries if the store is away.
+        let is_removed = control.store.write(remove).await.is_ok();
+        info!(control.traffic.log, "a host is silent"; events::HOST_SILENT,
+            "silent" => &*host.name, "asked_to_remove" => is_removed);
     }
 }
 
@@ -84,7 +133,7 @@
     }
 }
 
-/// Whether a target takes connections.
+/// Whether a target or host takes connections.
 async fn is_up(address: SocketAddr) -> bool {
     let connect = async { TcpStream::connect(address).await.is_ok() };
     let late = async {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -45,4 +45,4 @@
 pub use target::Target;
 pub use traffic::{EventCutter, Progress};
 pub use view::{HostEntry, Named, View};
-pub use weights::{LoadOrder, Rollout, RolloutInput};
+pub use weights::{LoadOrder, Rollout, RolloutInput, is_overdue};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -207,7 +207,10 @@
     } = answer;
     let Some(bytes) = read_whole(body, call.until.saturating_sub(cx.now())).await else {
         exchange.note_broken();
-        note_crash(cx, call, &exchange.target);
+        // A target that is only slow has not crashed.
+        if cx.now() < call.until {
+            note_crash(cx, call, &exchange.target);
+        }
         tries.tried.push(run);
         return Settled::Again;
     };
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -69,6 +69,26 @@
     loaded: BTreeMap<TargetId, u64>,
 }
 
+/// Time after naming at which weights that no host orders are every host's business.
+const OVERDUE_AFTER: Duration = Duration::from_secs(4);
+
+/// Whether weights were named a while ago and engines still lack them, so that any host may have to give orders.
+///
+/// ```
+/// use gateway::{View, is_overdue};
+///
+/// assert!(!is_overdue(&View::default(), std::time::Duration::ZERO));
+/// ```
+pub fn is_overdue(view: &View, now: Monotonic) -> bool {
+    behind(view).iter().any(|(_, weights)| {
+        let named = view
+            .weights
+            .get(&weights.model)
+            .and_then(|named| named.newest_at());
+        named.is_some_and(|at| now >= at + OVERDUE_AFTER)
+    })
+}
+
 /// Names a run of a target's process.
 pub(crate) fn run_id(target: &Target) -> TargetId {
     format!("{}/{}", target.instance, target.born_ms).into()
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -154,3 +154,16 @@
     let named = &view.weights["m"];
     assert_eq!((named.newest(), named.newest_at()), (3, Some(ms(200))));
 }
+
+#[test]
+fn a_hosts_entry_can_be_removed_only_as_it_was_seen() {
+    let mut beliefs = beliefs();
+    assert_eq!(beliefs.version_of(Table::Targets, "t1"), Some(5));
+    beliefs.apply(
+        Table::Targets,
+        snapshot(8, [removed("t1", 8)]),
+        Learned::Store,
+        ms(10),
+    );
+    assert_eq!(beliefs.version_of(Table::Targets, "t1"), None);
+}
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use gateway::ports::EngineReport;
-use gateway::{LoadOrder, Named, OldWeights, Rollout, RolloutInput, Target, View, old_weights};
+use gateway::{LoadOrder, Named, OldWeights, Rollout, RolloutInput, Target, View, is_overdue, old_weights};
 use membership::LoadSlot;
 use support::{ms, target};
 
@@ -126,3 +126,11 @@
     assert_eq!(at(2, 9_000), OldWeights::Avoided);
     assert_eq!(at(3, 60_000), OldWeights::Allowed);
 }
+
+#[test]
+fn weights_that_nobody_orders_are_every_hosts_business_after_a_while() {
+    let behind = view(&[target("e", 1), target("f", 2)]);
+    assert!(!is_overdue(&behind, ms(3_999)));
+    assert!(is_overdue(&behind, ms(4_000)));
+    assert!(!is_overdue(&view(&[target("f", 2)]), ms(60_000)));
+}
