Forget removed rows after a minute, and send a host that is further behind the whole table

Cause: a host kept every removed row for ever, so that it could tell others of it; its memory grew with each target that was replaced, host that restarted and crash that was forgotten. Change: rows of a table are a type of their own (rows.rs). Removals are remembered for a minute. A host whose version is older than the newest forgotten removal gets the whole table. A row that is not held, though the table is known up to its version, was removed: such a row is ignored, so nothing forgotten comes back by a late answer. Found on the way: a host whose store had just returned told others that lapsed targets were gone, though it kept them itself until the grace was over; it now says nothing of targets until then. Ruled out: an age limit alone would have left hosts that were cut off for longer with targets that are gone. Conclusion: memory of a host no longer grows with its age.

--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -7,6 +7,7 @@
 
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::quarantine::{CRASHES_TO_QUARANTINE, Fingerprint, MEMORY};
+use crate::rows::{Rows, Told};
 use crate::view::{HostEntry, Named, View};
 use crate::{Declared, Target};
 
@@ -15,17 +16,6 @@
 /// Start of the keys of crashes: `crash/FINGERPRINT/HOST/NUMBER`, a row for each crash that a host has seen.
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 
-/// Rows of a table and the version up to which they are known.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct TableState {
-    /// Rows by key.
-    pub rows: BTreeMap<String, Record>,
-    /// Newest version that was heard of.
-    pub version: u64,
-    /// Whether the table was ever read whole.
-    pub is_read: bool,
-}
-
 /// Who told the host about a row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Learned {
@@ -55,7 +45,7 @@
     /// Time for which an entry that is missing after an outage may still come back.
     return_grace: Duration,
     /// Rows as they were read.
-    tables: HashMap<Table, TableState>,
+    tables: HashMap<Table, Rows>,
     /// State of the store.
     link: StoreLink,
     /// Declared state.
@@ -97,26 +87,26 @@
 
     /// The version up to which a table is known, once it was read whole.
     pub fn known(&self, table: Table) -> Option<u64> {
-        let state = self.tables.get(&table)?;
-        state.is_read.then_some(state.version)
+        self.tables.get(&table)?.known()
     }
 
     /// Version of a row that is there.
     pub fn version_of(&self, table: Table, key: &str) -> Option<u64> {
-        let row = self.tables.get(&table)?.rows.get(key)?;
-        row.value.as_ref().map(|_| row.version)
+        self.tables.get(&table)?.version_of(key)
     }
 
-    /// Rows of a table that are newer than a version, removed ones included; for other hosts.
-    pub fn newer_than(&self, table: Table, version: u64) -> Snapshot {
-        let Some(state) = self.tables.get(&table).filter(|state| state.is_read) else {
-            return Snapshot::default();
-        };
-        let newer = state.rows.values().filter(|row| row.version > version);
-        Snapshot {
-            records: newer.cloned().collect(),
-            version: state.version,
-        }
+    /// Removed rows that are remembered, to be told to other hosts.
+    pub fn removals(&self) -> usize {
+        self.tables.values().map(Rows::removals).sum()
+    }
+
+    /// What another host lacks that knows a table up to a version; `None` if this host can't say. Targets that may have lapsed
+    /// only because the store was away are neither there nor gone, so nothing is said of targets until that is settled.
+    pub fn newer_than(&self, table: Table, version: u64) -> Option<Told> {
+        let is_unsettled = table == Table::Targets && !self.doubtful.is_empty();
+        let rows = self.tables.get(&table).filter(|_| !is_unsettled)?;
+        rows.known()?;
+        Some(rows.newer_than(version))
     }
 
     /// A call to the store was answered. True if calls failed before.
@@ -145,30 +135,13 @@
         &mut self,
         table: Table,
         snapshot: Snapshot,
+        from: Learned,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
-        let state = self.tables.entry(table).or_default();
-        if snapshot.version < state.version {
-            return Vec::new();
-        }
-        let kept: HashSet<&str> = snapshot.records.iter().map(|r| r.key.as_str()).collect();
-        let gone = state.rows.values().filter(|row| row.value.is_some());
-        let gone = gone.filter(|row| !kept.contains(row.key.as_str()));
-        let mut records: Vec<Record> = gone
-            .map(|row| Record {
-                key: row.key.clone(),
-                value: None,
-                version: snapshot.version,
-            })
-            .collect();
-        state.is_read = true;
-        records.extend(snapshot.records);
-        let changed = Snapshot {
-            records,
-            version: snapshot.version,
-        };
-        self.is_changed = true;
-        self.apply(table, changed, Learned::Store, now)
+        let news = self.tables.entry(table).or_default().replace(snapshot, now);
+        // A table without rows is news as well: from now on it is known.
+        self.is_changed |= news.is_some();
+        self.take_all(table, news.unwrap_or_default(), from, now)
     }
 
     /// Takes rows that changed.
@@ -179,19 +152,19 @@
         from: Learned,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
-        let state = self.tables.entry(table).or_default();
-        if from == Learned::Peer && changed.version > 0 {
-            state.is_read = true;
-        }
-        state.version = state.version.max(changed.version);
-        let mut unusable = Vec::new();
-        for record in changed.records {
-            if let Err(e) = self.take(table, record, from, now) {
-                unusable.push(e);
+        let news = self.tables.entry(table).or_default().apply(changed, now);
+        self.take_all(table, news, from, now)
+    }
+
+    /// Takes what another host told.
+    pub fn hear(&mut self, table: Table, told: Told, now: Monotonic) -> Vec<Report<UnusableRecord>> {
+        match told {
+            // To a host that knows nothing, what is newer than nothing is the whole table.
+            Told::Newer(snapshot) if self.known(table).is_some() => {
+                self.apply(table, snapshot, Learned::Peer, now)
             }
+            Told::Newer(snapshot) | Told::All(snapshot) => self.replace(table, snapshot, Learned::Peer, now),
         }
-        self.saw_declared |= table == Table::Declared && self.known(table).is_some();
-        unusable
     }
 
     /// Keys of crashes that are old enough to be forgotten.
@@ -200,8 +173,11 @@
         old.map(|(key, _)| key.clone()).collect()
     }
 
-    /// Removes the entries that did not come back in time after an outage.
+    /// Removes the entries that did not come back in time after an outage, and forgets old removals.
     pub fn tick(&mut self, now: Monotonic) {
+        for rows in self.tables.values_mut() {
+            rows.forget(now);
+        }
         let StoreLink::Up(Some(back_at)) = self.link else {
             return;
         };
@@ -240,6 +216,22 @@
         })
     }
 
+    fn take_all(
+        &mut self,
+        table: Table,
+        news: Vec<Record>,
+        from: Learned,
+        now: Monotonic,
+    ) -> Vec<Report<UnusableRecord>> {
+        self.is_changed |= !news.is_empty();
+        let unusable = news
+            .into_iter()
+            .filter_map(|record| self.take(table, record, from, now).err())
+            .collect();
+        self.saw_declared |= table == Table::Declared && self.known(table).is_some();
+        unusable
+    }
+
     fn take(
         &mut self,
         table: Table,
@@ -247,13 +239,6 @@
         from: Learned,
         now: Monotonic,
     ) -> Result<(), Report<UnusableRecord>> {
-        let state = self.tables.entry(table).or_default();
-        let held = state.rows.get(&record.key);
-        if held.is_some_and(|held| held.version >= record.version) {
-            return Ok(());
-        }
-        state.rows.insert(record.key.clone(), record.clone());
-        self.is_changed = true;
         match table {
             Table::Declared => self.take_declared(&record, now),
             Table::Targets => self.take_target(record, from),
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -39,7 +39,7 @@
         match heard {
             Ok(Heard::Whole(snapshot)) => {
                 must_read = false;
-                control.update(|beliefs| beliefs.replace(table, snapshot, now));
+                control.update(|beliefs| beliefs.replace(table, snapshot, Learned::Store, now));
             }
             Ok(Heard::Changed(changed)) => {
                 let is_busy = !changed.records.is_empty() && table != Table::Declared;
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -15,8 +15,8 @@
 use slog::{info, warn};
 
 use super::Control;
-use crate::Learned;
-use crate::ports::{Snapshot, Table};
+use crate::Told;
+use crate::ports::Table;
 
 /// Path on which hosts tell each other what changed.
 const CHANGES_PATH: &str = "/changes";
@@ -40,9 +40,9 @@
 /// What another host knows beyond that.
 #[derive(Debug, Clone, Default)]
 #[derive(Serialize, Deserialize)]
-struct Told {
-    /// Rows that changed.
-    changes: Vec<(Table, Snapshot)>,
+struct Answer {
+    /// What each table has that the other host lacks; tables of which this host can't speak are left out.
+    changes: Vec<(Table, Told)>,
 }
 
 /// Answers other hosts until `stop` resolves.
@@ -80,11 +80,13 @@
         let found = question.known.iter().find(|(t, _)| *t == table);
         found.map_or(0, |(_, version)| *version)
     };
-    let changes = PASSED_ON.map(|table| (table, beliefs.newer_than(table, known(table))));
-    let told = Told {
-        changes: changes.into(),
+    let changes = PASSED_ON
+        .into_iter()
+        .filter_map(|table| Some((table, beliefs.newer_than(table, known(table))?)));
+    let answer = Answer {
+        changes: changes.collect(),
     };
-    Response::new(full_body(postcard::to_allocvec(&told).unwrap_or_default()))
+    Response::new(full_body(postcard::to_allocvec(&answer).unwrap_or_default()))
 }
 
 /// Asks other hosts for changes while the store does not answer.
@@ -105,8 +107,8 @@
         let Some(peer) = choose_peer(&control) else {
             continue;
         };
-        if let Some(told) = ask_one(&control, &client, peer).await {
-            learn(&control, peer, told);
+        if let Some(answer) = ask_one(&control, &client, peer).await {
+            learn(&control, peer, answer);
         }
     }
 }
@@ -121,7 +123,7 @@
     peers.choose(&mut rand::rng()).copied()
 }
 
-async fn ask_one(control: &Control, client: &Client, peer: SocketAddr) -> Option<Told> {
+async fn ask_one(control: &Control, client: &Client, peer: SocketAddr) -> Option<Answer> {
     let known = |table: Table| (table, control.beliefs().known(table).unwrap_or(0));
     let question = Question {
         known: PASSED_ON.map(known).into(),
@@ -135,7 +137,7 @@
     let answer = async {
         let res = client.send(peer, req).await.ok()?;
         let bytes = read_limited(res.into_body(), MAX_MESSAGE).await.ok()?;
-        postcard::from_bytes::<Told>(&bytes).ok()
+        postcard::from_bytes::<Answer>(&bytes).ok()
     };
     let late = async {
         smol::Timer::after(ANSWER_TIMEOUT).await;
@@ -144,17 +146,13 @@
     answer.or(late).await
 }
 
-fn learn(control: &Control, peer: SocketAddr, told: Told) {
+fn learn(control: &Control, peer: SocketAddr, answer: Answer) {
     let now = control.traffic.now();
-    let rows: usize = told
-        .changes
-        .iter()
-        .map(|(_, snapshot)| snapshot.records.len())
-        .sum();
+    let rows: usize = answer.changes.iter().map(|(_, told)| told.rows()).sum();
     if rows > 0 {
         info!(control.traffic.log, "another host told"; events::PEER_READ, "peer" => %peer, "rows" => rows);
     }
-    for (table, snapshot) in told.changes {
-        control.update(|beliefs| beliefs.apply(table, snapshot, Learned::Peer, now));
+    for (table, told) in answer.changes {
+        control.update(|beliefs| beliefs.hear(table, told, now));
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod placement;
 pub mod ports;
 mod quarantine;
+mod rows;
 mod sessions;
 mod target;
 mod telemetry;
@@ -23,7 +24,7 @@
 mod view;
 mod weights;
 
-pub use beliefs::{Beliefs, Learned, TableState};
+pub use beliefs::{Beliefs, Learned};
 pub use budget::RetryShare;
 pub use call::{AnswerFacts, CallFacts, LoadNote, PromptPart, PromptShape, SendFacts};
 pub use daemon::{Daemon, Parts};
@@ -41,6 +42,7 @@
 pub use load::{LoadEstimate, Outcome, Work};
 pub use placement::{Candidate, Choice, Decision, Demand, decide};
 pub use quarantine::{Crash, Crashes, Fingerprint};
+pub use rows::Told;
 pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
 pub use traffic::{EventCutter, Progress};
