Name a target's run once, count tries in one place, find stores once a failure domain

Cause: placement formatted the name of a target's run up to five times a target and request, and worked out the stores of a region for each candidate. Tries were counted alike in the pipeline and in the relay, and "among the first owners" stood in four places. Change: Target::run, Survey::stores, Tries::note, View::owns. Three small faults found on the way: a target that crashed while a stream was being resumed there was not counted as a crash of the request; the rest of a refusal's body was waited for until the request's deadline (now 50 ms, then the next target); whole answers of over 1 MiB counted as broken off (now 8 MiB).

--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -6,11 +6,10 @@
 use membership::{Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, OrderLease, WriteOutcome};
 use metadata::Expect;
 use slog::info;
-use utils::rendezvous_order;
 
 use super::Control;
 use crate::ports::{Record, RecordWrite, RecordWritten, Running, StoreError, Table, WeightsOrder};
-use crate::weights::{LoadOrder, Rollout, RolloutInput, is_overdue, run_id};
+use crate::weights::{LoadOrder, Rollout, RolloutInput, is_overdue};
 use crate::{NamedWeights, Target};
 
 /// Key of the lease's row.
@@ -94,10 +93,7 @@
         if !has_engines || traffic.is_draining() {
             return false;
         }
-        let names = view.hosts.keys().map(|name| &**name);
-        let order = rendezvous_order(DUTY, names);
-        let own = &*traffic.settings.name;
-        order.iter().take(CONTENDERS).any(|name| *name == own) || is_overdue(&view, traffic.now())
+        view.owns(DUTY, &traffic.settings.name, CONTENDERS) || is_overdue(&view, traffic.now())
     }
 
     async fn step(self: &Arc<Self>) {
@@ -206,7 +202,7 @@
         // Right before the send: a process that stood still must not give an order with a lapsed lease.
         let epoch = {
             let now = self.control.traffic.now();
-            self.lease().epoch_for(&run_id(target), is_fenced, now)
+            self.lease().epoch_for(&target.run, is_fenced, now)
         };
         let Some(epoch) = epoch else {
             self.rollout().take(
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -7,7 +7,6 @@
 use rand::seq::IndexedRandom;
 use slog::info;
 use smol::net::TcpStream;
-use utils::rendezvous_order;
 
 use super::Control;
 use crate::beliefs::{CRASH_PREFIX, HOST_PREFIX};
@@ -152,8 +151,7 @@
         let own = &*control.traffic.settings.name;
         let old = control.beliefs().old_crashes(now);
         for key in old {
-            let names = view.hosts.keys().map(|name| &**name);
-            let is_mine = rendezvous_order(key.as_bytes(), names).first() == Some(&own);
+            let is_mine = view.owns(key.as_bytes(), own, 1);
             if is_mine && control.store.write(shared(key, None)).await.is_err() {
                 break;
             }
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use slog::info;
-use utils::rendezvous_order;
 
 use super::Control;
 use crate::kept::{PartKey, weights_of_salt};
@@ -53,9 +52,7 @@
     let stores = declared.services().filter_map(|service| service.store.clone());
     let is_mine = |store: &StoreSpec| {
         let room = (store.questions as usize).saturating_sub(SPARE_QUESTIONS).max(1);
-        let names = view.hosts.keys().map(|name| &**name);
-        let order = rendezvous_order(store.address.as_bytes(), names);
-        order.iter().take(room).any(|name| *name == own)
+        view.owns(store.address.as_bytes(), own, room)
     };
     stores.filter(is_mine).collect()
 }
@@ -103,12 +100,7 @@
 /// Has the store drop what replaced weights have made, once no engine has them any more. One host does so for a store.
 async fn drop_old(control: &Control, store: &StoreSpec) {
     let view = control.traffic.view.load_full();
-    let names = view.hosts.keys().map(|name| &**name);
-    let owner = rendezvous_order(store.address.as_bytes(), names);
-    if owner
-        .first()
-        .is_none_or(|owner| **owner != *control.traffic.settings.name)
-    {
+    if !view.owns(store.address.as_bytes(), &control.traffic.settings.name, 1) {
         return;
     }
     let old = old_parts(control, &view, store);
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -19,10 +19,12 @@
 use crate::call::{AnswerFacts, SendFacts};
 use crate::load::{Outcome, Work};
 use crate::telemetry::SendResult;
-use crate::weights::run_id;
 
 /// Longest answer that is held back until it is whole, in bytes.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+/// Longest time for the rest of an answer that says that the request did not run; its head is enough, and the request goes on
+/// to another target.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Connections to a target that a host may open whatever the limits.
 const LEAST_CONNECTIONS: usize = 2;
 /// Headers that concern one connection only.
@@ -218,7 +220,8 @@
     }
     exchange.note_first_byte(&facts, parts.status.as_u16(), is_behind);
     if facts.is_not_run || facts.is_misdirected {
-        let rest = read_whole(body, call.until.saturating_sub(cx.now())).await;
+        let time_left = call.until.saturating_sub(cx.now());
+        let rest = read_whole(body, time_left.min(REFUSAL_TIMEOUT)).await;
         if rest.is_some() {
             exchange.finish(&facts);
         }
@@ -356,8 +359,3 @@
     }
     headers.remove(TRANSFER_ENCODING);
 }
-
-/// Names the run of the target that an exchange uses.
-pub(crate) fn run_of(exchange: &Exchange) -> utils::TargetId {
-    run_id(&exchange.target)
-}
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -11,15 +11,15 @@
 use utils::TargetId;
 
 use super::accept::accept;
-use super::exchange::{Answer, Tried, exchange, read_whole, run_of};
-use super::place::{NoPlace, place, versioned};
+use super::exchange::{Answer, Tried, exchange, read_whole};
+use super::place::{NoPlace, Placed, place, versioned};
 use super::refusal::Refusal;
 use super::relay::relay;
 use super::request::Call;
 use super::state::Traffic;
-use crate::Target;
 use crate::declared::Repeat;
 use crate::quarantine::Crash;
+use crate::{AnswerFacts, Target};
 
 /// Most sends of one request, those that were turned away included.
 const MOST_SENDS: u32 = 4;
@@ -99,6 +99,23 @@
         is_allowed && (self.sends == 0 || cx.take_repeat(&call.service))
     }
 
+    /// Counts a send.
+    pub(crate) fn note(&mut self, placed: &Placed, tried: &Tried) {
+        match tried {
+            Tried::NotSent => self.unreachable += 1,
+            Tried::NotRun(_) => self.sends += 1,
+            Tried::Unknown | Tried::TimedOut | Tried::Answered(_) => {
+                self.sends += 1;
+                self.runs += 1;
+            }
+        }
+        // With the version that it just named, the same target takes the request.
+        let shows_newer = |facts: &AnswerFacts| facts.is_misdirected && facts.weights > placed.weights;
+        if !matches!(tried, Tried::NotRun(facts) if shows_newer(facts)) {
+            self.tried.push(placed.target.run.clone());
+        }
+    }
+
     fn refusal(&self, call: &Call) -> Refusal {
         if self.runs > 0 {
             return Refusal::unknown(
@@ -133,32 +150,19 @@
         };
         cx.telemetry
             .placed(&call.id, &placed.target.instance, &placed.choice, tries.sends + 1);
-        let run = crate::weights::run_id(&placed.target);
         if let (Some(session), true) = (call.session_key(), tries.runs == 0) {
             let now = cx.now();
             let session = versioned(session, placed.weights);
-            cx.known().sessions.note_sent(session, run.clone(), now);
+            cx.known()
+                .sessions
+                .note_sent(session, placed.target.run.clone(), now);
         }
         let resume_after = call.last_event.clone();
-        match exchange(cx, &call, &placed, resume_after).await {
-            Tried::NotSent => {
-                tries.unreachable += 1;
-                tries.tried.push(run);
-            }
-            Tried::NotRun(facts) => {
-                tries.sends += 1;
-                // With the version that it just named, the same target takes the request.
-                let shows_newer = facts.is_misdirected && facts.weights > placed.weights;
-                if !shows_newer {
-                    tries.tried.push(run);
-                }
-            }
-            Tried::Unknown => {
-                tries.sends += 1;
-                tries.runs += 1;
-                note_crash(cx, &call, &placed.target);
-                tries.tried.push(run);
-            }
+        let tried = exchange(cx, &call, &placed, resume_after).await;
+        tries.note(&placed, &tried);
+        match tried {
+            Tried::NotSent | Tried::NotRun(_) => {}
+            Tried::Unknown => note_crash(cx, &call, &placed.target),
             Tried::TimedOut => {
                 return refuse(
                     cx,
@@ -166,15 +170,11 @@
                     &Refusal::unknown(ProblemKind::DeadlineUnreachable, "no answer in time"),
                 );
             }
-            Tried::Answered(answer) => {
-                tries.sends += 1;
-                tries.runs += 1;
-                match settle(cx, &call, *answer, &mut tries).await {
-                    Settled::Stream(answer) => return relay(cx.clone(), call, *answer, tries, open),
-                    Settled::Whole(res) => return res,
-                    Settled::Again => {}
-                }
-            }
+            Tried::Answered(answer) => match settle(cx, &call, *answer, &mut tries).await {
+                Settled::Stream(answer) => return relay(cx.clone(), call, *answer, tries, open),
+                Settled::Whole(res) => return res,
+                Settled::Again => {}
+            },
         }
     }
     if let Some((parts, body)) = tries.failure.take() {
@@ -198,7 +198,7 @@
     if is_good && call.route.repeat.is_stream() {
         return Settled::Stream(Box::new(answer));
     }
-    let run = run_of(&answer.exchange);
+    let run = answer.exchange.target.run.clone();
     let Answer {
         parts,
         facts,
@@ -211,12 +211,10 @@
         if cx.now() < call.until {
             note_crash(cx, call, &exchange.target);
         }
-        tries.tried.push(run);
         return Settled::Again;
     };
     exchange.finish(&facts);
     if parts.status.is_server_error() && call.route.repeat.is_idempotent() {
-        tries.tried.push(run);
         tries.failure = Some((parts, bytes));
         return Settled::Again;
     }
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use utils::{Monotonic, TargetId, rendezvous_score};
@@ -7,12 +8,11 @@
 use crate::Target;
 use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
-use crate::kept::{CachePlan, PlanRequest, StoreAt};
+use crate::kept::{CachePlan, PlanRequest, StoreAt, stores_near};
 use crate::load::Work;
 use crate::placement::{Candidate, Choice, Decision, decide};
 use crate::sessions::SessionKey;
 use crate::view::View;
-use crate::weights::run_id;
 
 /// Memory of a request while this host has none of its own, in tokens.
 const TYPICAL_MEMORY: f64 = 4_000.0;
@@ -91,6 +91,8 @@
     others: Others,
     /// Memory of an engine of the service, in tokens.
     engine_memory: u64,
+    /// Stores of kept cache in the region of each failure domain that has targets.
+    stores: HashMap<&'a str, Vec<StoreAt>>,
     /// Whether any engine has the newest weights.
     is_under_way: bool,
     /// Time.
@@ -116,9 +118,14 @@
             call,
             others: others_of(known, targets, view.host_count()),
             engine_memory: engine_memory(view, call),
+            stores: HashMap::new(),
             is_under_way: false,
             now: cx.now(),
         };
+        for target in targets {
+            let found = survey.stores.entry(&target.domain);
+            found.or_insert_with(|| stores_in_region(cx, view, &target.domain));
+        }
         let newest = call.model().and_then(|model| view.weights.get(model));
         survey.is_under_way = newest.is_some_and(|named| {
             let newest = Some(named.newest());
@@ -130,12 +137,12 @@
     /// Targets that may take the request; those that were not reached lately only if there is no other.
     fn targets(&self, tried: &[TargetId]) -> Vec<&'a Arc<Target>> {
         let is_allowed = |target: &&Arc<Target>| {
-            !tried.contains(&run_id(target)) && self.old_weights(target) != OldWeights::Forbidden
+            !tried.contains(&target.run) && self.old_weights(target) != OldWeights::Forbidden
         };
         let listed = self.view.targets_of(&self.call.service).iter();
         let all: Vec<_> = listed.filter(is_allowed).collect();
         let is_paused = |target: &Target| {
-            let slot = self.known.slots.get(&run_id(target));
+            let slot = self.known.slots.get(&target.run);
             slot.is_some_and(|slot| slot.load.is_paused(self.now))
         };
         let sound: Vec<_> = all.iter().copied().filter(|target| !is_paused(target)).collect();
@@ -143,14 +150,14 @@
     }
 
     fn candidate(&self, target: &Target, session: Option<SessionKey>, position: usize) -> Candidate {
-        let id = run_id(target);
-        let load = self.known.slots.get(&id).map(|slot| &slot.load);
+        let id = &target.run;
+        let load = self.known.slots.get(id).map(|slot| &slot.load);
         let fresh = crate::LoadEstimate::default();
         let load = load.unwrap_or(&fresh);
         let weights = self.weights_at(target);
         let chance = session.map_or(0.0, |session| {
             let session = versioned(session, weights);
-            self.known.sessions.chance(session, &id, position, self.now)
+            self.known.sessions.chance(session, id, position, self.now)
         });
         let is_kept = self.is_kept(target, weights);
         Candidate {
@@ -177,7 +184,7 @@
     /// The version that a target has: what its entry says, or newer if its answers showed so.
     fn weights_at(&self, target: &Target) -> Option<u64> {
         let listed = target.weights_of(self.call.model()?);
-        let slot = self.known.slots.get(&run_id(target));
+        let slot = self.known.slots.get(&target.run);
         listed.max(slot.and_then(|slot| slot.seen_weights))
     }
 
@@ -191,8 +198,8 @@
         old_weights(named, version, deadline, self.is_under_way, self.now)
     }
 
-    fn stores(&self, target: &Target) -> Vec<StoreAt> {
-        self.cx.stores_near(self.view, target)
+    fn stores(&self, target: &Target) -> &[StoreAt] {
+        self.stores.get(&*target.domain).map_or(&[], Vec::as_slice)
     }
 
     /// Whether a store in the target's region holds the session's part.
@@ -200,7 +207,7 @@
         let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
             return false;
         };
-        self.cx.kept().is_kept(prompt, &salt, &self.stores(target))
+        self.cx.kept().is_kept(prompt, &salt, self.stores(target))
     }
 
     /// What the request fetches from stores or from the session's home, and what it saves.
@@ -215,7 +222,7 @@
         let req = PlanRequest {
             prompt,
             salt: &salt,
-            stores: &self.stores(target),
+            stores: self.stores(target),
             home: home.as_ref(),
             is_saving: named.is_none_or(|named| weights.unwrap_or(0) >= named.newest()),
         };
@@ -223,6 +230,15 @@
     }
 }
 
+/// Stores of kept cache in the region of a failure domain.
+fn stores_in_region(cx: &Traffic, view: &View, domain: &str) -> Vec<StoreAt> {
+    let Some(declared) = &view.declared else {
+        return Vec::new();
+    };
+    let stores = declared.services().filter_map(|service| service.store.as_ref());
+    stores_near(stores, domain, |domain| cx.settings.regions.get(domain).cloned())
+}
+
 /// Memory of an engine of the call's service, in tokens.
 fn engine_memory(view: &View, call: &Call) -> u64 {
     let declared = view.declared.as_ref();
@@ -232,9 +248,7 @@
 }
 
 fn others_of(known: &Known, targets: &[Arc<Target>], hosts: usize) -> Others {
-    let slots = targets
-        .iter()
-        .filter_map(|target| known.slots.get(&run_id(target)));
+    let slots = targets.iter().filter_map(|target| known.slots.get(&target.run));
     let (memory, requests) = slots.fold((0, 0), |(memory, requests), slot| {
         (
             memory + slot.load.own_memory(),
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 
-use super::exchange::{Answer, Exchange, Tried, exchange, run_of};
+use super::exchange::{Answer, Exchange, Tried, exchange};
 use super::pipeline::{OpenRequest, Tries, may_resume, note_crash};
 use super::place::place;
 use super::request::Call;
@@ -125,7 +125,7 @@
 
     fn end(&mut self) -> Option<Result<Bytes, HttpError>> {
         let source = self.source.take()?;
-        let run = run_of(&source.exchange);
+        let run = source.exchange.target.run.clone();
         source.exchange.finish(&source.facts);
         self.cx.known().crashes.note_success(&self.call.fingerprint);
         let events = self.cutter.progress().events;
@@ -139,7 +139,6 @@
     fn note_broken(&mut self) {
         if let Some(source) = self.source.take() {
             source.exchange.note_broken();
-            self.tries.tried.push(run_of(&source.exchange));
             note_crash(&self.cx, &self.call, &source.exchange.target);
         }
         self.cutter.drop_partial();
@@ -157,18 +156,13 @@
             let Ok(placed) = place(&self.cx, &self.call, &self.tries.tried) else {
                 return false;
             };
-            self.tries.tried.push(crate::weights::run_id(&placed.target));
-            match exchange(&self.cx, &self.call, &placed, after.clone()).await {
-                Tried::NotSent => {}
-                Tried::NotRun(_) => self.tries.sends += 1,
-                Tried::Unknown => {
-                    self.tries.sends += 1;
-                    self.tries.runs += 1;
-                }
+            let tried = exchange(&self.cx, &self.call, &placed, after.clone()).await;
+            self.tries.note(&placed, &tried);
+            match tried {
+                Tried::NotSent | Tried::NotRun(_) => {}
+                Tried::Unknown => note_crash(&self.cx, &self.call, &placed.target),
                 Tried::TimedOut => return false,
                 Tried::Answered(answer) => {
-                    self.tries.sends += 1;
-                    self.tries.runs += 1;
                     if !answer.parts.status.is_success() {
                         continue;
                     }
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
@@ -8,11 +8,10 @@
 use utils::{Clock, Monotonic, ServiceId, TargetId};
 
 use super::pool::TargetSlot;
-use crate::kept::{KeptCache, StoreAt, stores_near};
+use crate::kept::KeptCache;
 use crate::ports::Heads;
 use crate::quarantine::{Crash, Crashes};
 use crate::telemetry::Telemetry;
-use crate::weights::run_id;
 use crate::{HostSettings, RetryShare, Sessions, Target, View};
 
 /// What the traffic thread knows beside the view.
@@ -57,7 +56,7 @@
     leaving: OnceLock<Leaving>,
     /// Requests under way.
     pub open: AtomicUsize,
-    /// Requests to quarantine everywhere.
+    /// Crashes of targets, for the control thread to tell other hosts of.
     pub crashed: async_channel::Sender<Crash>,
     /// What the traffic thread knows.
     known: Mutex<Known>,
@@ -122,19 +121,9 @@
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Stores of kept cache in the region of a target.
-    pub(crate) fn stores_near(&self, view: &View, target: &Target) -> Vec<StoreAt> {
-        let Some(declared) = &view.declared else {
-            return Vec::new();
-        };
-        let stores = declared.services().filter_map(|service| service.store.as_ref());
-        let region_of = |domain: &str| self.settings.regions.get(domain).cloned();
-        stores_near(stores, &target.domain, region_of)
-    }
-
     /// Runs `f` on what is known of a target.
     pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
-        f(self.known().slots.entry(run_id(target)).or_default())
+        f(self.known().slots.entry(target.run.clone()).or_default())
     }
 
     /// Counts a request of a service.
@@ -155,7 +144,7 @@
         let now = self.now();
         let view = self.view.load();
         let listed = view.targets.values().flatten();
-        let listed: std::collections::HashSet<TargetId> = listed.map(|target| run_id(target)).collect();
+        let listed: HashSet<&TargetId> = listed.map(|target| &target.run).collect();
         let mut known = self.known();
         known
             .slots
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use utils::{FailureDomainId, HostId, ModelId, Monotonic, ServiceId};
+use utils::{FailureDomainId, HostId, ModelId, Monotonic, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
 use crate::{Declared, Target};
@@ -104,6 +104,17 @@
             .any(|t| t.instance == target.instance && t.born_ms == target.born_ms)
     }
 
+    /// Whether a host is among the first `count` that own a duty. Every host that knows the same hosts says the same.
+    ///
+    /// ```
+    /// assert!(!gateway::View::default().owns(b"orders", "host-1", 3));
+    /// ```
+    pub fn owns(&self, duty: &[u8], host: &str, count: usize) -> bool {
+        let names = self.hosts.keys().map(|name| &**name);
+        let order = rendezvous_order(duty, names);
+        order.iter().take(count).any(|name| *name == host)
+    }
+
     /// Entry hosts that share what is limited for all together; at least this one.
     pub fn host_count(&self) -> usize {
         self.hosts.len().max(1)
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -89,15 +89,10 @@
     })
 }
 
-/// Names a run of a target's process.
-pub(crate) fn run_id(target: &Target) -> TargetId {
-    format!("{}/{}", target.instance, target.born_ms).into()
-}
-
 impl Rollout {
     /// Takes what an engine said.
     pub fn take(&mut self, target: &Target, input: RolloutInput) {
-        let progress = self.progress.entry(run_id(target)).or_default();
+        let progress = self.progress.entry(target.run.clone()).or_default();
         match input {
             RolloutInput::Reported(report) => progress.report = Some(report),
             RolloutInput::Ordered(answer) => {
@@ -115,16 +110,16 @@
         let mut orders = Vec::new();
         let mut behind = behind(view);
         self.loaded
-            .retain(|id, _| behind.iter().any(|(target, _)| run_id(target) == *id));
+            .retain(|id, _| behind.iter().any(|(target, _)| target.run == *id));
         behind.retain(|(target, weights)| {
-            let loaded = self.loaded.get(&run_id(target));
+            let loaded = self.loaded.get(&target.run);
             loaded.is_none_or(|version| *version < weights.version)
         });
         let limit = (engines(view) / LOADING_PART).max(1);
         self.progress
             .retain(|id, _| loads.iter().any(|slot| slot.target == *id));
         for slot in loads {
-            let found = behind.iter().find(|(target, _)| run_id(target) == slot.target);
+            let found = behind.iter().find(|(target, _)| target.run == slot.target);
             match found {
                 Some((target, weights)) => orders.extend(self.step(target, weights, now)),
                 None => orders.push(LoadOrder::End(slot.target.clone())),
@@ -133,10 +128,10 @@
         let room = limit.saturating_sub(loads.len());
         let waiting = behind
             .iter()
-            .filter(|(target, _)| !loads.iter().any(|slot| slot.target == run_id(target)));
+            .filter(|(target, _)| !loads.iter().any(|slot| slot.target == target.run));
         orders.extend(waiting.take(room).map(|(target, weights)| {
             LoadOrder::Start(LoadSlot {
-                target: run_id(target),
+                target: target.run.clone(),
                 model: weights.model.clone(),
                 version: weights.version as WeightVersion,
             })
@@ -145,15 +140,15 @@
     }
 
     fn step(&mut self, target: &Arc<Target>, weights: &NamedWeights, now: Monotonic) -> Option<LoadOrder> {
-        let progress = self.progress.entry(run_id(target)).or_default();
+        let progress = self.progress.entry(target.run.clone()).or_default();
         if let Some(report) = &progress.report {
             let loaded = report
                 .models
                 .iter()
                 .any(|(model, version)| *model == weights.model && *version >= weights.version);
             if loaded {
-                self.loaded.insert(run_id(target), weights.version);
-                return Some(LoadOrder::End(run_id(target)));
+                self.loaded.insert(target.run.clone(), weights.version);
+                return Some(LoadOrder::End(target.run.clone()));
             }
             let is_due = progress.ordered_at.is_none_or(|at| now >= at + REPEAT_AFTER);
             if !report.is_busy && is_due {
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -55,6 +55,7 @@
 /// An engine with weights of model `m`.
 pub(crate) fn target(instance: &str, version: u64) -> Target {
     Target {
+        run: Target::run_of(instance, 1),
         instance: instance.to_owned(),
         born_ms: 1,
         service: "s".into(),
