Let hosts that follow no store of kept cache learn from those that do; drop parts of replaced weights sooner

Parts of replaced weights were dropped only when every engine had the new ones and 4 s later, so after a change of weights new parts found no room. Change: the same hosts follow all stores of a region and pass on numbered changes (POST /kept, every 0.7 s, salts named once). What a store said is relied upon for 3.5 s, whoever passed it on. Parts of replaced weights are fetched by nobody who knows of the new ones, nor by hosts that have not heard what is declared for 4 s, and a fetch ends within 1.5 s (before 2.5): so they may go 6.2 s after the naming. A store in a new run gets no saves for 5.5 s (before 3), which now covers fetches under way. Ruled out: naming stores without knowing what they hold (a part that is being written must not be read); asking a follower with each request (a round trip before the first byte, and a dead follower holds requests).

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -36,6 +36,9 @@
         let heard = hear(&control, table, must_read).await;
         control.note_store(heard.is_ok());
         let now = control.traffic.now();
+        if heard.is_ok() && table == Table::Declared {
+            control.traffic.kept().note_declared(now);
+        }
         match heard {
             Ok(Heard::Whole(snapshot)) => {
                 must_read = false;
--- /dev/null
+++ b/components/gateway/src/control/kept_news.rs
@@ -0,0 +1,224 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_io::{Client, ClientConfig};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use utils::{Incarnation, RegionId};
+
+use super::Control;
+use super::peers::ask;
+use super::stores::{declared_stores, region_of, watchers};
+use crate::View;
+use crate::kept::{KeptEvent, PartKey, StoreNews};
+
+/// Path on which hosts that follow stores of kept cache pass on what they hear.
+pub(super) const PATH: &str = "/kept";
+/// Pause between questions.
+const ASK_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Asks for changes of the stores of a region.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct KeptQuestion {
+    /// Region of the stores.
+    region: RegionId,
+    /// Where the last answer ended; nothing in the first question to a host.
+    from: Option<Cursor>,
+}
+
+/// Where an answer ended.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+struct Cursor {
+    /// Run of the host that answered.
+    incarnation: Incarnation,
+    /// Number of the next change by store.
+    numbers: BTreeMap<Arc<str>, u64>,
+}
+
+/// What changed.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct KeptAnswer {
+    /// Where the next question goes on.
+    next: Cursor,
+    /// The stores' clock, in milliseconds.
+    clock_ms: Option<u64>,
+    /// Salts that the changes name by index.
+    salts: Vec<Box<str>>,
+    /// News by store.
+    stores: Vec<(Arc<str>, PackedNews)>,
+}
+
+/// [`StoreNews`] with salts named by index.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct PackedNews {
+    epoch: Option<u64>,
+    age: Duration,
+    is_all: bool,
+    /// Salt, part, and the tokens that are stored.
+    events: Vec<(u16, Box<str>, Option<u32>)>,
+}
+
+/// Collects salts, so that each is sent once.
+#[derive(Default)]
+struct Salts {
+    names: Vec<Box<str>>,
+    indexes: HashMap<Box<str>, u16>,
+}
+
+impl Salts {
+    fn pack(&mut self, news: StoreNews) -> PackedNews {
+        let events = news.events.into_iter().map(|event| {
+            let KeptEvent { key, stored } = event;
+            (self.index(key.salt), key.id, stored)
+        });
+        PackedNews {
+            epoch: news.epoch,
+            age: news.age,
+            is_all: news.is_all,
+            events: events.collect(),
+        }
+    }
+
+    fn index(&mut self, salt: Box<str>) -> u16 {
+        let next = self.names.len() as u16;
+        let index = *self.indexes.entry(salt.clone()).or_insert(next);
+        if index == next {
+            self.names.push(salt);
+        }
+        index
+    }
+}
+
+fn unpack(packed: PackedNews, salts: &[Box<str>]) -> StoreNews {
+    let event = |(salt, id, stored): (u16, Box<str>, Option<u32>)| {
+        let salt = salts.get(usize::from(salt))?.clone();
+        Some(KeptEvent {
+            key: PartKey { salt, id },
+            stored,
+        })
+    };
+    StoreNews {
+        epoch: packed.epoch,
+        age: packed.age,
+        is_all: packed.is_all,
+        events: packed.events.into_iter().filter_map(event).collect(),
+    }
+}
+
+/// Answers a host that does not follow the stores of a region itself.
+pub(super) fn tell(control: &Control, question: &KeptQuestion) -> KeptAnswer {
+    let view = control.traffic.view.load_full();
+    let now = control.traffic.now();
+    let from = question.from.as_ref();
+    let from = from.filter(|cursor| cursor.incarnation == control.incarnation);
+    let mut salts = Salts::default();
+    let mut next = Cursor {
+        incarnation: control.incarnation,
+        ..Cursor::default()
+    };
+    let mut stores = Vec::new();
+    let mut kept = control.traffic.kept();
+    for store in declared_stores(&view) {
+        if region_of(control, &store) != Some(&question.region) {
+            continue;
+        }
+        let number = from.and_then(|cursor| cursor.numbers.get(&store.address));
+        let (news, end) = kept.store(&store.address).news_since(number.copied(), now);
+        next.numbers.insert(store.address.clone(), end);
+        stores.push((store.address, salts.pack(news)));
+    }
+    KeptAnswer {
+        next,
+        clock_ms: kept.clock_ms(now),
+        salts: salts.names,
+        stores,
+    }
+}
+
+/// Keeps up with the stores that this host does not follow itself.
+pub(crate) async fn follow_watchers(control: Arc<Control>) {
+    let cfg = ClientConfig {
+        idle_per_address: 1,
+        ..ClientConfig::default()
+    };
+    let client = Client::new(control.ex.clone(), cfg);
+    let mut sources: BTreeMap<RegionId, Source> = BTreeMap::new();
+    loop {
+        let pause = ASK_INTERVAL.mul_f64(0.9 + 0.2 * rand::random::<f64>());
+        smol::Timer::after(pause).await;
+        let view = control.traffic.view.load_full();
+        for region in unwatched(&control, &view) {
+            let source = sources.entry(region.clone()).or_default();
+            if !source.ask(&control, &client, &view, &region).await {
+                *source = Source::default();
+            }
+        }
+    }
+}
+
+/// Regions with stores that this host does not follow.
+fn unwatched(control: &Control, view: &View) -> Vec<RegionId> {
+    let own = &control.traffic.settings.name;
+    let stores = declared_stores(view);
+    let is_foreign = |store: &crate::StoreSpec| !watchers(control, view, store).contains(own);
+    let regions = stores
+        .filter(is_foreign)
+        .filter_map(|store| region_of(control, &store).cloned());
+    let mut regions: Vec<_> = regions.collect();
+    regions.sort();
+    regions.dedup();
+    regions
+}
+
+/// The host that is asked about a region's stores, and how far it has told.
+#[derive(Default)]
+struct Source {
+    watcher: Option<SocketAddr>,
+    from: Option<Cursor>,
+}
+
+impl Source {
+    /// Asks for changes; false if there is no answer, so that another host is asked next.
+    async fn ask(&mut self, control: &Control, client: &Client, view: &View, region: &RegionId) -> bool {
+        let Some(peer) = self.watcher.or_else(|| choose(control, view, region)) else {
+            return false;
+        };
+        self.watcher = Some(peer);
+        let question = KeptQuestion {
+            region: region.clone(),
+            from: self.from.take(),
+        };
+        let asked_at = control.traffic.now();
+        let Some(answer) = ask::<_, KeptAnswer>(client, peer, PATH, &question).await else {
+            return false;
+        };
+        self.from = Some(answer.next);
+        let now = control.traffic.now();
+        let mut kept = control.traffic.kept();
+        if let Some(clock_ms) = answer.clock_ms {
+            kept.note_clock(clock_ms, now);
+        }
+        for (address, news) in answer.stores {
+            kept.store(&address)
+                .take_news(unpack(news, &answer.salts), asked_at, now);
+        }
+        true
+    }
+}
+
+/// A host that follows the stores of a region.
+fn choose(control: &Control, view: &View, region: &RegionId) -> Option<SocketAddr> {
+    let mut stores = declared_stores(view);
+    let store = stores.find(|store| region_of(control, store) == Some(region))?;
+    let own = &control.traffic.settings.name;
+    let watchers = watchers(control, view, &store);
+    let others: Vec<_> = watchers.iter().filter(|name| *name != own).collect();
+    let name = others.choose(&mut rand::rng())?;
+    view.hosts.get(*name).map(|host| host.peers)
+}
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and other hosts, publishes what the host believes, and orders weights.
 
 mod follow;
+mod kept_news;
 mod orders;
 mod peers;
 mod register;
@@ -62,13 +63,14 @@
             self.ex.spawn(follow::follow(self.clone(), Table::Targets)),
             self.ex.spawn(follow::follow(self.clone(), Table::Shared)),
             self.ex.spawn(follow::tick(self.clone())),
-            self.ex.spawn(peers::ask(self.clone())),
+            self.ex.spawn(peers::ask_for_changes(self.clone())),
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
             self.ex.spawn(register::forget_crashes(self.clone())),
             self.ex.spawn(register::remove_silent_hosts(self.clone())),
             self.ex.spawn(orders::give_orders(self.clone())),
             self.ex.spawn(stores::follow_stores(self.clone())),
+            self.ex.spawn(kept_news::follow_watchers(self.clone())),
         ];
         let server = peers::serve(self.clone(), stop.clone());
         server.await;
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -11,10 +11,11 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::IndexedRandom;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use super::Control;
+use super::{Control, kept_news};
 use crate::Told;
 use crate::ports::Table;
 
@@ -66,15 +67,26 @@
 }
 
 async fn tell(control: &Control, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
     let body = read_limited(req.into_body(), MAX_MESSAGE).await;
-    let question = body
-        .ok()
-        .and_then(|bytes| postcard::from_bytes::<Question>(&bytes).ok());
-    let Some(question) = question else {
+    let answer = body.ok().and_then(|bytes| match path.as_str() {
+        CHANGES_PATH => pack(&tell_changes(control, &postcard::from_bytes(&bytes).ok()?)),
+        kept_news::PATH => pack(&kept_news::tell(control, &postcard::from_bytes(&bytes).ok()?)),
+        _ => None,
+    });
+    let Some(answer) = answer else {
         let mut res = Response::new(empty_body());
         *res.status_mut() = StatusCode::BAD_REQUEST;
         return res;
     };
+    Response::new(full_body(answer))
+}
+
+fn pack(message: &impl Serialize) -> Option<Vec<u8>> {
+    postcard::to_allocvec(message).ok()
+}
+
+fn tell_changes(control: &Control, question: &Question) -> Answer {
     let beliefs = control.beliefs();
     let known = |table: Table| {
         let found = question.known.iter().find(|(t, _)| *t == table);
@@ -83,14 +95,13 @@
     let changes = PASSED_ON
         .into_iter()
         .filter_map(|table| Some((table, beliefs.newer_than(table, known(table))?)));
-    let answer = Answer {
+    Answer {
         changes: changes.collect(),
-    };
-    Response::new(full_body(postcard::to_allocvec(&answer).unwrap_or_default()))
+    }
 }
 
 /// Asks other hosts for changes while the store does not answer.
-pub(crate) async fn ask(control: Arc<Control>) {
+pub(crate) async fn ask_for_changes(control: Arc<Control>) {
     let cfg = ClientConfig {
         response_timeout: ANSWER_TIMEOUT,
         idle_per_address: 1,
@@ -107,7 +118,11 @@
         let Some(peer) = choose_peer(&control) else {
             continue;
         };
-        if let Some(answer) = ask_one(&control, &client, peer).await {
+        let known = |table: Table| (table, control.beliefs().known(table).unwrap_or(0));
+        let question = Question {
+            known: PASSED_ON.map(known).into(),
+        };
+        if let Some(answer) = ask(&client, peer, CHANGES_PATH, &question).await {
             learn(&control, peer, answer);
         }
     }
@@ -123,21 +138,23 @@
     peers.choose(&mut rand::rng()).copied()
 }
 
-async fn ask_one(control: &Control, client: &Client, peer: SocketAddr) -> Option<Answer> {
-    let known = |table: Table| (table, control.beliefs().known(table).unwrap_or(0));
-    let question = Question {
-        known: PASSED_ON.map(known).into(),
-    };
+/// Sends a host a question; `None` if no answer comes in time, or none that can be read.
+pub(super) async fn ask<Q: Serialize, A: DeserializeOwned>(
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    question: &Q,
+) -> Option<A> {
     let req = Request::builder()
         .method(Method::POST)
-        .uri(CHANGES_PATH)
+        .uri(path)
         .header("host", peer.to_string())
-        .body(full_body(postcard::to_allocvec(&question).ok()?))
+        .body(full_body(pack(question)?))
         .ok()?;
     let answer = async {
         let res = client.send(peer, req).await.ok()?;
         let bytes = read_limited(res.into_body(), MAX_MESSAGE).await.ok()?;
-        postcard::from_bytes::<Answer>(&bytes).ok()
+        postcard::from_bytes(&bytes).ok()
     };
     let late = async {
         smol::Timer::after(ANSWER_TIMEOUT).await;
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use slog::info;
+use utils::{HostId, RegionId, rendezvous_order};
 
 use super::Control;
-use crate::kept::{PartKey, weights_of_salt};
+use crate::kept::{PartKey, REPLACED_SETTLED_AFTER, weights_of_salt};
+use crate::view::{HostEntry, Named};
 use crate::{StoreSpec, View};
 
 /// Pause between looks at which stores are declared.
@@ -18,8 +20,6 @@
 const SILENT_PAUSE: Duration = Duration::from_millis(400);
 /// Questions of a store's limit that are left to engines and restarting hosts.
 const SPARE_QUESTIONS: usize = 2;
-/// Time after which nothing that old weights have made can be under way any more.
-const OLD_WEIGHTS_REST: Duration = Duration::from_secs(4);
 /// Most parts that are dropped with one call.
 const MOST_DROPPED: usize = 200;
 
@@ -28,12 +28,13 @@
     let mut watches: BTreeMap<Arc<str>, smol::Task<()>> = BTreeMap::new();
     loop {
         let view = control.traffic.view.load_full();
-        let stores = watched(&control, &view);
+        let own = &control.traffic.settings.name;
+        let declared: Vec<_> = declared_stores(&view).collect();
+        let is_declared = |address: &str| declared.iter().any(|store| *store.address == *address);
+        control.traffic.kept().retain(is_declared);
+        let is_mine = |store: &&StoreSpec| watchers(&control, &view, store).contains(own);
+        let stores: Vec<_> = declared.iter().filter(is_mine).cloned().collect();
         watches.retain(|address, _| stores.iter().any(|store| store.address == *address));
-        control
-            .traffic
-            .kept()
-            .retain(|address| stores.iter().any(|store| *store.address == *address));
         for store in stores {
             let address = store.address.clone();
             let watch = || control.ex.spawn(watch(control.clone(), store));
@@ -43,18 +44,37 @@
     }
 }
 
-/// Stores that this host follows. A store answers a limited number of hosts; rendezvous hashing says which.
-fn watched(control: &Control, view: &View) -> Vec<StoreSpec> {
-    let own = &*control.traffic.settings.name;
-    let Some(declared) = &view.declared else {
+/// Stores that are declared.
+pub(super) fn declared_stores(view: &View) -> impl Iterator<Item = StoreSpec> {
+    let services = view.declared.iter().flat_map(|declared| declared.services());
+    services.filter_map(|service| service.store.clone())
+}
+
+/// Region of a store.
+pub(super) fn region_of<'a>(control: &'a Control, store: &StoreSpec) -> Option<&'a RegionId> {
+    control.traffic.settings.regions.get(&store.domain)
+}
+
+/// Hosts that follow a store. It answers a limited number of hosts; the same ones follow all stores of its region and pass on
+/// what they hear, so that another host asks one of them about all. They stand in the region if it has enough hosts.
+pub(super) fn watchers(control: &Control, view: &View, store: &StoreSpec) -> Vec<HostId> {
+    let room = (store.questions as usize).saturating_sub(SPARE_QUESTIONS).max(1);
+    let Some(region) = region_of(control, store) else {
         return Vec::new();
     };
-    let stores = declared.services().filter_map(|service| service.store.clone());
-    let is_mine = |store: &StoreSpec| {
-        let room = (store.questions as usize).saturating_sub(SPARE_QUESTIONS).max(1);
-        view.owns(store.address.as_bytes(), own, room)
+    let regions = &control.traffic.settings.regions;
+    let near: Vec<&HostEntry> = view
+        .hosts
+        .values()
+        .filter(|host| regions.get(&host.domain) == Some(region))
+        .collect();
+    let candidates = match near.len() < room {
+        true => view.hosts.values().collect(),
+        false => near,
     };
-    stores.filter(is_mine).collect()
+    let names = candidates.iter().map(|host| &*host.name);
+    let order = rendezvous_order(region.as_bytes(), names);
+    order.into_iter().take(room).map(HostId::from).collect()
 }
 
 async fn watch(control: Arc<Control>, store: StoreSpec) {
@@ -72,6 +92,7 @@
 
 /// Asks a store what changed, or for all that it holds; false if it did not answer.
 async fn hear(control: &Control, store: &StoreSpec) -> bool {
+    let asked_at = control.traffic.now();
     let (next, needs_list) = {
         let mut kept = control.traffic.kept();
         let known = kept.store(&store.address);
@@ -82,7 +103,11 @@
             return false;
         };
         let now = control.traffic.now();
-        control.traffic.kept().store(&store.address).take_list(list, now);
+        control
+            .traffic
+            .kept()
+            .store(&store.address)
+            .take_list(list, asked_at, now);
         return true;
     }
     let Ok(changes) = control.stores.changes(&store.address, next, CHANGE_WAIT).await else {
@@ -93,11 +118,11 @@
     if let Some(clock_ms) = changes.clock_ms {
         kept.note_clock(clock_ms, now);
     }
-    kept.store(&store.address).take_changes(changes, now);
+    kept.store(&store.address).take_changes(changes, asked_at, now);
     true
 }
 
-/// Has the store drop what replaced weights have made, once no engine has them any more. One host does so for a store.
+/// Has the store drop what replaced weights have made, once nobody fetches it any more. One host does so for a store.
 async fn drop_old(control: &Control, store: &StoreSpec) {
     let view = control.traffic.view.load_full();
     if !view.owns(store.address.as_bytes(), &control.traffic.settings.name, 1) {
@@ -119,23 +144,21 @@
     }
 }
 
+/// Parts made by weights that were replaced long enough ago for every host.
 fn old_parts(control: &Control, view: &View, store: &StoreSpec) -> Option<(u64, Vec<PartKey>)> {
     let now = control.traffic.now();
-    let settled = view.weights.iter().filter(|(model, named)| {
-        let engines = view.targets.values().flatten();
-        let mut versions = engines.filter_map(|target| target.weights_of(model));
-        let is_rested = named.newest_at().is_none_or(|at| now >= at + OLD_WEIGHTS_REST);
-        is_rested && versions.all(|version| version >= named.newest())
-    });
-    let settled: Vec<_> = settled
-        .map(|(model, named)| (model.clone(), named.newest()))
-        .collect();
     let mut kept = control.traffic.kept();
     let known = kept.store(&store.address);
+    let since = known.known_since()?;
+    let is_settled = |named: &Named, weights: u64| {
+        let replaced_at = named.replaced_at(weights);
+        // What was replaced before this host started was so at the latest when it first heard of the store.
+        replaced_at.is_some_and(|at| now >= at.unwrap_or(since) + REPLACED_SETTLED_AFTER)
+    };
     let is_old = |key: &&PartKey| {
-        settled.iter().any(|(model, version)| {
+        view.weights.iter().any(|(model, named)| {
             let weights = weights_of_salt(&key.salt, model);
-            weights.is_some_and(|weights| weights < *version)
+            weights.is_some_and(|weights| is_settled(named, weights))
         })
     };
     let old = known.parts().filter(is_old).take(MOST_DROPPED).cloned().collect();
--- a/components/gateway/src/kept.rs
+++ b/components/gateway/src/kept.rs
@@ -6,7 +6,8 @@
 mod plan;
 mod salt;
 
-pub use directory::{KeptEvent, PartKey, StoreChanges, StoreDirectory, StoreList};
+pub use directory::{KeptEvent, PartKey, StoreChanges, StoreDirectory, StoreList, StoreNews};
+pub(crate) use plan::REPLACED_SETTLED_AFTER;
 pub(crate) use plan::stores_near;
 pub use plan::{CachePlan, KeptCache, PlanRequest, StoreAt};
 pub(crate) use salt::wall_of;
--- a/components/gateway/src/kept/directory.rs
+++ b/components/gateway/src/kept/directory.rs
@@ -1,14 +1,24 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use utils::Monotonic;
 
-/// Time after which every host has noticed that a store was away: its longest wait for changes, the time for an answer, and the
-/// pause between questions.
-const NOTICED_AFTER: Duration = Duration::from_secs(3);
+use super::plan::FETCH_TIME;
+
+/// Age up to which what a store has said is relied upon. Covers the store's longest wait, the pauses between questions to it and
+/// to the host that passes its changes on, and a lost packet.
+pub(crate) const RELIED_ON_FOR: Duration = Duration::from_millis(3_500);
+/// Time after which no fetch is under way any more that relies on what a store held before it was away.
+pub(crate) const SETTLED_AFTER: Duration = Duration::from_millis(500)
+    .saturating_add(RELIED_ON_FOR)
+    .saturating_add(FETCH_TIME);
+/// Changes that are remembered to be passed on; a host that is further behind gets all.
+const MOST_REMEMBERED: usize = 8_192;
 
 /// Names a part under a salt.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct PartKey {
     /// The salt.
     pub salt: Box<str>,
@@ -18,6 +28,7 @@
 
 /// A change that a store tells of.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeptEvent {
     /// The part.
     pub key: PartKey,
@@ -51,6 +62,20 @@
     pub parts: Vec<(PartKey, u32)>,
 }
 
+/// What a host that follows a store passes on to one that does not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreNews {
+    /// Run of the store; `None` while it does not answer.
+    pub epoch: Option<u64>,
+    /// Time since the store was asked for what is told here.
+    pub age: Duration,
+    /// Whether `events` are all that the store holds, and not what has changed.
+    pub is_all: bool,
+    /// Parts that came and went, oldest first.
+    pub events: Vec<KeptEvent>,
+}
+
 /// What is known of one store. Only parts that the store has reported whole, in the run that still answers, are listed: a part
 /// that is being written must not be read.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -65,6 +90,12 @@
     parts: HashMap<PartKey, u32>,
     /// Sum of their tokens.
     tokens: u64,
+    /// When the store was last asked for what is known.
+    confirmed_at: Monotonic,
+    /// Changes that are remembered, oldest first, and the number of the first.
+    log: VecDeque<KeptEvent>,
+    /// Number of the first remembered change.
+    log_start: u64,
 }
 
 impl StoreDirectory {
@@ -83,14 +114,26 @@
         self.run.map(|(epoch, _)| epoch)
     }
 
+    /// When this host first heard of the store's run.
+    pub fn known_since(&self) -> Option<Monotonic> {
+        self.run.map(|(_, since)| since)
+    }
+
     /// Whether parts may be saved: a host that has not noticed a restart yet could fetch what is just being written.
     pub fn takes_saves(&self, now: Monotonic) -> bool {
-        self.run.is_some_and(|(_, since)| now >= since + NOTICED_AFTER)
+        let is_settled = self
+            .known_since()
+            .is_some_and(|since| now >= since + SETTLED_AFTER);
+        is_settled && self.is_relied_on(now)
     }
 
     /// Whether the store is known to hold a part whole.
-    pub fn holds(&self, key: &PartKey) -> bool {
-        self.parts.contains_key(key)
+    pub fn holds(&self, key: &PartKey, now: Monotonic) -> bool {
+        self.is_relied_on(now) && self.parts.contains_key(key)
+    }
+
+    fn is_relied_on(&self, now: Monotonic) -> bool {
+        now < self.confirmed_at + RELIED_ON_FOR
     }
 
     /// Parts that the store holds.
@@ -105,14 +148,20 @@
 
     /// The store did not answer: it may have restarted since, so nothing that it held counts.
     pub fn forget(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            // Beyond all numbers that were told, so that every host asks for all.
+            log_start: self.log_end() + 1,
+            ..Self::default()
+        };
     }
 
-    /// Takes changes.
-    pub fn take_changes(&mut self, changes: StoreChanges, now: Monotonic) {
+    /// Takes changes that the store was asked for at a moment.
+    pub fn take_changes(&mut self, changes: StoreChanges, asked_at: Monotonic, now: Monotonic) {
+        self.confirmed_at = asked_at;
         if self.epoch() != Some(changes.epoch) {
             let is_first = self.run.is_none() && self.next == 0;
             self.forget();
+            self.confirmed_at = asked_at;
             self.run = Some((changes.epoch, now));
             if !is_first {
                 return;
@@ -121,22 +170,17 @@
         self.needs_list |= changes.has_gap;
         self.next = changes.next;
         for event in changes.events {
-            match event.stored {
-                Some(tokens) => self.add(event.key, tokens),
-                None => self.remove(&event.key),
-            }
+            self.take_event(event);
         }
     }
 
-    /// Takes a list.
-    pub fn take_list(&mut self, list: StoreList, now: Monotonic) {
-        if self.epoch() != Some(list.epoch) {
-            self.run = Some((list.epoch, now));
-        }
+    /// Takes a list that the store was asked for at a moment.
+    pub fn take_list(&mut self, list: StoreList, asked_at: Monotonic, now: Monotonic) {
+        let run = self.run.filter(|(epoch, _)| *epoch == list.epoch);
+        self.forget();
+        self.run = run.or(Some((list.epoch, now)));
+        self.confirmed_at = asked_at;
         self.next = list.next;
-        self.needs_list = false;
-        self.parts.clear();
-        self.tokens = 0;
         for (key, tokens) in list.parts {
             self.add(key, tokens);
         }
@@ -145,7 +189,66 @@
     /// Parts that this host has had dropped.
     pub fn note_dropped(&mut self, keys: &[PartKey]) {
         for key in keys {
-            self.remove(key);
+            self.take_event(KeptEvent {
+                key: key.clone(),
+                stored: None,
+            });
+        }
+    }
+
+    /// What a host lacks that was told all changes before a number, or nothing yet; and the number to ask from next.
+    pub fn news_since(&self, number: Option<u64>, now: Monotonic) -> (StoreNews, u64) {
+        let skipped = number.and_then(|number| number.checked_sub(self.log_start));
+        let events = match skipped {
+            Some(skipped) => self.log.iter().skip(skipped as usize).cloned().collect(),
+            None => self.all(),
+        };
+        let news = StoreNews {
+            epoch: self.epoch(),
+            age: now.saturating_sub(self.confirmed_at),
+            is_all: skipped.is_none(),
+            events,
+        };
+        (news, self.log_end())
+    }
+
+    /// Takes what another host passed on, which was asked at a moment.
+    pub fn take_news(&mut self, news: StoreNews, asked_at: Monotonic, now: Monotonic) {
+        let Some(epoch) = news.epoch else {
+            return self.forget();
+        };
+        let run = self.run.filter(|(known, _)| *known == epoch);
+        if news.is_all {
+            self.forget();
+        }
+        self.run = run.or(Some((epoch, now)));
+        self.confirmed_at = asked_at.saturating_sub(news.age);
+        for event in news.events {
+            self.take_event(event);
+        }
+    }
+
+    fn all(&self) -> Vec<KeptEvent> {
+        let event = |(key, tokens): (&PartKey, &u32)| KeptEvent {
+            key: key.clone(),
+            stored: Some(*tokens),
+        };
+        self.parts.iter().map(event).collect()
+    }
+
+    fn log_end(&self) -> u64 {
+        self.log_start + self.log.len() as u64
+    }
+
+    fn take_event(&mut self, event: KeptEvent) {
+        match event.stored {
+            Some(tokens) => self.add(event.key.clone(), tokens),
+            None => self.remove(&event.key),
+        }
+        self.log.push_back(event);
+        if self.log.len() > MOST_REMEMBERED {
+            self.log.pop_front();
+            self.log_start += 1;
         }
     }
 
--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -12,7 +12,14 @@
 /// Shortest part that is worth a transfer.
 const MIN_TOKENS: u32 = 64;
 /// Longest time for a fetch to end; the prompt is read instead after it.
-const FETCH_TIME: Duration = Duration::from_millis(2_500);
+pub(crate) const FETCH_TIME: Duration = Duration::from_millis(1_500);
+/// Age up to which what is declared is relied upon for fetches. Covers the longest wait of the platform's store for a change.
+const DECLARED_RELIED_ON_FOR: Duration = Duration::from_millis(4_000);
+/// Time after weights were named after which nobody fetches any more what older ones have made: hosts that know of the new ones
+/// don't, nor do those that have not heard from the platform's store for so long.
+pub(crate) const REPLACED_SETTLED_AFTER: Duration = Duration::from_millis(700)
+    .saturating_add(DECLARED_RELIED_ON_FOR)
+    .saturating_add(FETCH_TIME);
 /// Saves remembered before old ones are forgotten.
 const MOST_SAVES: usize = 20_000;
 
@@ -49,8 +56,9 @@
     pub stores: &'a [StoreAt],
     /// An engine in the region that is likely to hold the prompt, if it is not the one chosen.
     pub home: Option<&'a Arc<str>>,
-    /// Whether the engine has the newest weights; what replaced weights made is not worth to be kept.
-    pub is_saving: bool,
+    /// Whether the engine has the newest weights; what replaced weights made is neither saved nor fetched from a store, so that
+    /// it can be dropped soon.
+    pub is_current: bool,
 }
 
 /// What this host knows of all stores.
@@ -62,6 +70,8 @@
     saves: HashMap<PartKey, Monotonic>,
     /// The servers' clock less the own one, in milliseconds.
     clock_offset_ms: Option<i64>,
+    /// When the platform's store last answered what is declared.
+    declared_at: Option<Monotonic>,
 }
 
 impl KeptCache {
@@ -70,6 +80,17 @@
         self.stores.entry(address.clone()).or_default()
     }
 
+    /// The platform's store has answered what is declared.
+    pub fn note_declared(&mut self, now: Monotonic) {
+        self.declared_at = Some(now);
+    }
+
+    /// The servers' clock at a moment, if it was heard of.
+    pub fn clock_ms(&self, now: Monotonic) -> Option<u64> {
+        let offset = self.clock_offset_ms?;
+        Some((now.as_millis() as i64 + offset).max(0) as u64)
+    }
+
     /// Takes the servers' clock.
     pub fn note_clock(&mut self, clock_ms: u64, now: Monotonic) {
         self.clock_offset_ms = Some(clock_ms as i64 - now.as_millis() as i64);
@@ -80,13 +101,13 @@
         self.stores.retain(|address, _| declared(address));
     }
 
-    /// Whether a store of the list holds the session's part.
-    pub fn is_kept(&self, prompt: &PromptShape, salt: &str, stores: &[StoreAt]) -> bool {
+    /// Whether a store of the list holds the session's part, made by weights that are the newest.
+    pub fn is_kept(&self, prompt: &PromptShape, salt: &str, stores: &[StoreAt], now: Monotonic) -> bool {
         let Some(part) = prompt.session() else {
             return false;
         };
         let key = key_of(salt, &part.id);
-        self.holder(&key, stores).is_some()
+        self.holder(&key, stores, now).is_some()
     }
 
     /// What a request fetches and saves. Parts come from a store that holds them whole, else from the engine that is
@@ -98,26 +119,34 @@
         for (i, part) in req.prompt.parts.iter().enumerate() {
             let is_worth = i < shared && part.tokens >= MIN_TOKENS;
             let key = key_of(req.salt, &part.id);
-            let holder = self.holder(&key, req.stores).cloned();
+            let holder = self.holder(&key, req.stores, now).filter(|_| req.is_current);
+            let holder = holder.cloned();
             let is_kept = holder.is_some();
             let fetch = holder.or_else(|| req.home.cloned()).filter(|_| is_worth);
             let save =
-                (is_worth && !is_kept && req.is_saving).then(|| self.choose_store(&key, req.stores, now));
+                (is_worth && !is_kept && req.is_current).then(|| self.choose_store(&key, req.stores, now));
             plan.fetch.push(fetch);
             plan.save.push(save.flatten());
         }
         if plan.fetch.iter().any(Option::is_some) {
-            let until = (now + FETCH_TIME).as_millis() as i64;
-            plan.fetch_until_ms = self.clock_offset_ms.map(|offset| (until + offset).max(0) as u64);
+            plan.fetch_until_ms = self.clock_ms(now + FETCH_TIME);
         }
         plan
     }
 
-    fn holder<'a>(&self, key: &PartKey, stores: &'a [StoreAt]) -> Option<&'a Arc<str>> {
+    /// A store from which a part may be fetched: without the servers' clock a fetch could not be bounded, and a host that has not
+    /// heard lately what is declared may not know that weights were replaced.
+    fn holder<'a>(&self, key: &PartKey, stores: &'a [StoreAt], now: Monotonic) -> Option<&'a Arc<str>> {
+        let is_informed = self
+            .declared_at
+            .is_some_and(|at| now < at + DECLARED_RELIED_ON_FOR);
+        if !is_informed || self.clock_offset_ms.is_none() {
+            return None;
+        }
         let holds = |store: &&StoreAt| {
             self.stores
                 .get(&store.address)
-                .is_some_and(|known| known.holds(key))
+                .is_some_and(|known| known.holds(key, now))
         };
         let found = stores.iter().filter(holds).max_by_key(|store| store.is_near);
         found.map(|store| &store.address)
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use host::{Bounds, HostSettings};
 pub use kept::{
     CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList,
-    salt_of, weights_of_salt,
+    StoreNews, salt_of, weights_of_salt,
 };
 pub use load::{LoadEstimate, Outcome, Work};
 pub use placement::{Candidate, Choice, Decision, Demand, decide};
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -5,7 +5,6 @@
 
 use super::request::Call;
 use super::state::{Known, Traffic};
-use crate::Target;
 use crate::freshness::{OldWeights, old_weights};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest, StoreAt, stores_near};
@@ -13,6 +12,7 @@
 use crate::placement::{Candidate, Choice, Decision, decide};
 use crate::sessions::SessionKey;
 use crate::view::View;
+use crate::{PromptShape, Target};
 
 /// Memory of a request while this host has none of its own, in tokens.
 const TYPICAL_MEMORY: f64 = 4_000.0;
@@ -207,7 +207,18 @@
         let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
             return false;
         };
-        self.cx.kept().is_kept(prompt, &salt, self.stores(target))
+        let is_current = self.is_current(prompt, weights);
+        is_current
+            && self
+                .cx
+                .kept()
+                .is_kept(prompt, &salt, self.stores(target), self.now)
+    }
+
+    /// Whether no newer weights are named than a target has.
+    fn is_current(&self, prompt: &PromptShape, weights: Option<u64>) -> bool {
+        let named = self.view.weights.get(&prompt.model);
+        named.is_none_or(|named| weights.unwrap_or(0) >= named.newest())
     }
 
     /// What the request fetches from stores or from the session's home, and what it saves.
@@ -218,13 +229,12 @@
         let region_of = |domain: &str| self.cx.settings.regions.get(domain);
         let is_near = |home: &&Arc<Target>| region_of(&home.domain) == region_of(&target.domain);
         let home: Option<Arc<str>> = home.filter(is_near).map(|home| home.address.to_string().into());
-        let named = self.view.weights.get(&prompt.model);
         let req = PlanRequest {
             prompt,
             salt: &salt,
             stores: self.stores(target),
             home: home.as_ref(),
-            is_saving: named.is_none_or(|named| weights.unwrap_or(0) >= named.newest()),
+            is_current: self.is_current(prompt, weights),
         };
         self.cx.kept().plan(&req, self.now)
     }
