Ask the store less, prefer open connections, and share what engines report on large sites

Targets are now asked for after 0.6 s, shared rows after 2 s. Placement counts 0.05 for opening one. From 16 hosts on, three hosts a region ask its engines every 0.4 s on kept connections and pass it on (POST /loads). Ruled out: subsets of engines a host (sessions would find their engine's cache less often; load would still be seconds old).

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -11,8 +11,11 @@
 const FOLLOW_WAIT: Duration = Duration::from_millis(3_000);
 /// The same for what hosts share, which none depends on from one moment to the next.
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
-/// Pause after a change, so that many changes in a row take few calls.
-const CHANGE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a change of targets, so that many changes in a row take few calls. Well below the time within which a host must
+/// have stopped to use a target that leaves.
+const TARGETS_PAUSE: Duration = Duration::from_millis(600);
+/// The same for what hosts share.
+const SHARED_PAUSE: Duration = Duration::from_millis(2_000);
 /// First pause after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls.
@@ -45,11 +48,9 @@
                 control.update(|beliefs| beliefs.replace(table, snapshot, Learned::Store, now));
             }
             Ok(Heard::Changed(changed)) => {
-                let is_busy = !changed.records.is_empty() && table != Table::Declared;
+                let pause = pause_after(table, &changed);
                 control.update(|beliefs| beliefs.apply(table, changed, Learned::Store, now));
-                if is_busy {
-                    smol::Timer::after(CHANGE_PAUSE).await;
-                }
+                smol::Timer::after(pause).await;
             }
             Ok(Heard::Forgotten) => must_read = true,
             Err(_) => {
@@ -62,6 +63,15 @@
     }
 }
 
+/// Pause before a table is asked for again.
+fn pause_after(table: Table, changed: &Snapshot) -> Duration {
+    match table {
+        Table::Targets if !changed.records.is_empty() => TARGETS_PAUSE,
+        Table::Shared if !changed.records.is_empty() => SHARED_PAUSE,
+        _ => Duration::ZERO,
+    }
+}
+
 async fn hear(control: &Control, table: Table, must_read: bool) -> Result<Heard, Report<StoreError>> {
     let known = control.beliefs().known(table);
     let wait = if table == Table::Shared {
--- /dev/null
+++ b/components/gateway/src/control/loads.rs
@@ -0,0 +1,156 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_io::{Client, ClientConfig};
+use serde::{Deserialize, Serialize};
+use utils::{HostId, TargetId, rendezvous_order};
+
+use super::Control;
+use super::duty::hosts_for;
+use super::peers::ask;
+use crate::load::ReportedLoad;
+use crate::{Target, View};
+
+/// Path on which hosts pass on what engines have reported.
+pub(super) const PATH: &str = "/loads";
+/// Entry hosts from which on answers tell a host too little of each engine: every host meets an engine only now and then.
+const LEAST_HOSTS: usize = 16;
+/// Hosts of a region that share its engines among them.
+const REPORTERS: usize = 3;
+/// Pause between reports of an engine; it renews them every few hundred milliseconds.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause between questions to the hosts that ask engines.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Asks for the reports that a host has.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct LoadsQuestion;
+
+/// What engines have reported, with the age of each report.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct LoadsAnswer {
+    /// By run of the engine.
+    reports: Vec<(TargetId, ReportedLoad, Duration)>,
+}
+
+/// Answers another host.
+pub(super) fn tell(control: &Control, _question: &LoadsQuestion) -> LoadsAnswer {
+    let now = control.traffic.now();
+    let reports = control.reports();
+    let fresh = reports
+        .iter()
+        .filter(|(_, (_, at))| now < *at + 4 * REPORT_INTERVAL);
+    LoadsAnswer {
+        reports: fresh
+            .map(|(run, (load, at))| (run.clone(), *load, now.saturating_sub(*at)))
+            .collect(),
+    }
+}
+
+/// Asks the engines that fall to this host for their load.
+pub(crate) async fn watch_engines(control: Arc<Control>) {
+    loop {
+        smol::Timer::after(jittered(REPORT_INTERVAL)).await;
+        let view = control.traffic.view.load_full();
+        let mine = own_engines(&control, &view);
+        control
+            .reports()
+            .retain(|run, _| mine.iter().any(|target| target.run == *run));
+        let calls = mine.into_iter().map(|target| {
+            let control = control.clone();
+            control
+                .clone()
+                .ex
+                .spawn(async move { query(&control, &target).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            call.await;
+        }
+    }
+}
+
+async fn query(control: &Control, target: &Target) {
+    let Ok(report) = control.engines.report(target.address).await else {
+        return;
+    };
+    if report.born_ms != target.born_ms {
+        return;
+    }
+    let now = control.traffic.now();
+    control.reports().insert(target.run.clone(), (report.load, now));
+    control.traffic.note_report(&target.run, report.load, now);
+}
+
+/// Learns from the hosts that ask engines what these reported.
+pub(crate) async fn follow_reports(control: Arc<Control>) {
+    let cfg = ClientConfig {
+        idle_per_address: 1,
+        ..ClientConfig::default()
+    };
+    let client = Arc::new(Client::new(control.ex.clone(), cfg));
+    loop {
+        smol::Timer::after(jittered(ASK_INTERVAL)).await;
+        let view = control.traffic.view.load_full();
+        let own = &control.traffic.settings.name;
+        let names = reporters_by_region(&control, &view).into_iter().flatten();
+        let peers = names
+            .filter(|name| name != own)
+            .filter_map(|name| view.hosts.get(&name));
+        let calls = peers.map(|host| {
+            let (control, client, peer) = (control.clone(), client.clone(), host.peers);
+            control.clone().ex.spawn(async move {
+                let asked_at = control.traffic.now();
+                let answer = ask::<_, LoadsAnswer>(&client, peer, PATH, &LoadsQuestion).await;
+                for (run, load, age) in answer.into_iter().flat_map(|answer| answer.reports) {
+                    control
+                        .traffic
+                        .note_report(&run, load, asked_at.saturating_sub(age));
+                }
+            })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            call.await;
+        }
+    }
+}
+
+/// Hosts that ask the engines of each region; none in a small deployment.
+fn reporters_by_region(control: &Control, view: &View) -> Vec<Vec<HostId>> {
+    if view.hosts.len() < LEAST_HOSTS {
+        return Vec::new();
+    }
+    let mut regions: Vec<_> = control.traffic.settings.regions.values().collect();
+    regions.sort();
+    regions.dedup();
+    let reporters = regions
+        .into_iter()
+        .map(|region| hosts_for(control, view, region, "loads", REPORTERS));
+    reporters.collect()
+}
+
+/// Engines of which this host is the one that asks.
+fn own_engines(control: &Control, view: &View) -> Vec<Arc<Target>> {
+    let own = &control.traffic.settings.name;
+    let reporters = reporters_by_region(control, view);
+    let regions = &control.traffic.settings.regions;
+    let mine: Vec<_> = reporters.iter().filter(|names| names.contains(own)).collect();
+    if mine.is_empty() {
+        return Vec::new();
+    }
+    let is_mine = |target: &&Arc<Target>| {
+        let region = regions.get(&target.domain);
+        let names = region.map(|region| hosts_for(control, view, region, "loads", REPORTERS));
+        let names = names.unwrap_or_default();
+        let order = rendezvous_order(target.run.as_bytes(), names.iter().map(|name| &**name));
+        order.first() == Some(&&**own)
+    };
+    let engines = view.targets.values().flatten();
+    let engines = engines.filter(|target| !target.models.is_empty());
+    engines.filter(is_mine).cloned().collect()
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(0.9 + 0.2 * rand::random::<f64>())
+}
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,22 +1,26 @@
 //! The control thread: follows the store and other hosts, publishes what the host believes, and orders weights.
 
+mod duty;
 mod follow;
 mod kept_news;
+mod loads;
 mod orders;
 mod peers;
 mod register;
 mod stores;
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use errors::events;
 use http_io::{Executor, Shutdown};
 use slog::{info, warn};
-use utils::Incarnation;
+use utils::{Incarnation, Monotonic, TargetId};
 
 use crate::Beliefs;
 use crate::daemon::Parts;
+use crate::load::ReportedLoad;
 use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
 use crate::quarantine::Crash;
 use crate::traffic::Traffic;
@@ -40,6 +44,8 @@
     pub ex: Executor,
     /// What the host believes.
     beliefs: Mutex<Beliefs>,
+    /// What the engines that this host asks have reported, and when.
+    reports: Mutex<HashMap<TargetId, (ReportedLoad, Monotonic)>>,
 }
 
 impl Control {
@@ -53,6 +59,7 @@
             incarnation,
             ex,
             beliefs: Mutex::new(beliefs),
+            reports: Mutex::default(),
         }
     }
 
@@ -71,6 +78,8 @@
             self.ex.spawn(orders::give_orders(self.clone())),
             self.ex.spawn(stores::follow_stores(self.clone())),
             self.ex.spawn(kept_news::follow_watchers(self.clone())),
+            self.ex.spawn(loads::watch_engines(self.clone())),
+            self.ex.spawn(loads::follow_reports(self.clone())),
         ];
         let server = peers::serve(self.clone(), stop.clone());
         server.await;
@@ -85,6 +94,11 @@
         self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the engines that this host asks have reported.
+    pub(crate) fn reports(&self) -> MutexGuard<'_, HashMap<TargetId, (ReportedLoad, Monotonic)>> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Changes what the host believes and publishes it.
     pub(crate) fn update(
         &self,
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use super::{Control, kept_news};
+use super::{Control, kept_news, loads};
 use crate::Told;
 use crate::ports::Table;
 
@@ -72,6 +72,7 @@
     let answer = body.ok().and_then(|bytes| match path.as_str() {
         CHANGES_PATH => pack(&tell_changes(control, &postcard::from_bytes(&bytes).ok()?)),
         kept_news::PATH => pack(&kept_news::tell(control, &postcard::from_bytes(&bytes).ok()?)),
+        loads::PATH => pack(&loads::tell(control, &postcard::from_bytes(&bytes).ok()?)),
         _ => None,
     });
     let Some(answer) = answer else {
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -2,12 +2,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::info;
-use utils::{HostId, RegionId, rendezvous_order};
+use errors::events;
+use slog::{info, warn};
+use utils::{HostId, RegionId};
 
 use super::Control;
+use super::duty::hosts_for;
 use crate::kept::{PartKey, REPLACED_SETTLED_AFTER, weights_of_salt};
-use crate::view::{HostEntry, Named};
+use crate::view::Named;
 use crate::{StoreSpec, View};
 
 /// Pause between looks at which stores are declared.
@@ -21,7 +23,7 @@
 /// Questions of a store's limit that are left to engines and restarting hosts.
 const SPARE_QUESTIONS: usize = 2;
 /// Most parts that are dropped with one call.
-const MOST_DROPPED: usize = 200;
+const MOST_DROPPED: usize = 1_000;
 
 /// Follows the stores that are declared.
 pub(crate) async fn follow_stores(control: Arc<Control>) {
@@ -59,27 +61,18 @@
 /// what they hear, so that another host asks one of them about all. They stand in the region if it has enough hosts.
 pub(super) fn watchers(control: &Control, view: &View, store: &StoreSpec) -> Vec<HostId> {
     let room = (store.questions as usize).saturating_sub(SPARE_QUESTIONS).max(1);
-    let Some(region) = region_of(control, store) else {
-        return Vec::new();
-    };
-    let regions = &control.traffic.settings.regions;
-    let near: Vec<&HostEntry> = view
-        .hosts
-        .values()
-        .filter(|host| regions.get(&host.domain) == Some(region))
-        .collect();
-    let candidates = match near.len() < room {
-        true => view.hosts.values().collect(),
-        false => near,
-    };
-    let names = candidates.iter().map(|host| &*host.name);
-    let order = rendezvous_order(region.as_bytes(), names);
-    order.into_iter().take(room).map(HostId::from).collect()
+    let region = region_of(control, store);
+    region.map_or_else(Vec::new, |region| hosts_for(control, view, region, "kept", room))
 }
 
 async fn watch(control: Arc<Control>, store: StoreSpec) {
+    let mut run = None;
     loop {
         let is_heard = hear(&control, &store).await;
+        let heard = is_heard
+            .then(|| control.traffic.kept().store(&store.address).epoch())
+            .flatten();
+        log_run(&control, &store, std::mem::replace(&mut run, heard), heard);
         if !is_heard {
             control.traffic.kept().store(&store.address).forget();
             smol::Timer::after(SILENT_PAUSE).await;
@@ -90,6 +83,21 @@
     }
 }
 
+/// Logs that a store's run has come or gone.
+fn log_run(control: &Control, store: &StoreSpec, before: Option<u64>, heard: Option<u64>) {
+    let log = &control.traffic.log;
+    match heard {
+        Some(run) if before != heard => {
+            info!(log, "a store of kept cache answers"; events::KEPT_HEARD, "store" => &*store.address,
+                "domain" => &*store.domain, "capacity_tokens" => store.capacity_tokens, "run" => run);
+        }
+        None if before.is_some() => {
+            warn!(log, "a store of kept cache is silent"; events::KEPT_LOST, "store" => &*store.address);
+        }
+        _ => {}
+    }
+}
+
 /// Asks a store what changed, or for all that it holds; false if it did not answer.
 async fn hear(control: &Control, store: &StoreSpec) -> bool {
     let asked_at = control.traffic.now();
@@ -138,7 +146,7 @@
         .await
         .is_ok()
     {
-        info!(control.traffic.log, "dropped cache of old weights"; errors::events::KEPT_DROPPED,
+        info!(control.traffic.log, "dropped cache of old weights"; events::KEPT_DROPPED,
             "store" => &*store.address, "parts" => old.len());
         control.traffic.kept().store(&store.address).note_dropped(&old);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -39,7 +39,7 @@
     CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, StoreAt, StoreChanges, StoreDirectory, StoreList,
     StoreNews, salt_of, weights_of_salt,
 };
-pub use load::{LoadEstimate, Outcome, Work};
+pub use load::{LoadEstimate, Outcome, ReportedLoad, Work};
 pub use placement::{Candidate, Choice, Decision, Demand, decide};
 pub use quarantine::{Crash, Crashes, Fingerprint};
 pub use rows::Told;
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use utils::Monotonic;
 
 use crate::LoadNote;
@@ -45,6 +46,18 @@
     pub reading: u64,
 }
 
+/// What an engine says of its load when it is asked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Tokens of memory that are taken and can not yield.
+    pub memory: u64,
+}
+
 /// What a host knows of a target's load and health: its own sends, and what the target says with its answers.
 ///
 /// Reports lag, and several hosts see the same idle target at once; own sends since the report are therefore added, and what
@@ -65,6 +78,8 @@
     waiting: f64,
     /// When the last report came.
     reported_at: Monotonic,
+    /// Memory that requests of other hosts take as of the last report that told memory, in tokens, and when it came.
+    others_memory: Option<(f64, Monotonic)>,
     /// Running average of the time to an answer.
     latency_ms: Option<f64>,
     /// Running share of failures.
@@ -106,6 +121,20 @@
         self.reported_at = now;
     }
 
+    /// Takes what an engine has reported at a moment; an answer that came later says more of its requests.
+    pub fn note_report(&mut self, load: ReportedLoad, at: Monotonic) {
+        let memory = load.memory.saturating_sub(self.own_memory) as f64;
+        self.others_memory = Some((memory, at));
+        if at > self.reported_at {
+            let note = LoadNote {
+                running: load.running,
+                waiting: load.waiting,
+                slots: 0,
+            };
+            self.note_load(note, at);
+        }
+    }
+
     /// Takes the end of a send.
     pub fn note(&mut self, outcome: Outcome, now: Monotonic) {
         let failed = match outcome {
@@ -154,7 +183,12 @@
 
     /// Memory that is thought to be taken, in tokens, if a request of another host takes `each`.
     pub fn memory(&self, each: f64, typical: f64, now: Monotonic) -> f64 {
-        self.own_memory as f64 + self.others(typical, now) * each
+        let counted = self.others(typical, now) * each;
+        let others = self.others_memory.map_or(counted, |(memory, at)| {
+            let fade = faded(at, now);
+            memory * fade + counted * (1.0 - fade)
+        });
+        self.own_memory as f64 + others
     }
 
     /// Memory of own requests, in tokens.
@@ -170,8 +204,7 @@
 
     /// What a report counts at its age.
     fn fade(&self, now: Monotonic) -> f64 {
-        let age = now.saturating_sub(self.reported_at).as_secs_f64();
-        0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+        faded(self.reported_at, now)
     }
 
     /// Prompt tokens that the target has to read before a new request's.
@@ -194,3 +227,9 @@
         self.failures
     }
 }
+
+/// What a report from a moment counts now.
+fn faded(at: Monotonic, now: Monotonic) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+}
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -24,6 +24,8 @@
 const FAILURE_COST: f64 = 1.0;
 /// Costs of carrying a request and its answer to another failure domain and to another region.
 const CARRY_COST: [f64; 3] = [0.0, 0.02, 0.08];
+/// Cost of opening a connection.
+const CONNECT_COST: f64 = 0.05;
 /// Round trips to the same failure domain, another one of the region, and another region, in milliseconds.
 const ROUND_TRIP_MS: [f64; 3] = [0.2, 3.0, 17.0];
 
@@ -72,6 +74,8 @@
     pub failures: f64,
     /// Whether newer weights have been named than it has.
     pub has_old_weights: bool,
+    /// Whether a connection to it waits for a request.
+    pub is_connected: bool,
 }
 
 /// The candidate that was chosen, and why.
@@ -162,10 +166,12 @@
     let risk = ((share - SAFE_SHARE) / (1.0 - SAFE_SHARE)).clamp(0.0, 1.0);
     let reread = (1.0 - c.resident) * f64::from(demand.shared_tokens) / 1e3 * REREAD_COST_PER_1000;
     let old = if c.has_old_weights { OLD_WEIGHTS_COST } else { 0.0 };
+    let connect = if c.is_connected { 0.0 } else { CONNECT_COST };
     LATE_COST * risk
         + WAIT_COST * share
         + reread
         + CARRY_COST[c.distance.min(2)]
         + FAILURE_COST * c.failures
         + old
+        + connect
 }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::kept::{PartKey, StoreChanges, StoreList};
+use crate::load::ReportedLoad;
 use crate::{AnswerFacts, CallFacts, Declared, NamedWeights, SendFacts, Target};
 
 /// Tables of the platform's store that the gateway uses.
@@ -168,6 +169,8 @@
     pub is_busy: bool,
     /// Orders accepted since its start.
     pub revision: u64,
+    /// What it has to do.
+    pub load: ReportedLoad,
 }
 
 /// What becomes of requests that run when their engine changes its weights.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use crate::placement::Choice;
 
@@ -60,7 +60,7 @@
             .build()
         {
             Ok(exporter) => provider = provider.with_reader(exporter),
-            Err(e) => slog::warn!(log, "no metrics"; events::METRICS_MISSING, "error" => %e),
+            Err(e) => warn!(log, "no metrics"; events::METRICS_MISSING, "error" => %e),
         }
         let provider = provider.build();
         let meter = provider.meter("laburnumtally");
@@ -93,7 +93,7 @@
     pub(crate) fn sent(&self, id: &str, target: &str, result: SendResult) {
         self.sends.add(1, &[KeyValue::new("result", result.as_str())]);
         if result != SendResult::Answered {
-            info!(self.log, "try failed"; events::ROUTE_TRY_FAILED, "request" => id,
+            warn!(self.log, "try failed"; events::ROUTE_TRY_FAILED, "request" => id,
                 "target" => target, "result" => result.as_str());
         }
     }
@@ -113,14 +113,14 @@
     /// A request got no answer of a target.
     pub(crate) fn refused(&self, id: &str, outcome: Outcome, reason: &'static str) {
         self.count(outcome, reason);
-        info!(self.log, "refused"; events::ROUTE_REFUSED, "request" => id,
+        warn!(self.log, "refused"; events::ROUTE_REFUSED, "request" => id,
             "outcome" => outcome.as_str(), "reason" => reason);
     }
 
     /// A stream ended early.
     pub(crate) fn cut(&self, id: &str, events: u64, reason: &'static str) {
         self.count(Outcome::MayHaveRun, reason);
-        info!(self.log, "cut"; events::ROUTE_CUT, "request" => id, "events" => events, "reason" => reason);
+        warn!(self.log, "cut"; events::ROUTE_CUT, "request" => id, "events" => events, "reason" => reason);
     }
 
     /// A stream went on at another target.
@@ -130,7 +130,7 @@
 
     /// Other hosts are not told of a crash.
     pub(crate) fn crash_untold(&self, id: &str) {
-        info!(self.log, "crash not told"; events::CRASH_UNTOLD, "request" => id);
+        warn!(self.log, "crash not told"; events::CRASH_UNTOLD, "request" => id);
     }
 
     fn count(&self, outcome: Outcome, reason: &'static str) {
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -151,7 +151,8 @@
 
     fn candidate(&self, target: &Target, session: Option<SessionKey>, position: usize) -> Candidate {
         let id = &target.run;
-        let load = self.known.slots.get(id).map(|slot| &slot.load);
+        let slot = self.known.slots.get(id);
+        let load = slot.map(|slot| &slot.load);
         let fresh = crate::LoadEstimate::default();
         let load = load.unwrap_or(&fresh);
         let weights = self.weights_at(target);
@@ -178,6 +179,7 @@
             latency_ms: load.latency_ms(),
             failures: load.failures(),
             has_old_weights: self.old_weights(target) == OldWeights::Avoided,
+            is_connected: slot.is_some_and(|slot| slot.is_connected(self.now)),
         }
     }
 
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -43,6 +43,12 @@
         None
     }
 
+    /// Whether an idle connection may be used.
+    pub(crate) fn is_connected(&self, now: Monotonic) -> bool {
+        let newest = self.idle.last();
+        newest.is_some_and(|idle| now < idle.usable_until && !idle.conn.sender.is_closed())
+    }
+
     /// Reserves a new connection, if the limit allows one more.
     pub(crate) fn reserve(&mut self, limit: usize) -> bool {
         let has_room = self.open < limit;
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -9,6 +9,7 @@
 
 use super::pool::TargetSlot;
 use crate::kept::KeptCache;
+use crate::load::ReportedLoad;
 use crate::ports::Heads;
 use crate::quarantine::{Crash, Crashes};
 use crate::telemetry::Telemetry;
@@ -126,6 +127,13 @@
         f(self.known().slots.entry(target.run.clone()).or_default())
     }
 
+    /// Takes what an engine has reported at a moment.
+    pub(crate) fn note_report(&self, run: &TargetId, load: ReportedLoad, at: Monotonic) {
+        let mut known = self.known();
+        let slot = known.slots.entry(run.clone()).or_default();
+        slot.load.note_report(load, at);
+    }
+
     /// Counts a request of a service.
     pub(crate) fn note_request(&self, service: &ServiceId) {
         let now = self.now();
--- a/components/gateway/tests/overload.rs
+++ b/components/gateway/tests/overload.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use gateway::{Candidate, Decision, Demand, LoadEstimate, LoadNote, Outcome, RetryShare, Work, decide};
+use gateway::{
+    Candidate, Decision, Demand, LoadEstimate, LoadNote, Outcome, ReportedLoad, RetryShare, Work, decide,
+};
 use support::ms;
 
 /// Tokens that an engine's memory holds.
@@ -22,6 +24,7 @@
         latency_ms: 100.0,
         failures: 0.0,
         has_old_weights: false,
+        is_connected: true,
     }
 }
 
@@ -220,3 +223,59 @@
         assert!(within(&taken) <= ratio * within(&requests) + slack);
     }
 }
+
+#[test]
+fn of_equal_engines_the_one_that_is_connected_is_taken() {
+    let new = Candidate {
+        is_connected: false,
+        ..engine()
+    };
+    assert_eq!(sent(&prompt(1), &[new, engine(), new]), 1);
+    // A prompt that has to be read again costs more than a connection.
+    let holder = Candidate {
+        is_connected: false,
+        resident: 0.9,
+        ..engine()
+    };
+    assert_eq!(sent(&prompt(1), &[engine(), holder, engine()]), 1);
+}
+
+#[test]
+fn a_report_tells_of_what_other_hosts_have_sent() {
+    let mut load = LoadEstimate::default();
+    let own = Work {
+        memory: 10_000,
+        reading: 0,
+    };
+    load.begin(own, ms(900));
+    let report = ReportedLoad {
+        running: 7,
+        waiting: 2,
+        memory: 80_000,
+    };
+    load.note_report(report, ms(1_000));
+    assert!((load.memory(4_000.0, 0.0, ms(1_000)) - 80_000.0).abs() < 1.0);
+    assert!((load.requests(0.0, ms(1_000)) - 9.0).abs() < 0.1);
+    // Own sends count at once. Of what others have, half is as reported, half as 6.5 typical requests would take.
+    load.begin(own, ms(2_000));
+    let later = load.memory(4_000.0, 5.0, ms(2_000));
+    assert!((later - (20_000.0 + 35_000.0 + 13_000.0)).abs() < 1.0, "{later}");
+}
+
+#[test]
+fn an_older_report_does_not_replace_what_an_answer_said() {
+    let mut load = LoadEstimate::default();
+    let note = LoadNote {
+        running: 3,
+        waiting: 0,
+        slots: 12,
+    };
+    load.note_load(note, ms(2_000));
+    let report = ReportedLoad {
+        running: 12,
+        waiting: 9,
+        memory: 0,
+    };
+    load.note_report(report, ms(1_500));
+    assert!((load.requests(0.0, ms(2_000)) - 3.0).abs() < 0.1);
+}
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -31,6 +31,7 @@
         models: vec![("m".into(), version)],
         is_busy,
         revision,
+        load: Default::default(),
     })
 }
 
