--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -238,6 +238,11 @@
         "metrics_missing",
         "The metrics can not be exported; requests are served without them.",
     );
+    pub const LINES_LEFT_OUT: Event = event(
+        5009,
+        "lines_left_out",
+        "More lines came in a second than are written; counts those that were left out.",
+    );
     pub const STORE_LOST: Event = event(
         5010,
         "store_lost",
@@ -269,6 +274,16 @@
         "host_silent",
         "Another host did not answer twice; its entry is removed unless it has registered again.",
     );
+    pub const KEPT_HEARD: Event = event(
+        5017,
+        "kept_heard",
+        "A store of kept cache answers, or answers again; gives its run and place.",
+    );
+    pub const KEPT_LOST: Event = event(
+        5018,
+        "kept_lost",
+        "A store of kept cache does not answer; nothing is fetched from it or saved to it.",
+    );
     pub const LEASE_TAKEN: Event = event(5020, "lease_taken", "The host may give orders to engines.");
     pub const WEIGHTS_ORDERED: Event = event(
         5021,
@@ -328,6 +343,7 @@
     events::ROUTE_RESUMED,
     events::CRASH_UNTOLD,
     events::METRICS_MISSING,
+    events::LINES_LEFT_OUT,
     events::STORE_LOST,
     events::STORE_BACK,
     events::RECORD_UNUSABLE,
@@ -335,6 +351,8 @@
     events::PEER_READ,
     events::KEPT_DROPPED,
     events::HOST_SILENT,
+    events::KEPT_HEARD,
+    events::KEPT_LOST,
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
 ];
--- /dev/null
+++ b/components/logs/tests/logs.rs
@@ -0,0 +1,97 @@
+//! A bounded number of lines, failures first, and the lines of one request out of several logs.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use logs::{LineLimits, LogBudget, Story};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, info, o, warn};
+use utils::ManualClock;
+
+/// Keeps levels and texts.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<(Level, String)>>>);
+
+impl Drain for Kept {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, line: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let entry = (line.level(), line.msg().to_string());
+        self.0.lock().unwrap().push(entry);
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn count(&self, level: Level) -> usize {
+        let lines = self.0.lock().unwrap();
+        lines.iter().filter(|(l, _)| *l == level).count()
+    }
+}
+
+fn limited() -> (Logger, Kept, Arc<ManualClock>) {
+    let (kept, clock) = (Kept::default(), Arc::new(ManualClock::default()));
+    clock.advance(Duration::from_secs(10));
+    let limits = LineLimits { all: 10, routine: 6 };
+    let budget = LogBudget::new(kept.clone(), limits, clock.clone());
+    (Logger::root(budget.fuse(), o!()), kept, clock)
+}
+
+#[test]
+fn a_flood_of_successes_leaves_room_for_failures() {
+    let (log, kept, _clock) = limited();
+    for _ in 0..100 {
+        info!(log, "answered");
+    }
+    for _ in 0..100 {
+        warn!(log, "refused");
+    }
+    assert_eq!((kept.count(Level::Info), kept.count(Level::Warning)), (6, 4));
+}
+
+#[test]
+fn what_was_left_out_is_counted_in_the_next_second() {
+    let (log, kept, clock) = limited();
+    for _ in 0..100 {
+        info!(log, "answered");
+    }
+    clock.advance(Duration::from_secs(1));
+    info!(log, "answered");
+    let lines = kept.0.lock().unwrap();
+    assert_eq!(lines[6], (Level::Warning, "lines left out".to_owned()));
+    assert_eq!(lines[7], (Level::Info, "answered".to_owned()));
+}
+
+#[test]
+fn nothing_is_said_if_nothing_was_left_out() {
+    let (log, kept, clock) = limited();
+    info!(log, "answered");
+    clock.advance(Duration::from_secs(1));
+    info!(log, "answered");
+    assert_eq!(kept.count(Level::Warning), 0);
+}
+
+#[test]
+fn a_request_is_told_by_time_over_several_hosts() {
+    let line = |second: u32, event: &str, request: &str| {
+        format!(
+            r#"{{"msg":"m","try":1,"request":"{request}","name":"{event}","event":1,"level":"INFO","ts":"2026-12-04T08:00:0{second}Z"}}"#
+        )
+    };
+    let first = [
+        line(4, "route_cut", "r1"),
+        line(1, "route_placed", "r1"),
+        "no line".to_owned(),
+    ]
+    .join("\n");
+    let second = [line(2, "route_placed", "r2"), line(5, "route_placed", "r1")].join("\n");
+    let mut story = Story::default();
+    story.add("host-1", first.as_bytes(), "r1").unwrap();
+    story.add("host-2", second.as_bytes(), "r1").unwrap();
+    assert_eq!(
+        story.to_string(),
+        "2026-12-04T08:00:01Z  host-1  route_placed  try=1\n\
+         2026-12-04T08:00:04Z  host-1  route_cut  try=1\n\
+         2026-12-04T08:00:05Z  host-2  route_placed  try=1\n"
+    );
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -33,6 +33,8 @@
     Note(NoteCommand),
     /// Print the numbered log events.
     Events,
+    /// Tell from the logs of several hosts what became of a request.
+    Explain(ExplainArgs),
     /// Make a test authority and keys for the traffic between entry hosts.
     Keys(KeysArgs),
     /// Play a trial: a small deployment in one process, with faults, and a verdict.
@@ -77,6 +79,18 @@
     },
 }
 
+/// Arguments of `explain`.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct ExplainArgs {
+    /// Identifier of the request.
+    #[arg(long, value_name = "ID")]
+    pub request: String,
+    /// Logs of hosts, JSON lines; a log's name stands for its host.
+    #[arg(value_name = "LOG", required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `keys`.
 #[derive(Debug)]
 #[derive(Args)]
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,29 @@
+use std::fs::File;
+use std::io::BufReader;
+
+use error_stack::{Report, ResultExt};
+use logs::Story;
+
+use super::print_text;
+use crate::cli::ExplainArgs;
+use crate::exit::CommandError;
+
+/// Prints what the logs of several hosts tell of one request.
+pub(crate) fn explain(args: &ExplainArgs) -> Result<(), Report<CommandError>> {
+    let mut story = Story::default();
+    for path in &args.logs {
+        let file = File::open(path)
+            .change_context_lazy(|| CommandError::NoLog(path.clone()))
+            .change_context(CommandError::Usage)?;
+        let name = path.file_stem().unwrap_or(path.as_os_str());
+        story
+            .add(&name.to_string_lossy(), BufReader::new(file), &args.request)
+            .change_context(CommandError::Failed)?;
+    }
+    if story.lines.is_empty() {
+        let missing = CommandError::UnknownRequest(args.request.clone());
+        return Err(Report::new(missing).change_context(CommandError::Failed));
+    }
+    print_text(&story.to_string());
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod bench_policy;
 mod config;
 mod events;
+mod explain;
 mod keys;
 mod load;
 mod note;
@@ -13,6 +14,7 @@
 pub(crate) use bench_policy::bench_policy;
 pub(crate) use config::{check_config, explain_config};
 pub(crate) use events::events;
+pub(crate) use explain::explain;
 pub(crate) use keys::keys;
 pub(crate) use load::load;
 pub(crate) use note::{NoteCommand, note};
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,9 +1,13 @@
+use std::sync::Arc;
+
 use async_signal::{Signal, Signals};
 use config::{LogFormat, Settings};
 use entry::Daemon;
 use error_stack::{Report, ResultExt};
 use futures_lite::StreamExt;
+use logs::{LineLimits, LogBudget};
 use slog::{Drain, Logger, o};
+use utils::SystemClock;
 
 use crate::cli::ServeArgs;
 use crate::exit::CommandError;
@@ -52,7 +56,11 @@
             let decorator = slog_term::TermDecorator::new().stderr().build();
             background(slog_term::FullFormat::new(decorator).build().fuse())
         }
-        LogFormat::Json => background(slog_json::Json::default(std::io::stderr()).fuse()),
+        LogFormat::Json => {
+            let lines = slog_json::Json::default(std::io::stderr()).fuse();
+            let clock = Arc::new(SystemClock::new());
+            background(LogBudget::new(lines, LineLimits::default(), clock))
+        }
     }
 }
 
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -1,3 +1,4 @@
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use error_stack::Report;
@@ -10,7 +11,7 @@
 const EXIT_FAILED: u8 = 1;
 
 /// Why a command failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub(crate) enum CommandError {
     /// Arguments, settings or notes are not usable; nothing was started.
@@ -25,6 +26,12 @@
     /// There is no preset of this name.
     #[error("there is no preset of this name; known are permisos-verdes, cadwaladr and short")]
     UnknownPreset,
+    /// A log can not be opened.
+    #[error("{} can not be opened", .0.display())]
+    NoLog(PathBuf),
+    /// No line names the request.
+    #[error("no line names the request {0}")]
+    UnknownRequest(String),
     /// A promise was broken.
     #[error("a promise was broken")]
     BrokenPromise,
@@ -42,9 +49,11 @@
     match report.current_context() {
         CommandError::Usage => ExitCode::from(EXIT_USAGE),
         CommandError::NotAccepted => ExitCode::from(EXIT_NOT_ACCEPTED),
-        CommandError::Failed | CommandError::UnknownPreset | CommandError::BrokenPromise => {
-            ExitCode::from(EXIT_FAILED)
-        }
+        CommandError::Failed
+        | CommandError::UnknownPreset
+        | CommandError::NoLog(_)
+        | CommandError::UnknownRequest(_)
+        | CommandError::BrokenPromise => ExitCode::from(EXIT_FAILED),
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
         Command::Config(ConfigCommand::Explain { platform }) => cmd::explain_config(platform),
         Command::Note(command) => cmd::note(&command),
         Command::Events => cmd::events(),
+        Command::Explain(args) => cmd::explain(&args),
         Command::Keys(args) => cmd::keys(&args),
         Command::Try(args) => cmd::try_it(&args),
         Command::StandIn(args) => cmd::stand_in(&args),
