End fetches of kept cache within 0.7 s

Change: 0.7 s. A fetch normally takes 10 to 40 ms; after 0.7 s a prompt can still be read within most latency targets.

--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -12,7 +12,7 @@
 /// Shortest part that is worth a transfer.
 const MIN_TOKENS: u32 = 64;
 /// Longest time for a fetch to end; the prompt is read instead after it.
-pub(crate) const FETCH_TIME: Duration = Duration::from_millis(1_500);
+pub(crate) const FETCH_TIME: Duration = Duration::from_millis(700);
 /// Age up to which what is declared is relied upon for fetches. Covers the longest wait of the platform's store for a change.
 const DECLARED_RELIED_ON_FOR: Duration = Duration::from_millis(4_000);
 /// Time after weights were named after which nobody fetches any more what older ones have made: hosts that know of the new ones
