--- a/components/gateway/src/beliefs.rs
+++ b/components/gateway/src/beliefs.rs
@@ -48,6 +48,8 @@
     tables: HashMap<Table, Rows>,
     /// State of the store.
     link: StoreLink,
+    /// When the store last answered.
+    answered_at: Monotonic,
     /// Declared state.
     declared: Option<Arc<Declared>>,
     /// Named weights.
@@ -74,6 +76,7 @@
             return_grace,
             tables: HashMap::new(),
             link: StoreLink::Up(None),
+            answered_at: Monotonic::ZERO,
             declared: None,
             weights: HashMap::new(),
             targets: BTreeMap::new(),
@@ -111,6 +114,7 @@
 
     /// A call to the store was answered. True if calls failed before.
     pub fn store_answered(&mut self, now: Monotonic) -> bool {
+        self.answered_at = now;
         let was_down = self.link == StoreLink::Down;
         if was_down {
             self.link = StoreLink::Up(Some(now));
@@ -125,6 +129,11 @@
         was_up
     }
 
+    /// Time since the store last answered.
+    pub fn store_age(&self, now: Monotonic) -> Duration {
+        now.saturating_sub(self.answered_at)
+    }
+
     /// Whether calls to the store fail.
     pub fn is_store_down(&self) -> bool {
         self.link == StoreLink::Down
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -6,6 +7,7 @@
 use super::{Control, TICK};
 use crate::Learned;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
+use crate::telemetry::Standing;
 
 /// Longest wait of the store for a change: a connection that has gone silent is noticed after it.
 const FOLLOW_WAIT: Duration = Duration::from_millis(3_000);
@@ -98,5 +100,13 @@
             Vec::new()
         });
         control.traffic.clean();
+        let view = control.traffic.view.load();
+        control.traffic.telemetry.standing(&Standing {
+            store_age: control.beliefs().store_age(now),
+            open: control.traffic.open.load(Ordering::Acquire),
+            declared: view.declared.as_ref().map_or(0, |declared| declared.version),
+            targets: view.targets.values().map(Vec::len).sum(),
+            hosts: view.hosts.len(),
+        });
     }
 }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -120,6 +120,7 @@
     pub(crate) fn note_store(&self, is_answered: bool) {
         let log = &self.traffic.log;
         let now = self.traffic.now();
+        self.traffic.telemetry.store_call(is_answered);
         if is_answered && self.beliefs().store_answered(now) {
             info!(log, "the store answers again"; events::STORE_BACK);
         }
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -101,6 +101,7 @@
         let wanted = was_holder && !self.control.traffic.is_draining() || self.is_contender();
         self.step_lease(wanted).await;
         let is_holder = self.is_holder();
+        self.control.traffic.telemetry.lease(is_holder);
         if is_holder && !was_holder {
             info!(self.control.traffic.log, "lease taken"; events::LEASE_TAKEN);
         }
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -4,7 +4,7 @@
 
 use errors::{Outcome, events};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use slog::{Logger, info, warn};
@@ -25,6 +25,37 @@
     sends: Counter<u64>,
     /// Time from a send to the first byte of its answer, in seconds.
     first_byte: Histogram<f64>,
+    /// Repeats by whether the budget allowed them.
+    repeats: Counter<u64>,
+    /// Calls to the platform's store by result.
+    store_calls: Counter<u64>,
+    /// Time since the platform's store last answered, in seconds.
+    store_age: Gauge<f64>,
+    /// Requests under way.
+    open: Gauge<u64>,
+    /// Version of the declarations that are obeyed.
+    declared: Gauge<u64>,
+    /// Targets that may be used.
+    targets: Gauge<u64>,
+    /// Entry hosts that are known.
+    hosts: Gauge<u64>,
+    /// 1 while this host may give orders to engines.
+    lease: Gauge<u64>,
+}
+
+/// What a host is and believes, as its gauges show it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Standing {
+    /// Time since the platform's store last answered.
+    pub store_age: Duration,
+    /// Requests under way.
+    pub open: usize,
+    /// Version of the declarations that are obeyed; 0 before the first.
+    pub declared: u64,
+    /// Targets that may be used.
+    pub targets: usize,
+    /// Entry hosts that are known.
+    pub hosts: usize,
 }
 
 /// What became of a send.
@@ -69,6 +100,14 @@
             requests: meter.u64_counter("laburnumtally.route.requests").build(),
             sends: meter.u64_counter("laburnumtally.route.sends").build(),
             first_byte: first_byte.with_unit("s").build(),
+            repeats: meter.u64_counter("laburnumtally.route.repeats").build(),
+            store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
+            store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
+            open: meter.u64_gauge("laburnumtally.route.open").build(),
+            declared: meter.u64_gauge("laburnumtally.declared.version").build(),
+            targets: meter.u64_gauge("laburnumtally.targets").build(),
+            hosts: meter.u64_gauge("laburnumtally.hosts").build(),
+            lease: meter.u64_gauge("laburnumtally.lease.held").build(),
             log,
             registry,
             _provider: provider,
@@ -83,6 +122,32 @@
         buf
     }
 
+    /// The budget was asked for a repeat.
+    pub(crate) fn repeat(&self, is_allowed: bool) {
+        let result = if is_allowed { "allowed" } else { "refused" };
+        self.repeats.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// The platform's store was called.
+    pub(crate) fn store_call(&self, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "failed" };
+        self.store_calls.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Whether this host may give orders.
+    pub(crate) fn lease(&self, is_held: bool) {
+        self.lease.record(u64::from(is_held), &[]);
+    }
+
+    /// What the host is and believes now.
+    pub(crate) fn standing(&self, standing: &Standing) {
+        self.store_age.record(standing.store_age.as_secs_f64(), &[]);
+        self.open.record(standing.open as u64, &[]);
+        self.declared.record(standing.declared, &[]);
+        self.targets.record(standing.targets as u64, &[]);
+        self.hosts.record(standing.hosts as u64, &[]);
+    }
+
     /// Where a request goes and why.
     pub(crate) fn placed(&self, id: &str, target: &str, choice: &Choice, tries: u32) {
         info!(self.log, "placed"; events::ROUTE_PLACED, "request" => id, "target" => target,
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -144,7 +144,9 @@
     pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
         let now = self.now();
         let hosts = self.view.load().host_count();
-        self.with_budget(service, |share| share.take(hosts, now))
+        let is_allowed = self.with_budget(service, |share| share.take(hosts, now));
+        self.telemetry.repeat(is_allowed);
+        is_allowed
     }
 
     /// Closes old connections and forgets targets that are gone.
