Let replaced weights cost what they lose, so that the first engines with new ones are not overrun

Cause: after one second an engine with replaced weights cost more than any prompt, so everything went to the first third that had loaded, up to the limit of its memory, while the others idled. Change: they cost a quarter of an answer (a fifth of the credit is lost), and what they hold counts as to be read again; how soon they answer still counts.

--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -18,8 +18,8 @@
 const LATE_COST: f64 = 0.8;
 /// Cost of each latency target of waiting, however early the answer is.
 const WAIT_COST: f64 = 0.3;
-/// Cost of an answer made by weights that have been replaced; more than reading any prompt anew.
-const OLD_WEIGHTS_COST: f64 = 6.0;
+/// Cost of an answer made by weights that have been replaced: the part of its worth that is lost, and a little more.
+const OLD_WEIGHTS_COST: f64 = 0.25;
 /// Cost of a failure.
 const FAILURE_COST: f64 = 1.0;
 /// Costs of carrying a request and its answer to another failure domain and to another region.
@@ -164,7 +164,9 @@
     let target_ms = (demand.latency_target.as_secs_f64() * 1e3).max(1.0);
     let share = expected_ms / target_ms;
     let risk = ((share - SAFE_SHARE) / (1.0 - SAFE_SHARE)).clamp(0.0, 1.0);
-    let reread = (1.0 - c.resident) * f64::from(demand.shared_tokens) / 1e3 * REREAD_COST_PER_1000;
+    // What replaced weights hold is lost soon; reading the prompt with the new ones is only put off.
+    let lasting = if c.has_old_weights { 0.0 } else { c.resident };
+    let reread = (1.0 - lasting) * f64::from(demand.shared_tokens) / 1e3 * REREAD_COST_PER_1000;
     let old = if c.has_old_weights { OLD_WEIGHTS_COST } else { 0.0 };
     let connect = if c.is_connected { 0.0 } else { CONNECT_COST };
     LATE_COST * risk
