Pause processes for longer than the lease in the soak, and exempt fewer orders from its check

Pauses now last up to 4 s, some right after new weights were named; left out are only orders that a line to an engine may have held back, and those of a process in the 0.3 s after its own pause.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -11,6 +11,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 60..500;
 /// Length of a trouble, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 150..1_800;
+/// Length of a pause of a process, in milliseconds: long enough for others to take over what it held.
+const PAUSE_LENGTH_MS: std::ops::Range<u64> = 150..4_000;
 
 /// Size and length of a run.
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +38,8 @@
     Kill(usize),
     /// SIGSTOP, and SIGCONT.
     Pause(usize),
+    /// As [`Trouble::Pause`], with new weights named right before.
+    PauseInLoad(usize),
     /// A host's line to the store.
     StoreLine(usize, Line),
     /// The store turns all away.
@@ -79,10 +83,15 @@
     let mut steps = Vec::new();
     while at < size.length {
         let is_planned = at < size.length.mul_f64(PLANNED_PART);
+        let trouble = draw(&mut rng, size, is_planned);
+        let length = match trouble {
+            Trouble::Pause(_) | Trouble::PauseInLoad(_) => PAUSE_LENGTH_MS,
+            _ => LENGTH_MS,
+        };
         steps.push(Step {
             at,
-            length: Duration::from_millis(rng.random_range(LENGTH_MS)),
-            trouble: draw(&mut rng, size, is_planned),
+            length: Duration::from_millis(rng.random_range(length)),
+            trouble,
         });
         at += Duration::from_millis(rng.random_range(PAUSE_MS));
     }
@@ -101,7 +110,7 @@
         Mood::Mute,
         Mood::Full,
     ];
-    let kinds = if is_planned { 5 } else { 15 };
+    let kinds = if is_planned { 5 } else { 16 };
     match rng.random_range(0..kinds) {
         0 | 1 => Trouble::Term(host),
         2 => Trouble::Hup(host),
@@ -116,6 +125,7 @@
         12 => Trouble::EngineMood(engine, moods[rng.random_range(0..moods.len())]),
         13 if rng.random() => Trouble::EngineRestarts(engine),
         13 => Trouble::EngineReplaced(engine),
+        14 => Trouble::PauseInLoad(host),
         _ => Trouble::EntryLapses(engine),
     }
 }
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -13,6 +13,11 @@
 /// Pause between looks at a process or its readiness.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Name of a host.
+pub(crate) fn host_name(index: usize) -> String {
+    format!("host-{index}")
+}
+
 /// An entry host: the product's own program, in a process of its own.
 pub(crate) struct Host {
     /// Its settings.
@@ -31,7 +36,7 @@
     pub(crate) fn new(dir: &Path, index: usize, store: &WireStore) -> Self {
         let store_line = Proxy::start(store.address);
         let file = HostFile {
-            name: format!("host-{index}"),
+            name: host_name(index),
             callers: free_address(),
             readiness: free_address(),
             peers: free_address(),
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -21,6 +21,8 @@
 const REST: Duration = Duration::from_millis(500);
 /// Pause before a process that was killed is started again.
 const DOWN_TIME: Duration = Duration::from_millis(250);
+/// Time after weights were named after which the first engines load them.
+const LOAD_BEGUN: Duration = Duration::from_millis(400);
 /// Pause between looks while the deployment recovers.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -184,7 +186,8 @@
         self.harm(step, busy);
         if !step.trouble.is_planned() {
             let until = Instant::now();
-            self.harms.lock().unwrap().push(Harm { from, until });
+            let trouble = step.trouble;
+            self.harms.lock().unwrap().push(Harm { trouble, from, until });
         }
     }
 
@@ -217,11 +220,11 @@
                 std::thread::sleep(DOWN_TIME);
                 self.hosts[host].start();
             }
-            Trouble::Pause(host) => {
-                let Ok(_busy) = busy[host].try_lock() else { return };
-                self.hosts[host].signal(Signal::STOP);
-                last();
-                self.hosts[host].signal(Signal::CONT);
+            Trouble::Pause(host) => self.pause(host, step.length, busy),
+            Trouble::PauseInLoad(host) => {
+                name_weights(&self.store, self.weights.fetch_add(1, Ordering::SeqCst) + 1);
+                std::thread::sleep(LOAD_BEGUN);
+                self.pause(host, step.length, busy);
             }
             Trouble::StoreLine(host, line) => {
                 self.hosts[host].store_line.set(line);
@@ -269,6 +272,13 @@
         }
     }
 
+    fn pause(&self, host: usize, length: Duration, busy: &[Mutex<()>]) {
+        let Ok(_busy) = busy[host].try_lock() else { return };
+        self.hosts[host].signal(Signal::STOP);
+        std::thread::sleep(length);
+        self.hosts[host].signal(Signal::CONT);
+    }
+
     /// Waits until all is as it was declared last; what does not come about is a broken promise.
     fn settle(&self) {
         // A forged entry harms no other.
--- a/tests/soak/verdict.rs
+++ b/tests/soak/verdict.rs
@@ -4,15 +4,20 @@
 use crate::callers::Attempt;
 use crate::common::deployment::{LASTING_PATHS, MOST_RUNS, WORKSPACES};
 use crate::common::{EVENTS, Order, Run, Witness};
+use crate::plan::Trouble;
+use crate::process::host_name;
 
 /// Time after a trouble in which its effects may still show.
 const AFTERMATH: Duration = Duration::from_millis(1_500);
+/// Time after a pause in which orders may arrive that were on their way before it.
+const ON_THE_WAY: Duration = Duration::from_millis(300);
 /// Time for which a holder of the lease for orders is the only one.
 const ORDER_LEASE: Duration = Duration::from_secs(3);
 
 /// When a trouble that is not planned work was on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Harm {
+    pub trouble: Trouble,
     pub from: Instant,
     pub until: Instant,
 }
@@ -151,12 +156,21 @@
         .collect()
 }
 
-/// Orders of two holders at a time. Orders that a harmed line has held back are left out.
+/// Orders of two holders at a time. Orders that a line to an engine may have held back are left out, and those that a process
+/// had on its way when it stood still.
 fn two_holders(evidence: &Evidence<'_>) -> Vec<String> {
     let orders = evidence.witness.orders.lock().unwrap();
     let is_harmed = |order: &Order| {
-        let around = |harm: &&Harm| harm.from <= order.at && order.at <= harm.until + AFTERMATH;
-        evidence.harms.iter().any(|harm| around(&harm))
+        evidence.harms.iter().any(|harm| {
+            let after = match harm.trouble {
+                Trouble::EngineLine(..) => AFTERMATH,
+                Trouble::Pause(host) | Trouble::PauseInLoad(host) if order.holder == host_name(host) => {
+                    ON_THE_WAY
+                }
+                _ => return false,
+            };
+            harm.from <= order.at && order.at <= harm.until + after
+        })
     };
     let mut broken = Vec::new();
     let mut holders: HashMap<u64, &str> = HashMap::new();
