Let a host that follows a store drop its old parts, and work out duties once a change of the view

Cause, found by reading: since the followers of a store are drawn by region, the host that was to drop parts of replaced weights was still drawn from all hosts; on the grown sites it mostly did not follow the store, so nothing was dropped. Change: one of the followers drops (does_alone); View::hosts_for is pure; ranks are worked out once a region, and for stores when the view changes. Small sites were not concerned: there all hosts follow all stores.

--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -1,15 +1,15 @@
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use http_io::{Client, ClientConfig};
 use serde::{Deserialize, Serialize};
-use utils::{HostId, TargetId, rendezvous_order};
+use utils::{HostId, RegionId, TargetId};
 
 use super::Control;
-use super::duty::hosts_for;
 use super::peers::ask;
 use crate::load::ReportedLoad;
-use crate::{Target, View};
+use crate::{Target, View, does_alone};
 
 /// Path on which hosts pass on what engines have reported.
 pub(super) const PATH: &str = "/loads";
@@ -94,7 +94,7 @@
         smol::Timer::after(jittered(ASK_INTERVAL)).await;
         let view = control.traffic.view.load_full();
         let own = &control.traffic.settings.name;
-        let names = reporters_by_region(&control, &view).into_iter().flatten();
+        let names = reporters_by_region(&control, &view).into_values().flatten();
         let peers = names
             .filter(|name| name != own)
             .filter_map(|name| view.hosts.get(&name));
@@ -117,34 +117,30 @@
 }
 
 /// Hosts that ask the engines of each region; none in a small deployment.
-fn reporters_by_region(control: &Control, view: &View) -> Vec<Vec<HostId>> {
+fn reporters_by_region(control: &Control, view: &View) -> BTreeMap<RegionId, Vec<HostId>> {
     if view.hosts.len() < LEAST_HOSTS {
-        return Vec::new();
+        return BTreeMap::new();
     }
-    let mut regions: Vec<_> = control.traffic.settings.regions.values().collect();
-    regions.sort();
-    regions.dedup();
-    let reporters = regions
-        .into_iter()
-        .map(|region| hosts_for(control, view, region, "loads", REPORTERS));
+    let regions = &control.traffic.settings.regions;
+    let all: BTreeSet<_> = regions.values().collect();
+    let reporters = all.into_iter().map(|region| {
+        let names = view.hosts_for(regions, region, "loads", REPORTERS);
+        (region.clone(), names)
+    });
     reporters.collect()
 }
 
 /// Engines of which this host is the one that asks.
 fn own_engines(control: &Control, view: &View) -> Vec<Arc<Target>> {
     let own = &control.traffic.settings.name;
-    let reporters = reporters_by_region(control, view);
+    let mut reporters = reporters_by_region(control, view);
+    reporters.retain(|_, names| names.contains(own));
     let regions = &control.traffic.settings.regions;
-    let mine: Vec<_> = reporters.iter().filter(|names| names.contains(own)).collect();
-    if mine.is_empty() {
-        return Vec::new();
-    }
     let is_mine = |target: &&Arc<Target>| {
-        let region = regions.get(&target.domain);
-        let names = region.map(|region| hosts_for(control, view, region, "loads", REPORTERS));
-        let names = names.unwrap_or_default();
-        let order = rendezvous_order(target.run.as_bytes(), names.iter().map(|name| &**name));
-        order.first() == Some(&&**own)
+        let names = regions
+            .get(&target.domain)
+            .and_then(|region| reporters.get(region));
+        names.is_some_and(|names| does_alone(names, target.run.as_bytes(), own))
     };
     let engines = view.targets.values().flatten();
     let engines = engines.filter(|target| !target.models.is_empty());
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! The control thread: follows the store and other hosts, publishes what the host believes, and orders weights.
 
-mod duty;
 mod follow;
 mod kept_news;
 mod loads;
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -7,10 +7,9 @@
 use utils::{HostId, RegionId};
 
 use super::Control;
-use super::duty::hosts_for;
 use crate::kept::{PartKey, REPLACED_SETTLED_AFTER, weights_of_salt};
 use crate::view::Named;
-use crate::{StoreSpec, View};
+use crate::{StoreSpec, View, does_alone};
 
 /// Pause between looks at which stores are declared.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
@@ -28,8 +27,13 @@
 /// Follows the stores that are declared.
 pub(crate) async fn follow_stores(control: Arc<Control>) {
     let mut watches: BTreeMap<Arc<str>, smol::Task<()>> = BTreeMap::new();
+    let mut seen = Arc::default();
     loop {
         let view = control.traffic.view.load_full();
+        if Arc::ptr_eq(&std::mem::replace(&mut seen, view.clone()), &view) {
+            smol::Timer::after(LOOK_INTERVAL).await;
+            continue;
+        }
         let own = &control.traffic.settings.name;
         let declared: Vec<_> = declared_stores(&view).collect();
         let is_declared = |address: &str| declared.iter().any(|store| *store.address == *address);
@@ -61,8 +65,9 @@
 /// what they hear, so that another host asks one of them about all. They stand in the region if it has enough hosts.
 pub(super) fn watchers(control: &Control, view: &View, store: &StoreSpec) -> Vec<HostId> {
     let room = (store.questions as usize).saturating_sub(SPARE_QUESTIONS).max(1);
+    let regions = &control.traffic.settings.regions;
     let region = region_of(control, store);
-    region.map_or_else(Vec::new, |region| hosts_for(control, view, region, "kept", room))
+    region.map_or_else(Vec::new, |region| view.hosts_for(regions, region, "kept", room))
 }
 
 async fn watch(control: Arc<Control>, store: StoreSpec) {
@@ -130,10 +135,15 @@
     true
 }
 
-/// Has the store drop what replaced weights have made, once nobody fetches it any more. One host does so for a store.
+/// Has the store drop what replaced weights have made, once nobody fetches it any more. One of the hosts that follow it does so.
 async fn drop_old(control: &Control, store: &StoreSpec) {
     let view = control.traffic.view.load_full();
-    if !view.owns(store.address.as_bytes(), &control.traffic.settings.name, 1) {
+    let watchers = watchers(control, &view, store);
+    if !does_alone(
+        &watchers,
+        store.address.as_bytes(),
+        &control.traffic.settings.name,
+    ) {
         return;
     }
     let old = old_parts(control, &view, store);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -46,5 +46,5 @@
 pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
 pub use traffic::{EventCutter, Progress};
-pub use view::{HostEntry, Named, View};
+pub use view::{HostEntry, Named, Regions, View, does_alone};
 pub use weights::{LoadOrder, Rollout, RolloutInput, is_overdue};
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use utils::{FailureDomainId, HostId, ModelId, Monotonic, ServiceId, rendezvous_order};
+use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
 use crate::{Declared, Target};
@@ -68,6 +68,20 @@
     }
 }
 
+/// Regions of the failure domains.
+pub type Regions = BTreeMap<FailureDomainId, RegionId>;
+
+/// Which of some hosts does a task alone.
+///
+/// ```
+/// let hosts = ["host-1".into(), "host-2".into()];
+/// assert!(hosts.iter().any(|host| gateway::does_alone(&hosts, b"task", host)));
+/// ```
+pub fn does_alone(hosts: &[HostId], task: &[u8], host: &str) -> bool {
+    let order = rendezvous_order(task, hosts.iter().map(|name| &**name));
+    order.first() == Some(&host)
+}
+
 /// What the host believes, as the traffic thread sees it. Immutable once published.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -115,6 +129,20 @@
         order.iter().take(count).any(|name| *name == host)
     }
 
+    /// Hosts that do something for a region, the same at every host that knows the same hosts. They stand in the region if it has
+    /// enough.
+    pub fn hosts_for(&self, regions: &Regions, region: &RegionId, duty: &str, count: usize) -> Vec<HostId> {
+        let is_near = |host: &&HostEntry| regions.get(&host.domain) == Some(region);
+        let near: Vec<_> = self.hosts.values().filter(is_near).collect();
+        let candidates = match near.len() < count {
+            true => self.hosts.values().collect(),
+            false => near,
+        };
+        let names = candidates.iter().map(|host| &*host.name);
+        let order = rendezvous_order(format!("{duty}/{region}").as_bytes(), names);
+        order.into_iter().take(count).map(HostId::from).collect()
+    }
+
     /// Entry hosts that share what is limited for all together; at least this one.
     pub fn host_count(&self) -> usize {
         self.hosts.len().max(1)
--- /dev/null
+++ b/components/gateway/tests/duties.rs
@@ -0,0 +1,49 @@
+//! Who does what for a region: every host says the same, and what only followers of a store can do falls to one of them.
+
+use gateway::{HostEntry, Regions, View, does_alone};
+use utils::HostId;
+
+/// A view of `count` hosts, every other one in each of two regions.
+fn view(count: usize) -> (View, Regions) {
+    let mut view = View::default();
+    for number in 0..count {
+        let name: HostId = format!("host-{number}").into();
+        let entry = HostEntry {
+            name: name.clone(),
+            domain: if number % 2 == 0 { "a" } else { "b" }.into(),
+            peers: ([127, 0, 0, 1], 1).into(),
+        };
+        view.hosts.insert(name, entry);
+    }
+    let regions = [("a".into(), "north".into()), ("b".into(), "south".into())].into();
+    (view, regions)
+}
+
+#[test]
+fn a_large_region_is_served_by_its_own_hosts() {
+    let (view, regions) = view(80);
+    let names = view.hosts_for(&regions, &"north".into(), "kept", 10);
+    assert_eq!(names.len(), 10);
+    assert!(names.iter().all(|name| &*view.hosts[name].domain == "a"));
+}
+
+#[test]
+fn a_small_region_is_served_by_all_hosts() {
+    let (view, regions) = view(9);
+    let names = view.hosts_for(&regions, &"south".into(), "kept", 10);
+    assert_eq!(names.len(), 9);
+}
+
+#[test]
+fn one_of_those_who_follow_a_store_drops_its_old_parts() {
+    for count in [1, 9, 80, 340] {
+        let (view, regions) = view(count);
+        let watchers = view.hosts_for(&regions, &"north".into(), "kept", 10);
+        for store in 0..20 {
+            let task = format!("10.0.0.{store}:80");
+            let drops = |name: &&HostId| does_alone(&watchers, task.as_bytes(), name);
+            assert_eq!(watchers.iter().filter(drops).count(), 1);
+            assert_eq!(view.hosts.keys().filter(drops).count(), 1);
+        }
+    }
+}
