--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -1,4 +1,5 @@
 use std::fs::File;
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -8,11 +9,19 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::common::deployment::{GRACE_S, HostFile};
-use crate::common::{Caller, Proxy, WireStore, free_address};
+use crate::common::{Caller, Proxy, WireStore};
 
+/// Ports of a host: for callers, for the balancer, for other hosts.
+const PORTS: [u16; 3] = [7_001, 7_002, 7_003];
 /// Pause between looks at a process or its readiness.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// A loopback address of the host alone, so that its ports are free whatever other sockets the machine opens.
+fn own_ip(index: usize) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 100 + index as u8, high, low)
+}
+
 /// Name of a host.
 pub(crate) fn host_name(index: usize) -> String {
     format!("host-{index}")
@@ -35,11 +44,12 @@
     /// Describes a host; nothing runs yet.
     pub(crate) fn new(dir: &Path, index: usize, store: &WireStore) -> Self {
         let store_line = Proxy::start(store.address);
+        let ip = own_ip(index);
         let file = HostFile {
             name: host_name(index),
-            callers: free_address(),
-            readiness: free_address(),
-            peers: free_address(),
+            callers: (ip, PORTS[0]).into(),
+            readiness: (ip, PORTS[1]).into(),
+            peers: (ip, PORTS[2]).into(),
             seeds: Vec::new(),
             store: store_line.address,
         };
