--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,6 +6,7 @@
 
 use super::{Control, TICK};
 use crate::Learned;
+use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::Standing;
 
@@ -56,7 +57,7 @@
             }
             Ok(Heard::Forgotten) => must_read = true,
             Err(_) => {
-                smol::Timer::after(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
+                smol::Timer::after(jittered(backoff, 0.5)).await;
                 backoff = (backoff * 2).min(LONGEST_BACKOFF);
                 continue;
             }
--- a/components/gateway/src/control/kept_news.rs
+++ b/components/gateway/src/control/kept_news.rs
@@ -12,6 +12,7 @@
 use super::peers::ask;
 use super::stores::{declared_stores, region_of, watchers};
 use crate::View;
+use crate::jitter::jittered;
 use crate::kept::{KeptEvent, PartKey, StoreNews};
 
 /// Path on which hosts that follow stores of kept cache pass on what they hear.
@@ -20,7 +21,7 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Asks for changes of the stores of a region.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
 pub(super) struct KeptQuestion {
     /// Region of the stores.
@@ -150,8 +151,7 @@
     let client = Client::new(control.ex.clone(), cfg);
     let mut sources: BTreeMap<RegionId, Source> = BTreeMap::new();
     loop {
-        let pause = ASK_INTERVAL.mul_f64(0.9 + 0.2 * rand::random::<f64>());
-        smol::Timer::after(pause).await;
+        smol::Timer::after(jittered(ASK_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
         for region in unwatched(&control, &view) {
             let source = sources.entry(region.clone()).or_default();
--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -8,6 +8,7 @@
 
 use super::Control;
 use super::peers::ask;
+use crate::jitter::jittered;
 use crate::load::ReportedLoad;
 use crate::{Target, View, does_alone};
 
@@ -52,7 +53,7 @@
 /// Asks the engines that fall to this host for their load.
 pub(crate) async fn watch_engines(control: Arc<Control>) {
     loop {
-        smol::Timer::after(jittered(REPORT_INTERVAL)).await;
+        smol::Timer::after(jittered(REPORT_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
         let mine = own_engines(&control, &view);
         control
@@ -91,7 +92,7 @@
     };
     let client = Arc::new(Client::new(control.ex.clone(), cfg));
     loop {
-        smol::Timer::after(jittered(ASK_INTERVAL)).await;
+        smol::Timer::after(jittered(ASK_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
         let own = &control.traffic.settings.name;
         let names = reporters_by_region(&control, &view).into_values().flatten();
@@ -146,7 +147,3 @@
     let engines = engines.filter(|target| !target.models.is_empty());
     engines.filter(is_mine).cloned().collect()
 }
-
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(0.9 + 0.2 * rand::random::<f64>())
-}
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -17,6 +17,7 @@
 
 use super::{Control, kept_news, loads};
 use crate::Told;
+use crate::jitter::jittered;
 use crate::ports::Table;
 
 /// Path on which hosts tell each other what changed.
@@ -110,8 +111,7 @@
     };
     let client = Client::new(control.ex.clone(), cfg);
     loop {
-        let pause = ASK_INTERVAL.mul_f64(0.8 + 0.4 * rand::random::<f64>());
-        smol::Timer::after(pause).await;
+        smol::Timer::after(jittered(ASK_INTERVAL, 0.2)).await;
         let is_ignorant = !control.traffic.view.load().is_able();
         if !control.beliefs().is_store_down() && !is_ignorant {
             continue;
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -10,6 +10,7 @@
 
 use super::Control;
 use crate::beliefs::{CRASH_PREFIX, HOST_PREFIX};
+use crate::jitter::jittered;
 use crate::ports::{RecordWrite, Table};
 use crate::quarantine::Crash;
 use crate::view::HostEntry;
@@ -61,8 +62,7 @@
 /// asked about once an interval however many there are. A host that was only cut off registers again.
 pub(crate) async fn remove_silent_hosts(control: Arc<Control>) {
     loop {
-        let pause = SILENT_INTERVAL.mul_f64(0.7 + 0.6 * rand::random::<f64>());
-        smol::Timer::after(pause).await;
+        smol::Timer::after(jittered(SILENT_INTERVAL, 0.3)).await;
         let view = control.traffic.view.load_full();
         let own = &control.traffic.settings.name;
         let others: Vec<_> = view.hosts.values().filter(|host| host.name != *own).collect();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod freshness;
 mod host;
+mod jitter;
 mod kept;
 mod load;
 mod placement;
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use data_encoding::{HEXLOWER, HEXLOWER_PERMISSIVE};
 use utils::{Monotonic, digest};
 
 /// Names a request by path, workspace and body, whoever sends it again.
@@ -38,19 +39,13 @@
 
     /// As hexadecimal digits.
     pub fn text(&self) -> String {
-        self.0.iter().map(|b| format!("{b:02x}")).collect()
+        HEXLOWER.encode(&self.0)
     }
 
     /// Reads what [`Fingerprint::text`] wrote.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut bytes = [0; 16];
-        if text.len() != 32 || !text.is_ascii() {
-            return None;
-        }
-        for (i, byte) in bytes.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
-        }
-        Some(Self(bytes))
+        let bytes = HEXLOWER_PERMISSIVE.decode(text.as_bytes()).ok()?;
+        Some(Self(bytes.try_into().ok()?))
     }
 }
 
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -18,6 +18,7 @@
 use super::request::Call;
 use super::state::Traffic;
 use crate::declared::Repeat;
+use crate::jitter::jittered;
 use crate::quarantine::Crash;
 use crate::{AnswerFacts, Target};
 
@@ -125,10 +126,7 @@
         }
         match self.no_place {
             Some(NoPlace::Full) => {
-                let wait = call
-                    .route
-                    .timeout
-                    .mul_f64(FULL_WAIT_PART * (0.7 + 0.6 * rand::random::<f64>()));
+                let wait = jittered(call.route.timeout.mul_f64(FULL_WAIT_PART), 0.3);
                 Refusal::not_run(ProblemKind::Overloaded, "every target is full").after(wait)
             }
             _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request").after(REFUSED_WAIT),
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -52,8 +52,19 @@
     if let Some(session) = session {
         rank(&mut targets, session);
     }
-    let candidates = targets.iter().enumerate();
-    let candidates = candidates.map(|(position, target)| survey.candidate(target, session, position));
+    let mut kept = HashMap::new();
+    let candidates = targets.iter().enumerate().map(|(position, target)| {
+        // Targets with the same weights in the same failure domain have the same stores and the same salt.
+        let weights = survey.weights_at(target);
+        let is_kept = kept.entry((weights, &*target.domain));
+        let is_kept = *is_kept.or_insert_with(|| survey.is_kept(target, weights));
+        survey.candidate(
+            target,
+            weights,
+            is_kept,
+            survey.chance(target, weights, session, position),
+        )
+    });
     let candidates: Vec<_> = candidates.collect();
     let demand = call.demand();
     let choice = match decide(&demand, &candidates, rand::random()) {
@@ -137,7 +148,8 @@
     /// Targets that may take the request; those that were not reached lately only if there is no other.
     fn targets(&self, tried: &[TargetId]) -> Vec<&'a Arc<Target>> {
         let is_allowed = |target: &&Arc<Target>| {
-            !tried.contains(&target.run) && self.old_weights(target) != OldWeights::Forbidden
+            let weights = self.weights_at(target);
+            !tried.contains(&target.run) && self.old_weights(weights) != OldWeights::Forbidden
         };
         let listed = self.view.targets_of(&self.call.service).iter();
         let all: Vec<_> = listed.filter(is_allowed).collect();
@@ -149,18 +161,25 @@
         if sound.is_empty() { all } else { sound }
     }
 
-    fn candidate(&self, target: &Target, session: Option<SessionKey>, position: usize) -> Candidate {
-        let id = &target.run;
-        let slot = self.known.slots.get(id);
-        let load = slot.map(|slot| &slot.load);
+    /// Chance that a target holds the session's part itself.
+    fn chance(
+        &self,
+        target: &Target,
+        weights: Option<u64>,
+        session: Option<SessionKey>,
+        position: usize,
+    ) -> f64 {
+        let session = session.map(|session| versioned(session, weights));
+        let sessions = &self.known.sessions;
+        session.map_or(0.0, |session| {
+            sessions.chance(session, &target.run, position, self.now)
+        })
+    }
+
+    fn candidate(&self, target: &Target, weights: Option<u64>, is_kept: bool, chance: f64) -> Candidate {
+        let slot = self.known.slots.get(&target.run);
         let fresh = crate::LoadEstimate::default();
-        let load = load.unwrap_or(&fresh);
-        let weights = self.weights_at(target);
-        let chance = session.map_or(0.0, |session| {
-            let session = versioned(session, weights);
-            self.known.sessions.chance(session, id, position, self.now)
-        });
-        let is_kept = self.is_kept(target, weights);
+        let load = slot.map_or(&fresh, |slot| &slot.load);
         Candidate {
             distance: match self.cx.settings.distance(&target.domain) {
                 Distance::Domain => 0,
@@ -178,7 +197,7 @@
             resident: if is_kept { chance.max(KEPT_CHANCE) } else { chance },
             latency_ms: load.latency_ms(),
             failures: load.failures(),
-            has_old_weights: self.old_weights(target) == OldWeights::Avoided,
+            has_old_weights: self.old_weights(weights) == OldWeights::Avoided,
             is_connected: slot.is_some_and(|slot| slot.is_connected(self.now)),
         }
     }
@@ -190,10 +209,10 @@
         listed.max(slot.and_then(|slot| slot.seen_weights))
     }
 
-    /// How a target may be used if newer weights were named than it has.
-    fn old_weights(&self, target: &Target) -> OldWeights {
+    /// How a target with some weights may be used if newer ones were named.
+    fn old_weights(&self, weights: Option<u64>) -> OldWeights {
         let named = self.call.model().and_then(|model| self.view.weights.get(model));
-        let (Some(named), Some(version)) = (named, self.weights_at(target)) else {
+        let (Some(named), Some(version)) = (named, weights) else {
             return OldWeights::Allowed;
         };
         let deadline = self.cx.settings.bounds.weights_deadline;
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -63,10 +63,7 @@
         let part = prompt.session()?;
         let wall = wall_of(self.workspace.as_deref());
         let text = format!("{wall}\n{}\n{}", prompt.model, part.id);
-        let digest = utils::digest(text.as_bytes());
-        let mut first = [0; 8];
-        first.copy_from_slice(&digest.as_bytes()[..8]);
-        Some(u64::from_le_bytes(first))
+        Some(utils::digest(text.as_bytes()).first_u64())
     }
 
     /// Kept cache is shared only under the same name: the workspace if it is isolated, and the weight version.
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -78,8 +78,12 @@
 /// assert!(hosts.iter().any(|host| gateway::does_alone(&hosts, b"task", host)));
 /// ```
 pub fn does_alone(hosts: &[HostId], task: &[u8], host: &str) -> bool {
-    let order = rendezvous_order(task, hosts.iter().map(|name| &**name));
-    order.first() == Some(&host)
+    is_among(hosts, task, host, 1)
+}
+
+fn is_among<'a>(hosts: impl IntoIterator<Item = &'a HostId>, task: &[u8], host: &str, count: usize) -> bool {
+    let order = rendezvous_order(task, hosts.into_iter().map(|name| &**name));
+    order.iter().take(count).any(|name| *name == host)
 }
 
 /// What the host believes, as the traffic thread sees it. Immutable once published.
@@ -113,9 +117,7 @@
     /// Whether a target is still listed in the same incarnation.
     pub fn holds(&self, target: &Target) -> bool {
         let listed = self.targets_of(&target.service);
-        listed
-            .iter()
-            .any(|t| t.instance == target.instance && t.born_ms == target.born_ms)
+        listed.iter().any(|t| t.run == target.run)
     }
 
     /// Whether a host is among the first `count` that own a duty. Every host that knows the same hosts says the same.
@@ -124,9 +126,7 @@
     /// assert!(!gateway::View::default().owns(b"orders", "host-1", 3));
     /// ```
     pub fn owns(&self, duty: &[u8], host: &str, count: usize) -> bool {
-        let names = self.hosts.keys().map(|name| &**name);
-        let order = rendezvous_order(duty, names);
-        order.iter().take(count).any(|name| *name == host)
+        is_among(self.hosts.keys(), duty, host, count)
     }
 
     /// Hosts that do something for a region, the same at every host that knows the same hosts. They stand in the region if it has
--- a/components/utils/src/digest.rs
+++ b/components/utils/src/digest.rs
@@ -20,6 +20,17 @@
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
     }
+
+    /// The first 8 bytes as a number, for hash tables and ranks.
+    ///
+    /// ```
+    /// assert_ne!(utils::digest(b"sack").first_u64(), utils::digest(b"bale").first_u64());
+    /// ```
+    pub fn first_u64(&self) -> u64 {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(first)
+    }
 }
 
 impl From<[u8; 32]> for Digest {
--- a/components/utils/src/rendezvous.rs
+++ b/components/utils/src/rendezvous.rs
@@ -1,12 +1,12 @@
+use crate::Digest;
+
 /// Score of a candidate for a key; the highest score owns the key (rendezvous hashing).
 pub fn rendezvous_score(key: &[u8], candidate: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&(key.len() as u64).to_le_bytes());
     hasher.update(key);
     hasher.update(candidate.as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    Digest::from(*hasher.finalize().as_bytes()).first_u64()
 }
 
 /// The candidates in the order in which they own the key, first owner first.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -57,20 +57,21 @@
 }
 
 /// `SOAK_FIRST` is the first seed and `SOAK_COUNT` the number of seeds.
+fn check_many(size: Size, count: u64) {
+    let first = setting("SOAK_FIRST", 100);
+    for seed in first..first + setting("SOAK_COUNT", count) {
+        check(seed, size);
+    }
+}
+
 #[test]
 #[ignore = "takes minutes"]
 fn promises_hold_under_many_seeded_troubles() {
-    let first = setting("SOAK_FIRST", 100);
-    for seed in first..first + setting("SOAK_COUNT", 50) {
-        check(seed, SMALL);
-    }
+    check_many(SMALL, 50);
 }
 
 #[test]
 #[ignore = "takes minutes"]
 fn promises_hold_in_a_larger_deployment() {
-    let first = setting("SOAK_FIRST", 100);
-    for seed in first..first + setting("SOAK_COUNT", 5) {
-        check(seed, LARGE);
-    }
+    check_many(LARGE, 5);
 }
