Keep the age of declared weights over restarts

Cause: a host that started after a declaration knew the newest version but not since when; it went on using the old weights as long as no engine had loaded the new ones, however long ago they were declared, and of several versions it knew only the newest. Change: hosts record in the shared table when they received each version, on the store's steady clock; a restarted host reads the ages, and the store's time from the store or from another host. Weights that were replaced at an unknown time are not used any more. The test that allowed them (weights_declared_before_the_start_forbid_old_ones_once_any_engine_has_them, false -> Avoided) is replaced by a stricter one. The age of a version that is named while no host runs stays unknown; requests are refused as not run until engines have loaded it.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -289,6 +289,11 @@
         "kept_lost",
         "A store of kept cache does not answer; nothing is fetched from it or saved to it.",
     );
+    pub const WEIGHTS_TIME_RECORDED: Event = event(
+        5019,
+        "weights_time_recorded",
+        "The host recorded in the shared table when it received declared weights, for hosts that start later.",
+    );
     pub const LEASE_TAKEN: Event = event(
         5020,
         "lease_taken",
@@ -362,6 +367,7 @@
     events::HOST_UNREACHABLE,
     events::KEPT_STORE_AVAILABLE,
     events::KEPT_STORE_UNAVAILABLE,
+    events::WEIGHTS_TIME_RECORDED,
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
 ];
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -8,13 +8,16 @@
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint};
 use crate::rows::{Rows, TableUpdate};
-use crate::view::{HostEntry, View, WeightsHistory};
+use crate::view::{HostEntry, View};
+use crate::weights_history::{DeclaredAge, DeclaredTimes, WeightsHistory};
 use crate::{Declared, Target};
 
 /// Prefix of the keys under which entry hosts register themselves.
 pub(crate) const HOST_PREFIX: &str = "host/";
 /// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/NUMBER` records one crash observed by a host.
 pub(crate) const CRASH_PREFIX: &str = "crash/";
+/// Prefix of the keys under which the ages of a model's declared weights are kept.
+pub(crate) const DECLARED_TIMES_PREFIX: &str = "weights/";
 
 /// Where an update of a table comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +57,11 @@
     declared: Option<Arc<Declared>>,
     /// Weight versions declared for each model.
     weights: HashMap<ModelId, WeightsHistory>,
+    /// When a host received each declared version, by model, as recorded in the shared table.
+    declared_times: BTreeMap<ModelId, DeclaredTimes>,
+    /// Time on the store's clock at time 0 of this host's clock. May be negative: the host's clock can be
+    /// ahead. `None` until the store or another host has told its time.
+    store_clock_offset_ms: Option<i64>,
     /// Confirmed targets by key.
     targets: BTreeMap<String, Arc<Target>>,
     /// Targets by key whose entry disappeared around an outage and may have only lapsed.
@@ -81,6 +89,8 @@
             answered_at: Monotonic::ZERO,
             declared: None,
             weights: HashMap::new(),
+            declared_times: BTreeMap::new(),
+            store_clock_offset_ms: None,
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             hosts: BTreeMap::new(),
@@ -151,6 +161,9 @@
         source: UpdateSource,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
+        if let Some(store_time) = snapshot.store_time {
+            self.record_store_time(store_time, now);
+        }
         let applied = self.tables.entry(table).or_default().replace(snapshot, now);
         // An empty snapshot is a change as well: it makes the table complete.
         self.is_changed |= applied.is_some();
@@ -165,6 +178,9 @@
         source: UpdateSource,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
+        if let Some(store_time) = changed.store_time {
+            self.record_store_time(store_time, now);
+        }
         let applied = self.tables.entry(table).or_default().apply(changed, now);
         self.apply_records(table, applied, source, now)
     }
@@ -187,6 +203,49 @@
         }
     }
 
+    /// Returns the time on the store's clock; `None` until it is known.
+    pub fn store_time(&self, now: Monotonic) -> Option<Duration> {
+        let ms = millis(now).saturating_add(self.store_clock_offset_ms?);
+        u64::try_from(ms).ok().map(Duration::from_millis)
+    }
+
+    /// Records the time on the store's clock, as the store or another host told it. Answers arrive with a
+    /// delay, so the latest of all times is the most accurate.
+    pub fn record_store_time(&mut self, store_time: Duration, now: Monotonic) {
+        let offset = millis(store_time).saturating_sub(millis(now));
+        if self.store_clock_offset_ms.is_some_and(|known| known >= offset) {
+            return;
+        }
+        let was_unknown = self.store_clock_offset_ms.replace(offset).is_none();
+        if was_unknown {
+            for model in self.declared_times.keys().cloned().collect::<Vec<_>>() {
+                self.apply_declared_times(&model, now);
+            }
+        }
+    }
+
+    /// Returns the models whose row in the shared table lacks the time of a declaration that this host
+    /// received, with the content that the row should have.
+    pub(crate) fn unrecorded_times(&self, now: Monotonic) -> Vec<(ModelId, DeclaredTimes)> {
+        let Some(store_time) = self.store_time(now) else {
+            return Vec::new();
+        };
+        let complete = self.weights.iter().map(|(model, history)| {
+            let mut times = self.declared_times.get(model).cloned().unwrap_or_default();
+            for (version, age) in history.known() {
+                let at = store_time.saturating_sub(age.at(now));
+                times.versions.entry(version).or_insert(at);
+            }
+            (model.clone(), times)
+        });
+        let lacks_time =
+            |(model, times): &(ModelId, DeclaredTimes)| self.declared_times.get(model) != Some(times);
+        complete
+            .filter(lacks_time)
+            .filter(|(_, times)| !times.versions.is_empty())
+            .collect()
+    }
+
     /// Returns the keys of crashes past their retention time.
     pub fn expired_crashes(&self, now: Monotonic) -> Vec<String> {
         let expired = self
@@ -283,11 +342,11 @@
                 }
             }
             DeclaredRecord::Weights(weights) => {
-                let received_at = self.was_declared_read.then_some(now);
-                self.weights
-                    .entry(weights.model)
-                    .or_default()
-                    .add(weights.version, received_at);
+                let age = DeclaredAge::new(Duration::ZERO, now);
+                let age = self.was_declared_read.then_some(age);
+                let history = self.weights.entry(weights.model.clone()).or_default();
+                history.add(weights.version, age);
+                self.apply_declared_times(&weights.model, now);
             }
             DeclaredRecord::Other => {}
         }
@@ -331,6 +390,13 @@
                 None => self.hosts.remove(name),
             };
         }
+        if let (Some(model), Some(value)) = (record.key.strip_prefix(DECLARED_TIMES_PREFIX), &record.value) {
+            let times = serde_json::from_slice(value);
+            let times: DeclaredTimes = times.map_err(|e| Report::new(e).change_context(UnusableRecord))?;
+            let model = ModelId::from(model);
+            self.declared_times.insert(model.clone(), times);
+            self.apply_declared_times(&model, now);
+        }
         if let Some(text) = record.key.strip_prefix(CRASH_PREFIX) {
             let text = text.split('/').next().unwrap_or_default();
             let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
@@ -342,6 +408,24 @@
         Ok(())
     }
 
+    /// Adds the recorded ages to a model's history. Versions that have not been declared to this host yet
+    /// are left out.
+    fn apply_declared_times(&mut self, model: &ModelId, now: Monotonic) {
+        let Some(store_time) = self.store_time(now) else {
+            return;
+        };
+        let (Some(history), Some(times)) = (self.weights.get_mut(model), self.declared_times.get(model))
+        else {
+            return;
+        };
+        let newest = history.newest();
+        for (version, at) in times.versions.range(..=newest) {
+            let age = DeclaredAge::new(store_time.saturating_sub(*at), now);
+            history.add(*version, Some(age));
+        }
+        self.is_changed = true;
+    }
+
     /// Returns the requests that were running in enough crashes, counted over all hosts.
     fn quarantined(&self) -> HashSet<Fingerprint> {
         let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
@@ -352,3 +436,8 @@
         counts.into_keys().collect()
     }
 }
+
+/// Returns a duration in whole milliseconds.
+fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and other hosts, publishes views of the cached state and orders
 //! weights.
 
+mod declared_times;
 mod follow;
 mod kept_updates;
 mod loads;
@@ -75,6 +76,7 @@
             self.ex.spawn(follow::follow(self.clone(), Table::Targets)),
             self.ex.spawn(follow::follow(self.clone(), Table::Shared)),
             self.ex.spawn(follow::tick(self.clone())),
+            self.ex.spawn(declared_times::record_times(self.clone())),
             self.ex.spawn(peers::poll_peers(self.clone())),
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -45,6 +45,8 @@
 struct ChangesAnswer {
     /// Update of each table. Tables whose changes the answering host can't determine are left out.
     changes: Vec<(Table, TableUpdate)>,
+    /// Time on the store's clock, if the answering host knows it.
+    store_time: Option<Duration>,
 }
 
 /// Answers queries from other hosts until `stop` resolves.
@@ -103,6 +105,7 @@
         .filter_map(|table| Some((table, state.changes_since(table, peer_version(table))?)));
     ChangesAnswer {
         changes: changes.collect(),
+        store_time: state.store_time(control.traffic.now()),
     }
 }
 
@@ -176,6 +179,9 @@
         info!(control.traffic.log, "received changes from another host"; events::PEER_READ,
             "peer" => %peer, "rows" => rows);
     }
+    if let Some(store_time) = answer.store_time {
+        control.cached_state().record_store_time(store_time, now);
+    }
     for (table, update) in answer.changes {
         control.update(|state| state.apply_update(table, update, now));
     }
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -8,7 +8,7 @@
 
 use super::Control;
 use crate::kept::{OLD_WEIGHTS_DROP_DELAY, PartKey, weights_of_salt};
-use crate::view::WeightsHistory;
+use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{StoreSpec, View, is_sole_owner};
 
 /// Interval between checks of the declared stores.
@@ -183,11 +183,12 @@
     let mut kept = control.traffic.kept();
     let cached = kept.store(&store.address);
     let since = cached.run_since()?;
-    let is_settled = |history: &WeightsHistory, weights: u64| {
-        let replaced_at = history.replaced_at(weights);
+    let is_settled = |history: &WeightsHistory, weights: u64| match history.replacement(weights, now) {
+        Replacement::Current => false,
+        Replacement::Since(age) => age >= OLD_WEIGHTS_DROP_DELAY,
         // Weights replaced before this host started were replaced at the latest when it first polled the
         // store successfully.
-        replaced_at.is_some_and(|at| now >= at.unwrap_or(since) + OLD_WEIGHTS_DROP_DELAY)
+        Replacement::SinceUnknown => now >= since + OLD_WEIGHTS_DROP_DELAY,
     };
     let is_outdated = |key: &&PartKey| {
         view.weights.iter().any(|(model, history)| {
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -2,7 +2,7 @@
 
 use utils::Monotonic;
 
-use crate::view::WeightsHistory;
+use crate::weights_history::{Replacement, WeightsHistory};
 
 /// Time after a declaration during which replaced weights are used like the new ones.
 const FULL_USE_PERIOD: Duration = Duration::from_millis(1_000);
@@ -23,16 +23,17 @@
 
 /// Returns how an engine with weights `version` may be used. Requests must not start on replaced weights
 /// later than `deadline` after the declaration of newer ones. Sends stop earlier, at `SEND_CUTOFF_RATIO` of
-/// the deadline, because a request may wait in the engine's queue before it starts. `is_rollout_started` says
-/// whether any engine has loaded newer weights.
+/// the deadline, because a request may wait in the engine's queue before it starts. Weights that were replaced
+/// at an unknown time may be past the deadline.
 ///
 /// ```
 /// use std::time::Duration;
-/// use gateway::{WeightsHistory, OldWeightsPolicy, old_weights_policy};
+/// use gateway::{DeclaredAge, OldWeightsPolicy, WeightsHistory, old_weights_policy};
 ///
-/// let history = WeightsHistory::new(2, Some(Duration::from_secs(100)));
+/// let declared = DeclaredAge::new(Duration::ZERO, Duration::from_secs(100));
+/// let history = WeightsHistory::new(2, Some(declared));
 /// let deadline = Duration::from_secs(10);
-/// let at = |ms| old_weights_policy(&history, 1, deadline, true, Duration::from_millis(ms));
+/// let at = |ms| old_weights_policy(&history, 1, deadline, Duration::from_millis(ms));
 /// assert_eq!(at(100_500), OldWeightsPolicy::Allowed);
 /// assert_eq!(at(104_000), OldWeightsPolicy::Avoided);
 /// assert_eq!(at(107_000), OldWeightsPolicy::Forbidden);
@@ -41,29 +42,13 @@
     history: &WeightsHistory,
     version: u64,
     deadline: Duration,
-    is_rollout_started: bool,
     now: Monotonic,
 ) -> OldWeightsPolicy {
-    // The outer `None`: no newer version is declared.
-    let Some(replaced_at) = history.replaced_at(version) else {
-        return OldWeightsPolicy::Allowed;
-    };
-    let Some(replaced_at) = replaced_at else {
-        // The inner `None`: the newer version was declared at an unknown time before this host started. If an
-        // engine has already loaded it, the declaration dates back some time.
-        return if is_rollout_started {
-            OldWeightsPolicy::Forbidden
-        } else {
-            OldWeightsPolicy::Avoided
-        };
-    };
-    let age = now.saturating_sub(replaced_at);
-    if age >= deadline.mul_f64(SEND_CUTOFF_RATIO) {
-        return OldWeightsPolicy::Forbidden;
-    }
-    if age >= FULL_USE_PERIOD {
-        OldWeightsPolicy::Avoided
-    } else {
-        OldWeightsPolicy::Allowed
+    match history.replacement(version, now) {
+        Replacement::Current => OldWeightsPolicy::Allowed,
+        Replacement::SinceUnknown => OldWeightsPolicy::Forbidden,
+        Replacement::Since(age) if age >= deadline.mul_f64(SEND_CUTOFF_RATIO) => OldWeightsPolicy::Forbidden,
+        Replacement::Since(age) if age >= FULL_USE_PERIOD => OldWeightsPolicy::Avoided,
+        Replacement::Since(_) => OldWeightsPolicy::Allowed,
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod traffic;
 mod view;
 mod weights;
+mod weights_history;
 
 pub use budget::RetryBudget;
 pub use cached_state::{CachedState, UpdateSource};
@@ -49,5 +50,6 @@
 pub use sessions::{SessionKey, Sessions};
 pub use target::Target;
 pub use traffic::{EventSplitter, Progress};
-pub use view::{HostEntry, Regions, View, WeightsHistory, is_sole_owner};
+pub use view::{HostEntry, Regions, View, is_sole_owner};
 pub use weights::{Rollout, RolloutAction, RolloutInput, is_overdue};
+pub use weights_history::{DeclaredAge, Replacement, WeightsHistory};
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -46,6 +46,8 @@
     pub records: Vec<Record>,
     /// Newest version in the store when the rows were read.
     pub version: u64,
+    /// Time on the store's steady clock when the rows were read, if the answer came from the store itself.
+    pub store_time: Option<Duration>,
 }
 
 /// Result of waiting for changes of a table.
--- a/components/gateway/src/rows.rs
+++ b/components/gateway/src/rows.rs
@@ -60,6 +60,7 @@
         let snapshot = |rows: &mut dyn Iterator<Item = &Record>| Snapshot {
             records: rows.cloned().collect(),
             version: self.version,
+            store_time: None,
         };
         if version < self.purged_version {
             return TableUpdate::All(snapshot(&mut self.live.values()));
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -105,8 +105,6 @@
     engine_memory: u64,
     /// Stores of kept cache in the region of each failure domain that has targets.
     stores: HashMap<&'a str, Vec<RegionStore>>,
-    /// Whether at least one engine has the newest weights.
-    is_rollout_started: bool,
     /// Time of the placement.
     now: Monotonic,
 }
@@ -132,18 +130,12 @@
             others: other_hosts_load(routing, targets, view.host_count()),
             engine_memory: engine_memory(view, call),
             stores: HashMap::new(),
-            is_rollout_started: false,
             now: cx.now(),
         };
         for target in targets {
             let found = context.stores.entry(&target.domain);
             found.or_insert_with(|| stores_in_region(cx, view, &target.domain));
         }
-        let newest = call.model().and_then(|model| view.weights.get(model));
-        context.is_rollout_started = newest.is_some_and(|named| {
-            let newest = Some(named.newest());
-            targets.iter().any(|target| context.weights_at(target) >= newest)
-        });
         context
     }
 
@@ -223,7 +215,7 @@
             return OldWeightsPolicy::Allowed;
         };
         let deadline = self.cx.settings.bounds.weights_deadline;
-        old_weights_policy(named, version, deadline, self.is_rollout_started, self.now)
+        old_weights_policy(named, version, deadline, self.now)
     }
 
     fn stores(&self, target: &Target) -> &[RegionStore] {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
+use utils::{FailureDomainId, HostId, ModelId, RegionId, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
+use crate::weights_history::WeightsHistory;
 use crate::{Declared, Target};
 
 /// An entry host, as registered in the shared table.
@@ -20,56 +21,6 @@
     pub peers: SocketAddr,
 }
 
-/// The weight versions declared for a model. The deadline of each version runs from its own declaration, also
-/// when a newer version follows.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct WeightsHistory {
-    /// Versions, oldest first, with the time at which this host received each; `None` if it was declared at
-    /// an unknown time before the host started.
-    versions: Vec<(u64, Option<Monotonic>)>,
-}
-
-impl WeightsHistory {
-    /// Most versions kept; engines are rarely that far behind.
-    const MAX_VERSIONS: usize = 16;
-
-    /// Creates a history with one version.
-    pub fn new(version: u64, received_at: Option<Monotonic>) -> Self {
-        Self {
-            versions: vec![(version, received_at)],
-        }
-    }
-
-    /// Returns the newest version; 0 if there is none.
-    pub fn newest(&self) -> u64 {
-        self.versions.last().map_or(0, |(version, _)| *version)
-    }
-
-    /// Appends a version if it is newer than the newest one; returns whether it is.
-    pub fn add(&mut self, version: u64, received_at: Option<Monotonic>) -> bool {
-        let is_newer = version > self.newest();
-        if is_newer {
-            self.versions.push((version, received_at));
-        }
-        if self.versions.len() > Self::MAX_VERSIONS {
-            self.versions.remove(0);
-        }
-        is_newer
-    }
-
-    /// Returns when the first newer version was declared. The outer `None` means that there is no newer
-    /// version, the inner one that the time is unknown.
-    pub fn replaced_at(&self, version: u64) -> Option<Option<Monotonic>> {
-        let newer = self.versions.iter().find(|(named, _)| *named > version);
-        newer.map(|(_, received_at)| *received_at)
-    }
-
-    /// Returns when the newest version was declared, if this host received it after its start.
-    pub fn newest_at(&self) -> Option<Monotonic> {
-        self.versions.last().and_then(|(_, received_at)| *received_at)
-    }
-}
-
 /// Region of each failure domain.
 pub type Regions = BTreeMap<FailureDomainId, RegionId>;
 
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -83,11 +83,9 @@
 /// ```
 pub fn is_overdue(view: &View, now: Monotonic) -> bool {
     outdated_engines(view).iter().any(|(_, weights)| {
-        let named_at = view
-            .weights
-            .get(&weights.model)
-            .and_then(|history| history.newest_at());
-        named_at.is_some_and(|at| now >= at + OVERDUE_AFTER)
+        let history = view.weights.get(&weights.model);
+        let age = history.and_then(|history| history.newest_age(now));
+        age.is_some_and(|age| age >= OVERDUE_AFTER)
     })
 }
 
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use gateway::ports::Table;
-use gateway::{CachedState, TableUpdate, UpdateSource, View};
-use support::{decode, ms, removed, row, snapshot};
+use gateway::{
+    CachedState, OldWeightsPolicy, Replacement, TableUpdate, UpdateSource, View, old_weights_policy,
+};
+use support::{decode, ms, removed, row, snapshot, snapshot_at};
 
 /// How long an entry that is missing after an outage stays listed.
 const GRACE: Duration = Duration::from_millis(2_000);
@@ -152,12 +154,87 @@
     let mut state = CachedState::new(decode(), GRACE);
     let first = snapshot(3, [row("version/m", "weights m 2", 3)]);
     state.replace(Table::Declared, first, UpdateSource::Store, ms(100));
-    assert_eq!(state.publish().unwrap().weights["m"].newest_at(), None);
+    let view = state.publish().unwrap();
+    assert_eq!(view.weights["m"].newest_age(ms(100)), None);
     let next = snapshot(4, [row("version/m", "weights m 3", 4)]);
     state.apply(Table::Declared, next, UpdateSource::Store, ms(200));
     let view = state.publish().unwrap();
     let history = &view.weights["m"];
-    assert_eq!((history.newest(), history.newest_at()), (3, Some(ms(200))));
+    assert_eq!((history.newest(), history.newest_age(ms(200))), (3, Some(ms(0))));
+}
+
+/// A host that starts long after the declaration of version 2, and shortly after that of version 3, reads the
+/// recorded times in either order with the declaration.
+#[test]
+fn a_restarted_host_reads_the_ages_of_all_declared_weights() {
+    let declared = snapshot_at(ms(60_000), 9, [row("version/m", "weights m 3", 8)]);
+    let times = row(
+        "weights/m",
+        r#"{"versions":{"2":{"secs":48,"nanos":0},"3":{"secs":58,"nanos":0}}}"#,
+        9,
+    );
+    for is_declared_first in [true, false] {
+        let mut state = CachedState::new(decode(), GRACE);
+        let times = snapshot_at(ms(60_000), 9, [times.clone()]);
+        let mut updates = [(Table::Declared, declared.clone()), (Table::Shared, times)];
+        if !is_declared_first {
+            updates.reverse();
+        }
+        for (table, update) in updates {
+            state.replace(table, update, UpdateSource::Store, ms(500));
+        }
+        let view = state.publish().unwrap();
+        let history = &view.weights["m"];
+        let deadline = ms(10_000);
+        let policy = |version| old_weights_policy(history, version, deadline, ms(500));
+        assert_eq!(history.replacement(1, ms(500)), Replacement::Since(ms(12_000)));
+        assert_eq!(policy(1), OldWeightsPolicy::Forbidden);
+        assert_eq!(policy(2), OldWeightsPolicy::Avoided);
+        assert_eq!(policy(3), OldWeightsPolicy::Allowed);
+    }
+}
+
+/// A host that the store refuses learns the times, and the time on the store's clock, from another host.
+#[test]
+fn recorded_times_are_used_once_the_time_on_the_clock_of_the_store_is_known() {
+    let mut state = CachedState::new(decode(), GRACE);
+    let declared = snapshot(8, [row("version/m", "weights m 2", 8)]);
+    let times = snapshot(
+        9,
+        [row("weights/m", r#"{"versions":{"2":{"secs":58,"nanos":0}}}"#, 9)],
+    );
+    state.replace(Table::Declared, declared, UpdateSource::Peer, ms(500));
+    state.replace(Table::Shared, times, UpdateSource::Peer, ms(500));
+    let view = state.publish().unwrap();
+    assert_eq!(
+        view.weights["m"].replacement(1, ms(500)),
+        Replacement::SinceUnknown
+    );
+    state.record_store_time(ms(60_000), ms(700));
+    let view = state.publish().unwrap();
+    assert_eq!(
+        view.weights["m"].replacement(1, ms(700)),
+        Replacement::Since(ms(2_000))
+    );
+}
+
+#[test]
+fn a_recorded_time_does_not_make_a_declaration_younger() {
+    let mut state = state();
+    let next = snapshot_at(ms(10_000), 9, [row("version/m", "weights m 2", 9)]);
+    state.apply(Table::Declared, next, UpdateSource::Store, ms(200));
+    let late = snapshot_at(
+        ms(11_000),
+        10,
+        [row(
+            "weights/m",
+            r#"{"versions":{"2":{"secs":11,"nanos":0}}}"#,
+            10,
+        )],
+    );
+    state.replace(Table::Shared, late, UpdateSource::Store, ms(1_200));
+    let view = state.publish().unwrap();
+    assert_eq!(view.weights["m"].newest_age(ms(1_200)), Some(ms(1_000)));
 }
 
 /// A host removes the entry of a failed host on the condition that its version is unchanged.
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -90,6 +90,7 @@
     Snapshot {
         records: records.into(),
         version,
+        store_time: None,
     }
 }
 
@@ -102,3 +103,11 @@
 pub(crate) fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
+
+/// Returns rows as of a version and a time on the store's clock.
+pub(crate) fn snapshot_at(store_time: Duration, version: u64, records: impl Into<Vec<Record>>) -> Snapshot {
+    Snapshot {
+        store_time: Some(store_time),
+        ..snapshot(version, records)
+    }
+}
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -6,8 +6,8 @@
 
 use gateway::ports::EngineReport;
 use gateway::{
-    OldWeightsPolicy, Rollout, RolloutAction, RolloutInput, Target, View, WeightsHistory, is_overdue,
-    old_weights_policy,
+    DeclaredAge, OldWeightsPolicy, Rollout, RolloutAction, RolloutInput, Target, View, WeightsHistory,
+    is_overdue, old_weights_policy,
 };
 use membership::LoadSlot;
 use support::{ms, target};
@@ -16,8 +16,10 @@
     let mut view = View::default();
     let all = targets.iter().cloned().map(Arc::new).collect();
     view.targets.insert("s".into(), all);
-    view.weights
-        .insert("m".into(), WeightsHistory::new(2, Some(ms(0))));
+    view.weights.insert(
+        "m".into(),
+        WeightsHistory::new(2, Some(DeclaredAge::new(ms(0), ms(0)))),
+    );
     view
 }
 
@@ -122,23 +124,22 @@
     assert!(matches!(&orders[..], [RolloutAction::End(id)] if **id == *"e/1"));
 }
 
+/// Orders were carried out late, so no engine has newer weights although the deadline has passed.
 #[test]
-fn weights_declared_before_the_start_forbid_old_ones_once_any_engine_has_them() {
+fn weights_replaced_at_an_unknown_time_are_not_used() {
     let history = WeightsHistory::new(2, None);
-    let deadline = ms(10_000);
-    let at = |is_rollout_started| old_weights_policy(&history, 1, deadline, is_rollout_started, ms(60_000));
-    assert_eq!(at(true), OldWeightsPolicy::Forbidden);
-    assert_eq!(at(false), OldWeightsPolicy::Avoided);
+    let policy = old_weights_policy(&history, 1, ms(10_000), ms(60_000));
+    assert_eq!(policy, OldWeightsPolicy::Forbidden);
 }
 
 #[test]
 fn the_deadline_of_a_version_runs_from_its_own_declaration() {
     let mut history = WeightsHistory::new(1, None);
-    assert!(history.add(2, Some(ms(2_000))));
-    assert!(history.add(3, Some(ms(5_000))));
-    assert!(!history.add(2, Some(ms(6_000))));
+    history.add(2, Some(DeclaredAge::new(ms(0), ms(2_000))));
+    history.add(3, Some(DeclaredAge::new(ms(0), ms(5_000))));
+    history.add(2, Some(DeclaredAge::new(ms(0), ms(6_000))));
     let deadline = ms(10_000);
-    let at = |version, now| old_weights_policy(&history, version, deadline, true, ms(now));
+    let at = |version, now| old_weights_policy(&history, version, deadline, ms(now));
     assert_eq!(at(1, 9_000), OldWeightsPolicy::Forbidden);
     assert_eq!(at(2, 9_000), OldWeightsPolicy::Avoided);
     assert_eq!(at(3, 60_000), OldWeightsPolicy::Allowed);
