Let a few hosts of a large region follow the store for the others

Logs of four hosts: requests are placed within 10 ms, connections to engines across the link time out after 0.4 s, and requests reach engines 1.4 s after they were sent, when their callers have left. Ruled out: busy or stalled hosts (their logs have no gap). Change: in a region of 16 hosts or more, three hosts follow the store; the others ask one of them every 0.7 s, and follow the store themselves after 2.5 s without an answer whose state is at most 2.5 s old.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -4,7 +4,7 @@
 
 use error_stack::Report;
 
-use super::{Control, TICK_INTERVAL};
+use super::{Control, TICK_INTERVAL, relays};
 use crate::UpdateSource;
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
@@ -14,6 +14,10 @@
 const FOLLOW_WAIT: Duration = Duration::from_millis(3_000);
 /// Longest wait for changes of the shared table, which no host needs within seconds.
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
+/// Longest wait of a relay, whose state ages meanwhile for the hosts that follow it.
+const RELAY_WAIT: Duration = Duration::from_millis(1_000);
+/// Interval between checks whether a relay still answers.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a change of targets, which batches changes in quick succession into few calls. Well below the
 /// time within which a host must stop using a leaving target.
 const TARGETS_PAUSE: Duration = Duration::from_millis(600);
@@ -39,11 +43,15 @@
     let mut backoff = FIRST_BACKOFF;
     let mut needs_full_read = false;
     loop {
+        if relays::is_relayed(&control) {
+            smol::Timer::after(RELAY_CHECK_INTERVAL).await;
+            continue;
+        }
         let fetched = fetch(&control, table, needs_full_read).await;
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
-        if fetched.is_ok() && table == Table::Declared {
-            control.traffic.kept().record_declared(now);
+        if fetched.is_ok() {
+            control.record_confirmed(table, now);
         }
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
@@ -81,10 +89,10 @@
     needs_full_read: bool,
 ) -> Result<Fetched, Report<StoreError>> {
     let complete_version = control.cached_state().complete_version(table);
-    let wait = if table == Table::Shared {
-        FOLLOW_SHARED_WAIT
-    } else {
-        FOLLOW_WAIT
+    let wait = match table {
+        Table::Shared => FOLLOW_SHARED_WAIT,
+        _ if relays::is_relay(control) => RELAY_WAIT,
+        _ => FOLLOW_WAIT,
     };
     let Some(after) = complete_version.filter(|_| !needs_full_read) else {
         return Ok(Fetched::Whole(control.store.read(table).await?));
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod peers;
 mod register;
+mod relays;
 mod stores;
 
 use std::collections::HashMap;
@@ -47,6 +48,10 @@
     cached_state: Mutex<CachedState>,
     /// Last report of each engine that this host polls, with its time.
     reports: Mutex<HashMap<TargetId, (ReportedLoad, Monotonic)>>,
+    /// Time of the store's last answer with each table.
+    confirmed_at: Mutex<HashMap<Table, Monotonic>>,
+    /// Time of the last usable answer of a relay.
+    relayed_at: Mutex<Option<Monotonic>>,
 }
 
 impl Control {
@@ -66,6 +71,8 @@
             ex,
             cached_state: Mutex::new(cached_state),
             reports: Mutex::default(),
+            confirmed_at: Mutex::default(),
+            relayed_at: Mutex::default(),
         }
     }
 
@@ -78,6 +85,7 @@
             self.ex.spawn(follow::tick(self.clone())),
             self.ex.spawn(declared_times::record_times(self.clone())),
             self.ex.spawn(peers::poll_peers(self.clone())),
+            self.ex.spawn(relays::follow_relays(self.clone())),
             self.ex.spawn(register::register(self.clone())),
             self.ex.spawn(register::report_crashes(self.clone(), crashed)),
             self.ex.spawn(register::remove_expired_crashes(self.clone())),
@@ -106,6 +114,37 @@
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the store itself has answered with a table.
+    pub(crate) fn record_confirmed(&self, table: Table, now: Monotonic) {
+        let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmed_at.insert(table, now);
+        if table == Table::Declared {
+            self.traffic.kept().record_declared(now);
+        }
+    }
+
+    /// Returns the time since the store itself confirmed both the declarations and the targets.
+    pub(crate) fn confirmed_age(&self, now: Monotonic) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let oldest = confirmed_at
+            .get(&Table::Declared)?
+            .min(confirmed_at.get(&Table::Targets)?);
+        Some(now.saturating_sub(*oldest))
+    }
+
+    /// Records a relay's answer to a query sent at `sent_at`, with the state of the store at `confirmed_at`.
+    pub(crate) fn record_relayed(&self, confirmed_at: Monotonic, sent_at: Monotonic) {
+        self.traffic.kept().record_declared(confirmed_at);
+        // A relay gives the age of its state only while the store answers it.
+        self.cached_state().store_answered(sent_at);
+        *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+    }
+
+    /// Returns the time at which the last query was sent that a relay answered.
+    pub(crate) fn relayed_at(&self) -> Option<Monotonic> {
+        *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a change to the cached state, logs unusable rows and publishes the new view.
     pub(crate) fn update(
         &self,
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use super::{Control, kept_updates, loads};
+use super::{Control, kept_updates, loads, relays};
 use crate::TableUpdate;
 use crate::jitter::jittered;
 use crate::ports::Table;
@@ -25,7 +25,7 @@
 /// Interval between queries while the store does not answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Tables that hosts forward to each other.
@@ -42,11 +42,14 @@
 /// Changes after the queried versions.
 #[derive(Debug, Clone, Default)]
 #[derive(Serialize, Deserialize)]
-struct ChangesAnswer {
+pub(super) struct ChangesAnswer {
     /// Update of each table. Tables whose changes the answering host can't determine are left out.
     changes: Vec<(Table, TableUpdate)>,
     /// Time on the store's clock, if the answering host knows it.
     store_time: Option<Duration>,
+    /// Time since the store confirmed the declarations and the targets to the answering host itself; `None`
+    /// if it has not or did not answer the last call.
+    pub store_age: Option<Duration>,
 }
 
 /// Answers queries from other hosts until `stop` resolves.
@@ -95,6 +98,8 @@
 }
 
 fn answer_changes(control: &Control, query: &ChangesQuery) -> ChangesAnswer {
+    let now = control.traffic.now();
+    let store_age = control.confirmed_age(now);
     let state = control.cached_state();
     let peer_version = |table: Table| {
         let found = query.known.iter().find(|(t, _)| *t == table);
@@ -105,7 +110,8 @@
         .filter_map(|table| Some((table, state.changes_since(table, peer_version(table))?)));
     ChangesAnswer {
         changes: changes.collect(),
-        store_time: state.store_time(control.traffic.now()),
+        store_time: state.store_time(now),
+        store_age: store_age.filter(|_| !state.is_store_down()),
     }
 }
 
@@ -120,23 +126,32 @@
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.2)).await;
         let lacks_state = !control.traffic.view.load().can_serve();
-        if !control.cached_state().is_store_down() && !lacks_state {
+        let needs_peer = control.cached_state().is_store_down() && !relays::is_relayed(&control);
+        if !needs_peer && !lacks_state {
             continue;
         }
         let Some(peer) = choose_peer(&control) else {
             continue;
         };
-        let held_version =
-            |table: Table| (table, control.cached_state().complete_version(table).unwrap_or(0));
-        let query = ChangesQuery {
-            known: REPLICATED_TABLES.map(held_version).into(),
-        };
-        if let Some(answer) = send_query(&client, peer, CHANGES_PATH, &query).await {
+        if let Some(answer) = query_changes(&control, &client, peer).await {
             apply_answer(&control, peer, answer);
         }
     }
 }
 
+/// Asks another host for the changes after this host's versions.
+pub(super) async fn query_changes(
+    control: &Control,
+    client: &Client,
+    peer: SocketAddr,
+) -> Option<ChangesAnswer> {
+    let held_version = |table: Table| (table, control.cached_state().complete_version(table).unwrap_or(0));
+    let query = ChangesQuery {
+        known: REPLICATED_TABLES.map(held_version).into(),
+    };
+    send_query(client, peer, CHANGES_PATH, &query).await
+}
+
 /// Chooses a random peer among the registered hosts and the seeds.
 fn choose_peer(control: &Control) -> Option<SocketAddr> {
     let settings = &control.traffic.settings;
@@ -172,7 +187,7 @@
     answer.or(late).await
 }
 
-fn apply_answer(control: &Control, peer: SocketAddr, answer: ChangesAnswer) {
+pub(super) fn apply_answer(control: &Control, peer: SocketAddr, answer: ChangesAnswer) {
     let now = control.traffic.now();
     let rows: usize = answer.changes.iter().map(|(_, update)| update.row_count()).sum();
     if rows > 0 {
--- /dev/null
+++ b/components/gateway/src/control/relays.rs
@@ -0,0 +1,77 @@
+//! Relays: a few hosts of each region that follow the platform's store for the others. On a large deployment a
+//! change of the declarations, read by every host at once, would fill the link between the regions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_io::{Client, ClientConfig};
+use rand::seq::IndexedRandom;
+use utils::HostId;
+
+use super::Control;
+use super::peers::{self, ANSWER_TIMEOUT};
+use crate::View;
+use crate::jitter::jittered;
+
+/// Interval between queries to a relay. Well below the time within which a declaration must be in force.
+const POLL_INTERVAL: Duration = Duration::from_millis(700);
+/// Pause after a query without a usable answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Age up to which a relay's state is used. Covers its wait for changes and its pause after them.
+const MAX_RELAY_AGE: Duration = Duration::from_millis(2_500);
+/// Time after the last usable answer from which the host follows the store itself.
+const MAX_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Queries the relays of this host's region, unless the region is small or the host is a relay itself.
+pub(crate) async fn follow_relays(control: Arc<Control>) {
+    let cfg = ClientConfig {
+        response_timeout: ANSWER_TIMEOUT,
+        idle_per_address: 1,
+        ..ClientConfig::default()
+    };
+    let client = Client::new(control.ex.clone(), cfg);
+    loop {
+        let is_updated = poll_relay(&control, &client).await;
+        let pause = match is_updated {
+            Some(false) => RETRY_PAUSE,
+            Some(true) | None => POLL_INTERVAL,
+        };
+        smol::Timer::after(jittered(pause, 0.2)).await;
+    }
+}
+
+/// Whether a relay has told this host the store's state recently, so that it does not need to follow the store.
+pub(super) fn is_relayed(control: &Control) -> bool {
+    let now = control.traffic.now();
+    control.relayed_at().is_some_and(|at| now < at + MAX_SILENCE)
+}
+
+/// Whether this host follows the store for others.
+pub(super) fn is_relay(control: &Control) -> bool {
+    let view = control.traffic.view.load();
+    relays(control, &view).contains(&control.traffic.settings.name)
+}
+
+/// Queries a random relay. Returns `None` if the host has no relay, and whether the answer was usable.
+async fn poll_relay(control: &Control, client: &Client) -> Option<bool> {
+    let view = control.traffic.view.load_full();
+    let relays = relays(control, &view);
+    let is_follower = view.can_serve() && !relays.contains(&control.traffic.settings.name);
+    let name = relays.choose(&mut rand::rng()).filter(|_| is_follower)?;
+    let peer = view.hosts.get(name)?.peers;
+    let sent_at = control.traffic.now();
+    let Some(answer) = peers::query_changes(control, client, peer).await else {
+        return Some(false);
+    };
+    let Some(age) = answer.store_age.filter(|age| *age <= MAX_RELAY_AGE) else {
+        return Some(false);
+    };
+    peers::apply_answer(control, peer, answer);
+    control.record_relayed(sent_at.saturating_sub(age), sent_at);
+    Some(true)
+}
+
+fn relays(control: &Control, view: &View) -> Vec<HostId> {
+    let settings = &control.traffic.settings;
+    view.relays(&settings.regions, &settings.region)
+}
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -21,6 +21,11 @@
     pub peers: SocketAddr,
 }
 
+/// Number of relays of a region.
+const RELAYS_PER_REGION: usize = 3;
+/// Number of hosts of a region from which on most of them follow relays.
+const MIN_HOSTS_FOR_RELAYS: usize = 16;
+
 /// Region of each failure domain.
 pub type Regions = BTreeMap<FailureDomainId, RegionId>;
 
@@ -102,6 +107,20 @@
         order.into_iter().take(count).map(HostId::from).collect()
     }
 
+    /// Returns the hosts of a region that follow the platform's store for the others; none if the region has
+    /// few hosts. Hosts with the same list of hosts compute the same relays.
+    ///
+    /// ```
+    /// assert!(gateway::View::default().relays(&Default::default(), &"north".into()).is_empty());
+    /// ```
+    pub fn relays(&self, regions: &Regions, region: &RegionId) -> Vec<HostId> {
+        let is_near = |host: &&HostEntry| regions.get(&host.domain) == Some(region);
+        if self.hosts.values().filter(is_near).count() < MIN_HOSTS_FOR_RELAYS {
+            return Vec::new();
+        }
+        self.hosts_for(regions, region, "relay", RELAYS_PER_REGION)
+    }
+
     /// Returns the number of entry hosts that share global limits; at least 1.
     pub fn host_count(&self) -> usize {
         self.hosts.len().max(1)
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -48,3 +48,24 @@
         }
     }
 }
+
+#[test]
+fn a_few_hosts_of_a_large_region_follow_the_store_for_the_others() {
+    let (north, south) = ("north".into(), "south".into());
+    let (view, regions) = view(390);
+    let relays = view.relays(&regions, &north);
+    assert_eq!(relays.len(), 3);
+    assert!(relays.iter().all(|name| &*view.hosts[name].domain == "a"));
+    assert!(
+        view.relays(&regions, &south)
+            .iter()
+            .all(|name| !relays.contains(name))
+    );
+}
+
+#[test]
+fn hosts_of_a_small_region_follow_the_store_themselves() {
+    let (view, regions) = view(30);
+    assert!(view.relays(&regions, &"north".into()).is_empty());
+    assert!(view.relays(&regions, &"south".into()).is_empty());
+}
