Learn prefill and queueing times, and bound the wait for fetches

Cause: the expected time to the first token used one deployment's prefill rate and 50 ms for each waiting request, and did not count requests of other hosts in their prefill; placement counted a prompt as uncached wherever its owner was not, though it is fetched from there; a fetch over a slow link was waited for up to 0.7 s where computing the part takes 0.1 to 0.2 s. Change: Pace learns two factors for each service from answers (bounded steps, so that stalled engines count little); reports count runs without a token; a fetch ends when the engine could have computed the part; a request that is expected to begin after its deadline while requests wait is refused at once as not run.

--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -11,7 +11,7 @@
 const SAVE_RETRY_DELAY: Duration = Duration::from_secs(4);
 /// Shortest part that is worth a transfer, in tokens.
 const MIN_PART_TOKENS: u32 = 64;
-/// Time limit of a fetch; after it the engine computes the part.
+/// Longest time limit of a fetch; after it the engine computes the part.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Age up to which the declarations are used for fetches. Covers the longest wait of the platform's store for
 /// a change.
@@ -60,6 +60,8 @@
     /// Whether the engine has the newest weights. Cache made by replaced weights is neither saved nor fetched
     /// from a store, which allows the stores to drop it soon.
     pub has_newest_weights: bool,
+    /// Time after which the engine is better off computing the parts than waiting for them.
+    pub fetch_limit: Duration,
 }
 
 /// This host's cached state of all stores of kept cache.
@@ -81,9 +83,9 @@
         self.stores.entry(address.clone()).or_default()
     }
 
-    /// Records that the platform's store has answered with the declarations.
-    pub fn record_declared(&mut self, now: Monotonic) {
-        self.declared_confirmed_at = Some(now);
+    /// Records that this host's declarations were those of the platform's store at time `at`.
+    pub fn record_declared(&mut self, at: Monotonic) {
+        self.declared_confirmed_at = self.declared_confirmed_at.max(Some(at));
     }
 
     /// Returns the servers' clock at `now`; `None` before it was first received.
@@ -138,7 +140,7 @@
             plan.save.push(save.flatten());
         }
         if plan.fetch.iter().any(Option::is_some) {
-            plan.fetch_until_ms = self.clock_ms(now + FETCH_TIMEOUT);
+            plan.fetch_until_ms = self.clock_ms(now + req.fetch_limit.min(FETCH_TIMEOUT));
         }
         plan
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod daemon;
 mod declared;
 mod error;
+mod first_token;
 mod freshness;
 mod host;
 mod jitter;
@@ -37,6 +38,7 @@
     Workspace,
 };
 pub use error::GatewayError;
+pub use first_token::{Pace, TimeParts};
 pub use freshness::{OldWeightsPolicy, old_weights_policy};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
@@ -44,7 +46,7 @@
     StoreList, StoreUpdate, salt_of, weights_of_salt,
 };
 pub use load::{LoadEstimate, ReportedLoad, SendOutcome, Work};
-pub use placement::{Candidate, Choice, Decision, Demand, decide};
+pub use placement::{Candidate, Choice, Decision, Demand, decide, fetch_limit};
 pub use quarantine::{Crash, Crashes, Fingerprint};
 pub use rows::TableUpdate;
 pub use sessions::{SessionKey, Sessions};
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -54,6 +54,8 @@
     pub running: u32,
     /// Requests that wait in the engine's queue.
     pub waiting: u32,
+    /// Running requests without a first token.
+    pub prefilling: u32,
     /// Tokens of engine memory that are in use and can not be evicted.
     pub memory: u64,
 }
@@ -76,6 +78,9 @@
     other_requests: f64,
     /// Requests that waited at the time of the last report.
     waiting: f64,
+    /// Requests of other hosts that were queued or in their prefill at the time of the engine's last report,
+    /// and that time.
+    other_queued: Option<(f64, Monotonic)>,
     /// Time of the last report, from an answer or from the engine.
     reported_at: Monotonic,
     /// Memory that requests of other hosts hold, in tokens, and the time of the engine's report that gave it.
@@ -126,6 +131,8 @@
     pub fn record_report(&mut self, load: ReportedLoad, at: Monotonic) {
         let memory = load.memory.saturating_sub(self.own_memory) as f64;
         self.other_memory = Some((memory, at));
+        let queued = f64::from(load.waiting + load.prefilling) - self.unanswered.len() as f64;
+        self.other_queued = Some((queued.max(0.0), at));
         if at > self.reported_at {
             let note = ResponseLoad {
                 running: load.running,
@@ -184,6 +191,14 @@
         (self.waiting * self.report_weight(now)).max(overdue as f64)
     }
 
+    /// Returns the estimated number of requests of other hosts that are queued or in their prefill.
+    pub fn queued(&self, now: Monotonic) -> f64 {
+        let reported = self
+            .other_queued
+            .map_or(0.0, |(queued, at)| queued * report_weight_at(at, now));
+        reported.max(self.waiting(now) - self.unanswered.len() as f64)
+    }
+
     /// Returns the estimated KV-cache memory in use at the engine, in tokens. `memory_per_request` is the
     /// memory assumed for a request of another host.
     pub fn memory(&self, memory_per_request: f64, expected_others: f64, now: Monotonic) -> f64 {
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -2,14 +2,18 @@
 
 use serde::Serialize;
 
-/// Prompt tokens that an engine prefills in a millisecond.
+use crate::first_token::{Pace, TimeParts};
+
+/// Prompt tokens that an engine is assumed to prefill in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 80.0;
 /// Time from the end of the prefill at an idle engine to the first token, in milliseconds.
 const FIRST_TOKEN_MS: f64 = 45.0;
 /// Time by which each running request delays the tokens and the prefill of others, in milliseconds.
 const DELAY_PER_REQUEST_MS: f64 = 2.0;
-/// Delay for each request that waits at the engine already, in milliseconds.
-const WAITING_MS: f64 = 50.0;
+/// Assumed delay for each request that is queued at the engine or in its prefill already, in milliseconds.
+const QUEUED_MS: f64 = 50.0;
+/// Time that a fetch may take, relative to computing the part.
+const FETCH_PATIENCE: f64 = 1.5;
 /// Cost of recomputing a thousand tokens, in units of an average request's value.
 const RECOMPUTE_COST_PER_1000: f64 = 0.25;
 /// Share of the latency target up to which an answer has no risk of being late.
@@ -52,6 +56,10 @@
     pub priority: u8,
     /// Time within which the answer has its full value.
     pub latency_target: Duration,
+    /// Time until the caller's deadline.
+    pub time_left: Duration,
+    /// Learned factors on the assumed prefill and queueing times.
+    pub pace: Pace,
 }
 
 /// A target that may receive a request, with its estimated state.
@@ -63,6 +71,8 @@
     pub requests: f64,
     /// Estimated number of requests in its queue.
     pub waiting: f64,
+    /// Estimated number of requests of other hosts in its queue or in their prefill.
+    pub queued: f64,
     /// Estimated memory in use, and the total memory, in tokens.
     pub memory: (f64, u64),
     /// Requests that it runs concurrently.
@@ -91,6 +101,8 @@
     pub cost: f64,
     /// Expected time to the first byte, in milliseconds.
     pub expected_ms: f64,
+    /// Parts of the expected time.
+    pub parts: TimeParts,
 }
 
 /// The result of a placement.
@@ -100,6 +112,8 @@
     Send(Choice),
     /// No engine has room for a request of this priority; it would wait and delay others.
     AllFull,
+    /// No engine is expected to begin before the request's deadline.
+    TooLate,
     /// There is no candidate.
     NoCandidate,
 }
@@ -109,21 +123,30 @@
 /// Refusals limit the damage of an overload. With fewer engines or more requests than usual, memory fills up,
 /// requests queue, cached prompts are evicted and recomputed, and every answer is late. Requests without room
 /// are refused at once, the least urgent first, and only while requests are known to wait.
+///
+/// A request that is expected to begin after its deadline would only delay others until it is dropped, so it
+/// is refused at once as well.
 pub fn decide(demand: &Demand, candidates: &[Candidate], tie_break: f64) -> Decision {
-    let fits = |c: &Candidate| has_room(demand, c);
-    if demand.prompt_tokens == 0 || candidates.iter().any(fits) {
-        let allowed: Vec<bool> = candidates
-            .iter()
-            .map(|c| demand.prompt_tokens == 0 || fits(c))
-            .collect();
-        return choose(demand, candidates, &allowed, tie_break).map_or(Decision::NoCandidate, Decision::Send);
-    }
+    let has_prompt = demand.prompt_tokens > 0;
     let waiting: f64 = candidates.iter().map(|c| c.waiting).sum();
-    if waiting >= MIN_WAITING_TO_REFUSE {
+    let is_waiting = has_prompt && waiting >= MIN_WAITING_TO_REFUSE;
+    let fits: Vec<bool> = candidates.iter().map(|c| has_room(demand, c)).collect();
+    let is_full = has_prompt && !fits.contains(&true);
+    if is_full && is_waiting {
         return Decision::AllFull;
     }
-    let all = vec![true; candidates.len()];
-    choose(demand, candidates, &all, tie_break).map_or(Decision::NoCandidate, Decision::Send)
+    let allowed = if has_prompt && !is_full {
+        fits
+    } else {
+        vec![true; candidates.len()]
+    };
+    let Some(choice) = choose(demand, candidates, &allowed, tie_break) else {
+        return Decision::NoCandidate;
+    };
+    if is_waiting && choice.expected_ms > demand.time_left.as_secs_f64() * 1e3 {
+        return Decision::TooLate;
+    }
+    Decision::Send(choice)
 }
 
 fn has_room(demand: &Demand, c: &Candidate) -> bool {
@@ -133,6 +156,18 @@
     fits && c.waiting <= MAX_WAITING_BY_PRIORITY[priority]
 }
 
+/// Returns how long the engine should wait for the shared part of the prompt to be fetched: until it could begin
+/// the request, and somewhat longer than it would take to compute the part itself. On a slow link waiting
+/// longer delays the request and all that the engine prefills after it.
+pub fn fetch_limit(demand: &Demand, choice: &Choice) -> Duration {
+    let parts = TimeParts {
+        prefill_ms: f64::from(demand.shared_tokens) / PREFILL_TOKENS_PER_MS,
+        ..TimeParts::default()
+    };
+    let compute_ms = demand.pace.expected_ms(&parts);
+    Duration::from_secs_f64((choice.expected_ms + FETCH_PATIENCE * compute_ms) / 1e3)
+}
+
 /// Chooses the candidate with the lowest cost: the risk of a late answer, recomputed prompt tokens, transfers
 /// between failure domains, failures and replaced weights, in units of an average request's value.
 /// `tie_break`, from 0 to 1, separates equal candidates, as hosts with the same view would all choose the
@@ -141,35 +176,38 @@
     let spread = candidates.len().max(1);
     let allowed = candidates.iter().enumerate().filter(|(index, _)| allowed[*index]);
     let costs = allowed.map(|(index, candidate)| {
-        let expected_ms = expected_ms(demand, candidate);
+        let parts = time_parts(demand, candidate);
+        let expected_ms = demand.pace.expected_ms(&parts);
         let shift = (index + (tie_break * spread as f64) as usize) % spread;
         let cost = cost(demand, candidate, expected_ms) + 1e-4 * shift as f64;
         Choice {
             index,
             cost,
             expected_ms,
+            parts,
         }
     });
     costs.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-fn expected_ms(demand: &Demand, c: &Candidate) -> f64 {
+fn time_parts(demand: &Demand, c: &Candidate) -> TimeParts {
     let round_trip_ms = ROUND_TRIP_MS[c.distance.min(2)];
     let slots = f64::from(c.slots.max(1));
     if demand.prompt_tokens == 0 {
         let waiting = (c.requests + 1.0 - slots).max(0.0) / slots;
         let busy = c.requests / slots;
-        return round_trip_ms + c.latency_ms * (1.0 + 0.3 * busy + waiting);
+        return TimeParts {
+            fixed_ms: round_trip_ms + c.latency_ms * (1.0 + 0.3 * busy + waiting),
+            ..TimeParts::default()
+        };
     }
     let to_prefill = f64::from(demand.prompt_tokens) - c.cache_hit_chance * f64::from(demand.shared_tokens);
-    let prefill_ms = (c.prefill_backlog as f64 + to_prefill.max(0.0)) / PREFILL_TOKENS_PER_MS;
     let overflow_ms = (c.requests + 1.0 - slots).max(0.0) * FIRST_TOKEN_MS;
-    round_trip_ms
-        + FIRST_TOKEN_MS
-        + prefill_ms
-        + c.waiting * WAITING_MS
-        + c.requests * DELAY_PER_REQUEST_MS
-        + overflow_ms
+    TimeParts {
+        fixed_ms: round_trip_ms + FIRST_TOKEN_MS + c.requests * DELAY_PER_REQUEST_MS + overflow_ms,
+        prefill_ms: (c.prefill_backlog as f64 + to_prefill.max(0.0)) / PREFILL_TOKENS_PER_MS,
+        queue_ms: c.queued * QUEUED_MS,
+    }
 }
 
 fn cost(demand: &Demand, c: &Candidate, expected_ms: f64) -> f64 {
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -17,6 +17,7 @@
 use super::state::Traffic;
 use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
+use crate::first_token::TimeParts;
 use crate::load::{SendOutcome, Work};
 use crate::telemetry::SendResult;
 
@@ -77,6 +78,8 @@
     work: Work,
     /// Time at which the request was sent.
     sent_at: Monotonic,
+    /// Parts of the expected time to the first byte.
+    expected: TimeParts,
 }
 
 impl Exchange {
@@ -86,6 +89,12 @@
         let prefill_tokens = std::mem::take(&mut self.work.prefill_tokens);
         let elapsed = now.saturating_sub(self.sent_at);
         self.cx.telemetry.first_byte(elapsed);
+        if (200..300).contains(&status) && !facts.is_not_run {
+            let service = &self.target.service;
+            let mut routing = self.cx.routing();
+            let pace = routing.paces.entry(service.clone()).or_default();
+            pace.observe(&self.expected, elapsed);
+        }
         self.cx.with_slot(&self.target, |slot| {
             slot.load.record_first_byte(prefill_tokens, self.sent_at);
             if let Some(load) = facts.load {
@@ -174,6 +183,7 @@
         conn: Some(conn),
         work: placed.work,
         sent_at,
+        expected: placed.choice.parts,
     };
     // The target may have been removed from the view while the connection was opened.
     if !cx.view.load().contains(&target) {
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -131,6 +131,11 @@
                 let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
                 Refusal::not_run(ProblemKind::Overloaded, "every target is full").with_retry_after(wait)
             }
+            Some(PlacementError::TooLate) => {
+                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
+                let detail = "no target is expected to begin before the deadline";
+                Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
+            }
             _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request")
                 .with_retry_after(NO_TARGET_RETRY_AFTER),
         }
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use utils::{Monotonic, TargetId, rendezvous_score};
 
@@ -9,7 +10,7 @@
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest, RegionStore, region_stores};
 use crate::load::Work;
-use crate::placement::{Candidate, Choice, Decision, decide};
+use crate::placement::{Candidate, Choice, Decision, decide, fetch_limit};
 use crate::sessions::SessionKey;
 use crate::view::View;
 use crate::{PromptShape, Target};
@@ -19,6 +20,8 @@
 /// Value of a part that a store of the region holds, relative to one in the target's own cache; used as a
 /// cache hit probability.
 const STORED_CHANCE: f64 = 0.85;
+/// Value of a part that the session's owner may hold and that the target can fetch from it.
+const FETCHED_CHANCE: f64 = 0.55;
 
 /// The target chosen for a request, with the plan for its cache.
 pub(crate) struct Placed {
@@ -39,6 +42,8 @@
 pub(crate) enum PlacementError {
     /// No target has room.
     AllFull,
+    /// No target is expected to begin before the request's deadline.
+    TooLate,
     /// No target is allowed for the request.
     NoTarget,
 }
@@ -54,23 +59,25 @@
         sort_by_owner(&mut targets, session);
     }
     let mut stored = HashMap::new();
+    let owner = session.and_then(|_| targets.first().copied());
     let candidates = targets.iter().enumerate().map(|(position, target)| {
         // Targets with the same weights in the same failure domain have the same stores and the same salt.
         let weights = context.weights_at(target);
         let is_stored = stored.entry((weights, &*target.domain));
         let is_stored = *is_stored.or_insert_with(|| context.is_stored(target, weights));
-        context.candidate(
-            target,
-            weights,
-            is_stored,
-            context.cache_hit_chance(target, weights, session, position),
-        )
+        let mut chance = context.cache_hit_chance(target, weights, session, position);
+        if owner.is_some_and(|owner| context.is_fetchable(target, weights, owner)) {
+            chance = chance.max(FETCHED_CHANCE);
+        }
+        context.candidate(target, weights, is_stored, chance)
     });
     let candidates: Vec<_> = candidates.collect();
-    let demand = call.demand();
+    let pace = routing.paces.get(&call.service).copied().unwrap_or_default();
+    let demand = call.demand(pace, context.now);
     let choice = match decide(&demand, &candidates, rand::random()) {
         Decision::Send(choice) => choice,
         Decision::AllFull => return Err(PlacementError::AllFull),
+        Decision::TooLate => return Err(PlacementError::TooLate),
         Decision::NoCandidate => return Err(PlacementError::NoTarget),
     };
     let target = targets[choice.index].clone();
@@ -78,7 +85,7 @@
     let held = candidates[choice.index].cache_hit_chance * f64::from(demand.shared_tokens);
     let weights = context.weights_at(&target);
     Ok(Placed {
-        cache: context.cache_plan(&target, weights, owner),
+        cache: context.cache_plan(&target, weights, owner, fetch_limit(&demand, &choice)),
         weights,
         target,
         choice,
@@ -171,6 +178,13 @@
         })
     }
 
+    /// Whether the target can fetch the session's part from the session's owner: an engine of the same region
+    /// with the same weights.
+    fn is_fetchable(&self, target: &Target, weights: Option<u64>, owner: &Target) -> bool {
+        let region_of = |domain: &str| self.cx.settings.regions.get(domain);
+        region_of(&owner.domain) == region_of(&target.domain) && self.weights_at(owner) == weights
+    }
+
     fn candidate(&self, target: &Target, weights: Option<u64>, is_stored: bool, chance: f64) -> Candidate {
         let slot = self.routing.slots.get(&target.run);
         let fresh = crate::LoadEstimate::default();
@@ -183,6 +197,7 @@
             },
             requests: load.requests(self.others.requests, self.now),
             waiting: load.waiting(self.now),
+            queued: load.queued(self.now),
             memory: (
                 load.memory(self.others.memory, self.others.requests, self.now),
                 self.engine_memory,
@@ -242,7 +257,13 @@
     }
 
     /// Plans what the request fetches from stores or from the session's owner, and what it saves.
-    fn cache_plan(&self, target: &Target, weights: Option<u64>, owner: Option<&Arc<Target>>) -> CachePlan {
+    fn cache_plan(
+        &self,
+        target: &Target,
+        weights: Option<u64>,
+        owner: Option<&Arc<Target>>,
+        fetch_limit: Duration,
+    ) -> CachePlan {
         let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
             return CachePlan::default();
         };
@@ -257,6 +278,7 @@
             stores: self.stores(target),
             owner: owner.as_ref(),
             has_newest_weights: self.has_newest_weights(prompt, weights),
+            fetch_limit,
         };
         self.cx.kept().plan(&req, self.now)
     }
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -5,12 +5,12 @@
 use hyper::{Method, Uri};
 use utils::{ModelId, Monotonic, ServiceId};
 
-use crate::PromptShape;
 use crate::declared::{Route, Workspace};
 use crate::kept::{cache_scope, salt_of};
 use crate::placement::Demand;
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
+use crate::{Pace, PromptShape};
 
 /// A request that is being routed.
 pub(crate) struct Call {
@@ -46,7 +46,7 @@
     }
 
     /// Returns the resources and the latency that the request needs.
-    pub(crate) fn demand(&self) -> Demand {
+    pub(crate) fn demand(&self, pace: Pace, now: Monotonic) -> Demand {
         let prompt = self.prompt.as_ref();
         Demand {
             prompt_tokens: prompt.map_or(0, |p| p.tokens_in),
@@ -54,6 +54,8 @@
             memory: prompt.map_or(0, |p| p.tokens_in + p.tokens_out / 2),
             priority: self.priority().unwrap_or(0),
             latency_target: self.route.latency_target,
+            time_left: self.deadline.saturating_sub(now),
+            pace,
         }
     }
 
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -13,7 +13,7 @@
 use crate::ports::Heads;
 use crate::quarantine::{Crash, Crashes};
 use crate::telemetry::Telemetry;
-use crate::{HostSettings, RetryBudget, Sessions, Target, View};
+use crate::{HostSettings, Pace, RetryBudget, Sessions, Target, View};
 
 /// Mutable routing state of the traffic thread.
 #[derive(Default)]
@@ -26,6 +26,8 @@
     pub sessions: Sessions,
     /// Requests that were in flight at crashes of targets.
     pub crashes: Crashes,
+    /// Learned times to the first token by service.
+    pub paces: HashMap<ServiceId, Pace>,
 }
 
 /// Times of a graceful shutdown.
--- a/components/gateway/tests/kept.rs
+++ b/components/gateway/tests/kept.rs
@@ -127,6 +127,7 @@
         stores,
         owner,
         has_newest_weights: true,
+        fetch_limit: ms(700),
     };
     kept.plan(&req, ms(at))
 }
@@ -181,6 +182,7 @@
         stores: &stores,
         owner: None,
         has_newest_weights: false,
+        fetch_limit: ms(700),
     };
     assert_eq!(
         kept.plan(&req, ms(6_000)),
--- a/components/gateway/tests/overload.rs
+++ b/components/gateway/tests/overload.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Candidate, Decision, Demand, LoadEstimate, ReportedLoad, ResponseLoad, RetryBudget, SendOutcome, Work,
-    decide,
+    Candidate, Decision, Demand, LoadEstimate, Pace, ReportedLoad, ResponseLoad, RetryBudget, SendOutcome,
+    Work, decide, fetch_limit,
 };
 use support::ms;
 
@@ -19,6 +19,7 @@
         distance: 0,
         requests: 0.0,
         waiting: 0.0,
+        queued: 0.0,
         memory: (0.0, MEMORY),
         slots: 64,
         prefill_backlog: 0,
@@ -37,6 +38,8 @@
         memory: 12_000,
         priority,
         latency_target: Duration::from_millis(800),
+        time_left: Duration::from_secs(12),
+        pace: Pace::default(),
     }
 }
 
@@ -130,6 +133,7 @@
         memory: 0,
         priority: 0,
         latency_target: Duration::from_millis(120),
+        ..prompt(0)
     };
     assert_eq!(
         sent(
@@ -253,6 +257,7 @@
     let report = ReportedLoad {
         running: 7,
         waiting: 2,
+        prefilling: 1,
         memory: 80_000,
     };
     load.record_report(report, ms(1_000));
@@ -277,8 +282,61 @@
     let report = ReportedLoad {
         running: 12,
         waiting: 9,
+        prefilling: 0,
         memory: 0,
     };
     load.record_report(report, ms(1_500));
     assert!((load.requests(0.0, ms(2_000)) - 3.0).abs() < 0.1);
 }
+
+/// A quarter of the engines is gone, and the others hold more than they prefill before a short deadline.
+#[test]
+fn a_request_that_would_begin_after_its_deadline_is_refused_at_once() {
+    let busy = Candidate {
+        waiting: 4.0,
+        queued: 40.0,
+        ..engine()
+    };
+    let urgent = Demand {
+        time_left: Duration::from_secs(2),
+        ..prompt(0)
+    };
+    assert_eq!(decide(&urgent, &[busy; 90], 0.5), Decision::TooLate);
+    assert!(matches!(decide(&prompt(0), &[busy; 90], 0.5), Decision::Send(_)));
+    let less_busy = Candidate { queued: 10.0, ..busy };
+    assert_eq!(sent(&urgent, &[busy, busy, less_busy]), 2);
+}
+
+#[test]
+fn requests_of_other_hosts_in_their_prefill_count_as_queued() {
+    let mut load = LoadEstimate::default();
+    let report = ReportedLoad {
+        running: 6,
+        waiting: 2,
+        prefilling: 5,
+        memory: 0,
+    };
+    load.record_report(report, ms(1_000));
+    assert!((load.queued(ms(1_000)) - 7.0).abs() < 0.1);
+    assert!(load.queued(ms(20_000)) < 0.1);
+}
+
+/// The links of a store turn slow: a fetch that takes longer than computing the part is given up.
+#[test]
+fn an_engine_does_not_wait_longer_for_a_fetch_than_the_prefill_is_worth() {
+    let limit = |queued| {
+        let target = Candidate {
+            cache_hit_chance: 0.85,
+            queued,
+            ..engine()
+        };
+        match decide(&prompt(0), &[target], 0.0) {
+            Decision::Send(choice) => fetch_limit(&prompt(0), &choice),
+            other => panic!("{other:?}"),
+        }
+    };
+    // The shared part of 9,000 tokens takes about 110 ms to compute.
+    assert!(limit(0.0) > ms(150) && limit(0.0) < ms(350), "{:?}", limit(0.0));
+    // A request that waits in the engine's queue first has more time for the fetch.
+    assert!(limit(6.0) >= limit(0.0) + ms(250));
+}
