Ask a failing store for an answer without a wait

Cause: in an outage a call may reach the store and never be answered. Change: while the store counts as failed, polls ask for no wait; the first answer turns the wait on again.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -90,6 +90,9 @@
 ) -> Result<Fetched, Report<StoreError>> {
     let complete_version = control.cached_state().complete_version(table);
     let wait = match table {
+        // A call that reaches the store in an outage may never be answered. With a wait for changes it would
+        // be noticed long after the store is back.
+        _ if control.cached_state().is_store_down() => Duration::ZERO,
         Table::Shared => FOLLOW_SHARED_WAIT,
         _ if relays::is_relay(control) => RELAY_WAIT,
         _ => FOLLOW_WAIT,
