--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -60,7 +60,7 @@
     /// When a host received each declared version, by model, as recorded in the shared table.
     declared_times: BTreeMap<ModelId, DeclaredTimes>,
     /// Time on the store's clock at time 0 of this host's clock. May be negative: the host's clock can be
-    /// ahead. `None` until the store or another host has told its time.
+    /// ahead. `None` until the store or another host has reported its time.
     store_clock_offset_ms: Option<i64>,
     /// Confirmed targets by key.
     targets: BTreeMap<String, Arc<Target>>,
@@ -209,7 +209,7 @@
         u64::try_from(ms).ok().map(Duration::from_millis)
     }
 
-    /// Records the time on the store's clock, as the store or another host told it. Answers arrive with a
+    /// Records the time on the store's clock, as the store or another host reported it. Answers arrive with a
     /// delay, so the latest of all times is the most accurate.
     pub fn record_store_time(&mut self, store_time: Duration, now: Monotonic) {
         let offset = millis(store_time).saturating_sub(millis(now));
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Whether a relay has told this host the store's state recently, so that it does not need to follow the store.
+/// Whether a relay has sent the store's state recently, so that this host does not need to follow the store.
 pub(super) fn is_relayed(control: &Control) -> bool {
     let now = control.traffic.now();
     control.relayed_at().is_some_and(|at| now < at + MAX_SILENCE)
