Log answers that begin on replaced weights

An answer that begins on replaced weights now gets a line with the time since newer weights were declared and the time since the request was sent, and a histogram of the former.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -304,6 +304,11 @@
         "weights_ordered",
         "An engine was ordered to load weights; gives the engine's answer.",
     );
+    pub const REPLACED_WEIGHTS_USED: Event = event(
+        5022,
+        "replaced_weights_used",
+        "An answer began on replaced weights; gives their age since newer ones were declared and the wait at the target.",
+    );
 }
 
 /// All events, ordered by number.
@@ -370,6 +375,7 @@
     events::WEIGHTS_TIME_RECORDED,
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
+    events::REPLACED_WEIGHTS_USED,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -25,6 +25,8 @@
     sends: Counter<u64>,
     /// Time from a send to the first byte of its answer, in seconds.
     first_byte: Histogram<f64>,
+    /// Time since weights were replaced, at the first byte of an answer on them, in seconds.
+    replaced_weights_age: Histogram<f64>,
     /// Retries by whether the budget allowed them.
     retries: Counter<u64>,
     /// Calls to the platform's store by result.
@@ -99,10 +101,12 @@
         let provider = provider.build();
         let meter = provider.meter("laburnumtally");
         let first_byte = meter.f64_histogram("laburnumtally.route.first_byte");
+        let replaced_weights_age = meter.f64_histogram("laburnumtally.route.replaced_weights_age");
         Self {
             requests: meter.u64_counter("laburnumtally.route.requests").build(),
             sends: meter.u64_counter("laburnumtally.route.sends").build(),
             first_byte: first_byte.with_unit("s").build(),
+            replaced_weights_age: replaced_weights_age.with_unit("s").build(),
             retries: meter.u64_counter("laburnumtally.route.repeats").build(),
             store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
             store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
@@ -171,6 +175,23 @@
         self.first_byte.record(after.as_secs_f64(), &[]);
     }
 
+    /// Records and logs an answer that began on replaced weights. `age` is the time since newer weights were
+    /// declared, if it is known, and `waited` the time since the request was sent.
+    pub(crate) fn replaced_weights_used(
+        &self,
+        id: &str,
+        target: &str,
+        age: Option<Duration>,
+        waited: Duration,
+    ) {
+        if let Some(age) = age {
+            self.replaced_weights_age.record(age.as_secs_f64(), &[]);
+        }
+        info!(self.log, "answer began on replaced weights"; events::REPLACED_WEIGHTS_USED, "request" => id,
+            "target" => target, "age_ms" => age.map(|age| age.as_millis() as u64),
+            "waited_ms" => waited.as_millis() as u64);
+    }
+
     /// Counts and logs a request that a target answered.
     pub(crate) fn answered(&self, id: &str, target: &str, status: u16, events: u64, attempts: u32) {
         self.count(Outcome::Ran, "answered");
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -20,6 +20,7 @@
 use crate::first_token::TimeParts;
 use crate::load::{SendOutcome, Work};
 use crate::telemetry::SendResult;
+use crate::weights_history::Replacement;
 
 /// Longest answer that is buffered until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
@@ -248,6 +249,9 @@
         }
         return AttemptResult::NotRun(facts);
     }
+    if parts.status.is_success() {
+        log_replaced_weights(cx, call, &exchange, facts.weights.or(placed.weights));
+    }
     strip_connection_headers(&mut parts.headers);
     AttemptResult::Answered(Box::new(Answer {
         parts,
@@ -257,6 +261,19 @@
     }))
 }
 
+/// Records the answer if it began on replaced weights.
+fn log_replaced_weights(cx: &Traffic, call: &Call, exchange: &Exchange, weights: Option<u64>) {
+    let now = cx.now();
+    let age = match cx.view.load().replacement(call.model(), weights, now) {
+        Replacement::Current => return,
+        Replacement::Since(age) => Some(age),
+        Replacement::SinceUnknown => None,
+    };
+    let waited = now.saturating_sub(exchange.sent_at);
+    cx.telemetry
+        .replaced_weights_used(&call.id, &exchange.target.instance, age, waited);
+}
+
 /// Reads a body to its end; `None` if the connection breaks, the body is too long or `time_left` is over.
 pub(crate) async fn read_whole(body: Incoming, time_left: Duration) -> Option<Bytes> {
     let read = async {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use utils::{FailureDomainId, HostId, ModelId, RegionId, ServiceId, rendezvous_order};
+use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
-use crate::weights_history::WeightsHistory;
+use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{Declared, Target};
 
 /// An entry host, as registered in the shared table.
@@ -77,6 +77,23 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether and since when a model's weight version is replaced. Without a model or a version
+    /// there is nothing to replace.
+    ///
+    /// ```
+    /// use gateway::{Replacement, View};
+    ///
+    /// let replacement = View::default().replacement(None, Some(1), std::time::Duration::ZERO);
+    /// assert_eq!(replacement, Replacement::Current);
+    /// ```
+    pub fn replacement(&self, model: Option<&ModelId>, version: Option<u64>, now: Monotonic) -> Replacement {
+        let history = model.and_then(|model| self.weights.get(model));
+        match (history, version) {
+            (Some(history), Some(version)) => history.replacement(version, now),
+            _ => Replacement::Current,
+        }
+    }
+
     /// Returns whether a target is still listed with the same run.
     pub fn contains(&self, target: &Target) -> bool {
         let listed = self.targets_of(&target.service);
