Withdraw requests that wait at replaced weights past their deadline

What callers may see: an answer made on weights that had to be replaced. Cause (class: a bound on a start enforced only at the send): a host stops sending to replaced weights at 0.65 of the deadline, and nothing bounded the wait in the engine's queue after that but the caller.

A request that has no first byte half a second before the deadline is withdrawn: its connection is closed, and it is sent to newer weights if it may run again.

What remains: an engine that keeps running what its caller has left.

--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -6,9 +6,12 @@
 
 /// Time after a declaration during which replaced weights are used like the new ones.
 const FULL_USE_PERIOD: Duration = Duration::from_millis(1_000);
-/// Share of the deadline after which no request is sent to replaced weights. The rest covers the time that a
-/// request may wait in the engine's queue before it starts.
+/// Share of the deadline after which no request is sent to replaced weights. Within the rest most requests leave
+/// the engine's queue.
 const SEND_CUTOFF_RATIO: f64 = 0.65;
+/// Time before the deadline at which a request that still waits at replaced weights is withdrawn. Covers the way
+/// to a target in another region and the delays of a busy host.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(500);
 
 /// How replaced weights may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,8 +26,8 @@
 
 /// Returns how an engine with weights `version` may be used. Requests must not start on replaced weights
 /// later than `deadline` after the declaration of newer ones. Sends stop earlier, at `SEND_CUTOFF_RATIO` of
-/// the deadline, because a request may wait in the engine's queue before it starts. Weights that were replaced
-/// at an unknown time may be past the deadline.
+/// the deadline, because a request may wait in the engine's queue before it starts; [`wait_left`] bounds that
+/// wait. Weights that were replaced at an unknown time may be past the deadline.
 ///
 /// ```
 /// use std::time::Duration;
@@ -52,3 +55,23 @@
         Replacement::Since(_) => OldWeightsPolicy::Allowed,
     }
 }
+
+/// Returns how much longer a request may wait for the first byte of its answer from replaced weights; `None` if
+/// the weights are current.
+///
+/// ```
+/// use std::time::Duration;
+/// use gateway::{Replacement, wait_left};
+///
+/// let deadline = Duration::from_secs(10);
+/// let replaced = Replacement::Since(Duration::from_secs(9));
+/// assert_eq!(wait_left(replaced, deadline), Some(Duration::from_millis(500)));
+/// assert_eq!(wait_left(Replacement::Current, deadline), None);
+/// ```
+pub fn wait_left(replacement: Replacement, deadline: Duration) -> Option<Duration> {
+    match replacement {
+        Replacement::Current => None,
+        Replacement::Since(age) => Some(deadline.saturating_sub(WITHDRAWAL_MARGIN).saturating_sub(age)),
+        Replacement::SinceUnknown => Some(Duration::ZERO),
+    }
+}
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -70,6 +70,8 @@
     NotRun,
     /// The request may have run; no answer came.
     NoAnswer,
+    /// The request was withdrawn before its answer began; it may have run.
+    Withdrawn,
     /// The target answered.
     Answered,
 }
@@ -80,6 +82,7 @@
             Self::NotSent => "not-sent",
             Self::NotRun => "not-run",
             Self::NoAnswer => "no-answer",
+            Self::Withdrawn => "withdrawn",
             Self::Answered => "answered",
         }
     }
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -18,6 +18,7 @@
 use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
 use crate::first_token::TimeParts;
+use crate::freshness::wait_left;
 use crate::load::{SendOutcome, Work};
 use crate::telemetry::SendResult;
 use crate::weights_history::Replacement;
@@ -27,6 +28,8 @@
 /// Time limit for the body of an answer whose head says that the request did not run. The head is enough to
 /// send the request to another target; the body is read to keep the connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Interval between checks whether the weights of a target that a request waits at have been replaced.
+const WEIGHTS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Connections to a target that a host may open regardless of the limits.
 const MIN_CONNECTIONS: usize = 2;
 /// Hop-by-hop headers, which apply to one connection only.
@@ -50,6 +53,8 @@
     Unknown,
     /// The request's deadline has passed.
     TimedOut,
+    /// The request waited at replaced weights until it could no longer begin there in time. It may have run.
+    Withdrawn,
     /// The head of an answer has arrived.
     Answered(Box<Answer>),
 }
@@ -160,6 +165,7 @@
         AttemptResult::NotSent => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
         AttemptResult::Unknown | AttemptResult::TimedOut => SendResult::NoAnswer,
+        AttemptResult::Withdrawn => SendResult::Withdrawn,
         AttemptResult::Answered(_) => SendResult::Answered,
     };
     cx.telemetry.sent(&call.id, &placed.target.instance, result);
@@ -197,15 +203,19 @@
     let Some(conn) = exchange.conn.as_mut() else {
         return AttemptResult::NotSent;
     };
-    let answer = async { Some(conn.sender.try_send_request(req).await) };
+    let answer = async { Ok(conn.sender.try_send_request(req).await) };
     let timeout = async {
         smol::Timer::after(time_left).await;
-        None
+        Err(AttemptResult::TimedOut)
+    };
+    let withdrawal = async {
+        wait_for_weights_deadline(cx, call, placed.weights).await;
+        Err(AttemptResult::Withdrawn)
     };
-    let res = match answer.or(timeout).await {
-        None => return AttemptResult::TimedOut,
-        Some(Ok(res)) => res,
-        Some(Err(mut e)) => {
+    let res = match answer.or(timeout).or(withdrawal).await {
+        Err(ended) => return ended,
+        Ok(Ok(res)) => res,
+        Ok(Err(mut e)) => {
             let is_sent = e.take_message().is_none();
             if is_sent {
                 exchange.record_broken();
@@ -221,6 +231,20 @@
     classify_answer(cx, call, placed, exchange, parts, body).await
 }
 
+/// Waits until a request must not begin any more on the weights that it was placed on. Does not return while
+/// they are current.
+async fn wait_for_weights_deadline(cx: &Traffic, call: &Call, weights: Option<u64>) {
+    let deadline = cx.settings.bounds.weights_deadline;
+    loop {
+        let replacement = cx.view.load().replacement(call.model(), weights, cx.now());
+        let left = wait_left(replacement, deadline).unwrap_or(WEIGHTS_CHECK_INTERVAL);
+        if left.is_zero() {
+            return;
+        }
+        smol::Timer::after(left.min(WEIGHTS_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Classifies an answer by its head.
 async fn classify_answer(
     cx: &Traffic,
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -106,7 +106,10 @@
         match attempt {
             AttemptResult::NotSent => self.unreachable += 1,
             AttemptResult::NotRun(_) => self.sends += 1,
-            AttemptResult::Unknown | AttemptResult::TimedOut | AttemptResult::Answered(_) => {
+            AttemptResult::Unknown
+            | AttemptResult::TimedOut
+            | AttemptResult::Withdrawn
+            | AttemptResult::Answered(_) => {
                 self.sends += 1;
                 self.possible_runs += 1;
             }
@@ -171,7 +174,7 @@
         let attempt = exchange(cx, &call, &placed, resume_after).await;
         attempts.record(&placed, &attempt);
         match attempt {
-            AttemptResult::NotSent | AttemptResult::NotRun(_) => {}
+            AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
             AttemptResult::Unknown => record_crash(cx, &call, &placed.target),
             AttemptResult::TimedOut => {
                 return refuse(
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -160,7 +160,7 @@
             let attempt = exchange(&self.cx, &self.call, &placed, after.clone()).await;
             self.attempts.record(&placed, &attempt);
             match attempt {
-                AttemptResult::NotSent | AttemptResult::NotRun(_) => {}
+                AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
                 AttemptResult::Unknown => record_crash(&self.cx, &self.call, &placed.target),
                 AttemptResult::TimedOut => return false,
                 AttemptResult::Answered(answer) => {
