Load new weights first on the engines with the oldest ones

Cause (class: starvation by order): engines were loaded in the order of their names. A newer declaration made engines that had just loaded outdated again, and those with earlier names went before engines that still had the first version.

The engine with the oldest weights now goes first. The test failed before (a/1 started instead of y/1).

--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -175,7 +175,8 @@
     }
 }
 
-/// Returns the engines whose entry shows older weights than declared, with the weights to load.
+/// Returns the engines whose entry shows older weights than declared, with the weights to load. Engines with the
+/// oldest weights come first: the deadline of the version that they lack is the earliest.
 fn outdated_engines(view: &View) -> Vec<(Arc<Target>, DesiredWeights)> {
     let mut found = Vec::new();
     for target in view.targets.values().flatten() {
@@ -188,7 +189,10 @@
         });
         found.extend(outdated.map(|weights| (target.clone(), weights)));
     }
-    found.sort_by(|a, b| a.0.instance.cmp(&b.0.instance));
+    found.sort_by_cached_key(|(target, weights)| {
+        let loaded = target.weights_of(&weights.model);
+        (loaded, target.instance.clone())
+    });
     found
 }
 
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -152,3 +152,21 @@
     assert!(is_overdue(&outdated, ms(4_000)));
     assert!(!is_overdue(&view(&[target("f", 2)]), ms(60_000)));
 }
+
+#[test]
+fn engines_with_the_oldest_weights_are_not_starved_by_a_newer_declaration() {
+    // The deadline of the version that they lack is the earliest.
+    let engines = [target("a", 2), target("b", 2), target("y", 1), target("z", 1)];
+    let mut view = view(&engines);
+    let age = DeclaredAge::new(ms(0), ms(5_000));
+    view.weights.get_mut("m").unwrap().add(3, Some(age));
+    let started: Vec<_> = Rollout::default()
+        .next(&view, &[], ms(5_000))
+        .into_iter()
+        .filter_map(|action| match action {
+            RolloutAction::Start(slot) => Some(slot.target),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(started, ["y/1".into()]);
+}
