Let other engines load while an order has no answer

Cause (class: a limit that counts what was asked for, not what is in progress): a third of the engines may load at once, and an order without an answer, carried out 2 to 12 s later, held one of these places all that time, though its engine went on serving. 18 engines took 17 s for one version; the bound is 14 s.

A place is free for another engine while the engine that holds it reports, after an unanswered order, that it is not busy. The test failed before (0 instead of 2 engines started).

--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -56,6 +56,17 @@
     queried_at: Option<Monotonic>,
     /// Time of the last order.
     ordered_at: Option<Monotonic>,
+    /// Whether the last order has got no answer. The engine may carry it out many seconds later.
+    is_unanswered: bool,
+}
+
+impl Progress {
+    /// Whether the engine may be loading. An engine that is not busy after an order without an answer serves as
+    /// before.
+    fn may_be_loading(&self) -> bool {
+        let is_idle = self.report.as_ref().is_some_and(|report| !report.is_busy);
+        !(self.is_unanswered && is_idle)
+    }
 }
 
 /// Rolls out the declared weights to the engines, a limited number at a time. A state machine without I/O: it
@@ -97,6 +108,7 @@
             RolloutInput::Reported(report) => progress.report = Some(report),
             RolloutInput::Ordered(answer) => {
                 progress.report = None;
+                progress.is_unanswered = answer.is_none();
                 if matches!(answer, Some(OrderAnswer::Conflict | OrderAnswer::Rejected(_))) {
                     progress.ordered_at = None;
                 }
@@ -125,7 +137,8 @@
                 None => actions.push(RolloutAction::End(slot.target.clone())),
             }
         }
-        let free_slots = limit.saturating_sub(loads.len());
+        let loading = loads.iter().filter(|slot| self.may_be_loading(&slot.target));
+        let free_slots = limit.saturating_sub(loading.count());
         let waiting = outdated
             .iter()
             .filter(|(target, _)| !loads.iter().any(|slot| slot.target == target.run));
@@ -139,6 +152,10 @@
         actions
     }
 
+    fn may_be_loading(&self, target: &TargetId) -> bool {
+        self.progress.get(target).is_none_or(Progress::may_be_loading)
+    }
+
     fn step(
         &mut self,
         target: &Arc<Target>,
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -170,3 +170,35 @@
         .collect();
     assert_eq!(started, ["y/1".into()]);
 }
+
+#[test]
+fn orders_without_an_answer_do_not_keep_other_engines_from_loading() {
+    // An order may be carried out many seconds later; until then its engine serves as before.
+    let engines: Vec<_> = (0..6).map(|i| target(&format!("e{i}"), 1)).collect();
+    let view = view(&engines);
+    let mut rollout = Rollout::default();
+    let reserved = [slot("e0"), slot("e1")];
+    for engine in &engines[..2] {
+        rollout.handle(engine, report(1, 0, false));
+    }
+    let ordered = rollout.next(&view, &reserved, ms(0));
+    assert!(
+        ordered
+            .iter()
+            .all(|action| matches!(action, RolloutAction::Load { .. }))
+    );
+    for engine in &engines[..2] {
+        rollout.handle(engine, RolloutInput::Ordered(None));
+        rollout.handle(engine, report(1, 0, false));
+    }
+    let started = |actions: Vec<RolloutAction>| {
+        let starts = actions
+            .into_iter()
+            .filter(|action| matches!(action, RolloutAction::Start(_)));
+        starts.count()
+    };
+    assert_eq!(started(rollout.next(&view, &reserved, ms(400))), 2);
+    // An engine that loads keeps its place.
+    rollout.handle(&engines[0], report(1, 1, true));
+    assert_eq!(started(rollout.next(&view, &reserved, ms(800))), 1);
+}
