Count a stream that ends inside an event as broken off

Callers saw the start of an event as the end of a complete stream when a target closed its connection inside an event, or ended its chunks or its length there.

Cause: the relay took every clean end of a body for the end of the stream and passed the held-back bytes on.

Now a stream may end only between events: nothing is held back but empty lines and whole comment lines, with any line breaks. Any other end is handled as a broken connection: the stream resumes after its last whole event where the route allows it, and otherwise the caller's response breaks. The partial event is not passed on. An event whose lines are whole but whose empty line is missing is inside the event; so is a comment line without its line break.

--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -48,7 +48,7 @@
 enum Next {
     /// Bytes of the body.
     Data(Bytes),
-    /// The stream is complete.
+    /// The body has ended.
     End,
     /// The connection broke.
     Broken,
@@ -107,13 +107,14 @@
                         return Some(Ok(whole));
                     }
                 }
-                Next::End => return self.end(),
+                Next::End if self.splitter.is_between_events() => return self.end(),
                 Next::TimedOut => {
                     self.source = None;
                     self.log_interrupted("the route's time is up");
                     return Some(Err(HttpError::TimedOut));
                 }
-                Next::Broken => {
+                // A stream that ends inside an event has been broken off.
+                Next::End | Next::Broken => {
                     self.record_broken();
                     if !self.resume().await {
                         self.log_interrupted("the target broke off");
--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -64,12 +64,12 @@
         &self.progress
     }
 
-    /// Whether no part of an event is held back.
+    /// Whether a stream that ends here is complete: nothing is held back but empty lines and whole comments.
     pub fn is_between_events(&self) -> bool {
-        self.buf.is_empty()
+        !ends_inside_event(&self.buf)
     }
 
-    /// Returns the bytes held back at the end of the stream.
+    /// Returns the bytes held back at the end of a complete stream.
     pub fn finish(&mut self) -> Bytes {
         self.buf.split().freeze()
     }
@@ -95,6 +95,29 @@
     }
 }
 
+/// Whether bytes that start between events end inside an event or a line.
+fn ends_inside_event(buf: &[u8]) -> bool {
+    let mut is_inside = false;
+    let mut rest = buf;
+    while let Some((line, after)) = split_line(rest) {
+        match line.first() {
+            None => is_inside = false,
+            Some(b':') => {}
+            Some(_) => is_inside = true,
+        }
+        rest = after;
+    }
+    is_inside || !rest.is_empty()
+}
+
+/// Splits off the first whole line, which `\n`, `\r\n` or `\r` ends.
+fn split_line(buf: &[u8]) -> Option<(&[u8], &[u8])> {
+    let end = buf.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
+    let (line, rest) = buf.split_at(end);
+    let after = rest.strip_prefix(b"\r\n").or_else(|| rest.get(1..))?;
+    Some((line, after))
+}
+
 /// Returns the end of the last whole event, which an empty line terminates.
 fn last_event_end(buf: &[u8]) -> Option<usize> {
     let plain = rfind(buf, b"\n\n").map(|at| at + 2);
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -34,3 +34,63 @@
     let splitter = EventSplitter::resume_after(Some("12".to_owned()));
     assert_eq!(splitter.progress().last_event.as_deref(), Some("12"));
 }
+
+// Guards against the start of an event that counts as the end of a complete stream.
+#[test]
+fn a_stream_is_inside_an_event_until_an_empty_line() {
+    for rest in [
+        "d",
+        "data: a",
+        "data: a\n",
+        "data: a\r\n",
+        "data: a\r",
+        ": c\ndata: a\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(STREAM);
+        splitter.push(rest.as_bytes());
+        assert!(!splitter.is_between_events(), "{rest:?}");
+    }
+}
+
+// Guards against a comment that was broken off and counts as whole.
+#[test]
+fn a_stream_that_ends_inside_a_comment_line_is_not_between_events() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(STREAM);
+    splitter.push(b": by");
+    assert!(!splitter.is_between_events());
+}
+
+// Guards against line breaks and comments that count as the start of an event.
+#[test]
+fn empty_lines_and_comments_are_between_events() {
+    for rest in [
+        "",
+        "\n",
+        "\r\n",
+        "\r",
+        "\n\n\n",
+        "\r\n\r\n\r\n",
+        ": c\n",
+        ": c\r\n",
+        ": a\n: b\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        let mut passed = splitter.push(STREAM).to_vec();
+        passed.extend(splitter.push(rest.as_bytes()));
+        assert!(splitter.is_between_events(), "{rest:?}");
+        passed.extend(splitter.finish());
+        assert_eq!(passed, [STREAM, rest.as_bytes()].concat(), "{rest:?}");
+    }
+}
+
+// Guards against a whole event with unusual line breaks that counts as broken off at the end.
+#[test]
+fn any_line_breaks_end_an_event() {
+    for event in ["data: a\r\r", "data: a\n\r\n", "data: a\r\n\n", "data: a\r\n\r\n"] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(event.as_bytes());
+        assert!(splitter.is_between_events(), "{event:?}");
+    }
+}
