Count events with any line breaks

Callers of a stream without event ids whose lines end with \r\n got its first events twice: when the target broke off, the stream was started again at another target. Events whose lines end with \r, or that end with \n\r\n, were held back until the end of the stream.

Cause: the splitter counted empty lines that \n ends, so events with \r\n were not counted, and it looked for two combinations of line breaks only. It also counted repeated empty lines and comments as events, so that a stream without ids that had begun with a comment was not resumed.

Now lines are split at any line break, and an event is counted at the empty line that ends it.

--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -2,6 +2,8 @@
 
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Line breaks of which the second ends an empty line. Longer combinations with `\r\n` end in one of these.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 
 /// Position in a stream of events.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -80,18 +82,19 @@
     }
 
     fn count_events(&mut self, whole: &[u8]) {
-        for line in whole.split(|b| *b == b'\n') {
-            if line.is_empty() {
+        let mut is_inside = false;
+        let mut rest = whole;
+        while let Some((line, after)) = split_line(rest) {
+            if line.is_empty() && is_inside {
                 self.progress.events += 1;
-                continue;
             }
             if let Some(id) = line.strip_prefix(b"id:") {
                 let id = String::from_utf8_lossy(id).trim().to_owned();
                 self.progress.last_event = Some(id);
             }
+            is_inside = is_inside_after(line, is_inside);
+            rest = after;
         }
-        // The empty piece after the last line break is not an event.
-        self.progress.events = self.progress.events.saturating_sub(1);
     }
 }
 
@@ -100,16 +103,21 @@
     let mut is_inside = false;
     let mut rest = buf;
     while let Some((line, after)) = split_line(rest) {
-        match line.first() {
-            None => is_inside = false,
-            Some(b':') => {}
-            Some(_) => is_inside = true,
-        }
+        is_inside = is_inside_after(line, is_inside);
         rest = after;
     }
     is_inside || !rest.is_empty()
 }
 
+/// Whether a stream is inside an event after a line: an empty line ends an event, and a comment is no part of one.
+fn is_inside_after(line: &[u8], is_inside: bool) -> bool {
+    match line.first() {
+        None => false,
+        Some(b':') => is_inside,
+        Some(_) => true,
+    }
+}
+
 /// Splits off the first whole line, which `\n`, `\r\n` or `\r` ends.
 fn split_line(buf: &[u8]) -> Option<(&[u8], &[u8])> {
     let end = buf.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
@@ -120,9 +128,9 @@
 
 /// Returns the end of the last whole event, which an empty line terminates.
 fn last_event_end(buf: &[u8]) -> Option<usize> {
-    let plain = rfind(buf, b"\n\n").map(|at| at + 2);
-    let crlf = rfind(buf, b"\r\n\r\n").map(|at| at + 4);
-    plain.max(crlf)
+    let ends = EVENT_ENDS.iter();
+    ends.filter_map(|end| rfind(buf, end).map(|at| at + end.len()))
+        .max()
 }
 
 fn rfind(buf: &[u8], end: &[u8]) -> Option<usize> {
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -94,3 +94,39 @@
         assert!(splitter.is_between_events(), "{event:?}");
     }
 }
+
+// Guards against events that are miscounted or held back because of their line breaks.
+#[test]
+fn events_are_counted_with_any_line_breaks() {
+    for end in ["\n", "\r\n", "\r"] {
+        let stream = String::from_utf8(STREAM.to_vec()).unwrap().replace('\n', end);
+        for size in 1..=stream.len() {
+            let mut splitter = EventSplitter::default();
+            let passed: Vec<u8> = stream
+                .as_bytes()
+                .chunks(size)
+                .flat_map(|piece| splitter.push(piece))
+                .collect();
+            let progress = splitter.progress();
+            assert_eq!(
+                (progress.events, progress.last_event.as_deref()),
+                (3, Some("3")),
+                "{end:?}, pieces of {size}"
+            );
+            assert!(splitter.is_between_events(), "{end:?}, pieces of {size}");
+            assert_eq!(
+                [passed, splitter.finish().to_vec()].concat(),
+                stream.as_bytes(),
+                "{end:?}, pieces of {size}"
+            );
+        }
+    }
+}
+
+// Guards against empty lines and comments that count as events.
+#[test]
+fn empty_lines_and_comments_are_not_counted() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"\n\n: ping\n\ndata: a\n\n\n: ping\n\n");
+    assert_eq!(splitter.progress().events, 1);
+}
