Never resume or complete a stream inside a long event

Callers saw a stream that ended inside an event of more than 1 MiB as complete, or, after part of that event, the whole event again from another target.

Cause: such an event is passed on in pieces. A comment said that the stream can not be resumed within it, but nothing kept that; and once a piece was passed on, the splitter looked as if it were between events.

Now the splitter knows that the start of an event was passed on until its end arrives, and a stream that had such an event is not resumed, as the event's id may be unknown. The last two bytes of a piece are held back, so that the end of the event is found across pieces.

--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -148,12 +148,10 @@
 
     /// Resumes the stream at another target after the last whole event; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        let progress = self.splitter.progress();
-        let is_known = progress.last_event.is_some() || progress.events == 0;
-        if !may_resume(&self.call) || !is_known {
+        if !may_resume(&self.call) || !self.splitter.is_resumable() {
             return false;
         }
-        let after = progress.last_event.clone();
+        let after = self.splitter.progress().last_event.clone();
         while self.attempts.may_send(&self.cx, &self.call) {
             let Ok(placed) = place(&self.cx, &self.call, &self.attempts.tried_targets) else {
                 return false;
--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -4,6 +4,8 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Line breaks of which the second ends an empty line. Longer combinations with `\r\n` end in one of these.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// Longest incomplete part of an event's end, in bytes.
+const MAX_PARTIAL_END: usize = 2;
 
 /// Position in a stream of events.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -30,17 +32,21 @@
     buf: BytesMut,
     /// Position after the events that were passed on.
     progress: Progress,
+    /// Whether the start of the event in `buf` was passed on.
+    is_split: bool,
+    /// Whether any event was passed on in pieces. Its id may be unknown.
+    had_split: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that resumes after `last_event`.
     pub fn resume_after(last_event: Option<String>) -> Self {
         Self {
-            buf: BytesMut::new(),
             progress: Progress {
                 last_event,
                 events: 0,
             },
+            ..Self::default()
         }
     }
 
@@ -48,16 +54,11 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buf.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.buf) else {
-            // An event above the limit is passed on in pieces; the stream can not be resumed within it.
-            let is_endless = self.buf.len() > MAX_EVENT_BYTES;
-            return if is_endless {
-                self.buf.split().freeze()
-            } else {
-                Bytes::new()
-            };
+            return self.split_long_event();
         };
         let whole = self.buf.split_to(end).freeze();
         self.count_events(&whole);
+        self.is_split = false;
         whole
     }
 
@@ -68,7 +69,14 @@
 
     /// Whether a stream that ends here is complete: nothing is held back but empty lines and whole comments.
     pub fn is_between_events(&self) -> bool {
-        !ends_inside_event(&self.buf)
+        !self.is_split && !ends_inside_event(&self.buf)
+    }
+
+    /// Whether another target can resume the stream: the caller's position is after a known event, or before
+    /// the first.
+    pub fn is_resumable(&self) -> bool {
+        let is_known = self.progress.last_event.is_some() || self.progress.events == 0;
+        is_known && !self.had_split
     }
 
     /// Returns the bytes held back at the end of a complete stream.
@@ -81,8 +89,19 @@
         self.buf.clear();
     }
 
+    /// Passes on the start of an event above the limit; holds back a shorter one.
+    fn split_long_event(&mut self) -> Bytes {
+        if self.buf.len() <= MAX_EVENT_BYTES {
+            return Bytes::new();
+        }
+        self.is_split = true;
+        self.had_split = true;
+        // The last bytes may belong to the event's end.
+        self.buf.split_to(self.buf.len() - MAX_PARTIAL_END).freeze()
+    }
+
     fn count_events(&mut self, whole: &[u8]) {
-        let mut is_inside = false;
+        let mut is_inside = self.is_split;
         let mut rest = whole;
         while let Some((line, after)) = split_line(rest) {
             if line.is_empty() && is_inside {
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -130,3 +130,20 @@
     splitter.push(b"\n\n: ping\n\ndata: a\n\n\n: ping\n\n");
     assert_eq!(splitter.progress().events, 1);
 }
+
+// Guards against a long event whose start has been passed on and that counts as the end of a complete stream.
+#[test]
+fn a_stream_is_inside_a_long_event_until_its_end() {
+    for end in ["\n\n", "\r\n\r\n", "\r\r"] {
+        let mut splitter = EventSplitter::default();
+        let (first, rest) = end.split_at(end.len() / 2);
+        let start = format!("data: {}{first}", "x".repeat(2 << 20));
+        let mut passed = splitter.push(start.as_bytes()).to_vec();
+        assert!(!passed.is_empty());
+        assert!(!splitter.is_between_events(), "{end:?}");
+        passed.extend(splitter.push(rest.as_bytes()));
+        assert!(splitter.is_between_events(), "{end:?}");
+        assert!(passed == (start + rest).into_bytes(), "{end:?}");
+        assert_eq!(splitter.progress().events, 1, "{end:?}");
+    }
+}
