Take a JSON answer on a stream's route whole

A target may answer a request on a stream's route with a JSON document.

Now an answer of type application/json is read whole, as on other routes. If it breaks off it is retried or refused as there.

--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -6,7 +6,7 @@
 use errors::ProblemKind;
 use http_io::{Body, full_body};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use utils::TargetId;
 
@@ -213,7 +213,8 @@
     attempts: &mut Attempts,
 ) -> AnswerAction {
     let is_good = answer.parts.status.is_success();
-    if is_good && call.route.retry_safety.is_stream() {
+    let is_stream = call.route.retry_safety.is_stream() && !is_json(&answer.parts.headers);
+    if is_good && is_stream {
         return AnswerAction::Stream(Box::new(answer));
     }
     let run = answer.exchange.target.run.clone();
@@ -244,6 +245,13 @@
     AnswerAction::Whole(Response::from_parts(parts, full_body(bytes)))
 }
 
+/// Whether an answer is a JSON document, which has no events even on the route of a stream.
+fn is_json(headers: &HeaderMap) -> bool {
+    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = value.and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("application/json"))
+}
+
 /// Records a crash of a target with the request in flight, and reports it to the control thread.
 pub(crate) fn record_crash(cx: &Traffic, call: &Call, target: &Target) {
     let now = cx.now();
