Quarantine prompt parts on which targets crash

Cause (class: evidence kept under the wrong identity): crashes were counted by path, workspace and body.

The host that sees a connection break reports how far the answer had come and which parts of the prompt may have caused it. All hosts find the part from these rows.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -236,7 +236,7 @@
     pub const CRASH_NOT_SHARED: Event = event(
         5007,
         "crash_untold",
-        "Too many requests were in flight at crashes at once; this crash is not reported to other hosts.",
+        "A crash is not reported to other hosts: too many at once, or the store did not take the row.",
     );
     pub const METRICS_MISSING: Event = event(
         5008,
@@ -309,6 +309,26 @@
         "replaced_weights_used",
         "An answer began on replaced weights; gives their age since newer ones were declared and the wait at the target.",
     );
+    pub const CRASH_REPORTED: Event = event(
+        5023,
+        "crash_reported",
+        "A connection broke with a request in flight; gives the progress of the answer and the suspect parts of the prompt.",
+    );
+    pub const PART_QUARANTINED: Event = event(
+        5024,
+        "part_quarantined",
+        "Targets crashed on requests that share a prompt part; requests with the part are refused from now on.",
+    );
+    pub const PART_RELEASED: Event = event(
+        5025,
+        "part_released",
+        "A prompt part left the quarantine: it succeeded, another part explains the crashes, or they expired.",
+    );
+    pub const PART_SUCCEEDED: Event = event(
+        5026,
+        "part_succeeded",
+        "A target answered a request with a suspected prompt part; earlier crashes no longer count against it.",
+    );
 }
 
 /// All events, ordered by number.
@@ -376,6 +396,10 @@
     events::LEASE_TAKEN,
     events::WEIGHTS_ORDERED,
     events::REPLACED_WEIGHTS_USED,
+    events::CRASH_REPORTED,
+    events::PART_QUARANTINED,
+    events::PART_RELEASED,
+    events::PART_SUCCEEDED,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,6 +6,7 @@
 
 use super::{Control, TICK_INTERVAL, relays};
 use crate::UpdateSource;
+use crate::cached_state::is_on_crash;
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::GaugeValues;
@@ -21,7 +22,9 @@
 /// Pause after a change of targets, which batches changes in quick succession into few calls. Well below the
 /// time within which a host must stop using a leaving target.
 const TARGETS_PAUSE: Duration = Duration::from_millis(600);
-/// Pause after a change of the shared table.
+/// Pause after a change of the shared table that concerns crashes of targets.
+const CRASH_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after any other change of the shared table.
 const SHARED_PAUSE: Duration = Duration::from_millis(2_000);
 /// First backoff after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
@@ -78,6 +81,7 @@
 fn pause_after(table: Table, changed: &Snapshot) -> Duration {
     match table {
         Table::Targets if !changed.records.is_empty() => TARGETS_PAUSE,
+        Table::Shared if changed.records.iter().any(|record| is_on_crash(&record.key)) => CRASH_PAUSE,
         Table::Shared if !changed.records.is_empty() => SHARED_PAUSE,
         _ => Duration::ZERO,
     }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and other hosts, publishes views of the cached state and orders
 //! weights.
 
+mod crashes;
 mod declared_times;
 mod follow;
 mod kept_updates;
@@ -24,8 +25,8 @@
 use crate::daemon::PlatformPorts;
 use crate::load::ReportedLoad;
 use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
-use crate::quarantine::Crash;
-use crate::traffic::Traffic;
+use crate::traffic::{CrashReceivers, Traffic};
+use crate::view::View;
 
 /// Interval of time-driven updates.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -77,7 +78,7 @@
     }
 
     /// Runs the control thread's tasks until `stop` resolves, then deregisters the host.
-    pub(crate) async fn run(self: Arc<Self>, crashed: async_channel::Receiver<Crash>, stop: Shutdown) {
+    pub(crate) async fn run(self: Arc<Self>, crashes: CrashReceivers, stop: Shutdown) {
         let tasks = [
             self.ex.spawn(follow::follow(self.clone(), Table::Declared)),
             self.ex.spawn(follow::follow(self.clone(), Table::Targets)),
@@ -87,8 +88,11 @@
             self.ex.spawn(peers::poll_peers(self.clone())),
             self.ex.spawn(relays::follow_relays(self.clone())),
             self.ex.spawn(register::register(self.clone())),
-            self.ex.spawn(register::report_crashes(self.clone(), crashed)),
-            self.ex.spawn(register::remove_expired_crashes(self.clone())),
+            self.ex
+                .spawn(crashes::report_crashes(self.clone(), crashes.crashed)),
+            self.ex
+                .spawn(crashes::record_sound_parts(self.clone(), crashes.succeeded)),
+            self.ex.spawn(crashes::remove_expired_crashes(self.clone())),
             self.ex.spawn(register::remove_unreachable_hosts(self.clone())),
             self.ex.spawn(orders::run_orders(self.clone())),
             self.ex.spawn(stores::follow_stores(self.clone())),
@@ -160,9 +164,23 @@
             "declared" => view.declared.as_ref().map_or(0, |d| d.version),
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
             "hosts" => view.hosts.len());
+        self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.view.store(Arc::new(view));
     }
 
+    /// Logs the prompt parts that enter or leave the quarantine.
+    fn log_quarantine(&self, before: &View, after: &View) {
+        let log = &self.traffic.log;
+        let (before, after) = (&before.parts.quarantined, &after.parts.quarantined);
+        for (part, evidence) in after.iter().filter(|(part, _)| !before.contains_key(part)) {
+            warn!(log, "prompt part quarantined"; events::PART_QUARANTINED, "part" => part.text(),
+                "crashes" => evidence.crashes, "requests" => evidence.requests);
+        }
+        for part in before.keys().filter(|part| !after.contains_key(part)) {
+            info!(log, "prompt part released"; events::PART_RELEASED, "part" => part.text());
+        }
+    }
+
     /// Records whether a call to the store succeeded, and logs the start and the end of an outage.
     pub(crate) fn record_store_call(&self, is_answered: bool) {
         let log = &self.traffic.log;
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -6,13 +5,12 @@
 use futures_lite::FutureExt;
 use rand::seq::IndexedRandom;
 use slog::info;
-use smol::net::TcpStream;
 
 use super::Control;
-use crate::cached_state::{CRASH_PREFIX, HOST_PREFIX};
+use crate::cached_state::HOST_PREFIX;
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, Table};
-use crate::quarantine::Crash;
+use crate::probe::{Probe, probe};
 use crate::view::HostEntry;
 
 /// Interval between checks that the host is still registered.
@@ -22,15 +20,9 @@
 /// Delay before a host that did not accept a connection is checked again.
 const RECHECK_DELAY: Duration = Duration::from_secs(4);
 /// Delay before a failed write is retried.
-const WRITE_RETRY_DELAY: Duration = Duration::from_millis(700);
+pub(super) const WRITE_RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Longest time that a leaving host spends on the removal of its entry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time for a reachable target or host to accept a connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Interval between removals of expired crashes.
-const CRASH_CLEANUP_INTERVAL: Duration = Duration::from_secs(15);
-/// Attempts to write a crash to the shared table.
-const CRASH_WRITE_ATTEMPTS: usize = 5;
 
 /// Keeps the host registered; other hosts query it and share limits with it.
 pub(crate) async fn register(control: Arc<Control>) {
@@ -72,11 +64,11 @@
         };
         let key = format!("{HOST_PREFIX}{}", host.name);
         let version = control.cached_state().version_of(Table::Shared, &key);
-        if is_reachable(host.peers).await {
+        if probe(host.peers).await == Probe::Accepts {
             continue;
         }
         smol::Timer::after(RECHECK_DELAY).await;
-        if is_reachable(host.peers).await {
+        if probe(host.peers).await == Probe::Accepts {
             continue;
         }
         let remove = RecordWrite {
@@ -107,64 +99,8 @@
     shared_write(format!("{HOST_PREFIX}{}", control.traffic.settings.name), value)
 }
 
-/// Writes crashes of targets with the request that was running to the shared table, from which all hosts read
-/// them.
-pub(crate) async fn report_crashes(control: Arc<Control>, crashed: async_channel::Receiver<Crash>) {
-    while let Ok(crash) = crashed.recv().await {
-        // The first broken connection is not reported as a crash if the target still accepts connections.
-        if crash.count == 1 && is_reachable(crash.address).await {
-            continue;
-        }
-        let key = format!(
-            "{CRASH_PREFIX}{}/{}/{}",
-            crash.fingerprint.text(),
-            control.traffic.settings.name,
-            crash.count
-        );
-        for _ in 0..CRASH_WRITE_ATTEMPTS {
-            if control
-                .store
-                .write(shared_write(key.clone(), Some(Vec::new())))
-                .await
-                .is_ok()
-            {
-                break;
-            }
-            smol::Timer::after(WRITE_RETRY_DELAY).await;
-        }
-    }
-}
-
-/// Returns whether a target or host accepts connections.
-async fn is_reachable(address: SocketAddr) -> bool {
-    let connect = async { TcpStream::connect(address).await.is_ok() };
-    let late = async {
-        smol::Timer::after(PROBE_TIMEOUT).await;
-        false
-    };
-    connect.or(late).await
-}
-
-/// Removes expired crash records from the shared table. Each record is removed by the host that rendezvous
-/// hashing of its key assigns.
-pub(crate) async fn remove_expired_crashes(control: Arc<Control>) {
-    loop {
-        smol::Timer::after(CRASH_CLEANUP_INTERVAL).await;
-        let now = control.traffic.now();
-        let view = control.traffic.view.load_full();
-        let own = &*control.traffic.settings.name;
-        let expired = control.cached_state().expired_crashes(now);
-        for key in expired {
-            let is_owner = view.owns(key.as_bytes(), own, 1);
-            if is_owner && control.store.write(shared_write(key, None)).await.is_err() {
-                break;
-            }
-        }
-    }
-}
-
 /// Creates an unconditional write to the shared table.
-fn shared_write(key: String, value: Option<Vec<u8>>) -> RecordWrite {
+pub(super) fn shared_write(key: String, value: Option<Vec<u8>>) -> RecordWrite {
     RecordWrite {
         table: Table::Shared,
         key,
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -16,7 +16,7 @@
 
 use crate::control::Control;
 use crate::ports::{Decode, EngineControl, Heads, KeptStores, RecordStore};
-use crate::traffic::{DrainSchedule, Traffic, serve};
+use crate::traffic::{DrainSchedule, Traffic, crash_channels, serve};
 use crate::{GatewayError, HostSettings};
 
 /// Idle timeout of a caller's connection.
@@ -25,8 +25,6 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
-/// Capacity of the queue of crashes that wait to be reported to other hosts.
-const CRASH_QUEUE_CAPACITY: usize = 256;
 /// Share of the shutdown grace in which the balancer notices that the host is not ready and all requests are
 /// still accepted. After it, only requests that can finish before the process ends are accepted.
 const ACCEPT_SHARE: f64 = 0.33;
@@ -89,9 +87,9 @@
         let control_ex: Executor = Arc::new(smol::Executor::new());
         let traffic_ex: Executor = Arc::new(smol::Executor::new());
         let ports = ports(&control_ex);
-        let (crashed_tx, crashed) = async_channel::bounded(CRASH_QUEUE_CAPACITY);
+        let (crash_tx, crash_rx) = crash_channels();
         let heads = ports.heads.clone();
-        let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crashed_tx);
+        let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crash_tx);
         let traffic = Arc::new(traffic);
         let control = Control::new(traffic.clone(), ports, incarnation, control_ex.clone());
         let (stop_keep_alive, keep_alive_stopped) = shutdown_channel();
@@ -100,7 +98,7 @@
         let control = Arc::new(control);
         let (abort_traffic, traffic_aborted) = shutdown_channel();
         let control_thread = spawn("control", move || {
-            smol::block_on(control_ex.run(control.run(crashed, control_stopped)));
+            smol::block_on(control_ex.run(control.run(crash_rx, control_stopped)));
         })?;
         let traffic_thread = spawn("traffic", {
             let traffic = traffic.clone();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,10 +19,12 @@
 mod load;
 mod placement;
 pub mod ports;
+mod probe;
 mod quarantine;
 mod rows;
 mod sampling;
 mod sessions;
+mod suspects;
 mod target;
 mod telemetry;
 mod traffic;
@@ -52,6 +54,10 @@
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
+pub use suspects::{
+    AnswerStage, CrashEvidence, CrashRecord, Judgement, PartEvidence, PartFingerprint, PartSuccesses,
+    SuspectPart, judge,
+};
 pub use target::Target;
 pub use traffic::{EventSplitter, Progress};
 pub use view::{HostEntry, Regions, View, is_sole_owner};
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use data_encoding::{HEXLOWER, HEXLOWER_PERMISSIVE};
-use utils::{Monotonic, digest};
+use utils::{Monotonic, TargetId, digest};
+
+use crate::suspects::{AnswerStage, SuspectPart};
 
 /// Identifies a request by path, workspace and body, independent of who sends it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -12,6 +14,8 @@
 pub(crate) const CRASHES_TO_QUARANTINE: u32 = 2;
 /// Time for which a crash is remembered.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(120);
+/// Time for which crashes are remembered that support the quarantine of a prompt part.
+pub(crate) const PART_RETENTION: Duration = Duration::from_secs(600);
 /// Most requests that are remembered; the oldest are evicted first.
 const MAX_REMEMBERED: usize = 4_096;
 
@@ -27,14 +31,7 @@
     /// assert_eq!(Fingerprint::parse(&one.text()), Some(one));
     /// ```
     pub fn of(path: &str, workspace: &str, body: &[u8]) -> Self {
-        let mut text = Vec::with_capacity(path.len() + workspace.len() + body.len() + 16);
-        for part in [path.as_bytes(), workspace.as_bytes(), body] {
-            text.extend_from_slice(&(part.len() as u64).to_le_bytes());
-            text.extend_from_slice(part);
-        }
-        let mut first = [0; 16];
-        first.copy_from_slice(&digest(&text).as_bytes()[..16]);
-        Self(first)
+        Self(digest_fields([path.as_bytes(), workspace.as_bytes(), body]))
     }
 
     /// Returns the fingerprint as hexadecimal digits.
@@ -49,8 +46,21 @@
     }
 }
 
+/// Returns a digest of fields that depends on where each of them ends.
+pub(crate) fn digest_fields<const N: usize>(fields: [&[u8]; N]) -> [u8; 16] {
+    let length: usize = fields.iter().map(|field| size_of::<u64>() + field.len()).sum();
+    let mut text = Vec::with_capacity(length);
+    for field in fields {
+        text.extend_from_slice(&(field.len() as u64).to_le_bytes());
+        text.extend_from_slice(field);
+    }
+    let mut first = [0; 16];
+    first.copy_from_slice(&digest(&text).as_bytes()[..16]);
+    first
+}
+
 /// A crash of a target with a request in flight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
     /// The request.
     pub fingerprint: Fingerprint,
@@ -58,6 +68,14 @@
     pub address: std::net::SocketAddr,
     /// Crashes with this request in flight that this host has seen, this one included.
     pub count: u32,
+    /// Run of the target.
+    pub run: TargetId,
+    /// How far the answer had come.
+    pub stage: AnswerStage,
+    /// Time at which the connection broke.
+    pub at: Monotonic,
+    /// Parts of the prompt that may have caused the crash.
+    pub parts: Vec<SuspectPart>,
 }
 
 /// Counts crashes of targets by the requests that were in flight.
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -16,6 +16,7 @@
 use crate::CallFacts;
 use crate::declared::Route;
 use crate::quarantine::Fingerprint;
+use crate::suspects::PartFingerprint;
 
 /// Time to the first token at a loaded engine.
 const MAX_FIRST_TOKEN_TIME: Duration = Duration::from_millis(1_500);
@@ -26,6 +27,12 @@
 /// `Retry-After` of a quarantined request. The request may not be the cause of the crashes.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Returns the refusal of a request whose prompt holds a quarantined part.
+pub(crate) fn quarantined_part_refusal() -> Refusal {
+    let detail = "targets that ran requests with a part of this prompt have crashed";
+    Refusal::not_run(ProblemKind::NoTarget, detail).with_retry_after(QUARANTINE_RETRY_AFTER)
+}
+
 /// Checks a request and reads its body.
 pub(crate) async fn accept(
     cx: &Arc<Traffic>,
@@ -55,6 +62,13 @@
         let detail = "targets that ran this request have crashed";
         return Err(Refusal::not_run(ProblemKind::NoTarget, detail).with_retry_after(QUARANTINE_RETRY_AFTER));
     }
+    let shared_parts = facts
+        .prompt
+        .as_ref()
+        .map_or(Vec::new(), PartFingerprint::shared_parts);
+    if view.has_quarantined(&shared_parts) {
+        return Err(quarantined_part_refusal());
+    }
     let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
     Ok(Call {
         id: facts.id.unwrap_or_default(),
@@ -69,6 +83,7 @@
         last_event: facts.last_event,
         deadline,
         fingerprint,
+        shared_parts,
     })
 }
 
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -12,6 +12,7 @@
 use utils::Monotonic;
 
 use super::connect::{Connection, connect};
+use super::crashes::BrokenAttempt;
 use super::place::Placed;
 use super::request::Call;
 use super::state::Traffic;
@@ -20,6 +21,7 @@
 use crate::first_token::TimeParts;
 use crate::freshness::wait_left;
 use crate::load::{SendOutcome, Work};
+use crate::suspects::AnswerStage;
 use crate::telemetry::SendResult;
 use crate::weights_history::Replacement;
 
@@ -50,7 +52,7 @@
     /// The target states that it did not run the request.
     NotRun(AnswerFacts),
     /// The request was sent, and nothing proves that it did not run.
-    Unknown,
+    Unknown(BrokenAttempt),
     /// The request's deadline has passed.
     TimedOut,
     /// The request waited at replaced weights until it could no longer begin there in time. It may have run.
@@ -130,6 +132,14 @@
         });
     }
 
+    /// Describes the attempt after its connection broke.
+    pub(crate) fn broken(&self, stage: AnswerStage) -> BrokenAttempt {
+        BrokenAttempt {
+            sent_at: self.sent_at,
+            stage,
+        }
+    }
+
     /// Records that the connection broke.
     pub(crate) fn record_broken(&self) {
         let now = self.cx.now();
@@ -164,7 +174,7 @@
     let result = match &attempt {
         AttemptResult::NotSent => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
-        AttemptResult::Unknown | AttemptResult::TimedOut => SendResult::NoAnswer,
+        AttemptResult::Unknown(_) | AttemptResult::TimedOut => SendResult::NoAnswer,
         AttemptResult::Withdrawn => SendResult::Withdrawn,
         AttemptResult::Answered(_) => SendResult::Answered,
     };
@@ -221,7 +231,7 @@
                 exchange.record_broken();
             }
             return if is_sent {
-                AttemptResult::Unknown
+                AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead))
             } else {
                 AttemptResult::NotSent
             };
@@ -262,7 +272,7 @@
     if is_other_request {
         // This is the answer to an earlier request on the connection; the answer to this request can not be
         // identified any more.
-        return AttemptResult::Unknown;
+        return AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead));
     }
     exchange.record_first_byte(&facts, parts.status.as_u16(), has_old_weights);
     if facts.is_not_run || facts.is_misdirected {
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod admit;
 mod connect;
+mod crashes;
 mod exchange;
 mod pipeline;
 mod place;
@@ -13,6 +14,7 @@
 mod state;
 mod stream_events;
 
+pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub(crate) use pipeline::serve;
 pub(crate) use state::{DrainSchedule, Traffic};
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -10,17 +10,18 @@
 use hyper::{Request, Response};
 use utils::TargetId;
 
-use super::accept::accept;
+use super::accept::{accept, quarantined_part_refusal};
+use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange, read_whole};
 use super::place::{Placed, PlacementError, place, session_for_weights};
 use super::refusal::Refusal;
 use super::relay::relay;
 use super::request::Call;
 use super::state::Traffic;
+use crate::AnswerFacts;
 use crate::declared::RetrySafety;
 use crate::jitter::jittered;
-use crate::quarantine::Crash;
-use crate::{AnswerFacts, Target};
+use crate::suspects::AnswerStage;
 
 /// Most sends of one request, including those that targets rejected.
 const MAX_SENDS: u32 = 4;
@@ -91,9 +92,12 @@
 }
 
 impl Attempts {
-    /// Whether the route, the time left and, beyond the first send, the retry budget allow one more send.
-    /// Takes a retry from the budget.
+    /// Whether the quarantine, the route, the time left and, beyond the first send, the retry budget allow one
+    /// more send. Takes a retry from the budget.
     pub(crate) fn may_send(&self, cx: &Traffic, call: &Call) -> bool {
+        if cx.view.load().has_quarantined(&call.shared_parts) {
+            return false;
+        }
         let is_early = cx.now() + MIN_TIME_LEFT < call.deadline;
         let may_run = self.possible_runs == 0 || call.route.retry_safety.is_idempotent();
         let has_attempts = self.possible_runs < call.route.max_targets.max(1) && self.sends < MAX_SENDS;
@@ -106,7 +110,7 @@
         match attempt {
             AttemptResult::NotSent => self.unreachable += 1,
             AttemptResult::NotRun(_) => self.sends += 1,
-            AttemptResult::Unknown
+            AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
             | AttemptResult::Withdrawn
             | AttemptResult::Answered(_) => {
@@ -122,13 +126,16 @@
         }
     }
 
-    fn refusal(&self, call: &Call) -> Refusal {
+    fn refusal(&self, cx: &Traffic, call: &Call) -> Refusal {
         if self.possible_runs > 0 {
             return Refusal::may_have_run(
                 ProblemKind::OutcomeUnknown,
                 "a target took the request and did not answer",
             );
         }
+        if cx.view.load().has_quarantined(&call.shared_parts) {
+            return quarantined_part_refusal();
+        }
         match self.placement_error {
             Some(PlacementError::AllFull) => {
                 let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
@@ -175,7 +182,7 @@
         attempts.record(&placed, &attempt);
         match attempt {
             AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
-            AttemptResult::Unknown => record_crash(cx, &call, &placed.target),
+            AttemptResult::Unknown(broken) => record_crash(cx, &call, &placed.target, broken),
             AttemptResult::TimedOut => {
                 return refuse(
                     cx,
@@ -193,7 +200,7 @@
     if let Some((parts, body)) = attempts.failure.take() {
         return Response::from_parts(parts, full_body(body));
     }
-    refuse(cx, &call, &attempts.refusal(&call))
+    refuse(cx, &call, &attempts.refusal(cx, &call))
 }
 
 /// How an answer is handled.
@@ -228,7 +235,11 @@
         exchange.record_broken();
         // A timeout does not prove a crash.
         if cx.now() < call.deadline {
-            record_crash(cx, call, &exchange.target);
+            let broken = exchange.broken(AnswerStage::Head);
+            record_crash(cx, call, &exchange.target, broken);
+            if !may_send_again(cx, call, &exchange.target, broken).await {
+                return AnswerAction::Whole(refuse(cx, call, &attempts.refusal(cx, call)));
+            }
         }
         return AnswerAction::Retry;
     };
@@ -239,6 +250,7 @@
     }
     if is_good {
         cx.routing().crashes.record_success(&call.fingerprint);
+        record_success(cx, call);
     }
     cx.telemetry
         .answered(&call.id, &run, parts.status.as_u16(), 0, attempts.sends);
@@ -252,20 +264,6 @@
     media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("application/json"))
 }
 
-/// Records a crash of a target with the request in flight, and reports it to the control thread.
-pub(crate) fn record_crash(cx: &Traffic, call: &Call, target: &Target) {
-    let now = cx.now();
-    let count = cx.routing().crashes.record_crash(call.fingerprint, now);
-    let crash = Crash {
-        fingerprint: call.fingerprint,
-        address: target.address,
-        count,
-    };
-    if cx.crashed.try_send(crash).is_err() {
-        cx.telemetry.crash_not_shared(&call.id);
-    }
-}
-
 fn refuse(cx: &Traffic, call: &Call, refusal: &Refusal) -> Response<Body> {
     log_refusal(cx, &call.id, refusal);
     refusal.response(&call.id)
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -9,13 +9,15 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 
+use super::crashes::{BrokenAttempt, may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, Exchange, exchange};
-use super::pipeline::{Attempts, OpenRequest, may_resume, record_crash};
+use super::pipeline::{Attempts, OpenRequest, may_resume};
 use super::place::place;
 use super::request::Call;
 use super::state::Traffic;
 use super::stream_events::EventSplitter;
-use crate::AnswerFacts;
+use crate::suspects::AnswerStage;
+use crate::{AnswerFacts, Target};
 
 /// A stream that is passed to the caller. The caller's connection polls it; when the caller disconnects, the
 /// stream is dropped together with the target's connection.
@@ -102,7 +104,11 @@
             let source = self.source.as_mut()?;
             match read(&self.cx, &self.call, source).await {
                 Next::Data(bytes) => {
+                    let was_answered = self.has_events();
                     let whole = self.splitter.push(&bytes);
+                    if !was_answered && self.has_events() {
+                        record_success(&self.cx, &self.call);
+                    }
                     if !whole.is_empty() {
                         return Some(Ok(whole));
                     }
@@ -115,8 +121,7 @@
                 }
                 // A stream that ends inside an event has been broken off.
                 Next::End | Next::Broken => {
-                    self.record_broken();
-                    if !self.resume().await {
+                    if !self.resume_if_allowed().await {
                         self.log_interrupted("the target broke off");
                         return Some(Err(HttpError::Interrupted));
                     }
@@ -138,12 +143,30 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    fn record_broken(&mut self) {
-        if let Some(source) = self.source.take() {
-            source.exchange.record_broken();
-            record_crash(&self.cx, &self.call, &source.exchange.target);
-        }
+    /// Whether the caller has received an event.
+    fn has_events(&self) -> bool {
+        self.splitter.progress().events > 0
+    }
+
+    /// Records the broken connection and resumes the stream if it may be sent again.
+    async fn resume_if_allowed(&mut self) -> bool {
+        let Some((target, broken)) = self.record_broken() else {
+            return false;
+        };
+        may_send_again(&self.cx, &self.call, &target, broken).await && self.resume().await
+    }
+
+    fn record_broken(&mut self) -> Option<(Arc<Target>, BrokenAttempt)> {
         self.splitter.discard_partial();
+        let source = self.source.take()?;
+        let stage = match self.has_events() {
+            true => AnswerStage::Events,
+            false => AnswerStage::Head,
+        };
+        let broken = source.exchange.broken(stage);
+        source.exchange.record_broken();
+        record_crash(&self.cx, &self.call, &source.exchange.target, broken);
+        Some((source.exchange.target.clone(), broken))
     }
 
     /// Resumes the stream at another target after the last whole event; returns whether that succeeded.
@@ -160,7 +183,9 @@
             self.attempts.record(&placed, &attempt);
             match attempt {
                 AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
-                AttemptResult::Unknown => record_crash(&self.cx, &self.call, &placed.target),
+                AttemptResult::Unknown(broken) => {
+                    record_crash(&self.cx, &self.call, &placed.target, broken);
+                }
                 AttemptResult::TimedOut => return false,
                 AttemptResult::Answered(answer) => {
                     if !answer.parts.status.is_success() {
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -10,6 +10,7 @@
 use crate::placement::Demand;
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
+use crate::suspects::PartFingerprint;
 use crate::{Pace, PromptShape};
 
 /// A request that is being routed.
@@ -38,6 +39,8 @@
     pub deadline: Monotonic,
     /// Identifies the request in the quarantine.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other prompts may share.
+    pub shared_parts: Vec<PartFingerprint>,
 }
 
 impl Call {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -7,11 +7,13 @@
 use slog::Logger;
 use utils::{Clock, Monotonic, ServiceId, TargetId};
 
+use super::crashes::CrashSenders;
 use super::pool::TargetSlot;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
-use crate::quarantine::{Crash, Crashes};
+use crate::quarantine::Crashes;
+use crate::suspects::PartSuccesses;
 use crate::telemetry::Telemetry;
 use crate::{HostSettings, Pace, RetryBudget, Sessions, Target, View};
 
@@ -26,6 +28,8 @@
     pub sessions: Sessions,
     /// Requests that were in flight at crashes of targets.
     pub crashes: Crashes,
+    /// Prompt parts with which targets have answered requests.
+    pub part_successes: PartSuccesses,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
 }
@@ -60,7 +64,7 @@
     /// Requests in flight.
     pub in_flight: AtomicUsize,
     /// Sends crashes of targets to the control thread, which reports them to other hosts.
-    pub crashed: async_channel::Sender<Crash>,
+    pub crashes: CrashSenders,
     /// Connections, budgets, sessions and crashes.
     routing: Mutex<RoutingState>,
     /// Directories of the stores of kept cache.
@@ -74,7 +78,7 @@
         heads: Arc<dyn Heads>,
         ex: Executor,
         log: Logger,
-        crashed: async_channel::Sender<Crash>,
+        crashes: CrashSenders,
     ) -> Self {
         Self {
             settings,
@@ -86,7 +90,7 @@
             log,
             drain: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
-            crashed,
+            crashes,
             routing: Mutex::default(),
             kept: Mutex::default(),
         }
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -6,6 +6,7 @@
 use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
+use crate::suspects::{Judgement, PartFingerprint};
 use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{Declared, Target};
 
@@ -62,6 +63,8 @@
     pub hosts: BTreeMap<HostId, HostEntry>,
     /// Fingerprints of quarantined requests.
     pub quarantined: HashSet<Fingerprint>,
+    /// Prompt parts that are quarantined or suspected.
+    pub parts: Judgement,
     /// Whether the targets have been read in full.
     pub has_read_targets: bool,
 }
@@ -72,6 +75,16 @@
         self.declared.is_some() && self.has_read_targets
     }
 
+    /// Returns whether one of a prompt's parts is quarantined.
+    ///
+    /// ```
+    /// let part = gateway::PartFingerprint::of("m", "5c1e07a2");
+    /// assert!(!gateway::View::default().has_quarantined(&[part]));
+    /// ```
+    pub fn has_quarantined(&self, parts: &[PartFingerprint]) -> bool {
+        parts.iter().any(|part| self.parts.quarantined.contains_key(part))
+    }
+
     /// Returns the targets of a service.
     pub fn targets_of(&self, service: &str) -> &[Arc<Target>] {
         self.targets.get(service).map_or(&[], Vec::as_slice)
