--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,14 +36,15 @@
         }
         // The request that caused the crash is probably among those with the strongest evidence.
         crashes.sort_by_key(|crash| Reverse(crash.stage));
-        let mut probes = HashMap::new();
-        for crash in &crashes {
-            if !probes.contains_key(&crash.address) {
-                probes.insert(crash.address, probe(crash.address).await);
+        let addresses: HashSet<_> = crashes.iter().map(|crash| crash.address).collect();
+        let mut accepting = HashSet::new();
+        for address in addresses {
+            if probe(address).await == Probe::Accepts {
+                accepting.insert(address);
             }
         }
         for crash in crashes {
-            let accepts_connections = probes.get(&crash.address) == Some(&Probe::Accepts);
+            let accepts_connections = accepting.contains(&crash.address);
             report_crash(&control, crash, accepts_connections).await;
         }
     }
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -153,7 +153,9 @@
         let Some((target, broken)) = self.record_broken() else {
             return false;
         };
-        may_send_again(&self.cx, &self.call, &target, broken).await && self.resume().await
+        may_resume(&self.call)
+            && may_send_again(&self.cx, &self.call, &target, broken).await
+            && self.resume().await
     }
 
     fn record_broken(&mut self) -> Option<(Arc<Target>, BrokenAttempt)> {
@@ -171,7 +173,7 @@
 
     /// Resumes the stream at another target after the last whole event; returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        if !may_resume(&self.call) || !self.splitter.is_resumable() {
+        if !self.splitter.is_resumable() {
             return false;
         }
         let after = self.splitter.progress().last_event.clone();
