Bound how many engines may load late, and order them by deadline

They are now ordered by how long their weights have been replaced (test failed before: early/1). - Engines with an unanswered order could all get load slots. At most twice as many as may load at a time get one, and a place counts as taken again once an order is out. - The withdrawal holds for streams only: the answer of another request may begin after its run, which the host would have cut. The margin grows to a second, as hosts that follow a relay receive a declaration later.

--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -10,8 +10,8 @@
 /// the engine's queue.
 const SEND_CUTOFF_RATIO: f64 = 0.65;
 /// Time before the deadline at which a request that still waits at replaced weights is withdrawn. Covers the way
-/// to a target in another region and the delays of a busy host.
-const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(500);
+/// to a target in another region, the delays of a busy host, and a declaration that a host received late.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_secs(1);
 
 /// How replaced weights may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +26,7 @@
 
 /// Returns how an engine with weights `version` may be used. Requests must not start on replaced weights
 /// later than `deadline` after the declaration of newer ones. Sends stop earlier, at `SEND_CUTOFF_RATIO` of
-/// the deadline, because a request may wait in the engine's queue before it starts; [`wait_left`] bounds that
+/// the deadline, because a request may wait in the engine's queue before it starts; [`weights_wait_left`] bounds that
 /// wait. Weights that were replaced at an unknown time may be past the deadline.
 ///
 /// ```
@@ -61,14 +61,14 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use gateway::{Replacement, wait_left};
+/// use gateway::{Replacement, weights_wait_left};
 ///
 /// let deadline = Duration::from_secs(10);
-/// let replaced = Replacement::Since(Duration::from_secs(9));
-/// assert_eq!(wait_left(replaced, deadline), Some(Duration::from_millis(500)));
-/// assert_eq!(wait_left(Replacement::Current, deadline), None);
+/// let replaced = Replacement::Since(Duration::from_secs(7));
+/// assert_eq!(weights_wait_left(replaced, deadline), Some(Duration::from_secs(2)));
+/// assert_eq!(weights_wait_left(Replacement::Current, deadline), None);
 /// ```
-pub fn wait_left(replacement: Replacement, deadline: Duration) -> Option<Duration> {
+pub fn weights_wait_left(replacement: Replacement, deadline: Duration) -> Option<Duration> {
     match replacement {
         Replacement::Current => None,
         Replacement::Since(age) => Some(deadline.saturating_sub(WITHDRAWAL_MARGIN).saturating_sub(age)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -42,7 +42,7 @@
 };
 pub use error::GatewayError;
 pub use first_token::{Pace, TimeParts};
-pub use freshness::{OldWeightsPolicy, old_weights_policy, wait_left};
+pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
     CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, RegionStore, StoreChanges, StoreDirectory,
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -19,7 +19,7 @@
 use crate::Target;
 use crate::call::{AnswerFacts, SendFacts};
 use crate::first_token::TimeParts;
-use crate::freshness::wait_left;
+use crate::freshness::weights_wait_left;
 use crate::load::{SendOutcome, Work};
 use crate::suspects::AnswerStage;
 use crate::telemetry::SendResult;
@@ -206,6 +206,10 @@
     if !cx.view.load().contains(&target) {
         return AttemptResult::NotSent;
     }
+    // Its weights may have been replaced too long ago by now.
+    if stream_wait_left(cx, call, placed.weights).is_some_and(|left| left.is_zero()) {
+        return AttemptResult::NotSent;
+    }
     let time_left = call.deadline.saturating_sub(cx.now());
     let Some(req) = request(cx, call, placed, time_left, resume_after) else {
         return AttemptResult::NotSent;
@@ -241,13 +245,11 @@
     classify_answer(cx, call, placed, exchange, parts, body).await
 }
 
-/// Waits until a request must not begin any more on the weights that it was placed on. Does not return while
-/// they are current.
+/// Waits until a stream must not begin any more on the weights that it was placed on. Does not return while they
+/// are current, nor for a request whose answer begins only after its run.
 async fn wait_for_weights_deadline(cx: &Traffic, call: &Call, weights: Option<u64>) {
-    let deadline = cx.settings.bounds.weights_deadline;
     loop {
-        let replacement = cx.view.load().replacement(call.model(), weights, cx.now());
-        let left = wait_left(replacement, deadline).unwrap_or(WEIGHTS_CHECK_INTERVAL);
+        let left = stream_wait_left(cx, call, weights).unwrap_or(WEIGHTS_CHECK_INTERVAL);
         if left.is_zero() {
             return;
         }
@@ -255,6 +257,16 @@
     }
 }
 
+/// Returns how much longer a stream may wait for its first byte at a target with these weights; `None` without a
+/// limit.
+fn stream_wait_left(cx: &Traffic, call: &Call, weights: Option<u64>) -> Option<Duration> {
+    if !call.route.retry_safety.is_stream() {
+        return None;
+    }
+    let replacement = cx.view.load().replacement(call.model(), weights, cx.now());
+    weights_wait_left(replacement, cx.settings.bounds.weights_deadline)
+}
+
 /// Classifies an answer by its head.
 async fn classify_answer(
     cx: &Traffic,
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -7,6 +7,7 @@
 
 use crate::ports::{EngineReport, OrderAnswer};
 use crate::view::View;
+use crate::weights_history::Replacement;
 use crate::{DesiredWeights, Target};
 
 /// Age at which a report is queried again while a load is in progress.
@@ -15,6 +16,9 @@
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
 /// One in this many engines, but at least one, loads weights at a time; the others keep serving.
 const LOADING_DIVISOR: usize = 3;
+/// Most engines with a reserved load slot, relative to those that may load at a time. Engines that have not
+/// answered an order may carry it out all at once.
+const MAX_RESERVED_RATIO: usize = 2;
 
 /// An action for the holder of the lease.
 #[derive(Debug, Clone, PartialEq)]
@@ -50,7 +54,7 @@
 /// State of an engine while it loads weights.
 #[derive(Debug, Clone, Default)]
 struct Progress {
-    /// Last report, until an order is answered.
+    /// Last report, until the call of an order ends.
     report: Option<EngineReport>,
     /// Time of the last query.
     queried_at: Option<Monotonic>,
@@ -69,7 +73,8 @@
     }
 }
 
-/// Rolls out the declared weights to the engines, a limited number at a time. A state machine without I/O: it
+/// Rolls out the declared weights to the engines, a limited number at a time, not counting engines that go on
+/// serving after an order without an answer. A state machine without I/O: it
 /// compares the engines' reports with the declared weights and repeats orders. A lost or late order is
 /// harmless, because each order carries the number of orders that the engine must have accepted before it.
 #[derive(Debug, Default)]
@@ -93,7 +98,7 @@
 /// assert!(!is_overdue(&View::default(), std::time::Duration::ZERO));
 /// ```
 pub fn is_overdue(view: &View, now: Monotonic) -> bool {
-    outdated_engines(view).iter().any(|(_, weights)| {
+    outdated_engines(view, now).iter().any(|(_, weights)| {
         let history = view.weights.get(&weights.model);
         let age = history.and_then(|history| history.newest_age(now));
         age.is_some_and(|age| age >= OVERDUE_AFTER)
@@ -120,7 +125,7 @@
     /// Returns the next actions, given the loads reserved in the lease's row.
     pub fn next(&mut self, view: &View, loads: &[LoadSlot], now: Monotonic) -> Vec<RolloutAction> {
         let mut actions = Vec::new();
-        let mut outdated = outdated_engines(view);
+        let mut outdated = outdated_engines(view, now);
         self.loaded
             .retain(|id, _| outdated.iter().any(|(target, _)| target.run == *id));
         outdated.retain(|(target, weights)| {
@@ -138,7 +143,8 @@
             }
         }
         let loading = loads.iter().filter(|slot| self.may_be_loading(&slot.target));
-        let free_slots = limit.saturating_sub(loading.count());
+        let reservable = (MAX_RESERVED_RATIO * limit).saturating_sub(loads.len());
+        let free_slots = limit.saturating_sub(loading.count()).min(reservable);
         let waiting = outdated
             .iter()
             .filter(|(target, _)| !loads.iter().any(|slot| slot.target == target.run));
@@ -177,6 +183,7 @@
                 .is_none_or(|at| now >= at + ORDER_RETRY_INTERVAL);
             if !report.is_busy && is_order_due {
                 progress.ordered_at = Some(now);
+                progress.is_unanswered = false;
                 return Some(RolloutAction::Load {
                     target: target.clone(),
                     weights: weights.clone(),
@@ -192,25 +199,31 @@
     }
 }
 
-/// Returns the engines whose entry shows older weights than declared, with the weights to load. Engines with the
-/// oldest weights come first: the deadline of the version that they lack is the earliest.
-fn outdated_engines(view: &View) -> Vec<(Arc<Target>, DesiredWeights)> {
+/// Returns the engines whose entry shows older weights than declared, with the weights to load. Engines whose
+/// weights have been replaced for the longest time come first.
+fn outdated_engines(view: &View, now: Monotonic) -> Vec<(Arc<Target>, DesiredWeights)> {
     let mut found = Vec::new();
     for target in view.targets.values().flatten() {
         let outdated = target.models.iter().find_map(|(model, version)| {
             let history = view.weights.get(model)?;
-            (*version < history.newest()).then(|| DesiredWeights {
+            let weights = DesiredWeights {
                 model: model.clone(),
                 version: history.newest(),
-            })
+            };
+            let replaced_for = match history.replacement(*version, now) {
+                Replacement::Current => return None,
+                Replacement::Since(age) => age,
+                Replacement::SinceUnknown => Duration::MAX,
+            };
+            Some((replaced_for, weights))
         });
-        found.extend(outdated.map(|weights| (target.clone(), weights)));
+        found.extend(outdated.map(|(replaced_for, weights)| (replaced_for, target.clone(), weights)));
     }
-    found.sort_by_cached_key(|(target, weights)| {
-        let loaded = target.weights_of(&weights.model);
-        (loaded, target.instance.clone())
-    });
+    found.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
     found
+        .into_iter()
+        .map(|(_, target, weights)| (target, weights))
+        .collect()
 }
 
 fn engine_count(view: &View) -> usize {
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -171,6 +171,23 @@
     assert_eq!(started, ["y/1".into()]);
 }
 
+#[test]
+fn the_engine_with_the_earliest_deadline_is_loaded_first_whatever_its_model() {
+    // Versions of different models can't be compared.
+    let mut late = target("late", 1);
+    late.models = vec![("n".into(), 7)];
+    let mut view = view(&[target("early", 1), late]);
+    view.weights.insert(
+        "n".into(),
+        WeightsHistory::new(8, Some(DeclaredAge::new(ms(5_000), ms(0)))),
+    );
+    let actions = Rollout::default().next(&view, &[], ms(1_000));
+    let RolloutAction::Start(slot) = &actions[0] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((slot.target.clone(), actions.len()), ("late/1".into(), 1));
+}
+
 #[test]
 fn orders_without_an_answer_do_not_keep_other_engines_from_loading() {
     // An order may be carried out many seconds later; until then its engine serves as before.
