Move the rows on crashes into a module and name their detection plainly

cached_state.rs had grown to 562 lines; the crash and success rows, their retention and the detection of suspect parts are crash_rows.rs now (170 lines; 430 stay). judge and Judgement are find_suspect_parts and SuspectParts. Five comments name their subject. No behaviour changes; 167 tests of gateway, platform and errors pass.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -1,24 +1,19 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::Report;
 use utils::{ModelId, Monotonic};
 
+use crate::crash_rows::{CRASH_PREFIX, CrashRows, SOUND_PREFIX};
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
-use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint, PART_RETENTION};
 use crate::rows::{Rows, TableUpdate};
-use crate::suspects::{CrashEvidence, CrashRecord, Judgement, PartFingerprint, judge};
 use crate::view::{HostEntry, View};
 use crate::weights_history::{DeclaredAge, DeclaredTimes, WeightsHistory};
 use crate::{Declared, Target};
 
 /// Prefix of the keys under which entry hosts register themselves.
 pub(crate) const HOST_PREFIX: &str = "host/";
-/// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/NUMBER` records one crash observed by a host.
-pub(crate) const CRASH_PREFIX: &str = "crash/";
-/// Prefix of the keys under which hosts record that a suspected prompt part has succeeded.
-pub(crate) const SOUND_PREFIX: &str = "sound/";
 /// Prefix of the keys under which the ages of a model's declared weights are kept.
 pub(crate) const DECLARED_TIMES_PREFIX: &str = "weights/";
 
@@ -40,36 +35,6 @@
     Down,
 }
 
-/// A row on a request that was in flight at a crash.
-struct CrashRow {
-    /// The request.
-    fingerprint: Fingerprint,
-    /// Time at which this host received the row.
-    received_at: Monotonic,
-    /// Version of the row.
-    version: u64,
-    /// What the reporting host knows of the request's parts; `None` from a host of an older version.
-    evidence: Option<CrashEvidence>,
-}
-
-/// A row on a prompt part that succeeded while it was suspected.
-struct SoundRow {
-    /// Version of the row.
-    version: u64,
-    /// Time at which this host received the row.
-    received_at: Monotonic,
-}
-
-/// Whether a key of the shared table concerns crashes of targets.
-pub(crate) fn is_on_crash(key: &str) -> bool {
-    key.starts_with(CRASH_PREFIX) || key.starts_with(SOUND_PREFIX)
-}
-
-/// Returns the key of the row that states that a part has succeeded.
-pub(crate) fn sound_key(part: &PartFingerprint) -> String {
-    format!("{SOUND_PREFIX}{}", part.text())
-}
-
 /// The host's cached state: declarations, targets and other hosts. A state machine without I/O.
 ///
 /// Versions only increase: a row older than the cached one is ignored, so a late or stale answer can't undo
@@ -101,14 +66,8 @@
     unconfirmed: BTreeMap<String, Arc<Target>>,
     /// Registered entry hosts by name.
     hosts: BTreeMap<String, HostEntry>,
-    /// Crashes by key.
-    crashes: BTreeMap<String, CrashRow>,
-    /// Parts that succeeded while they were suspected.
-    sound_parts: BTreeMap<PartFingerprint, SoundRow>,
-    /// Parts that are quarantined or suspected.
-    judgement: Judgement,
-    /// Whether the rows behind the judgement have changed since it was made.
-    is_judgement_stale: bool,
+    /// Rows on crashes of targets.
+    crashes: CrashRows,
     /// Whether the declared table was read in full before the current update. Only versions received after
     /// that have a known age.
     was_declared_read: bool,
@@ -132,10 +91,7 @@
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             hosts: BTreeMap::new(),
-            crashes: BTreeMap::new(),
-            sound_parts: BTreeMap::new(),
-            judgement: Judgement::default(),
-            is_judgement_stale: false,
+            crashes: CrashRows::default(),
             was_declared_read: false,
             is_changed: false,
         }
@@ -290,23 +246,12 @@
     /// Returns the keys of crashes past their retention time, which is longer for those that support the
     /// quarantine of a part.
     pub fn expired_crashes(&self, now: Monotonic) -> Vec<String> {
-        let retention = |row: &CrashRow| match self.supports_quarantine(row) {
-            true => PART_RETENTION,
-            false => CRASH_RETENTION,
-        };
-        let crashes = self.crashes.iter();
-        let expired = crashes.filter(|(_, row)| now >= row.received_at + retention(row));
-        expired.map(|(key, _)| key.clone()).collect()
+        self.crashes.expired(now)
     }
 
-    /// Returns the keys of rows on parts that have succeeded, past their retention time. They are kept as long
-    /// as any crash that they refute.
+    /// Returns the keys of rows on parts that have succeeded, past their retention time.
     pub fn expired_sound_parts(&self, now: Monotonic) -> Vec<String> {
-        let expired = self
-            .sound_parts
-            .iter()
-            .filter(|(_, row)| now >= row.received_at + PART_RETENTION);
-        expired.map(|(part, _)| sound_key(part)).collect()
+        self.crashes.expired_sound_parts(now)
     }
 
     /// Removes targets still unconfirmed when the grace period after an outage ends, and purges expired
@@ -333,9 +278,6 @@
         if !std::mem::take(&mut self.is_changed) {
             return None;
         }
-        if std::mem::take(&mut self.is_judgement_stale) {
-            self.judgement = self.judge_parts();
-        }
         let mut targets: HashMap<_, Vec<_>> = HashMap::new();
         for target in self.targets.values().chain(self.unconfirmed.values()) {
             if !target.is_leaving {
@@ -351,8 +293,8 @@
             targets,
             weights: self.weights.clone(),
             hosts: hosts.collect(),
-            quarantined: self.quarantined(),
-            parts: self.judgement.clone(),
+            quarantined: self.crashes.quarantined(),
+            parts: self.crashes.suspect_parts(),
             has_read_targets: self.complete_version(Table::Targets).is_some(),
         })
     }
@@ -456,57 +398,14 @@
             self.apply_declared_times(&model, now);
         }
         if let Some(text) = record.key.strip_prefix(CRASH_PREFIX) {
-            self.apply_crash(text, record, now)?;
+            self.crashes.apply_crash(text, record, now)?;
         }
         if let Some(text) = record.key.strip_prefix(SOUND_PREFIX) {
-            let part = PartFingerprint::parse(text).ok_or(UnusableRecord)?;
-            self.apply_sound_part(part, record, now);
+            self.crashes.apply_sound_part(text, record, now)?;
         }
         Ok(())
     }
 
-    /// Applies a row on a crash. A row whose value can't be parsed still counts for the whole request.
-    fn apply_crash(
-        &mut self,
-        text: &str,
-        record: &Record,
-        now: Monotonic,
-    ) -> Result<(), Report<UnusableRecord>> {
-        let text = text.split('/').next().unwrap_or_default();
-        let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
-        self.is_judgement_stale = true;
-        let Some(value) = &record.value else {
-            self.crashes.remove(&record.key);
-            return Ok(());
-        };
-        let evidence = (!value.is_empty()).then(|| serde_json::from_slice(value));
-        let (evidence, error) = match evidence.transpose() {
-            Ok(evidence) => (evidence, None),
-            Err(e) => (None, Some(e)),
-        };
-        let row = CrashRow {
-            fingerprint,
-            received_at: now,
-            version: record.version,
-            evidence,
-        };
-        self.crashes.insert(record.key.clone(), row);
-        error.map_or(Ok(()), |e| Err(Report::new(e).change_context(UnusableRecord)))
-    }
-
-    fn apply_sound_part(&mut self, part: PartFingerprint, record: &Record, now: Monotonic) {
-        self.is_judgement_stale = true;
-        if record.value.is_some() {
-            let row = SoundRow {
-                version: record.version,
-                received_at: now,
-            };
-            self.sound_parts.insert(part, row);
-        } else {
-            self.sound_parts.remove(&part);
-        }
-    }
-
     /// Adds the recorded ages to a model's history. Versions that have not been declared to this host yet
     /// are left out.
     fn apply_declared_times(&mut self, model: &ModelId, now: Monotonic) {
@@ -524,36 +423,6 @@
         }
         self.is_changed = true;
     }
-
-    /// Returns the requests that were running in enough crashes, counted over all hosts.
-    fn quarantined(&self) -> HashSet<Fingerprint> {
-        let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
-        for row in self.crashes.values() {
-            *counts.entry(row.fingerprint).or_default() += 1;
-        }
-        counts.retain(|_, count| *count >= CRASHES_TO_QUARANTINE);
-        counts.into_keys().collect()
-    }
-
-    /// Finds the parts that crash targets, from the crashes that all hosts have seen.
-    fn judge_parts(&self) -> Judgement {
-        let records = self.crashes.values().filter_map(|row| {
-            Some(CrashRecord {
-                version: row.version,
-                fingerprint: row.fingerprint,
-                evidence: row.evidence.as_ref()?,
-            })
-        });
-        let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.version));
-        judge(records, &sound.collect())
-    }
-
-    /// Whether a crash is evidence for the quarantine of a part.
-    fn supports_quarantine(&self, row: &CrashRow) -> bool {
-        let parts = row.evidence.iter().flat_map(|evidence| &evidence.parts);
-        let mut parts = parts.map(|suspect| &suspect.part);
-        parts.any(|part| self.judgement.quarantined.contains_key(part))
-    }
 }
 
 /// Returns a duration in whole milliseconds.
--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -9,7 +9,7 @@
 
 use super::Control;
 use super::register::{WRITE_RETRY_DELAY, shared_write};
-use crate::cached_state::{CRASH_PREFIX, sound_key};
+use crate::crash_rows::{CRASH_PREFIX, sound_key};
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, RecordWritten, Table};
 use crate::probe::{Probe, probe};
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 
 use super::{Control, TICK_INTERVAL, relays};
 use crate::UpdateSource;
-use crate::cached_state::is_on_crash;
+use crate::crash_rows::is_on_crash;
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::GaugeValues;
--- /dev/null
+++ b/components/gateway/src/crash_rows.rs
@@ -0,0 +1,170 @@
+//! The rows of the shared table on crashes of targets.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use error_stack::Report;
+use utils::Monotonic;
+
+use crate::ports::{Record, UnusableRecord};
+use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint, PART_RETENTION};
+use crate::suspects::{CrashEvidence, CrashRecord, PartFingerprint, SuspectParts, find_suspect_parts};
+
+/// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/NUMBER` records one crash observed by a host.
+pub(crate) const CRASH_PREFIX: &str = "crash/";
+/// Prefix of the keys under which hosts record that a suspected prompt part has succeeded.
+pub(crate) const SOUND_PREFIX: &str = "sound/";
+
+/// Whether a key of the shared table concerns crashes of targets.
+pub(crate) fn is_on_crash(key: &str) -> bool {
+    key.starts_with(CRASH_PREFIX) || key.starts_with(SOUND_PREFIX)
+}
+
+/// Returns the key of the row that states that a part has succeeded.
+pub(crate) fn sound_key(part: &PartFingerprint) -> String {
+    format!("{SOUND_PREFIX}{}", part.text())
+}
+
+/// A row on a request that was in flight at a crash.
+struct CrashRow {
+    /// The request.
+    fingerprint: Fingerprint,
+    /// Time at which this host received the row.
+    received_at: Monotonic,
+    /// Version of the row.
+    version: u64,
+    /// Suspect parts of the request; `None` from a host of an older version.
+    evidence: Option<CrashEvidence>,
+}
+
+/// A row on a prompt part that succeeded while it was suspected.
+struct SoundRow {
+    /// Version of the row.
+    version: u64,
+    /// Time at which this host received the row.
+    received_at: Monotonic,
+}
+
+/// Crashes of targets that any host has reported, and the requests and prompt parts that are quarantined for them.
+#[derive(Default)]
+pub(crate) struct CrashRows {
+    /// Crashes by key.
+    crashes: BTreeMap<String, CrashRow>,
+    /// Parts that succeeded while they were suspected.
+    sound_parts: BTreeMap<PartFingerprint, SoundRow>,
+    /// Parts that are quarantined or suspected.
+    suspects: SuspectParts,
+    /// Whether rows have changed since `suspects` was computed.
+    is_stale: bool,
+}
+
+impl CrashRows {
+    /// Applies a row on a crash; `text` is its key without the prefix. A row whose value can't be parsed still
+    /// counts for the whole request.
+    pub(crate) fn apply_crash(
+        &mut self,
+        text: &str,
+        record: &Record,
+        now: Monotonic,
+    ) -> Result<(), Report<UnusableRecord>> {
+        let text = text.split('/').next().unwrap_or_default();
+        let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
+        self.is_stale = true;
+        let Some(value) = &record.value else {
+            self.crashes.remove(&record.key);
+            return Ok(());
+        };
+        let evidence = (!value.is_empty()).then(|| serde_json::from_slice(value));
+        let (evidence, error) = match evidence.transpose() {
+            Ok(evidence) => (evidence, None),
+            Err(e) => (None, Some(e)),
+        };
+        let row = CrashRow {
+            fingerprint,
+            received_at: now,
+            version: record.version,
+            evidence,
+        };
+        self.crashes.insert(record.key.clone(), row);
+        error.map_or(Ok(()), |e| Err(Report::new(e).change_context(UnusableRecord)))
+    }
+
+    /// Applies a row on a part that has succeeded; `text` is its key without the prefix.
+    pub(crate) fn apply_sound_part(
+        &mut self,
+        text: &str,
+        record: &Record,
+        now: Monotonic,
+    ) -> Result<(), Report<UnusableRecord>> {
+        let part = PartFingerprint::parse(text).ok_or(UnusableRecord)?;
+        self.is_stale = true;
+        if record.value.is_some() {
+            let row = SoundRow {
+                version: record.version,
+                received_at: now,
+            };
+            self.sound_parts.insert(part, row);
+        } else {
+            self.sound_parts.remove(&part);
+        }
+        Ok(())
+    }
+
+    /// Returns the keys of crashes past their retention time, which is longer for those that support the
+    /// quarantine of a part.
+    pub(crate) fn expired(&self, now: Monotonic) -> Vec<String> {
+        let retention = |row: &CrashRow| match self.supports_quarantine(row) {
+            true => PART_RETENTION,
+            false => CRASH_RETENTION,
+        };
+        let crashes = self.crashes.iter();
+        let expired = crashes.filter(|(_, row)| now >= row.received_at + retention(row));
+        expired.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Returns the keys of rows on parts that have succeeded, past their retention time. They are kept as long
+    /// as any crash that they refute.
+    pub(crate) fn expired_sound_parts(&self, now: Monotonic) -> Vec<String> {
+        let expired = self
+            .sound_parts
+            .iter()
+            .filter(|(_, row)| now >= row.received_at + PART_RETENTION);
+        expired.map(|(part, _)| sound_key(part)).collect()
+    }
+
+    /// Returns the requests that were running in enough crashes, counted over all hosts.
+    pub(crate) fn quarantined(&self) -> HashSet<Fingerprint> {
+        let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
+        for row in self.crashes.values() {
+            *counts.entry(row.fingerprint).or_default() += 1;
+        }
+        counts.retain(|_, count| *count >= CRASHES_TO_QUARANTINE);
+        counts.into_keys().collect()
+    }
+
+    /// Returns the quarantined and the suspected parts.
+    pub(crate) fn suspect_parts(&mut self) -> SuspectParts {
+        if std::mem::take(&mut self.is_stale) {
+            self.suspects = self.find_suspect_parts();
+        }
+        self.suspects.clone()
+    }
+
+    fn find_suspect_parts(&self) -> SuspectParts {
+        let records = self.crashes.values().filter_map(|row| {
+            Some(CrashRecord {
+                version: row.version,
+                fingerprint: row.fingerprint,
+                evidence: row.evidence.as_ref()?,
+            })
+        });
+        let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.version));
+        find_suspect_parts(records, &sound.collect())
+    }
+
+    /// Whether a crash is evidence for the quarantine of a part.
+    fn supports_quarantine(&self, row: &CrashRow) -> bool {
+        let parts = row.evidence.iter().flat_map(|evidence| &evidence.parts);
+        let mut parts = parts.map(|suspect| &suspect.part);
+        parts.any(|part| self.suspects.quarantined.contains_key(part))
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod cached_state;
 mod call;
 mod control;
+mod crash_rows;
 mod daemon;
 mod declared;
 mod error;
@@ -55,8 +56,8 @@
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
 pub use suspects::{
-    AnswerStage, CrashEvidence, CrashRecord, Judgement, PartEvidence, PartFingerprint, PartSuccesses,
-    SuspectPart, judge,
+    AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSuccesses, SuspectPart,
+    SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
 pub use traffic::{EventSplitter, Progress};
--- a/components/gateway/src/probe.rs
+++ b/components/gateway/src/probe.rs
@@ -11,9 +11,9 @@
 /// Result of an attempt to connect to a target or host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Probe {
-    /// It accepts connections.
+    /// The address accepts connections.
     Accepts,
-    /// Its machine answers, but no process listens.
+    /// The machine answers, but no process listens.
     Refuses,
     /// Nothing answers in time.
     Silent,
--- a/components/gateway/src/suspects/judgement.rs
+++ b/components/gateway/src/suspects/detection.rs
@@ -59,7 +59,7 @@
 
 /// Prompt parts that may crash targets.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Judgement {
+pub struct SuspectParts {
     /// Parts that must not run any more.
     pub quarantined: HashMap<PartFingerprint, PartEvidence>,
     /// Parts with some evidence, including those in quarantine.
@@ -75,12 +75,12 @@
 /// The part with the most evidence is taken to have caused all crashes at which it was in flight. Their records
 /// are removed before the next part is looked for, so that a part does not become a suspect only because it
 /// occurs beside the one that crashes targets.
-pub fn judge<'a>(
+pub fn find_suspect_parts<'a>(
     records: impl IntoIterator<Item = CrashRecord<'a>>,
     sound: &HashMap<PartFingerprint, u64>,
-) -> Judgement {
+) -> SuspectParts {
     let mut by_part = records_by_part(records, sound);
-    let mut judgement = Judgement::default();
+    let mut suspects = SuspectParts::default();
     while let Some(part) = strongest(&by_part, sound) {
         let explained: HashSet<TargetId> = by_part[&part].iter().map(|r| r.evidence.run.clone()).collect();
         let requests: HashSet<Fingerprint> = by_part[&part].iter().map(|r| r.fingerprint).collect();
@@ -88,8 +88,8 @@
             crashes: explained.len(),
             requests: requests.len(),
         };
-        judgement.quarantined.insert(part, evidence);
-        judgement.suspected.insert(part);
+        suspects.quarantined.insert(part, evidence);
+        suspects.suspected.insert(part);
         for records in by_part.values_mut() {
             records.retain(|record| !explained.contains(&record.evidence.run));
         }
@@ -97,8 +97,8 @@
     let suspected = by_part
         .iter()
         .filter(|(_, records)| count_points(records) >= POINTS_TO_SUSPECT);
-    judgement.suspected.extend(suspected.map(|(part, _)| *part));
-    judgement
+    suspects.suspected.extend(suspected.map(|(part, _)| *part));
+    suspects
 }
 
 /// Sorts the records by part, those with the most points first.
--- a/components/gateway/src/suspects/mod.rs
+++ b/components/gateway/src/suspects/mod.rs
@@ -1,10 +1,10 @@
 //! Finds the prompt part that crashes targets, from the requests that were in flight at the crashes of all
 //! hosts.
 
+mod detection;
 mod evidence;
-mod judgement;
 mod successes;
 
+pub use detection::{CrashRecord, PartEvidence, SuspectParts, find_suspect_parts};
 pub use evidence::{AnswerStage, CrashEvidence, PartFingerprint, SuspectPart};
-pub use judgement::{CrashRecord, Judgement, PartEvidence, judge};
 pub use successes::PartSuccesses;
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -206,7 +206,7 @@
     if !cx.view.load().contains(&target) {
         return AttemptResult::NotSent;
     }
-    // Its weights may have been replaced too long ago by now.
+    // The weights of the target may have been replaced too long ago by now.
     if stream_wait_left(cx, call, placed.weights).is_some_and(|left| left.is_zero()) {
         return AttemptResult::NotSent;
     }
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -6,7 +6,7 @@
 use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
 
 use crate::quarantine::Fingerprint;
-use crate::suspects::{Judgement, PartFingerprint};
+use crate::suspects::{PartFingerprint, SuspectParts};
 use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{Declared, Target};
 
@@ -64,7 +64,7 @@
     /// Fingerprints of quarantined requests.
     pub quarantined: HashSet<Fingerprint>,
     /// Prompt parts that are quarantined or suspected.
-    pub parts: Judgement,
+    pub parts: SuspectParts,
     /// Whether the targets have been read in full.
     pub has_read_targets: bool,
 }
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -74,9 +74,9 @@
 }
 
 /// Rolls out the declared weights to the engines, a limited number at a time, not counting engines that go on
-/// serving after an order without an answer. A state machine without I/O: it
-/// compares the engines' reports with the declared weights and repeats orders. A lost or late order is
-/// harmless, because each order carries the number of orders that the engine must have accepted before it.
+/// serving after an order without an answer. A state machine without I/O: it compares the engines' reports with
+/// the declared weights and repeats orders. A lost or late order is harmless, because each order carries the
+/// number of orders that the engine must have accepted before it.
 #[derive(Debug, Default)]
 pub struct Rollout {
     /// Engines with a load in progress.
@@ -158,6 +158,8 @@
         actions
     }
 
+    /// Whether an engine with a load slot may be loading. An engine without progress was ordered by the lease
+    /// holder before this one.
     fn may_be_loading(&self, target: &TargetId) -> bool {
         self.progress.get(target).is_none_or(Progress::may_be_loading)
     }
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -6,8 +6,8 @@
 
 use gateway::ports::{Record, Table};
 use gateway::{
-    AnswerStage, CachedState, CrashEvidence, Fingerprint, Judgement, PartFingerprint, PartSuccesses,
-    SuspectPart, UpdateSource,
+    AnswerStage, CachedState, CrashEvidence, Fingerprint, PartFingerprint, PartSuccesses, SuspectPart,
+    SuspectParts, UpdateSource,
 };
 use support::{decode, ms, removed, row, snapshot};
 
@@ -38,7 +38,7 @@
 struct Rows {
     state: CachedState,
     version: u64,
-    judgement: Judgement,
+    suspects: SuspectParts,
 }
 
 impl Rows {
@@ -46,7 +46,7 @@
         Self {
             state: CachedState::new(decode(), Duration::from_secs(2)),
             version: 0,
-            judgement: Judgement::default(),
+            suspects: SuspectParts::default(),
         }
     }
 
@@ -87,16 +87,16 @@
         self.write(&format!("sound/{}", part(id).text()), "");
     }
 
-    /// Returns the judgement in the last published view.
-    fn judge(&mut self) -> Judgement {
+    /// Returns the suspects in the last published view.
+    fn suspects(&mut self) -> SuspectParts {
         if let Some(view) = self.state.publish() {
-            self.judgement = view.parts;
+            self.suspects = view.parts;
         }
-        self.judgement.clone()
+        self.suspects.clone()
     }
 
     fn quarantined(&mut self) -> Vec<PartFingerprint> {
-        self.judge().quarantined.into_keys().collect()
+        self.suspects().quarantined.into_keys().collect()
     }
 }
 
@@ -114,16 +114,16 @@
     let mut rows = Rows::new();
     let parts = [known("common"), new("bad"), new("one")];
     rows.crash("a", "r1", "t1", AnswerStage::Head, 0, &parts);
-    let judgement = rows.judge();
-    assert!(judgement.quarantined.is_empty());
-    assert!(judgement.suspected.contains(&part("bad")));
+    let suspects = rows.suspects();
+    assert!(suspects.quarantined.is_empty());
+    assert!(suspects.suspected.contains(&part("bad")));
     let parts = [known("common"), new("bad"), new("two")];
     rows.crash("b", "r2", "t2", AnswerStage::Head, APART, &parts);
-    let judgement = rows.judge();
-    let evidence = judgement.quarantined[&part("bad")];
+    let suspects = rows.suspects();
+    let evidence = suspects.quarantined[&part("bad")];
     assert_eq!((evidence.crashes, evidence.requests), (2, 2));
-    assert_eq!(judgement.quarantined.len(), 1);
-    assert_eq!(judgement.suspected.len(), 1);
+    assert_eq!(suspects.quarantined.len(), 1);
+    assert_eq!(suspects.suspected.len(), 1);
 }
 
 // Guards against refusals of sound requests whose parts occur beside the crashing one at every crash.
@@ -279,7 +279,7 @@
     (0..2).for_each(|n| crash(&mut rows, n));
     assert_eq!(rows.quarantined(), [part("x")]);
     rows.success("x");
-    assert_eq!(rows.judge(), Judgement::default());
+    assert_eq!(rows.suspects(), SuspectParts::default());
     (2..5).for_each(|n| crash(&mut rows, n));
     assert!(rows.quarantined().is_empty(), "the part has succeeded before");
     crash(&mut rows, 5);
@@ -296,7 +296,7 @@
         }
         let view = rows.state.publish().unwrap();
         assert!(view.quarantined.contains(&fingerprint("r1")), "{value}");
-        assert_eq!(view.parts, Judgement::default());
+        assert_eq!(view.parts, SuspectParts::default());
     }
 }
 
