Show that a target's own 503 is passed on as a promise though the call has run

Cause: only Not-Executed and 421 count as not run, but any status of an answer reaches the caller, also 503 and 429, which promise that the call has not run.

Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod holders;
 mod platform;
 mod servers;
+mod status;
 mod wire;
 
 use std::path::{Path, PathBuf};
@@ -44,6 +45,7 @@
         platform::stop("not finished after 100 s");
     });
     let broken = match name.as_str() {
+        "status" => status::run(&case),
         "holders" => holders::run(&case),
         _ => platform::stop("no such case"),
     };
