Show that bytes of no answer reach the caller of the next call

Cause: on a kept connection an answer without an id is taken for the answer to the call, and a success need not bear the target's signature.

Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! `standins CASE FOLDER` runs a case from the root of the repository and writes `FOLDER/record.txt`. It ends with 1 if
 //! the rule was broken, with 0 if it held, and with 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod extra;
 mod holders;
 mod platform;
 mod servers;
@@ -46,6 +47,7 @@
     });
     let broken = match name.as_str() {
         "status" => status::run(&case),
+        "extra" => extra::run(&case),
         "holders" => holders::run(&case),
         _ => platform::stop("no such case"),
     };
