Show that an isolated workspace named all shares cache with the others

Cause: the salt of kept cache begins with the name of an isolated workspace, or with the word all for the others.

Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod servers;
 mod status;
+mod wall;
 mod wire;
 
 use std::path::{Path, PathBuf};
@@ -46,6 +47,7 @@
         platform::stop("not finished after 100 s");
     });
     let broken = match name.as_str() {
+        "wall" => wall::run(&case),
         "status" => status::run(&case),
         "extra" => extra::run(&case),
         "holders" => holders::run(&case),
