Show that a host that drains accepts streams that it then cuts

Cause: in the drain a stream is accepted if 1.5 s and 20 ms for each output token fit into the rest of the grace; a loaded engine takes longer.

Change: case review/5 (rule LOST). Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! `standins CASE FOLDER` runs a case from the root of the repository and writes `FOLDER/record.txt`. It ends with 1 if
 //! the rule was broken, with 0 if it held, and with 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod drain;
 mod extra;
 mod holders;
 mod platform;
@@ -47,6 +48,7 @@
         platform::stop("not finished after 100 s");
     });
     let broken = match name.as_str() {
+        "drain" => drain::run(&case),
         "wall" => wall::run(&case),
         "status" => status::run(&case),
         "extra" => extra::run(&case),
