Show that a sound prompt part is refused for good beside one that crashes targets

Cause: after two crashes both parts of the prompts have the same evidence, and the smaller digest decides. What is refused never runs, so that nothing corrects the choice.

Nodes and servers of the scripts listen on loopback addresses of their own, as a port from the common range was taken once by another socket.

--- a/review/standins/extra.rs
+++ b/review/standins/extra.rs
@@ -8,7 +8,6 @@
 use crate::Case;
 use crate::platform::{Store, start_nodes};
 use crate::servers::{Runs, Server, plain_answer, serve};
-use crate::status::CONFIG;
 use crate::wire::{Caller, Ended};
 
 /// One answer in this many is followed by further bytes, at one server of two.
@@ -116,3 +115,9 @@
     }
     broken.lock().unwrap().clone()
 }
+
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"record","host":"h.example","prefix":"/record/","route_kind":"unsafe",
+"timeout_ms":1200,"target_latency_ms":120,"priority":2,"service":"desk","max_attempts":1,"anonymous_access":false}],
+"services":[{"name":"desk","health_check_path":"/health","connection_limit":110,"protocol":"h1","tls":false}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"parish","api_keys":["key-one"],"priority":1}]}"#;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,9 +6,9 @@
 mod drain;
 mod extra;
 mod holders;
+mod parts;
 mod platform;
 mod servers;
-mod status;
 mod wall;
 mod wire;
 
@@ -50,9 +50,9 @@
     let broken = match name.as_str() {
         "drain" => drain::run(&case),
         "wall" => wall::run(&case),
-        "status" => status::run(&case),
         "extra" => extra::run(&case),
         "holders" => holders::run(&case),
+        "parts" => parts::run(&case),
         _ => platform::stop("no such case"),
     };
     platform::end_processes();
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -131,6 +131,17 @@
         self.rows.1.notify_all();
     }
 
+    /// Removes a row, as the platform does with the entry of a server that is gone.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.0.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows
+            .insert((table.to_owned(), key.to_owned()), (None, version));
+        rows.changed();
+        self.rows.1.notify_all();
+    }
+
     /// Returns the content and the version of a row of the present era, and the era.
     pub fn row(&self, table: &str, key: &str) -> Option<(String, u64, u64)> {
         let rows = self.rows.0.lock().unwrap();
@@ -332,7 +343,7 @@
         store: SocketAddr,
     ) -> Self {
         let (callers, readiness) = (free_address(), free_address());
-        let port = free_address().port();
+        let port = 7_010;
         let seeds: String = seeds.iter().map(|seed| format!("  - \"{seed}\"\n")).collect();
         let text = format!(
             "node_name: \"{name}\"\nrole: \"entry\"\nmachine_class: \"frontend\"\nserves:\n  - \"frontend\"\n  - \"control_plane\"\n\
@@ -438,11 +449,14 @@
     });
 }
 
-/// Returns a loopback address that was free a moment ago.
+/// Number of addresses given out so far.
+static ADDRESSES: AtomicU8 = AtomicU8::new(0);
+
+/// Returns a loopback address that no other socket has, also none that connects to somewhere.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .unwrap_or_else(|e| stop(&e.to_string()))
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = ADDRESSES.fetch_add(1, Ordering::SeqCst);
+    SocketAddr::from(([127, 100 + number, high, low], 7_000))
 }
 
 /// Starts `count` nodes of one zone and waits until they are ready and know each other.
