Take requests late in the grace only if they will be answered in it

A call that was at its target when the grace ended got no byte of an answer, also one that may not be repeated.

Cause: the check was an estimate from constants (1.5 s and 20 ms a token), made once, when the head had arrived; a request whose body came later, or that was sent again inside the host, was not checked; and at the end of the grace everything was closed without an answer.

Change: before each send, a draining host past the first third of the grace asks whether the caller will have a final answer in it: by the deadline, or by twice the slowest recent runs of the service, learned from whole answers. An answer taken by what was learned must begin in time. Half a second before the end every request whose answer has not begun gets one (502, or 503 if it was not accepted).

Why it works: each path to a target asks the same question right before the send, and what is still waiting at the end is answered rather than closed.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -47,6 +47,12 @@
         "A caller's connection ended with an error.",
     );
 
+    pub const DRAIN_ENDING: Event = event(
+        1005,
+        "drain_ending",
+        "The drain ends; requests whose answers have not begun get a final answer.",
+    );
+
     pub const REFUSED: Event = event(
         2001,
         "request_refused",
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -16,8 +16,8 @@
 
 use crate::control::Control;
 use crate::ports::{Decode, EngineControl, Heads, KeptStores, RecordStore};
-use crate::traffic::{DrainSchedule, Traffic, crash_channels, serve};
-use crate::{GatewayError, HostSettings};
+use crate::traffic::{Traffic, crash_channels, serve};
+use crate::{DrainSchedule, GatewayError, HostSettings};
 
 /// Idle timeout of a caller's connection.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(16);
@@ -30,8 +30,8 @@
 const ACCEPT_SHARE: f64 = 0.33;
 /// Part of the shutdown grace reserved for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(250);
-/// Part of the shutdown grace reserved for closing connections.
-const CLOSE_RESERVE: Duration = Duration::from_millis(150);
+/// Part of the shutdown grace reserved for the last answers and for closing connections.
+const CLOSE_RESERVE: Duration = Duration::from_millis(250);
 /// Path of the metrics, served on the listener for readiness checks.
 const METRICS_PATH: &str = "/metrics";
 /// Interval between checks for open requests during a drain.
@@ -57,6 +57,8 @@
     traffic: Arc<Traffic>,
     /// Dropped to close callers' keep-alive connections after their open requests.
     stop_keep_alive: async_channel::Sender<()>,
+    /// Dropped to answer all requests whose answers have not begun.
+    give_last_answers: async_channel::Sender<()>,
     /// Dropped to stop the traffic thread once open requests are finished.
     stop_traffic: async_channel::Sender<()>,
     /// Dropped to stop the traffic thread without finishing open requests.
@@ -89,7 +91,8 @@
         let ports = ports(&control_ex);
         let (crash_tx, crash_rx) = crash_channels();
         let heads = ports.heads.clone();
-        let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crash_tx);
+        let (give_last_answers, last_answers) = shutdown_channel();
+        let traffic = Traffic::new(settings, clock, heads, traffic_ex, log, crash_tx, last_answers);
         let traffic = Arc::new(traffic);
         let control = Control::new(traffic.clone(), ports, incarnation, control_ex.clone());
         let (stop_keep_alive, keep_alive_stopped) = shutdown_channel();
@@ -114,6 +117,7 @@
         Ok(Self {
             traffic,
             stop_keep_alive,
+            give_last_answers,
             stop_traffic,
             abort_traffic,
             stop_control,
@@ -124,7 +128,7 @@
 
     /// Drains the host and joins its threads. Reports not ready and serves all requests until the balancer
     /// has noticed, then accepts only requests that can finish in time. Ends as soon as no request is open,
-    /// at the latest with the shutdown grace.
+    /// at the latest with the shutdown grace. Requests whose answers have not begun by then get a final answer.
     ///
     /// # Errors
     /// [`GatewayError::Panicked`] if a thread panicked.
@@ -136,13 +140,17 @@
         let started = traffic.now();
         let ends_at = started + grace.saturating_sub(EXIT_RESERVE);
         let limited_from = started + grace.mul_f64(ACCEPT_SHARE);
+        let answers_end = ends_at.saturating_sub(CLOSE_RESERVE);
         traffic.begin_drain(DrainSchedule {
             limited_from,
+            answers_end,
             ends_at,
         });
         std::thread::sleep(limited_from.saturating_sub(traffic.now()));
         drop(self.stop_keep_alive);
-        wait_until_idle(traffic, ends_at);
+        wait_until_idle(traffic, answers_end);
+        info!(log, "ending"; events::DRAIN_ENDING, "open" => traffic.in_flight.load(Ordering::Acquire));
+        drop(self.give_last_answers);
         drop(self.stop_traffic);
         while !self.traffic_thread.is_finished() && traffic.now() < ends_at {
             std::thread::sleep(DRAIN_POLL_INTERVAL);
@@ -156,10 +164,9 @@
     }
 }
 
-/// Waits until no request is open, at most until connections must be closed.
-fn wait_until_idle(traffic: &Traffic, ends_at: Monotonic) {
-    let last = ends_at.saturating_sub(CLOSE_RESERVE);
-    while traffic.now() < last && traffic.in_flight.load(Ordering::Acquire) > 0 {
+/// Waits until no request is open, at most until `end`.
+fn wait_until_idle(traffic: &Traffic, end: Monotonic) {
+    while traffic.now() < end && traffic.in_flight.load(Ordering::Acquire) > 0 {
         std::thread::sleep(DRAIN_POLL_INTERVAL);
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod declared;
 mod departed;
+mod drain;
 mod error;
 mod first_token;
 mod freshness;
@@ -46,6 +47,7 @@
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
     Workspace,
 };
+pub use drain::{DrainSchedule, RunBound, RunTimes};
 pub use error::GatewayError;
 pub use first_token::{Pace, TimeParts};
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -11,22 +11,24 @@
 
 use super::admit::{Admitted, admit};
 use super::refusal::Refusal;
-use super::request::Call;
+use super::request::{Call, output_tokens};
 use super::state::Traffic;
 use crate::CallFacts;
 use crate::declared::Route;
 use crate::quarantine::Fingerprint;
 use crate::suspects::PartFingerprint;
 
-/// Time to the first token at a loaded engine.
-const MAX_FIRST_TOKEN_TIME: Duration = Duration::from_millis(1_500);
-/// Time for each output token at a loaded engine.
-const MAX_TIME_PER_TOKEN: Duration = Duration::from_millis(20);
 /// `Retry-After` of a request that a draining host can not finish; another host takes it.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// `Retry-After` of a quarantined request. The request may not be the cause of the crashes.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Returns the refusal of a request that the host may not be able to answer before it ends.
+pub(crate) fn draining_refusal() -> Refusal {
+    Refusal::not_run(ProblemKind::NotServing, "this host is about to end")
+        .with_retry_after(DRAINING_RETRY_AFTER)
+}
+
 /// Returns the refusal of a request whose prompt holds a quarantined part.
 pub(crate) fn quarantined_part_refusal() -> Refusal {
     let detail = "targets that ran requests with a part of this prompt have crashed";
@@ -49,12 +51,12 @@
     } = admit(&view, &parts, &facts)?;
     let wait = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + wait;
-    if !cx.can_finish(deadline.min(started + max_run_time(&facts))) {
-        let refusal = Refusal::not_run(ProblemKind::NotServing, "this host is about to end");
-        return Err(refusal.with_retry_after(DRAINING_RETRY_AFTER));
+    let service = choose_service(&route);
+    let tokens = output_tokens(facts.prompt.as_ref(), &route);
+    if cx.begin_by(&service, tokens, deadline).is_none() {
+        return Err(draining_refusal());
     }
     let body = read_body(body, declared.limits.body_bytes, wait).await?;
-    let service = choose_service(&route);
     let workspace_name = workspace.as_ref().map_or("", |w| &w.name);
     let target_uri = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let fingerprint = Fingerprint::of(target_uri, workspace_name, &body);
@@ -88,15 +90,6 @@
     })
 }
 
-/// Returns the longest time that a request takes at a loaded engine, from its output tokens. Without a prompt
-/// the time is unlimited.
-fn max_run_time(facts: &CallFacts) -> Duration {
-    let tokens = facts.prompt.as_ref().map(|prompt| prompt.tokens_out);
-    tokens.map_or(Duration::MAX / 2, |tokens| {
-        MAX_FIRST_TOKEN_TIME + MAX_TIME_PER_TOKEN * tokens
-    })
-}
-
 async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
     let read = async { Some(read_limited(body, limit).await) };
     let timeout = async {
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -60,6 +60,8 @@
     TimedOut,
     /// The request waited at replaced weights until it could no longer begin there in time. It may have run.
     Withdrawn,
+    /// The host ends before the answer would be complete. The request may have run.
+    HostEnds,
     /// The head of an answer has arrived.
     Answered(Box<Answer>),
 }
@@ -95,6 +97,17 @@
     is_fresh: bool,
     /// Parts of the expected time to the first byte.
     expected: TimeParts,
+    /// Time from the send to the first byte of the answer.
+    first_byte: Option<Duration>,
+}
+
+/// Times of an answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnswerTimes {
+    /// Time from the send to the first byte.
+    pub first_byte: Duration,
+    /// Time since the first byte.
+    pub rest: Duration,
 }
 
 impl Exchange {
@@ -103,6 +116,7 @@
         let now = self.cx.now();
         let prefill_tokens = std::mem::take(&mut self.work.prefill_tokens);
         let elapsed = now.saturating_sub(self.sent_at);
+        self.first_byte = Some(elapsed);
         self.cx.telemetry.first_byte(elapsed);
         if (200..300).contains(&status) && !facts.is_not_run {
             let service = &self.target.service;
@@ -154,6 +168,13 @@
         }
     }
 
+    /// Returns the times of the answer so far; `None` before its first byte.
+    pub(crate) fn answer_times(&self) -> Option<AnswerTimes> {
+        let first_byte = self.first_byte?;
+        let rest = self.cx.now().saturating_sub(self.sent_at + first_byte);
+        Some(AnswerTimes { first_byte, rest })
+    }
+
     /// Returns the connection to the pool after the body was read to its end, unless the target closes it.
     pub(crate) fn finish(mut self, facts: &AnswerFacts) {
         let now = self.cx.now();
@@ -207,7 +228,7 @@
         AttemptResult::NotSent => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
         AttemptResult::Unknown(_) | AttemptResult::TimedOut => SendResult::NoAnswer,
-        AttemptResult::Withdrawn => SendResult::Withdrawn,
+        AttemptResult::Withdrawn | AttemptResult::HostEnds => SendResult::Withdrawn,
         AttemptResult::Answered(_) => SendResult::Answered,
     };
     cx.telemetry.sent(&call.id, &placed.target.instance, result);
@@ -235,6 +256,7 @@
         sent_at,
         is_fresh,
         expected: placed.choice.parts,
+        first_byte: None,
     };
     if !cx.may_send(&target) {
         return AttemptResult::NotSent;
@@ -243,6 +265,9 @@
     if stream_wait_left(cx, call, placed.weights).is_some_and(|left| left.is_zero()) {
         return AttemptResult::NotSent;
     }
+    let Some(begin_by) = cx.begin_by(&call.service, call.output_tokens(), call.deadline) else {
+        return AttemptResult::NotSent;
+    };
     let time_left = call.deadline.saturating_sub(cx.now());
     let Some(req) = request(cx, call, placed, time_left, resume_after) else {
         return AttemptResult::NotSent;
@@ -252,8 +277,11 @@
     };
     let answer = async { Ok(conn.sender.try_send_request(req).await) };
     let timeout = async {
-        smol::Timer::after(time_left).await;
-        Err(AttemptResult::TimedOut)
+        smol::Timer::after(begin_by.saturating_sub(cx.now())).await;
+        match begin_by < call.deadline {
+            true => Err(AttemptResult::HostEnds),
+            false => Err(AttemptResult::TimedOut),
+        }
     };
     let withdrawal = async {
         wait_for_weights_deadline(cx, call, placed.weights).await;
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -16,5 +16,5 @@
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub(crate) use pipeline::serve;
-pub(crate) use state::{DrainSchedule, Traffic};
+pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response};
 use utils::TargetId;
 
-use super::accept::{accept, quarantined_part_refusal};
+use super::accept::{accept, draining_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange, read_whole};
 use super::place::{Placed, PlacementError, place, session_for_weights};
@@ -62,13 +62,18 @@
     let open = OpenRequest::new(&cx);
     let id = cx.heads.read_call(req.headers());
     let request_id = id.id.clone().unwrap_or_default();
-    let mut res = match accept(&cx, req, id).await {
-        Ok(call) => send_until_answered(&cx, call, open).await,
-        Err(refusal) => {
-            log_refusal(&cx, &request_id, &refusal);
-            refusal.response(&request_id)
-        }
+    let accepted = cx.before_last_answers(accept(&cx, req, id)).await;
+    let answer = match accepted.unwrap_or_else(|| Err(draining_refusal())) {
+        Ok(call) => cx
+            .before_last_answers(send_until_answered(&cx, call, open))
+            .await
+            .ok_or_else(host_ended_refusal),
+        Err(refusal) => Err(refusal),
     };
+    let mut res = answer.unwrap_or_else(|refusal| {
+        log_refusal(&cx, &request_id, &refusal);
+        refusal.response(&request_id)
+    });
     if cx.is_draining() {
         res.headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -76,6 +81,12 @@
     res
 }
 
+/// Returns the refusal of a request whose answer has not begun when the host ends.
+fn host_ended_refusal() -> Refusal {
+    let detail = "this host ends before a target has answered";
+    Refusal::may_have_run(ProblemKind::OutcomeUnknown, detail)
+}
+
 /// The attempts to send a request so far.
 #[derive(Default)]
 pub(crate) struct Attempts {
@@ -94,8 +105,8 @@
 }
 
 impl Attempts {
-    /// Whether the quarantine, the route, the time left and, beyond the first send, the retry budget allow one
-    /// more send. Takes a retry from the budget.
+    /// Whether the quarantine, the route, the time left, a drain and, beyond the first send, the retry budget allow
+    /// one more send. Takes a retry from the budget.
     pub(crate) fn may_send(&self, cx: &Traffic, call: &Call) -> bool {
         if cx.view.load().has_quarantined(&call.shared_parts) {
             return false;
@@ -103,7 +114,11 @@
         let is_early = cx.now() + MIN_TIME_LEFT < call.deadline;
         let may_run = self.possible_runs == 0 || call.route.retry_safety.is_idempotent();
         let has_attempts = self.possible_runs < call.route.max_targets.max(1) && self.sends < MAX_SENDS;
-        let is_allowed = is_early && may_run && has_attempts && self.unreachable < MAX_UNREACHABLE;
+        let can_finish = cx
+            .begin_by(&call.service, call.output_tokens(), call.deadline)
+            .is_some();
+        let is_allowed =
+            is_early && may_run && has_attempts && can_finish && self.unreachable < MAX_UNREACHABLE;
         is_allowed && (self.sends == 0 || cx.take_retry(&call.service))
     }
 
@@ -115,6 +130,7 @@
             AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
             | AttemptResult::Withdrawn
+            | AttemptResult::HostEnds
             | AttemptResult::Answered(_) => {
                 self.sends += 1;
                 self.possible_runs += 1;
@@ -138,6 +154,10 @@
         if cx.view.load().has_quarantined(&call.shared_parts) {
             return quarantined_part_refusal();
         }
+        let begin_by = cx.begin_by(&call.service, call.output_tokens(), call.deadline);
+        if begin_by.is_none() {
+            return draining_refusal();
+        }
         match self.placement_error {
             Some(PlacementError::AllFull) => {
                 let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
@@ -198,6 +218,7 @@
                     &Refusal::may_have_run(ProblemKind::DeadlineUnreachable, "no answer in time"),
                 );
             }
+            AttemptResult::HostEnds => return refuse(cx, &call, &host_ended_refusal()),
             AttemptResult::Answered(answer) => match handle_answer(cx, &call, *answer, &mut attempts).await {
                 AnswerAction::Stream(answer) => return relay(cx.clone(), call, *answer, attempts, open),
                 AnswerAction::Whole(res) => return res,
@@ -252,6 +273,7 @@
         }
         return AnswerAction::Retry;
     };
+    let times = exchange.answer_times();
     exchange.finish(&facts);
     if parts.status.is_server_error() && call.route.retry_safety.is_idempotent() {
         attempts.failure = Some((parts, bytes));
@@ -260,6 +282,9 @@
     if is_good {
         cx.routing().crashes.record_success(&call.fingerprint);
         record_success(cx, call);
+        if let Some(times) = times {
+            cx.record_run(&call.service, 0, times.first_byte + times.rest, Duration::ZERO);
+        }
     }
     cx.telemetry
         .answered(&call.id, &run, parts.status.as_u16(), 0, attempts.sends);
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -142,6 +142,14 @@
     fn end(&mut self) -> Option<Result<Bytes, HttpError>> {
         let source = self.source.take()?;
         let run = source.exchange.target.run.clone();
+        if let (Some(times), Some(tokens), 1) = (
+            source.exchange.answer_times(),
+            self.call.output_tokens(),
+            self.attempts.possible_runs,
+        ) {
+            self.cx
+                .record_run(&self.call.service, tokens, times.first_byte, times.rest);
+        }
         source.exchange.finish(&source.facts);
         self.cx.routing().crashes.record_success(&self.call.fingerprint);
         let events = self.splitter.progress().events;
@@ -197,7 +205,7 @@
                 AttemptResult::Unknown(broken) => {
                     record_crash(&self.cx, &self.call, &placed.target, broken);
                 }
-                AttemptResult::TimedOut => return false,
+                AttemptResult::TimedOut | AttemptResult::HostEnds => return false,
                 AttemptResult::Answered(answer) => {
                     // Anything but events would reach the caller in the middle of the stream.
                     if !answer.parts.status.is_success() || !may_have_events(&answer.parts.headers) {
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -47,6 +47,11 @@
 }
 
 impl Call {
+    /// Returns the most output tokens; 0 for an answer that is not a stream, `None` for a stream of unknown length.
+    pub(crate) fn output_tokens(&self) -> Option<u32> {
+        output_tokens(self.prompt.as_ref(), &self.route)
+    }
+
     pub(crate) fn model(&self) -> Option<&ModelId> {
         self.prompt.as_ref().map(|prompt| &prompt.model)
     }
@@ -91,3 +96,12 @@
         Some(workspace.unwrap_or(self.route.priority).min(9))
     }
 }
+
+/// Returns the most output tokens of a request on a route; 0 for an answer that is not a stream, `None` for a stream
+/// of unknown length.
+pub(crate) fn output_tokens(prompt: Option<&PromptShape>, route: &Route) -> Option<u32> {
+    match prompt {
+        Some(prompt) => Some(prompt.tokens_out),
+        None => (!route.retry_safety.is_stream()).then_some(0),
+    }
+}
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -1,9 +1,11 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use http_io::Executor;
+use futures_lite::FutureExt;
+use http_io::{Executor, Shutdown};
 use slog::Logger;
 use utils::{Clock, Monotonic, ServiceId, TargetId};
 
@@ -16,7 +18,9 @@
 use crate::quarantine::Crashes;
 use crate::suspects::PartSuccesses;
 use crate::telemetry::Telemetry;
-use crate::{Announcements, HostSettings, Pace, RetryBudget, Sessions, Target, View};
+use crate::{
+    Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target, View,
+};
 
 /// Mutable routing state of the traffic thread.
 #[derive(Default)]
@@ -35,15 +39,8 @@
     pub announcements: Announcements,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
-}
-
-/// Times of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct DrainSchedule {
-    /// From this time on the host accepts only requests that it can finish.
-    pub limited_from: Monotonic,
-    /// Time at which the host ends.
-    pub ends_at: Monotonic,
+    /// Recent times of complete answers by service.
+    pub run_times: HashMap<ServiceId, RunTimes>,
 }
 
 /// State that the stages of a request share.
@@ -64,6 +61,8 @@
     pub telemetry: Telemetry,
     /// Set when a graceful shutdown starts.
     drain: OnceLock<DrainSchedule>,
+    /// Resolves when requests whose answers have not begun must be answered at once.
+    last_answers: Shutdown,
     /// Requests in flight.
     pub in_flight: AtomicUsize,
     /// Number of the last request.
@@ -84,6 +83,7 @@
         ex: Executor,
         log: Logger,
         crashes: CrashSenders,
+        last_answers: Shutdown,
     ) -> Self {
         Self {
             settings,
@@ -94,6 +94,7 @@
             telemetry: Telemetry::new(log.clone()),
             log,
             drain: OnceLock::new(),
+            last_answers,
             in_flight: AtomicUsize::new(0),
             last_call: AtomicU64::new(0),
             crashes,
@@ -120,10 +121,41 @@
         let _ = self.drain.set(drain);
     }
 
-    /// Whether a request that may last until `until` can still be accepted.
-    pub(crate) fn can_finish(&self, until: Monotonic) -> bool {
-        let drain = self.drain.get();
-        drain.is_none_or(|drain| self.now() < drain.limited_from || until < drain.ends_at)
+    /// Returns the time by which the answer must begin if the request is sent now; `None` if this host may end before
+    /// the request would be answered, so that it must not be sent. `tokens` is the most output tokens, if known.
+    pub(crate) fn begin_by(
+        &self,
+        service: &ServiceId,
+        tokens: Option<u32>,
+        deadline: Monotonic,
+    ) -> Option<Monotonic> {
+        let Some(drain) = self.drain.get() else {
+            return Some(deadline);
+        };
+        let now = self.now();
+        let bound = tokens.and_then(|tokens| {
+            let routing = self.routing();
+            routing.run_times.get(service)?.bound(tokens, now)
+        });
+        drain.begin_by(deadline, bound, now)
+    }
+
+    /// Records the times of a complete answer of up to `tokens` output tokens.
+    pub(crate) fn record_run(&self, service: &ServiceId, tokens: u32, first_byte: Duration, rest: Duration) {
+        let now = self.now();
+        let mut routing = self.routing();
+        let times = routing.run_times.entry(service.clone()).or_default();
+        times.record(first_byte, rest, tokens, now);
+    }
+
+    /// Runs `work` until the host gives its last answers; `None` if it has not ended by then.
+    pub(crate) async fn before_last_answers<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let ending = async {
+            // The sender is dropped when the drain ends.
+            let _ = self.last_answers.recv().await;
+            None
+        };
+        async { Some(work.await) }.or(ending).await
     }
 
     /// Whether the load balancer should send requests to this host.
