Name the last write in the condition of a write of the lease

Cause: a write of the lease expects a version of its row. A restored store gives out versions again, so the version can belong to a write of the next holder. The client refuses positions of earlier eras only once it has seen the later one, which a process that just woke, or a write that is still on its way, has not.

Change: each write of the lease also creates a row whose key no process creates twice, and removes the one of the write that it replaces; the transaction expects both. Rows of hosts of earlier versions have none and are taken over by version. Ruled out: the era in the key of the row (the next holder would not see who held it before, and hosts of both versions would hold two leases in a roll); the position built from a later era (entering an era forgets the row).

Why it works: the condition holds only while the expected write is still the last one, over any number of restores.

--- a/components/gateway/src/control/declared_times.rs
+++ b/components/gateway/src/control/declared_times.rs
@@ -58,6 +58,7 @@
         key,
         expect: position.into(),
         value: serde_json::to_vec(times).ok(),
+        identity: None,
     };
     if let Ok(RecordWritten::Applied(_)) = control.store.write(write).await {
         info!(control.traffic.log, "recorded when weights were declared"; events::WEIGHTS_TIME_RECORDED,
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -12,6 +12,7 @@
 use super::Control;
 use crate::ports::{
     Expected, Record, RecordWrite, RecordWritten, RunningRequests, StoreError, Table, WeightsOrder,
+    WriteIdentity,
 };
 use crate::weights::{Rollout, RolloutAction, RolloutInput, is_overdue};
 use crate::{DesiredWeights, Position, Target};
@@ -151,9 +152,11 @@
                 Ok(found) => LeaseInput::Read(found),
                 Err(_) => LeaseInput::ReadFailed,
             },
-            Some(LeaseEffect::Write { expect, row }) => {
-                LeaseInput::Written(self.write_row(expect, &row).await)
-            }
+            Some(LeaseEffect::Write {
+                expect,
+                replaced,
+                row,
+            }) => LeaseInput::Written(self.write_row(expect, replaced, &row).await),
         };
         let now = self.control.traffic.now();
         self.lease().step(input, now);
@@ -172,7 +175,7 @@
         Ok(records.find(|record| record.key == LEASE_KEY).and_then(row))
     }
 
-    async fn write_row(&self, expect: Expect, row: &LeaseRow) -> WriteOutcome {
+    async fn write_row(&self, expect: Expect, replaced: Option<String>, row: &LeaseRow) -> WriteOutcome {
         let write = RecordWrite {
             table: Table::Orders,
             key: LEASE_KEY.to_owned(),
@@ -181,6 +184,7 @@
                 Expect::Version(version) => Expected::At(Position::new(self.era(), version)),
             },
             value: serde_json::to_vec(row).ok(),
+            identity: row.identity().map(|new| WriteIdentity { replaced, new }),
         };
         match self.control.store.write(write).await {
             Ok(RecordWritten::Applied(position)) if position.era() > self.era() => {
--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -106,5 +106,6 @@
         key,
         expect: Expected::Any,
         value,
+        identity: None,
     }
 }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -95,6 +95,19 @@
     pub expect: Expected,
     /// New content; `None` removes the row.
     pub value: Option<Vec<u8>>,
+    /// Identities of the row's last write and of this one, for rows whose versions are not enough to tell writes apart.
+    pub identity: Option<WriteIdentity>,
+}
+
+/// Keys that each identify one write of a row. The key of the last write exists in the store; a write replaces it in
+/// the same transaction. A store that was restored from an older copy gives out versions again, but no process
+/// creates a key twice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WriteIdentity {
+    /// Key of the write that the row must have had last; `None` if that write has none.
+    pub replaced: Option<String>,
+    /// Key of this write.
+    pub new: String,
 }
 
 /// Result of a write.
--- a/components/membership/src/lease.rs
+++ b/components/membership/src/lease.rs
@@ -35,6 +35,39 @@
     pub write: u64,
     /// Weight loads that count against the limit, including those of earlier holders.
     pub loads: Vec<LoadSlot>,
+    /// Whether the write also created the row that [`LeaseRow::identity`] names. Hosts of earlier versions do not.
+    #[serde(default)]
+    pub is_identified: bool,
+}
+
+impl LeaseRow {
+    /// Returns the key of the row that exists exactly as long as this write is the last one of the lease's row; `None`
+    /// for a write of a host of an earlier version. No other write has the same key, also not after the table
+    /// service was restored from an older copy and gives out versions again.
+    ///
+    /// ```
+    /// use membership::LeaseRow;
+    ///
+    /// let row = LeaseRow {
+    ///     holder: "entry-1".into(),
+    ///     incarnation: 7,
+    ///     epoch: 1,
+    ///     write: 3,
+    ///     loads: Vec::new(),
+    ///     is_identified: true,
+    /// };
+    /// assert_eq!(row.identity().as_deref(), Some("7/3/entry-1"));
+    /// ```
+    pub fn identity(&self) -> Option<String> {
+        let Self {
+            holder,
+            incarnation,
+            write,
+            ..
+        } = self;
+        self.is_identified
+            .then(|| format!("{incarnation}/{write}/{holder}"))
+    }
 }
 
 /// Times and limits of the lease; must be the same at all hosts.
@@ -102,10 +135,12 @@
 pub enum LeaseEffect {
     /// Read the row.
     Read,
-    /// Write the row if it has the expected version.
+    /// Write the row if it has the expected version and its last write is the expected one.
     Write {
         /// Expected state of the row.
         expect: Expect,
+        /// Identity of the expected last write, if it has one.
+        replaced: Option<String>,
         /// New content of the row.
         row: LeaseRow,
     },
@@ -289,7 +324,11 @@
             row: row.clone(),
             answer_lost: false,
         });
-        LeaseEffect::Write { expect, row }
+        LeaseEffect::Write {
+            expect,
+            replaced: self.row().and_then(LeaseRow::identity),
+            row,
+        }
     }
 
     fn next_row(&self) -> LeaseRow {
@@ -312,6 +351,7 @@
             epoch,
             write: self.last_write,
             loads,
+            is_identified: true,
         }
     }
 
--- a/components/membership/tests/restored.rs
+++ b/components/membership/tests/restored.rs
@@ -38,7 +38,9 @@
         };
         let input = match effect {
             LeaseEffect::Read => LeaseInput::Read(row.clone()),
-            LeaseEffect::Write { expect, row: next } => {
+            LeaseEffect::Write {
+                expect, row: next, ..
+            } => {
                 let version = row.as_ref().map_or(0, |(_, version)| *version);
                 let is_expected = match expect {
                     Expect::Absent => row.is_none(),
--- a/components/membership/tests/rollout.rs
+++ b/components/membership/tests/rollout.rs
@@ -145,7 +145,7 @@
                     (row, version)
                 }))
             }
-            Some(LeaseEffect::Write { expect, row }) => {
+            Some(LeaseEffect::Write { expect, row, .. }) => {
                 let tx = LeaseEffect::transaction(expect, &row);
                 LeaseInput::Written(WriteOutcome::from(self.table.apply(&tx)))
             }
--- a/specs/src/orders.rs
+++ b/specs/src/orders.rs
@@ -259,7 +259,7 @@
                 world.hosts[h].lease.step(LeaseInput::Read(found), at);
             }
             Some(LeaseEffect::Write { row, .. }) if row.write > MAX_WRITES => return None,
-            Some(LeaseEffect::Write { expect, row }) => {
+            Some(LeaseEffect::Write { expect, row, .. }) => {
                 let asked_at = world.now;
                 host.call = Some(Call::Write(Write {
                     expect,
