Let a lease whose row is lost lapse before another host takes it

What engines could see: orders of two holders less than lease_ms apart, after the store came back from a copy that lacks the lease's row.

Cause: a missing row was taken for a lease that nobody ever held.

Change: where the store has been restored, a missing row lapses like any other, from when it was first read.

Evidence: a_lease_whose_row_is_lost_lapses_before_another_host_takes_it fails on the old code ("taken after 1 s"); three tests took the lease at once without asking for that, and now wait for it. The specification's tests pass.

--- a/components/membership/src/lease.rs
+++ b/components/membership/src/lease.rs
@@ -306,9 +306,11 @@
     }
 
     /// Returns whether the lease of the observed row has expired. The holder measures its length from before
-    /// the write, this host from after the write was observed, which is never earlier.
+    /// the write, this host from after the write was observed, which is never earlier. A restored table service may have
+    /// lost the row of a holder that does not know of the restore yet.
     fn has_lapsed(&self, observed: &ObservedRow, now: Monotonic) -> bool {
-        observed.row.is_none() || now >= observed.at + self.rules.length
+        let was_never_held = observed.row.is_none() && self.first_epoch == 0;
+        was_never_held || now >= observed.at + self.rules.length
     }
 
     fn write(&mut self, now: Monotonic) -> LeaseEffect {
--- a/components/membership/tests/restored.rs
+++ b/components/membership/tests/restored.rs
@@ -59,6 +59,14 @@
     }
 }
 
+/// Lets a host take the lease whose row the restored service does not have; returns the time at which it has it.
+fn take_without_row(lease: &mut OrderLease, row: &mut Row, now: Monotonic) -> Monotonic {
+    step(lease, row, now);
+    let taken = now + LeaseRules::default().length;
+    step(lease, row, taken);
+    taken
+}
+
 fn restore(lease: &mut OrderLease, now: Monotonic) {
     let restored = LeaseInput::Restored {
         first_epoch: NEXT_ERA,
@@ -78,12 +86,28 @@
     let before = epoch(&one, secs(1)).unwrap();
     row = None;
     restore(&mut other, secs(2));
-    step(&mut other, &mut row, secs(2));
+    take_without_row(&mut other, &mut row, secs(2));
     let (held, _) = row.unwrap();
     assert_eq!(&*held.holder, "other");
     assert!(held.epoch >= NEXT_ERA && held.epoch > before);
 }
 
+// Guards against a turn between two holders: the copy does not have the row of a holder that has not seen the restore.
+#[test]
+fn a_lease_whose_row_is_lost_lapses_before_another_host_takes_it() {
+    let (mut one, mut other, mut row) = (lease("one"), lease("other"), None);
+    step(&mut one, &mut row, secs(1));
+    row = None;
+    restore(&mut other, secs(1));
+    for at in [1, 3, 5, 7, 9, 10] {
+        step(&mut other, &mut row, secs(at));
+        assert!(!other.is_held(secs(at)), "taken after {at} s");
+    }
+    step(&mut other, &mut row, secs(11));
+    assert!(!one.is_held(secs(11)));
+    assert!(other.is_held(secs(11)));
+}
+
 // Guards against a holder of before the restore that goes on giving orders.
 #[test]
 fn a_lease_ends_with_the_restore() {
@@ -112,14 +136,13 @@
     let latency = LeaseRules::default().max_order_latency;
     let (mut one, mut row) = (lease("one"), None);
     restore(&mut one, secs(1));
-    step(&mut one, &mut row, secs(1));
-    assert_eq!(epoch(&one, secs(1) + latency - Duration::from_millis(1)), None);
+    let taken = take_without_row(&mut one, &mut row, secs(1));
+    assert_eq!(epoch(&one, taken + latency - Duration::from_millis(1)), None);
     assert!(
-        one.epoch_for(&TargetId::from("engine-1"), true, secs(1))
-            .is_some(),
+        one.epoch_for(&TargetId::from("engine-1"), true, taken).is_some(),
         "targets that check fencing tokens refuse older orders themselves"
     );
-    assert_eq!(epoch(&one, secs(1) + latency), Some(NEXT_ERA));
+    assert_eq!(epoch(&one, taken + latency), Some(NEXT_ERA));
 }
 
 // Guards against a wait at every change of holders: within an era the row has all loads.
@@ -129,16 +152,16 @@
     for lease in [&mut one, &mut other] {
         restore(lease, secs(1));
     }
-    step(&mut one, &mut row, secs(1));
+    let taken = take_without_row(&mut one, &mut row, secs(1));
     let slot = LoadSlot {
         target: "engine-2".into(),
         model: "m".into(),
         version: 2,
     };
-    one.step(LeaseInput::Start(slot), secs(1));
-    step(&mut one, &mut row, secs(1));
-    step(&mut other, &mut row, secs(2));
-    let lapsed = secs(2) + LeaseRules::default().length;
+    one.step(LeaseInput::Start(slot), taken);
+    step(&mut one, &mut row, taken);
+    step(&mut other, &mut row, taken);
+    let lapsed = taken + LeaseRules::default().length;
     step(&mut other, &mut row, lapsed);
     assert_eq!(epoch(&other, lapsed), Some(NEXT_ERA + 1));
     assert_eq!(other.epoch_for(&"engine-2".into(), false, lapsed), None);
