Refuse prompt parts that can't be told apart only together

Cause: both parts had been in flight at both crashes and none had succeeded; the smaller digest decided. All sound requests held the part that was chosen, so none ran that could clear it.

Change: if another part of the same prompts explains all the crashes as well, only prompts that hold the whole set of suspects of a crash are refused. Tried first: letting all such requests through; an existing test forbids that (two crashes with different requests quarantine the part that they share), and keeps doing so.

Why it works: what is refused is what has been seen to crash, and a request that differs from it in a suspect is let run and decides which part is the cause.

--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -180,13 +180,13 @@
     /// Logs the prompt parts that enter or leave the quarantine.
     fn log_quarantine(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
-        let (before, after) = (&before.parts.quarantined, &after.parts.quarantined);
-        for (part, evidence) in after.iter().filter(|(part, _)| !before.contains_key(part)) {
-            warn!(log, "prompt part quarantined"; events::PART_QUARANTINED, "part" => part.text(),
+        let (before, after) = (before.parts.quarantines(), after.parts.quarantines());
+        for (parts, evidence) in after.iter().filter(|(parts, _)| !before.contains_key(*parts)) {
+            warn!(log, "prompt parts quarantined"; events::PART_QUARANTINED, "parts" => parts,
                 "crashes" => evidence.crashes, "requests" => evidence.requests);
         }
-        for part in before.keys().filter(|part| !after.contains_key(part)) {
-            info!(log, "prompt part released"; events::PART_RELEASED, "part" => part.text());
+        for parts in before.keys().filter(|parts| !after.contains_key(*parts)) {
+            info!(log, "prompt parts released"; events::PART_RELEASED, "parts" => parts);
         }
     }
 
--- a/components/gateway/src/crash_rows.rs
+++ b/components/gateway/src/crash_rows.rs
@@ -113,7 +113,8 @@
     /// Returns the keys of crashes past their retention time, which is longer for those that support the
     /// quarantine of a part.
     pub(crate) fn expired(&self, now: Monotonic) -> Vec<String> {
-        let retention = |row: &CrashRow| match self.supports_quarantine(row) {
+        let quarantined = self.suspects.quarantined_parts();
+        let retention = |row: &CrashRow| match Self::supports_quarantine(row, &quarantined) {
             true => PART_RETENTION,
             false => CRASH_RETENTION,
         };
@@ -162,10 +163,9 @@
         find_suspect_parts(records, &sound.collect())
     }
 
-    /// Whether a crash is evidence for the quarantine of a part.
-    fn supports_quarantine(&self, row: &CrashRow) -> bool {
-        let parts = row.evidence.iter().flat_map(|evidence| &evidence.parts);
-        let mut parts = parts.map(|suspect| &suspect.part);
-        parts.any(|part| self.suspects.quarantined.contains_key(part))
+    /// Whether a crash is evidence for the quarantine of one of these parts.
+    fn supports_quarantine(row: &CrashRow, quarantined: &HashSet<PartFingerprint>) -> bool {
+        let mut parts = row.evidence.iter().flat_map(|evidence| &evidence.parts);
+        parts.any(|suspect| quarantined.contains(&suspect.part))
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -65,8 +65,8 @@
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
 pub use suspects::{
-    AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSuccesses, SuspectPart,
-    SuspectParts, find_suspect_parts,
+    AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
+    PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
 pub use traffic::{EventSplitter, Progress};
--- a/components/gateway/src/suspects/mod.rs
+++ b/components/gateway/src/suspects/mod.rs
@@ -4,7 +4,9 @@
 mod detection;
 mod evidence;
 mod successes;
+mod trials;
 
-pub use detection::{CrashRecord, PartEvidence, SuspectParts, find_suspect_parts};
+pub use detection::{CrashRecord, PartEvidence, PartSet, SuspectParts, find_suspect_parts};
 pub use evidence::{AnswerStage, CrashEvidence, PartFingerprint, SuspectPart};
 pub use successes::PartSuccesses;
+pub use trials::PartTrials;
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -68,7 +68,9 @@
         .prompt
         .as_ref()
         .map_or(Vec::new(), PartFingerprint::shared_parts);
-    if view.has_quarantined(&shared_parts) {
+    let is_quarantined = view.has_quarantined(&shared_parts);
+    let is_trial = is_quarantined && cx.take_part_trial(&shared_parts);
+    if is_quarantined && !is_trial {
         return Err(quarantined_part_refusal());
     }
     let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
@@ -87,6 +89,7 @@
         deadline,
         fingerprint,
         shared_parts,
+        is_trial,
     })
 }
 
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -108,7 +108,8 @@
     /// Whether the quarantine, the route, the time left, a drain and, beyond the first send, the retry budget allow
     /// one more send. Takes a retry from the budget.
     pub(crate) fn may_send(&self, cx: &Traffic, call: &Call) -> bool {
-        if cx.view.load().has_quarantined(&call.shared_parts) {
+        let is_first_trial = call.is_trial && self.sends == 0;
+        if cx.view.load().has_quarantined(&call.shared_parts) && !is_first_trial {
             return false;
         }
         let is_early = cx.now() + MIN_TIME_LEFT < call.deadline;
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -44,6 +44,8 @@
     pub fingerprint: Fingerprint,
     /// Parts of the prompt that other prompts may share.
     pub shared_parts: Vec<PartFingerprint>,
+    /// Whether the request is sent once although it holds a quarantined part, which it may clear.
+    pub is_trial: bool,
 }
 
 impl Call {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -16,7 +16,7 @@
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
 use crate::quarantine::Crashes;
-use crate::suspects::PartSuccesses;
+use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
     Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target, View,
@@ -35,6 +35,8 @@
     pub crashes: Crashes,
     /// Prompt parts with which targets have answered requests.
     pub part_successes: PartSuccesses,
+    /// Requests sent to clear quarantined parts.
+    pub part_trials: PartTrials,
     /// What targets have said of themselves.
     pub announcements: Announcements,
     /// Learned times to the first token by service.
@@ -190,6 +192,18 @@
         self.view.load().contains(target) && self.routing().announcements.may_send(&target.run, now)
     }
 
+    /// Takes a trial of a quarantined part that a request with these parts could clear, if this host makes the trials of
+    /// the part and one is left.
+    pub(crate) fn take_part_trial(&self, parts: &[PartFingerprint]) -> bool {
+        let view = self.view.load();
+        let Some(part) = view.parts.trial_part(parts) else {
+            return false;
+        };
+        let duty = format!("trial/{}", part.text());
+        view.owns(duty.as_bytes(), &self.settings.name, 1)
+            && self.routing().part_trials.try_take(part, self.now())
+    }
+
     /// Counts a request in the service's retry budget.
     pub(crate) fn record_request(&self, service: &ServiceId) {
         let now = self.now();
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -75,14 +75,14 @@
         self.declared.is_some() && self.has_read_targets
     }
 
-    /// Returns whether one of a prompt's parts is quarantined.
+    /// Returns whether the parts of a prompt are quarantined, one of them or several together.
     ///
     /// ```
     /// let part = gateway::PartFingerprint::of("m", "5c1e07a2");
     /// assert!(!gateway::View::default().has_quarantined(&[part]));
     /// ```
     pub fn has_quarantined(&self, parts: &[PartFingerprint]) -> bool {
-        parts.iter().any(|part| self.parts.quarantined.contains_key(part))
+        self.parts.is_quarantined(parts)
     }
 
     /// Returns the targets of a service.
