Keep the cache of an isolated workspace apart whatever its name

Cause: a fixed word stood where a name can stand; the scope was a text that meant either. Names were also joined with `/`, so that the workspace a/b with the model m and the workspace a with the model b/m had one salt.

Change: CacheScope says which of the two it is; salts and session keys are made from it, with encoded names and a first field that only isolated workspaces have. Shared cache keeps its salts and keys.

Why it works: encoded fields hold no separator, and the first one tells the kinds apart.

--- a/components/gateway/src/kept.rs
+++ b/components/gateway/src/kept.rs
@@ -12,5 +12,4 @@
 pub(crate) use plan::OLD_WEIGHTS_DROP_DELAY;
 pub(crate) use plan::region_stores;
 pub use plan::{CachePlan, KeptCache, PlanRequest, RegionStore};
-pub(crate) use salt::cache_scope;
-pub use salt::{salt_of, weights_of_salt};
+pub use salt::{CacheScope, salt_of, weights_of_salt};
--- a/components/gateway/src/kept/salt.rs
+++ b/components/gateway/src/kept/salt.rs
@@ -1,31 +1,77 @@
+use std::fmt::Write;
+
 use crate::Workspace;
 
-/// Scope of all workspaces that share their cache.
+/// First field of the salts of all workspaces that share their cache.
 const SHARED: &str = "all";
+/// First field of the salts of an isolated workspace, whose name is the second.
+const ISOLATED: &str = "one";
+
+/// Workspaces that share cache with each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CacheScope<'a> {
+    /// All workspaces that are not isolated.
+    Shared,
+    /// One isolated workspace.
+    Isolated(&'a str),
+}
+
+impl<'a> CacheScope<'a> {
+    /// Returns the scope of a request of a workspace, or of a request without one.
+    pub fn of(workspace: Option<&'a Workspace>) -> Self {
+        let isolated = workspace.filter(|workspace| workspace.is_isolated);
+        isolated.map_or(Self::Shared, |workspace| Self::Isolated(&workspace.name))
+    }
 
-/// Returns the salt that cache is stored and found under: the workspace if it is isolated, the model, and the
-/// weight version.
+    /// Returns the scope as one or two fields without a slash in them; different scopes give different texts.
+    ///
+    /// ```
+    /// use gateway::CacheScope;
+    ///
+    /// assert_eq!(CacheScope::Shared.text(), "all");
+    /// assert_eq!(CacheScope::Isolated("all").text(), "one/all");
+    /// assert_eq!(CacheScope::Isolated("a/b").text(), "one/a%2Fb");
+    /// ```
+    pub fn text(self) -> String {
+        match self {
+            Self::Shared => SHARED.to_owned(),
+            Self::Isolated(name) => format!("{ISOLATED}/{}", escape(name)),
+        }
+    }
+}
+
+/// Returns the salt that cache is stored and found under: the scope, the model, and the weight version. Different
+/// values give different salts.
 ///
 /// ```
-/// assert_eq!(gateway::salt_of(None, "m", 3), "all/m/3");
+/// use gateway::CacheScope;
+///
+/// assert_eq!(gateway::salt_of(CacheScope::Shared, "m", 3), "all/m/3");
 /// assert_eq!(gateway::weights_of_salt("all/m/3", "m"), Some(3));
 /// assert_eq!(gateway::weights_of_salt("all/m/3", "n"), None);
 /// ```
-pub fn salt_of(workspace: Option<&Workspace>, model: &str, weights: u64) -> String {
-    let wall = cache_scope(workspace);
-    format!("{wall}/{model}/{weights}")
+pub fn salt_of(scope: CacheScope, model: &str, weights: u64) -> String {
+    format!("{}/{}/{weights}", scope.text(), escape(model))
 }
 
 /// Returns the weight version of a salt, if the salt belongs to the model.
 pub fn weights_of_salt(salt: &str, model: &str) -> Option<u64> {
     let (rest, weights) = salt.rsplit_once('/')?;
     let (_, of) = rest.rsplit_once('/')?;
-    (of == model).then(|| weights.parse().ok())?
+    (of == escape(model)).then(|| weights.parse().ok())?
 }
 
-/// Returns the scope in which a workspace shares cache: its own name if it is isolated.
-pub(crate) fn cache_scope(workspace: Option<&Workspace>) -> &str {
-    workspace
-        .filter(|workspace| workspace.is_isolated)
-        .map_or(SHARED, |workspace| &workspace.name)
+/// Percent-encodes a name, so that it holds no slash and can be sent in a header.
+fn escape(name: &str) -> String {
+    let mut text = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => text.push(byte.into()),
+            _ => {
+                // Writing into a string does not fail.
+                let _ = write!(text, "%{byte:02X}");
+            }
+        }
+    }
+    text
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -53,8 +53,8 @@
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
-    CachePlan, KeptCache, KeptEvent, PartKey, PlanRequest, RegionStore, StoreChanges, StoreDirectory,
-    StoreList, StoreUpdate, salt_of, weights_of_salt,
+    CachePlan, CacheScope, KeptCache, KeptEvent, PartKey, PlanRequest, RegionStore, StoreChanges,
+    StoreDirectory, StoreList, StoreUpdate, salt_of, weights_of_salt,
 };
 pub use load::{LoadEstimate, ReportedLoad, SendOutcome, Work};
 pub use lost_rows::LostRow;
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -7,7 +7,7 @@
 
 use super::connect::CallNumber;
 use crate::declared::{Route, Workspace};
-use crate::kept::{cache_scope, salt_of};
+use crate::kept::{CacheScope, salt_of};
 use crate::placement::Demand;
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
@@ -76,8 +76,8 @@
     pub(crate) fn session_key(&self) -> Option<SessionKey> {
         let prompt = self.prompt.as_ref()?;
         let part = prompt.session()?;
-        let wall = cache_scope(self.workspace.as_deref());
-        let text = format!("{wall}\n{}\n{}", prompt.model, part.id);
+        let scope = CacheScope::of(self.workspace.as_deref()).text();
+        let text = format!("{scope}\n{}\n{}", prompt.model, part.id);
         Some(utils::digest(text.as_bytes()).first_u64())
     }
 
@@ -85,7 +85,7 @@
     /// it is isolated, the model, and the weight version.
     pub(crate) fn cache_salt(&self, weights: Option<u64>) -> Option<String> {
         Some(salt_of(
-            self.workspace.as_deref(),
+            CacheScope::of(self.workspace.as_deref()),
             self.model()?,
             weights.unwrap_or(0),
         ))
