Take over a lease whose row can't be used

Cause: an unreadable row was taken for a missing one, so that each write expected no row. The token grew without a bound.

Change: such a row counts as that of an unknown holder. It lapses like any other, and the next token is above all that the era can have had: tokens grow by one with each holder, and each holder writes the row, so none is above the row's version. A row with a larger token is one of another writer.

--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -6,7 +6,7 @@
 use errors::events;
 use membership::{Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, OrderLease, WriteOutcome};
 use metadata::Expect;
-use slog::info;
+use slog::{info, warn};
 use utils::Epoch;
 
 use super::Control;
@@ -56,6 +56,24 @@
     era << EPOCH_BITS
 }
 
+/// Returns the largest fencing token that a row at this position can have: tokens grow by one with each holder, and
+/// each holder writes the row.
+const fn largest_epoch(position: Position) -> Epoch {
+    first_epoch(position.era()).saturating_add(position.version())
+}
+
+/// Returns a row in place of one that can not be used. The next holder's token is above all earlier ones.
+fn unknown_holder(epoch: Epoch) -> LeaseRow {
+    LeaseRow {
+        holder: "".into(),
+        incarnation: 0,
+        epoch,
+        write: 0,
+        loads: Vec::new(),
+        is_identified: false,
+    }
+}
+
 /// Contends for the lease for orders and gives orders while this host holds it.
 pub(crate) async fn run_orders(control: Arc<Control>) {
     let settings = &control.traffic.settings;
@@ -165,14 +183,25 @@
     async fn read_row(&self) -> Result<Option<(LeaseRow, u64)>, Report<StoreError>> {
         let snapshot = self.control.store.read(Table::Orders).await;
         self.control.record_store_call(snapshot.is_ok());
-        let row = |record: Record| {
-            let row = serde_json::from_slice(record.value.as_deref()?).ok()?;
-            Some((row, record.position.version()))
-        };
         let snapshot = snapshot?;
         self.enter_era(snapshot.position.era());
         let mut records = snapshot.records.into_iter();
-        Ok(records.find(|record| record.key == LEASE_KEY).and_then(row))
+        let record = records.find(|record| record.key == LEASE_KEY);
+        Ok(record.and_then(|record| self.lease_row(&record)))
+    }
+
+    /// Decodes the lease's row with its version. A row that another writer has left counts as that of an unknown holder.
+    fn lease_row(&self, record: &Record) -> Option<(LeaseRow, u64)> {
+        let version = record.position.version();
+        let value = record.value.as_deref()?;
+        let largest = largest_epoch(record.position);
+        let row = serde_json::from_slice(value).ok();
+        let row = row.filter(|row: &LeaseRow| row.epoch <= largest);
+        if row.is_none() {
+            warn!(self.control.traffic.log, "row can not be used"; events::RECORD_UNUSABLE,
+                "key" => &record.key, "version" => version, "bytes" => value.len());
+        }
+        Some((row.unwrap_or_else(|| unknown_holder(largest)), version))
     }
 
     async fn write_row(&self, expect: Expect, replaced: Option<String>, row: &LeaseRow) -> WriteOutcome {
--- a/components/membership/src/lease.rs
+++ b/components/membership/src/lease.rs
@@ -337,7 +337,7 @@
         let current = self.row();
         let epoch = match current {
             Some(row) if self.is_own_row() && row.epoch >= self.first_epoch => row.epoch,
-            Some(row) => (row.epoch + 1).max(self.first_epoch),
+            Some(row) => row.epoch.saturating_add(1).max(self.first_epoch),
             None => self.first_epoch.max(1),
         };
         let mut loads = current.map(|row| row.loads.clone()).unwrap_or_default();
