Split the lease's row and the outgoing request from their large files

The row of the lease with its identity and the building of a request to a target are now modules of their own; nothing else changes. The linter and the tests of both crates pass.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -4,20 +4,19 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use http_io::full_body;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Method, Request};
 use utils::Monotonic;
 
 use super::connect::{Connection, connect};
 use super::crashes::BrokenAttempt;
+use super::outgoing::{request, strip_connection_headers};
 use super::place::Placed;
 use super::request::Call;
 use super::state::Traffic;
 use crate::Target;
-use crate::call::{AnswerFacts, RequestedPause, SendFacts};
+use crate::call::{AnswerFacts, RequestedPause};
 use crate::first_token::TimeParts;
 use crate::freshness::weights_wait_left;
 use crate::load::{SendOutcome, Work};
@@ -37,16 +36,6 @@
 const OTHER_INSTANCE_PAUSE: Duration = Duration::from_secs(5);
 /// Connections to a target that a host may open regardless of the limits.
 const MIN_CONNECTIONS: usize = 2;
-/// Hop-by-hop headers, which apply to one connection only.
-const CONNECTION_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
 
 /// The result of an attempt to send a request to a target.
 pub(crate) enum AttemptResult {
@@ -467,54 +456,3 @@
     let sockets = cx.settings.sockets / 2 / targets.max(1);
     (limit / view.host_count()).min(sockets).max(MIN_CONNECTIONS)
 }
-
-fn request(
-    cx: &Traffic,
-    call: &Call,
-    placed: &Placed,
-    time_left: Duration,
-    resume_after: Option<String>,
-) -> Option<Request<http_io::Body>> {
-    let mut headers = call.headers.clone();
-    strip_connection_headers(&mut headers);
-    let facts = SendFacts {
-        time_left,
-        instance: placed.target.instance.clone(),
-        workspace: call.workspace.as_ref().map(|w| w.name.clone()),
-        cache_salt: call.cache_salt(placed.weights),
-        weights: placed.weights,
-        priority: call.priority(),
-        resume_after,
-        cache: placed.cache.clone(),
-    };
-    cx.heads.write_send(&mut headers, &facts);
-    let mut req = Request::builder()
-        .method(call.method.clone())
-        .uri(call.target_uri.clone())
-        .body(full_body(call.body.clone()))
-        .ok()?;
-    *req.headers_mut() = headers;
-    // Hyper adds the length of a body that arrived chunked. An empty GET request carries no length.
-    if call.body.is_empty() && call.method == Method::GET {
-        req.headers_mut().remove(CONTENT_LENGTH);
-    }
-    Some(req)
-}
-
-/// Removes the hop-by-hop headers, including those that the `Connection` header lists.
-pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(TRANSFER_ENCODING);
-}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod input;
 mod lease;
+mod lease_row;
 mod measure;
 mod membership;
 mod neighbours;
@@ -27,9 +28,8 @@
     TargetSummary, WIRE_OVERHEAD_BYTES,
 };
 pub use input::{Effect, Input, MembershipEvent, Observation};
-pub use lease::{
-    LeaseEffect, LeaseInput, LeaseRow, LeaseRules, LoadSlot, ORDERS_KEY, OrderLease, WriteOutcome,
-};
+pub use lease::{LeaseEffect, LeaseInput, LeaseRules, ORDERS_KEY, OrderLease, WriteOutcome};
+pub use lease_row::{LeaseRow, LoadSlot};
 pub use measure::{MeasureOptions, Measurement, measure};
 pub use membership::{Identity, Membership};
 pub use neighbours::neighbours;
