Reject answers without an id on kept connections

Cause: an answer without an id counted as the answer to the request unless it said that the request had not run.

Change: on a kept connection only an answer with the id of the request counts; targets repeat it. The first answer on a connection may lack it, as refusals of malformed requests do.

Why it works: bytes that belong to no request can't carry the id of a request that was sent after them.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -359,12 +359,12 @@
     }))
 }
 
-/// Whether an answer is the answer to the call, not one more copy of the answer to an earlier request on the
-/// connection. A refusal without an id could be such a copy.
+/// Whether an answer is the answer to the call. Targets repeat the id of a request, so an answer without one on a kept
+/// connection can be bytes that the target sent after an earlier answer.
 fn is_answer_to(call: &Call, facts: &AnswerFacts, is_fresh: bool) -> bool {
     match &facts.id {
         Some(id) => *id == call.id,
-        None => !facts.is_not_run || is_fresh || call.id.is_empty(),
+        None => is_fresh || call.id.is_empty(),
     }
 }
 
