Name the reason why a target is no candidate for a request

Placement skipped targets by one combined condition, so a refusal could not say which rule left no candidate, and each further rule would have grown place.rs. PlacementRules::exclusion now gives the reason for a target as an Exclusion. The reasons are ordered by how close the target is to being a candidate, and PlacementError::NoTarget carries the last one.

--- /dev/null
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use utils::{Monotonic, TargetId};
+
+use crate::{Announcements, OldWeightsPolicy, Target};
+
+/// Why a target is no candidate for a request. Ordered: the later the reason, the closer the target is to being a
+/// candidate. A refusal names the last reason among those of all targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Exclusion {
+    /// It is outside the regions that the route and the workspace allow.
+    OutsideAllowedRegions,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// It has said that it is leaving.
+    Leaving,
+    /// It has asked this host for a pause.
+    Paused,
+    /// The request was sent to it before, or could not reach it.
+    AlreadyTried,
+    /// Its weights were replaced too long ago.
+    OldWeights,
+}
+
+impl Exclusion {
+    /// Returns the reason for log lines and metrics.
+    ///
+    /// ```
+    /// assert_eq!(gateway::Exclusion::OldWeights.as_str(), "old-weights");
+    /// ```
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OutsideAllowedRegions => "outside-allowed-regions",
+            Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
+            Self::Paused => "paused",
+            Self::AlreadyTried => "already-tried",
+            Self::OldWeights => "old-weights",
+        }
+    }
+}
+
+/// Decides which targets may receive a request. A function of the host's state without I/O.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRules<'a> {
+    /// What targets have said of themselves.
+    pub announcements: &'a Announcements,
+    /// Targets that the request was sent to or that were unreachable.
+    pub tried: &'a [TargetId],
+    /// Time of the decision.
+    pub now: Monotonic,
+}
+
+impl PlacementRules<'_> {
+    /// Returns the time until a target that has asked for a pause may be sent requests again.
+    pub(crate) fn pause_left(&self, target: &Target) -> Option<Duration> {
+        self.announcements.pause_left(&target.run, self.now)
+    }
+
+    /// Returns why a target must not receive the request; `None` for a candidate.
+    pub fn exclusion(&self, target: &Target, old_weights: OldWeightsPolicy) -> Option<Exclusion> {
+        let run = &target.run;
+        let reasons = [
+            (Exclusion::Paused, self.pause_left(target).is_some()),
+            (Exclusion::Leaving, !self.announcements.may_send(run, self.now)),
+            (Exclusion::AlreadyTried, self.tried.contains(run)),
+            (Exclusion::OldWeights, old_weights == OldWeightsPolicy::Forbidden),
+        ];
+        let found = reasons.into_iter().find(|(_, applies)| *applies);
+        found.map(|(reason, _)| reason)
+    }
+}
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -5,6 +5,8 @@
 mod connect;
 mod crashes;
 mod exchange;
+mod exclusion;
+mod other_hosts;
 mod outgoing;
 mod pipeline;
 mod place;
@@ -16,6 +18,7 @@
 mod stream_events;
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
+pub use exclusion::{Exclusion, PlacementRules};
 pub(crate) use pipeline::serve;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -4,6 +4,8 @@
 
 use utils::{Monotonic, TargetId, rendezvous_score};
 
+use super::exclusion::{Exclusion, PlacementRules};
+use super::other_hosts::OtherHostsLoad;
 use super::request::Call;
 use super::state::{RoutingState, Traffic};
 use crate::freshness::{OldWeightsPolicy, old_weights_policy};
@@ -16,8 +18,6 @@
 use crate::view::View;
 use crate::{PromptShape, Target};
 
-/// Memory assumed for a request while this host has none in flight, in tokens.
-const DEFAULT_REQUEST_MEMORY: f64 = 4_000.0;
 /// Value of a part that a store of the region holds, relative to one in the target's own cache; used as a
 /// cache hit probability.
 const STORED_CHANCE: f64 = 0.85;
@@ -45,8 +45,8 @@
     AllFull,
     /// No target is expected to begin before the request's deadline.
     TooLate,
-    /// No target is allowed for the request.
-    NoTarget,
+    /// No target is a candidate. Gives the reason of those that come closest to being one; `None` if none is listed.
+    NoTarget(Option<Exclusion>),
     /// All targets are paused; the first pause ends after this time.
     AllPaused(Duration),
 }
@@ -55,8 +55,8 @@
 pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, PlacementError> {
     let view = cx.view.load();
     let routing = cx.routing();
-    let context = PlacementContext::new(cx, &view, &routing, call);
-    let mut targets = context.targets(tried);
+    let context = PlacementContext::new(cx, &view, &routing, call, tried);
+    let mut targets = context.targets();
     let session = call.session_key();
     if let Some(session) = session {
         sort_by_owner(&mut targets, session);
@@ -115,6 +115,8 @@
     routing: &'a RoutingState,
     /// The request.
     call: &'a Call,
+    /// Decides which targets are candidates.
+    rules: PlacementRules<'a>,
     /// Load assumed for other hosts at a target without a report.
     others: OtherHostsLoad,
     /// Memory of an engine of the service, in tokens.
@@ -125,28 +127,30 @@
     now: Monotonic,
 }
 
-/// Load assumed for other hosts at a target without a report: this host's average per target, for each other
-/// host.
-#[derive(Debug, Clone, Copy)]
-struct OtherHostsLoad {
-    /// Requests of all other hosts at one target.
-    requests: f64,
-    /// Memory of each of these requests, in tokens.
-    memory: f64,
-}
-
 impl<'a> PlacementContext<'a> {
-    fn new(cx: &'a Traffic, view: &'a View, routing: &'a RoutingState, call: &'a Call) -> Self {
+    fn new(
+        cx: &'a Traffic,
+        view: &'a View,
+        routing: &'a RoutingState,
+        call: &'a Call,
+        tried: &'a [TargetId],
+    ) -> Self {
         let targets = view.targets_of(&call.service);
+        let now = cx.now();
         let mut context = Self {
             cx,
             view,
             routing,
             call,
-            others: other_hosts_load(routing, targets, view.host_count()),
+            rules: PlacementRules {
+                announcements: &routing.announcements,
+                tried,
+                now,
+            },
+            others: OtherHostsLoad::estimate(routing, targets, view.host_count()),
             engine_memory: engine_memory(view, call),
             stores: HashMap::new(),
-            now: cx.now(),
+            now,
         };
         for target in targets {
             let found = context.stores.entry(&target.domain);
@@ -155,18 +159,16 @@
         context
     }
 
-    /// Returns the targets that may receive the request. Paused targets are included only if there is no
-    /// other; those that want no requests never are.
-    fn targets(&self, tried: &[TargetId]) -> Vec<&'a Arc<Target>> {
-        let is_allowed = |target: &&Arc<Target>| {
-            let weights = self.weights_at(target);
-            let may_send = self.routing.announcements.may_send(&target.run, self.now);
-            may_send
-                && !tried.contains(&target.run)
-                && self.old_weights(weights) != OldWeightsPolicy::Forbidden
-        };
+    /// Returns why a target is no candidate.
+    fn exclusion(&self, target: &Target) -> Option<Exclusion> {
+        let old_weights = self.old_weights(self.weights_at(target));
+        self.rules.exclusion(target, old_weights)
+    }
+
+    /// Returns the candidates. Those that this host pauses after failures are included only if there is no other.
+    fn targets(&self) -> Vec<&'a Arc<Target>> {
         let listed = self.view.targets_of(&self.call.service).iter();
-        let all: Vec<_> = listed.filter(is_allowed).collect();
+        let all: Vec<_> = listed.filter(|target| self.exclusion(target).is_none()).collect();
         let is_paused = |target: &Target| {
             let slot = self.routing.slots.get(&target.run);
             slot.is_some_and(|slot| slot.load.is_paused(self.now))
@@ -175,22 +177,15 @@
         if reachable.is_empty() { all } else { reachable }
     }
 
-    /// Returns why no target is allowed.
+    /// Returns why no target is a candidate.
     fn no_target(&self) -> PlacementError {
         let listed = self.view.targets_of(&self.call.service);
-        let announcements = &self.routing.announcements;
-        if listed
-            .iter()
-            .any(|target| announcements.may_send(&target.run, self.now))
-        {
-            return PlacementError::NoTarget;
+        let reason = listed.iter().filter_map(|target| self.exclusion(target)).max();
+        let paused = listed.iter().filter_map(|target| self.rules.pause_left(target));
+        match (reason, paused.min()) {
+            (Some(Exclusion::Paused), Some(pause)) => PlacementError::AllPaused(pause),
+            _ => PlacementError::NoTarget(reason),
         }
-        let pauses = listed
-            .iter()
-            .filter_map(|target| announcements.pause_left(&target.run, self.now));
-        pauses
-            .min()
-            .map_or(PlacementError::NoTarget, PlacementError::AllPaused)
     }
 
     /// Returns the probability that the target's own cache holds the session's part.
@@ -331,25 +326,6 @@
     engine.map_or(u64::MAX, |engine| engine.memory_tokens)
 }
 
-fn other_hosts_load(routing: &RoutingState, targets: &[Arc<Target>], hosts: usize) -> OtherHostsLoad {
-    let slots = targets.iter().filter_map(|target| routing.slots.get(&target.run));
-    let (memory, requests) = slots.fold((0, 0), |(memory, requests), slot| {
-        (
-            memory + slot.load.own_memory(),
-            requests + u64::from(slot.load.own_requests()),
-        )
-    });
-    let each = memory as f64 / requests.max(1) as f64;
-    OtherHostsLoad {
-        requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
-        memory: if requests == 0 {
-            DEFAULT_REQUEST_MEMORY
-        } else {
-            each
-        },
-    }
-}
-
 /// Derives the key of a session's cache under one weight version. Another version has to compute the cache
 /// again.
 pub(crate) fn session_for_weights(session: SessionKey, weights: Option<u64>) -> SessionKey {
