Move the declared weights and their times out of the cached state

The first time of the store publishes one view more than before when no time had been recorded; otherwise behaviour is unchanged and the tests of gateway pass.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -6,12 +6,13 @@
 use utils::{ModelId, Monotonic};
 
 use crate::crash_rows::{CRASH_PREFIX, CrashRows, SOUND_PREFIX, is_on_crash};
+use crate::declared_weights::DeclaredWeights;
 use crate::departed::{DepartedTargets, Departure};
 use crate::lost_rows::{LostRow, LostRows};
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::rows::{Rows, TableUpdate};
 use crate::view::{HostEntry, View};
-use crate::weights_history::{DeclaredAge, DeclaredTimes, WeightsHistory};
+use crate::weights_history::{DeclaredAge, DeclaredTimes};
 use crate::{Declared, Position, Target};
 
 /// Prefix of the keys under which entry hosts register themselves.
@@ -56,9 +57,7 @@
     /// Latest declared configuration; `None` before the first one is read.
     declared: Option<Arc<Declared>>,
     /// Weight versions declared for each model.
-    weights: HashMap<ModelId, WeightsHistory>,
-    /// When a host received each declared version, by model, as recorded in the shared table.
-    declared_times: BTreeMap<ModelId, DeclaredTimes>,
+    weights: DeclaredWeights,
     /// Time on the store's clock at time 0 of this host's clock. May be negative: the host's clock can be
     /// ahead. `None` until the store or another host has reported its time.
     store_clock_offset_ms: Option<i64>,
@@ -91,8 +90,7 @@
             link: StoreLink::Up(None),
             answered_at: Monotonic::ZERO,
             declared: None,
-            weights: HashMap::new(),
-            declared_times: BTreeMap::new(),
+            weights: DeclaredWeights::default(),
             store_clock_offset_ms: None,
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
@@ -270,33 +268,19 @@
             return;
         }
         let was_unknown = self.store_clock_offset_ms.replace(offset).is_none();
-        if was_unknown {
-            for model in self.declared_times.keys().cloned().collect::<Vec<_>>() {
-                self.apply_declared_times(&model, now);
-            }
+        if let Some(store_time) = self.store_time(now).filter(|_| was_unknown) {
+            self.weights.apply_all_times(store_time, now);
+            self.is_changed = true;
         }
     }
 
     /// Returns the models whose row in the shared table lacks the time of a declaration that this host
     /// received, with the content that the row should have.
     pub(crate) fn unrecorded_times(&self, now: Monotonic) -> Vec<(ModelId, DeclaredTimes)> {
-        let Some(store_time) = self.store_time(now) else {
-            return Vec::new();
-        };
-        let complete = self.weights.iter().map(|(model, history)| {
-            let mut times = self.declared_times.get(model).cloned().unwrap_or_default();
-            for (version, age) in history.known() {
-                let at = store_time.saturating_sub(age.at(now));
-                times.versions.entry(version).or_insert(at);
-            }
-            (model.clone(), times)
-        });
-        let lacks_time =
-            |(model, times): &(ModelId, DeclaredTimes)| self.declared_times.get(model) != Some(times);
-        complete
-            .filter(lacks_time)
-            .filter(|(_, times)| !times.versions.is_empty())
-            .collect()
+        let store_time = self.store_time(now);
+        store_time.map_or_else(Vec::new, |store_time| {
+            self.weights.unrecorded_times(store_time, now)
+        })
     }
 
     /// Returns the keys of crashes past their retention time, which is longer for those that support the
@@ -352,7 +336,7 @@
         Some(View {
             declared: self.declared.clone(),
             targets,
-            weights: self.weights.clone(),
+            weights: self.weights.histories().clone(),
             hosts: hosts.collect(),
             quarantined: self.crashes.quarantined(),
             parts: self.crashes.suspect_parts(),
@@ -405,8 +389,7 @@
             DeclaredRecord::Weights(weights) => {
                 let age = DeclaredAge::new(Duration::ZERO, now);
                 let age = self.was_declared_read.then_some(age);
-                let history = self.weights.entry(weights.model.clone()).or_default();
-                history.add(weights.version, age);
+                self.weights.add(&weights, age);
                 self.apply_declared_times(&weights.model, now);
             }
             DeclaredRecord::Other => {}
@@ -473,7 +456,9 @@
             };
         }
         if let Some(model) = record.key.strip_prefix(DECLARED_TIMES_PREFIX) {
-            self.apply_times_row(&model.into(), record.value.as_deref(), now)?;
+            let model = model.into();
+            self.weights.apply_times_row(&model, record.value.as_deref())?;
+            self.apply_declared_times(&model, now);
         }
         if is_on_crash(&record.key) {
             self.lost_rows.forget(&record.key);
@@ -487,40 +472,11 @@
         Ok(())
     }
 
-    /// Applies the row with the times of a model's declarations. The ages stay known when the row is lost.
-    fn apply_times_row(
-        &mut self,
-        model: &ModelId,
-        value: Option<&[u8]>,
-        now: Monotonic,
-    ) -> Result<(), Report<UnusableRecord>> {
-        let Some(value) = value else {
-            self.declared_times.remove(model);
-            return Ok(());
-        };
-        let times = serde_json::from_slice(value);
-        let times = times.map_err(|e| Report::new(e).change_context(UnusableRecord))?;
-        self.declared_times.insert(model.clone(), times);
-        self.apply_declared_times(model, now);
-        Ok(())
-    }
-
-    /// Adds the recorded ages to a model's history. Versions that have not been declared to this host yet
-    /// are left out.
+    /// Adds the recorded ages to a model's history, once the store's time is known.
     fn apply_declared_times(&mut self, model: &ModelId, now: Monotonic) {
-        let Some(store_time) = self.store_time(now) else {
-            return;
-        };
-        let (Some(history), Some(times)) = (self.weights.get_mut(model), self.declared_times.get(model))
-        else {
-            return;
-        };
-        let newest = history.newest();
-        for (version, at) in times.versions.range(..=newest) {
-            let age = DeclaredAge::new(store_time.saturating_sub(*at), now);
-            history.add(*version, Some(age));
+        if let Some(store_time) = self.store_time(now) {
+            self.weights.apply_times(model, store_time, now);
         }
-        self.is_changed = true;
     }
 }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod crash_rows;
 mod daemon;
 mod declared;
+mod declared_weights;
 mod departed;
 mod drain;
 mod error;
