Keep requests in allowed regions and out of evacuated failure domains

Operators could not say where the requests of a route or a tenant may run, nor take a failure domain out of use: placement preferred near targets and spilled over to any other.

Routes and tenants have `allowed_regions`; both lists apply, missing or empty means any region. First sends, retries, resumed streams, stores of kept cache and fetches from other engines follow both rules by the newest declarations, checked again right before each send. Without a candidate a request is refused at once (503, not run, Retry-After); the refusal names the reason in route_refused and in laburnumtally_route_exclusions_total.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,16 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const EVACUATION_BEGAN: Event = event(
+        5050,
+        "evacuation_began",
+        "The operator evacuated a failure domain; no request is sent to targets in it from now on.",
+    );
+    pub const EVACUATION_ENDED: Event = event(
+        5051,
+        "evacuation_ended",
+        "The evacuation of a failure domain ended; its targets receive requests again.",
+    );
 }
 
 /// All events, ordered by number.
@@ -436,6 +446,8 @@
     events::LOST_ROW_WRITTEN,
     events::TARGET_LEAVING,
     events::PAUSE_REQUESTED,
+    events::EVACUATION_BEGAN,
+    events::EVACUATION_ENDED,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -8,9 +8,10 @@
 use crate::crash_rows::{CRASH_PREFIX, CrashRows, SOUND_PREFIX, is_on_crash};
 use crate::declared_weights::DeclaredWeights;
 use crate::departed::{DepartedTargets, Departure};
+use crate::evacuations::Evacuations;
 use crate::lost_rows::{LostRow, LostRows};
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
-use crate::rows::{Rows, TableUpdate};
+use crate::rows::{Replaced, Rows, TableUpdate};
 use crate::view::{HostEntry, View};
 use crate::weights_history::{DeclaredAge, DeclaredTimes};
 use crate::{Declared, Position, Target};
@@ -58,6 +59,8 @@
     declared: Option<Arc<Declared>>,
     /// Weight versions declared for each model.
     weights: DeclaredWeights,
+    /// Evacuated failure domains.
+    evacuations: Evacuations,
     /// Time on the store's clock at time 0 of this host's clock. May be negative: the host's clock can be
     /// ahead. `None` until the store or another host has reported its time.
     store_clock_offset_ms: Option<i64>,
@@ -91,6 +94,7 @@
             answered_at: Monotonic::ZERO,
             declared: None,
             weights: DeclaredWeights::default(),
+            evacuations: Evacuations::default(),
             store_clock_offset_ms: None,
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
@@ -124,6 +128,11 @@
         self.unconfirmed.len()
     }
 
+    /// Returns the number of evacuations in force whose rows a restored store has lost.
+    pub(crate) fn lost_evacuation_count(&self) -> usize {
+        self.evacuations.lost_count()
+    }
+
     /// Returns the number of tombstones kept for updates to other hosts.
     pub fn tombstone_count(&self) -> usize {
         self.tables.values().map(Rows::tombstone_count).sum()
@@ -189,17 +198,30 @@
         if replaced.is_restored && self.link != StoreLink::Down {
             self.link = StoreLink::Up(Some(now));
         }
-        if table == Table::Shared && replaced.is_restored {
-            // Hosts register again, and record the times of declarations again, themselves.
-            let is_kept = |record: &Record| is_on_crash(&record.key);
-            replaced
-                .changed
-                .retain(|record| record.value.is_some() || !is_kept(record));
-            for record in replaced.lost.iter().filter(|record| is_kept(record)) {
+        if replaced.is_restored {
+            self.keep_lost_rows(table, &mut replaced, now);
+        }
+        self.apply_records(table, replaced.changed, source, now)
+    }
+
+    /// Leaves out the removal of rows that apply although the restored store has lost them.
+    fn keep_lost_rows(&mut self, table: Table, replaced: &mut Replaced, now: Monotonic) {
+        // Hosts register again, and record the times of declarations again, themselves.
+        let is_kept = |record: &Record| match table {
+            Table::Declared => true,
+            Table::Shared => is_on_crash(&record.key),
+            Table::Targets | Table::Orders => false,
+        };
+        replaced
+            .changed
+            .retain(|record| record.value.is_some() || !is_kept(record));
+        for record in replaced.lost.iter().filter(|record| is_kept(record)) {
+            if table == Table::Shared {
                 self.lost_rows.add(record, now);
+            } else if let Ok(DeclaredRecord::Evacuation(domain)) = self.decode.declared(record) {
+                self.evacuations.record_lost(&domain, now);
             }
         }
-        self.apply_records(table, replaced.changed, source, now)
     }
 
     /// Returns the rows that a restored store has lost and no host has written again, oldest first.
@@ -301,6 +323,7 @@
             rows.purge_tombstones(now);
         }
         self.expire_lost_rows(now);
+        self.is_changed |= self.evacuations.expire(now);
         for (key, target) in self.departed.expire(now) {
             self.targets.insert(key, target);
             self.is_changed = true;
@@ -338,6 +361,7 @@
             targets,
             weights: self.weights.histories().clone(),
             hosts: hosts.collect(),
+            evacuated: self.evacuations.domains(),
             quarantined: self.crashes.quarantined(),
             parts: self.crashes.suspect_parts(),
             has_read_targets: self.complete_position(Table::Targets).is_some(),
@@ -376,10 +400,15 @@
     }
 
     fn apply_declared(&mut self, record: &Record, now: Monotonic) -> Result<(), Report<UnusableRecord>> {
+        let decoded = self.decode.declared(record);
         if record.value.is_none() {
+            // Other declarations stay in force without their rows.
+            if let Ok(DeclaredRecord::Evacuation(domain)) = decoded {
+                self.evacuations.end(&domain);
+            }
             return Ok(());
         }
-        match self.decode.declared(record)? {
+        match decoded? {
             DeclaredRecord::All(declared) => {
                 let current_version = self.declared.as_ref().map_or(0, |current| current.version);
                 if declared.version > current_version {
@@ -392,6 +421,7 @@
                 self.weights.add(&weights, age);
                 self.apply_declared_times(&weights.model, now);
             }
+            DeclaredRecord::Evacuation(domain) => self.evacuations.declare(domain),
             DeclaredRecord::Other => {}
         }
         Ok(())
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -148,6 +148,7 @@
             declared: view.declared.as_ref().map_or(0, |declared| declared.version),
             targets: view.targets.values().map(Vec::len).sum(),
             hosts: view.hosts.len(),
+            evacuated: view.evacuated.len(),
         });
     }
 }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -166,7 +166,7 @@
         if state.era() > era && self.traffic.view.load().can_serve() {
             warn!(self.traffic.log, "the store was restored from an older copy"; events::STORE_RESTORED,
                 "era" => state.era(), "previous" => era,
-                "unconfirmed" => state.unconfirmed_count());
+                "unconfirmed" => state.unconfirmed_count(), "lost_evacuations" => state.lost_evacuation_count());
         }
         let Some(view) = state.publish() else { return };
         info!(self.traffic.log, "cached state changed"; events::STATE_CHANGED,
@@ -174,9 +174,21 @@
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
             "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
+        self.log_evacuations(&self.traffic.view.load(), &view);
         self.traffic.view.store(Arc::new(view));
     }
 
+    /// Logs the evacuations that begin or end.
+    fn log_evacuations(&self, before: &View, after: &View) {
+        let log = &self.traffic.log;
+        for domain in after.evacuated.difference(&before.evacuated) {
+            warn!(log, "evacuation began"; events::EVACUATION_BEGAN, "domain" => &**domain);
+        }
+        for domain in before.evacuated.difference(&after.evacuated) {
+            info!(log, "evacuation ended"; events::EVACUATION_ENDED, "domain" => &**domain);
+        }
+    }
+
     /// Logs the prompt parts that enter or leave the quarantine.
     fn log_quarantine(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -4,6 +4,8 @@
 
 use utils::{FailureDomainId, ModelId, ServiceId, WorkspaceId};
 
+use crate::AllowedRegions;
+
 /// Whether requests of a route can be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetrySafety {
@@ -62,6 +64,8 @@
     pub max_targets: u32,
     /// Whether requests need no API key.
     pub is_anonymous: bool,
+    /// Regions in which its requests may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Capacity of a model engine.
@@ -110,6 +114,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no cache with other workspaces.
     pub is_isolated: bool,
+    /// Regions in which its requests may run, besides those that the route allows.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Limits on requests from callers.
@@ -141,6 +147,8 @@
     services: HashMap<ServiceId, Arc<Service>>,
     /// Workspaces by API key; `None` if requests need no key.
     keys: Option<HashMap<String, Arc<Workspace>>>,
+    /// Regions that each workspace allows.
+    workspace_regions: HashMap<WorkspaceId, AllowedRegions>,
 }
 
 impl Declared {
@@ -168,6 +176,7 @@
             limits,
             routes: by_host,
             services: services.collect(),
+            workspace_regions: workspace_regions(keys.iter().flat_map(HashMap::values)),
             keys,
         }
     }
@@ -198,4 +207,22 @@
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.keys.as_ref()?.get(key)
     }
+
+    /// Returns the regions that a workspace allows, which keeps its name when its keys change; `None` if it is not
+    /// declared.
+    pub fn workspace_regions(&self, name: &str) -> Option<&AllowedRegions> {
+        self.workspace_regions.get(name)
+    }
+}
+
+/// Maps each workspace to the regions that it allows. Of several with one name all rules apply.
+fn workspace_regions<'a>(
+    workspaces: impl Iterator<Item = &'a Arc<Workspace>>,
+) -> HashMap<WorkspaceId, AllowedRegions> {
+    let mut regions: HashMap<WorkspaceId, AllowedRegions> = HashMap::new();
+    for workspace in workspaces {
+        let allowed = regions.entry(workspace.name.clone()).or_default();
+        *allowed = allowed.intersect(&workspace.allowed_regions);
+    }
+    regions
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate contains the decisions and is independent of wire formats. The traits in [`ports`] cover the
 //! protocols of a deployment's platform.
 
+mod allowed_regions;
 mod announcements;
 mod budget;
 mod cached_state;
@@ -16,6 +17,7 @@
 mod departed;
 mod drain;
 mod error;
+mod evacuations;
 mod first_token;
 mod freshness;
 mod host;
@@ -39,6 +41,7 @@
 mod weights;
 mod weights_history;
 
+pub use allowed_regions::AllowedRegions;
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
 pub use cached_state::{CachedState, UpdateSource};
@@ -50,6 +53,7 @@
 };
 pub use drain::{DrainSchedule, RunBound, RunTimes};
 pub use error::GatewayError;
+pub use evacuations::Evacuations;
 pub use first_token::{Pace, TimeParts};
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -7,6 +7,7 @@
 use hyper::HeaderMap;
 use metadata::BoxFuture;
 use serde::{Deserialize, Serialize};
+use utils::FailureDomainId;
 
 use crate::kept::{PartKey, StoreChanges, StoreList};
 use crate::load::ReportedLoad;
@@ -170,13 +171,15 @@
     All(Box<Declared>),
     /// Weight version declared for a model.
     Weights(DesiredWeights),
+    /// A failure domain that is evacuated while the row exists, whatever its content.
+    Evacuation(FailureDomainId),
     /// Content that the gateway does not use.
     Other,
 }
 
 /// Decodes the platform's rows.
 pub trait Decode: Send + Sync {
-    /// Decodes a row of [`Table::Declared`].
+    /// Decodes a row of [`Table::Declared`]. Of removed rows only evacuations can be decoded, which the key identifies.
     ///
     /// # Errors
     /// [`UnusableRecord`] for content that can not be parsed.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -11,6 +11,7 @@
 
 use crate::RequestedPause;
 use crate::placement::Choice;
+use crate::traffic::Exclusion;
 
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
@@ -22,6 +23,8 @@
     _provider: SdkMeterProvider,
     /// Requests by outcome and reason.
     requests: Counter<u64>,
+    /// Refused requests for which no target was a candidate, by the reason.
+    exclusions: Counter<u64>,
     /// Sends to targets by result.
     sends: Counter<u64>,
     /// Time from a send to the first byte of its answer, in seconds.
@@ -46,6 +49,8 @@
     targets: Gauge<u64>,
     /// Entry hosts in the view.
     hosts: Gauge<u64>,
+    /// Evacuated failure domains.
+    evacuated: Gauge<u64>,
     /// 1 while this host holds the lease to order engines to load weights.
     lease: Gauge<u64>,
 }
@@ -64,6 +69,8 @@
     pub targets: usize,
     /// Entry hosts in the view.
     pub hosts: usize,
+    /// Evacuated failure domains.
+    pub evacuated: usize,
 }
 
 /// The result of a send.
@@ -112,6 +119,7 @@
         let replaced_weights_age = meter.f64_histogram("laburnumtally.route.replaced_weights_age");
         Self {
             requests: meter.u64_counter("laburnumtally.route.requests").build(),
+            exclusions: meter.u64_counter("laburnumtally.route.exclusions").build(),
             sends: meter.u64_counter("laburnumtally.route.sends").build(),
             first_byte: first_byte.with_unit("s").build(),
             replaced_weights_age: replaced_weights_age.with_unit("s").build(),
@@ -124,6 +132,7 @@
             declared: meter.u64_gauge("laburnumtally.declared.version").build(),
             targets: meter.u64_gauge("laburnumtally.targets").build(),
             hosts: meter.u64_gauge("laburnumtally.hosts").build(),
+            evacuated: meter.u64_gauge("laburnumtally.evacuated").build(),
             lease: meter.u64_gauge("laburnumtally.lease.held").build(),
             log,
             registry,
@@ -163,6 +172,7 @@
         self.declared.record(values.declared, &[]);
         self.targets.record(values.targets as u64, &[]);
         self.hosts.record(values.hosts as u64, &[]);
+        self.evacuated.record(values.evacuated as u64, &[]);
     }
 
     /// Logs the target chosen for a request, with its cost.
@@ -209,11 +219,22 @@
             "status" => status, "events" => events, "tries" => attempts);
     }
 
-    /// Counts and logs a request that the host answers in place of a target.
-    pub(crate) fn refused(&self, id: &str, outcome: Outcome, reason: &'static str) {
+    /// Counts and logs a request that the host answers in place of a target. `exclusion` says why no target was a
+    /// candidate, if that is the cause.
+    pub(crate) fn refused(
+        &self,
+        id: &str,
+        outcome: Outcome,
+        reason: &'static str,
+        exclusion: Option<Exclusion>,
+    ) {
         self.count(outcome, reason);
+        let exclusion = exclusion.map(Exclusion::as_str);
+        if let Some(exclusion) = exclusion {
+            self.exclusions.add(1, &[KeyValue::new("reason", exclusion)]);
+        }
         warn!(self.log, "request refused"; events::ROUTE_REFUSED, "request" => id,
-            "outcome" => outcome.as_str(), "reason" => reason);
+            "outcome" => outcome.as_str(), "reason" => reason, "exclusion" => exclusion);
     }
 
     /// Counts and logs a stream that ended early.
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -247,7 +247,7 @@
         expected: placed.choice.parts,
         first_byte: None,
     };
-    if !cx.may_send(&target) {
+    if !cx.may_send(call, &target) {
         return AttemptResult::NotSent;
     }
     // The weights of the target may have been replaced too long ago by now.
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -1,8 +1,9 @@
+use std::collections::HashSet;
 use std::time::Duration;
 
-use utils::{Monotonic, TargetId};
+use utils::{FailureDomainId, Monotonic, TargetId};
 
-use crate::{Announcements, OldWeightsPolicy, Target};
+use crate::{AllowedRegions, Announcements, OldWeightsPolicy, Regions, Target};
 
 /// Why a target is no candidate for a request. Ordered: the later the reason, the closer the target is to being a
 /// candidate. A refusal names the last reason among those of all targets.
@@ -43,6 +44,12 @@
 /// Decides which targets may receive a request. A function of the host's state without I/O.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRules<'a> {
+    /// Region of each failure domain.
+    pub regions: &'a Regions,
+    /// Regions that the route allows, and those that the workspace allows.
+    pub allowed: [&'a AllowedRegions; 2],
+    /// Evacuated failure domains.
+    pub evacuated: &'a HashSet<FailureDomainId>,
     /// What targets have said of themselves.
     pub announcements: &'a Announcements,
     /// Targets that the request was sent to or that were unreachable.
@@ -57,16 +64,31 @@
         self.announcements.pause_left(&target.run, self.now)
     }
 
+    /// Returns why nothing in a failure domain may serve the request, be it a target or a store of kept cache; `None` if
+    /// it may.
+    pub fn domain_exclusion(&self, domain: &str) -> Option<Exclusion> {
+        let region = self.regions.get(domain);
+        if !self.allowed.iter().all(|allowed| allowed.allow(region)) {
+            return Some(Exclusion::OutsideAllowedRegions);
+        }
+        self.evacuated.contains(domain).then_some(Exclusion::Evacuated)
+    }
+
     /// Returns why a target must not receive the request; `None` for a candidate.
     pub fn exclusion(&self, target: &Target, old_weights: OldWeightsPolicy) -> Option<Exclusion> {
         let run = &target.run;
-        let reasons = [
-            (Exclusion::Paused, self.pause_left(target).is_some()),
-            (Exclusion::Leaving, !self.announcements.may_send(run, self.now)),
-            (Exclusion::AlreadyTried, self.tried.contains(run)),
-            (Exclusion::OldWeights, old_weights == OldWeightsPolicy::Forbidden),
-        ];
-        let found = reasons.into_iter().find(|(_, applies)| *applies);
-        found.map(|(reason, _)| reason)
+        if let Some(reason) = self.domain_exclusion(&target.domain) {
+            return Some(reason);
+        }
+        if self.pause_left(target).is_some() {
+            return Some(Exclusion::Paused);
+        }
+        if !self.announcements.may_send(run, self.now) {
+            return Some(Exclusion::Leaving);
+        }
+        if self.tried.contains(run) {
+            return Some(Exclusion::AlreadyTried);
+        }
+        (old_weights == OldWeightsPolicy::Forbidden).then_some(Exclusion::OldWeights)
     }
 }
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -13,6 +13,7 @@
 use super::accept::{accept, draining_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange, read_whole};
+use super::exclusion::Exclusion;
 use super::place::{Placed, PlacementError, place, session_for_weights};
 use super::refusal::Refusal;
 use super::relay::relay;
@@ -27,8 +28,6 @@
 const MAX_SENDS: u32 = 4;
 /// Most unreachable targets before a request is refused.
 const MAX_UNREACHABLE: u32 = 6;
-/// `Retry-After` of a request that no target took.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request for which all targets are full, as a share of the route's timeout. It is
 /// jittered, as requests refused together would return together otherwise.
 const OVERLOAD_RETRY_AFTER_SHARE: f64 = 0.12;
@@ -173,10 +172,11 @@
                 // Spread, so that the callers do not return together.
                 let wait = pause + jittered(pause.mul_f64(PAUSE_SPREAD / 2.0), 1.0);
                 let detail = "every target is paused";
-                Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
+                let refusal = Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait);
+                refusal.with_exclusion(Some(Exclusion::Paused))
             }
-            _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request")
-                .with_retry_after(NO_TARGET_RETRY_AFTER),
+            Some(PlacementError::NoTarget(exclusion)) => Refusal::no_target(exclusion),
+            None => Refusal::no_target(None),
         }
     }
 }
@@ -314,7 +314,8 @@
 }
 
 fn log_refusal(cx: &Traffic, id: &str, refusal: &Refusal) {
-    cx.telemetry.refused(id, refusal.outcome, refusal.detail);
+    cx.telemetry
+        .refused(id, refusal.outcome, refusal.detail, refusal.exclusion);
 }
 
 /// Whether another target may continue a broken stream.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -121,7 +121,7 @@
     others: OtherHostsLoad,
     /// Memory of an engine of the service, in tokens.
     engine_memory: u64,
-    /// Stores of kept cache in the region of each failure domain that has targets.
+    /// Stores of kept cache that targets of each failure domain may use.
     stores: HashMap<&'a str, Vec<RegionStore>>,
     /// Time of the placement.
     now: Monotonic,
@@ -142,11 +142,7 @@
             view,
             routing,
             call,
-            rules: PlacementRules {
-                announcements: &routing.announcements,
-                tried,
-                now,
-            },
+            rules: cx.placement_rules(view, &routing.announcements, call, tried),
             others: OtherHostsLoad::estimate(routing, targets, view.host_count()),
             engine_memory: engine_memory(view, call),
             stores: HashMap::new(),
@@ -154,7 +150,7 @@
         };
         for target in targets {
             let found = context.stores.entry(&target.domain);
-            found.or_insert_with(|| stores_in_region(cx, view, &target.domain));
+            found.or_insert_with(|| usable_stores(view, &context.rules, &target.domain));
         }
         context
     }
@@ -309,13 +305,14 @@
     }
 }
 
-/// Returns the stores of kept cache in the region of a failure domain.
-fn stores_in_region(cx: &Traffic, view: &View, domain: &str) -> Vec<RegionStore> {
+/// Returns the stores of kept cache that a request may use from a failure domain. They are in its region.
+fn usable_stores(view: &View, rules: &PlacementRules<'_>, domain: &str) -> Vec<RegionStore> {
     let Some(declared) = &view.declared else {
         return Vec::new();
     };
     let stores = declared.services().filter_map(|service| service.store.as_ref());
-    region_stores(stores, domain, |domain| cx.settings.regions.get(domain).cloned())
+    let usable = stores.filter(|store| rules.domain_exclusion(&store.domain).is_none());
+    region_stores(usable, domain, |domain| rules.regions.get(domain).cloned())
 }
 
 /// Returns the memory of an engine of the call's service, in tokens; unlimited if none is declared.
--- a/components/gateway/src/traffic/refusal.rs
+++ b/components/gateway/src/traffic/refusal.rs
@@ -5,6 +5,15 @@
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+use super::exclusion::Exclusion;
+use crate::jitter::jittered;
+
+/// `Retry-After` of a request that no target took.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` of a request that the operator's rules keep from all targets. It is longer, as a target that comes back
+/// does not help, and jittered, as requests refused together would return together otherwise.
+const CONSTRAINT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A response that the host gives in place of a target's answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Refusal {
@@ -16,6 +25,8 @@
     pub detail: &'static str,
     /// Time after which a retry may succeed.
     pub retry_after: Option<Duration>,
+    /// Why no target was a candidate, if that is the cause.
+    pub exclusion: Option<Exclusion>,
 }
 
 impl Refusal {
@@ -25,6 +36,7 @@
             outcome: Outcome::NotRun,
             detail,
             retry_after: None,
+            exclusion: None,
         }
     }
 
@@ -34,9 +46,32 @@
             outcome: Outcome::MayHaveRun,
             detail,
             retry_after: None,
+            exclusion: None,
         }
     }
 
+    /// Refuses a request for which no target is a candidate.
+    pub(crate) fn no_target(exclusion: Option<Exclusion>) -> Self {
+        let (detail, wait) = match exclusion {
+            Some(Exclusion::OutsideAllowedRegions) => (
+                "no target is in a region that the route and the workspace allow",
+                jittered(CONSTRAINT_RETRY_AFTER, 0.3),
+            ),
+            Some(Exclusion::Evacuated) => (
+                "every target that may run the request is evacuated",
+                jittered(CONSTRAINT_RETRY_AFTER, 0.3),
+            ),
+            _ => ("no target took the request", NO_TARGET_RETRY_AFTER),
+        };
+        let refusal = Self::not_run(ProblemKind::NoTarget, detail).with_retry_after(wait);
+        refusal.with_exclusion(exclusion)
+    }
+
+    pub(crate) const fn with_exclusion(mut self, exclusion: Option<Exclusion>) -> Self {
+        self.exclusion = exclusion;
+        self
+    }
+
     pub(crate) const fn with_retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
         self
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -12,7 +12,7 @@
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
 use crate::suspects::PartFingerprint;
-use crate::{Pace, PromptShape};
+use crate::{AllowedRegions, Declared, Pace, PromptShape};
 
 /// A request that is being routed.
 pub(crate) struct Call {
@@ -58,6 +58,18 @@
         self.prompt.as_ref().map(|prompt| &prompt.model)
     }
 
+    /// Returns the regions that the route allows, and those that the workspace allows. They are those of the newest
+    /// declarations, unless these no longer have the route or the workspace.
+    pub(crate) fn allowed_regions<'a>(&'a self, declared: Option<&'a Declared>) -> [&'a AllowedRegions; 2] {
+        let route = declared.and_then(|declared| declared.route(&self.route.host, self.target_uri.path()));
+        let of_route = &route.unwrap_or(&self.route).allowed_regions;
+        let of_workspace = self.workspace.as_ref().map_or(&AllowedRegions::Any, |workspace| {
+            let newest = declared.and_then(|declared| declared.workspace_regions(&workspace.name));
+            newest.unwrap_or(&workspace.allowed_regions)
+        });
+        [of_route, of_workspace]
+    }
+
     /// Returns the resources and the latency that the request needs.
     pub(crate) fn demand(&self, pace: Pace, now: Monotonic) -> Demand {
         let prompt = self.prompt.as_ref();
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -11,7 +11,9 @@
 
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
+use super::exclusion::PlacementRules;
 use super::pool::TargetSlot;
+use super::request::Call;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
@@ -19,7 +21,8 @@
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
-    Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target, View,
+    Announcements, DrainSchedule, HostSettings, OldWeightsPolicy, Pace, RetryBudget, RunTimes, Sessions,
+    Target, View,
 };
 
 /// Mutable routing state of the traffic thread.
@@ -185,11 +188,33 @@
         slot.load.record_report(load, at);
     }
 
-    /// Whether a request may be sent to a target: it is listed, and has not said that it wants none. Asked again right
-    /// before each send, as either can change while a connection is opened.
-    pub(crate) fn may_send(&self, target: &Target) -> bool {
-        let now = self.now();
-        self.view.load().contains(target) && self.routing().announcements.may_send(&target.run, now)
+    /// Returns the rules for the targets of a request, by the newest declarations.
+    pub(crate) fn placement_rules<'a>(
+        &'a self,
+        view: &'a View,
+        announcements: &'a Announcements,
+        call: &'a Call,
+        tried: &'a [TargetId],
+    ) -> PlacementRules<'a> {
+        PlacementRules {
+            regions: &self.settings.regions,
+            allowed: call.allowed_regions(view.declared.as_deref()),
+            evacuated: &view.evacuated,
+            announcements,
+            tried,
+            now: self.now(),
+        }
+    }
+
+    /// Whether a request may be sent to a target: it is listed, and not excluded. Asked again right before each send, as
+    /// either can change while a connection is opened. The caller checks the target's weights.
+    pub(crate) fn may_send(&self, call: &Call, target: &Target) -> bool {
+        let view = self.view.load();
+        let routing = self.routing();
+        let rules = self.placement_rules(&view, &routing.announcements, call, &[]);
+        let exclusion = |listed: &Arc<Target>| rules.exclusion(listed, OldWeightsPolicy::Allowed);
+        view.listed(target)
+            .is_some_and(|listed| exclusion(listed).is_none())
     }
 
     /// Takes a trial of a quarantined part that a request with these parts could clear, if this host makes the trials of
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -61,6 +61,8 @@
     pub weights: HashMap<ModelId, WeightsHistory>,
     /// Registered entry hosts.
     pub hosts: BTreeMap<HostId, HostEntry>,
+    /// Evacuated failure domains, whose targets receive no requests.
+    pub evacuated: HashSet<FailureDomainId>,
     /// Fingerprints of quarantined requests.
     pub quarantined: HashSet<Fingerprint>,
     /// Prompt parts that are quarantined or suspected.
@@ -107,10 +109,10 @@
         }
     }
 
-    /// Returns whether a target is still listed with the same run.
-    pub fn contains(&self, target: &Target) -> bool {
+    /// Returns the newest entry of a target that is still listed with the same run.
+    pub fn listed(&self, target: &Target) -> Option<&Arc<Target>> {
         let listed = self.targets_of(&target.service);
-        listed.iter().any(|t| t.run == target.run)
+        listed.iter().find(|t| t.run == target.run)
     }
 
     /// Returns whether a host is among the first `count` owners of a duty. Hosts with the same list of hosts
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -10,11 +10,15 @@
 use gateway::ports::{DeclaredRecord, Decode, Record, Snapshot, UnusableRecord};
 use gateway::{CallerLimits, Declared, DesiredWeights, Position, Target};
 
-/// Decodes rows of the form `declared N`, `weights MODEL N` and `target SERVICE VERSION [leaving]`.
+/// Decodes rows of the form `declared N`, `weights MODEL N` and `target SERVICE VERSION [leaving]`, and rows with the key
+/// `evacuate/DOMAIN`.
 pub(crate) struct WordDecode;
 
 impl Decode for WordDecode {
     fn declared(&self, record: &Record) -> Result<DeclaredRecord, Report<UnusableRecord>> {
+        if let Some(domain) = record.key.strip_prefix("evacuate/") {
+            return Ok(DeclaredRecord::Evacuation(domain.into()));
+        }
         let words = words(record)?;
         match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
             ["declared", version] => {
