Add the schedule of sends to cold targets

A cold target tolerates few requests per second, summed over all hosts. The new module decides, without I/O, which targets are cold and in which time slots on the store's clock this host may send to them. Each slot belongs to the host with the highest rendezvous score for it, so lists that differ in one host disagree about that host's slots only. A removed host keeps its slots while it may still use them, a new one waits.

--- /dev/null
+++ b/components/gateway/src/cold/quota.rs
@@ -0,0 +1,91 @@
+use std::time::Duration;
+
+use utils::Monotonic;
+
+use super::hosts::SLOTS_PER_BLOCK;
+use super::{SlotHosts, SlotSchedule};
+
+/// Number of successive blocks that the open slots of a target can touch.
+const OPEN_BLOCKS: usize = 3;
+
+/// The slots of one target that belong to this host.
+///
+/// ```
+/// use std::time::Duration;
+/// use gateway::{ColdBound, ColdLimit, SlotHosts, SlotQuota, SlotSchedule};
+///
+/// let limit = ColdLimit { duration: Duration::from_secs(8), per_second: 1.0 };
+/// let schedule = SlotSchedule::new(&limit, &ColdBound { overrun: 1.0, slack: 4.0 }).unwrap();
+/// let now = Duration::from_secs(100);
+/// let mut quota = SlotQuota::default();
+/// // A host that is not listed has no slots.
+/// assert_eq!(quota.free_slot("t1", &schedule, &SlotHosts::new("h1".into()), now, now), None);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct SlotQuota {
+    /// This host's slots in the blocks that may be open.
+    blocks: [Option<OwnSlots>; OPEN_BLOCKS],
+    /// Slots that have been taken and may still be open.
+    taken: Vec<u64>,
+}
+
+/// The slots of a block that belong to this host.
+#[derive(Debug, Clone, Copy)]
+struct OwnSlots {
+    /// Number of the block.
+    block: u64,
+    /// Generation of the list of hosts.
+    generation: u64,
+    /// Whether each slot is this host's.
+    is_own: [bool; SLOTS_PER_BLOCK as usize],
+}
+
+impl SlotQuota {
+    /// Returns the oldest open slot of this host that has not been taken.
+    pub fn free_slot(
+        &mut self,
+        instance: &str,
+        schedule: &SlotSchedule,
+        hosts: &SlotHosts,
+        store_time: Duration,
+        now: Monotonic,
+    ) -> Option<u64> {
+        if !hosts.may_use_slots(now) {
+            return None;
+        }
+        let mut open = schedule.open_slots(instance, store_time)?;
+        let oldest = *open.start();
+        // The time of the store only advances, but for a correction of a few milliseconds.
+        self.taken.retain(|slot| *slot + SLOTS_PER_BLOCK >= oldest);
+        open.find(|slot| !self.taken.contains(slot) && self.is_own(instance, hosts, *slot))
+    }
+
+    /// Takes the oldest open slot of this host, if one is free.
+    pub fn take(
+        &mut self,
+        instance: &str,
+        schedule: &SlotSchedule,
+        hosts: &SlotHosts,
+        store_time: Duration,
+        now: Monotonic,
+    ) -> Option<u64> {
+        let slot = self.free_slot(instance, schedule, hosts, store_time, now)?;
+        self.taken.push(slot);
+        Some(slot)
+    }
+
+    fn is_own(&mut self, instance: &str, hosts: &SlotHosts, slot: u64) -> bool {
+        let block = slot / SLOTS_PER_BLOCK;
+        let held = &mut self.blocks[(block % OPEN_BLOCKS as u64) as usize];
+        let is_current = |own: &OwnSlots| own.block == block && own.generation == hosts.generation();
+        let own = match held {
+            Some(own) if is_current(own) => own,
+            _ => held.insert(OwnSlots {
+                block,
+                generation: hosts.generation(),
+                is_own: hosts.own_slots(instance, block),
+            }),
+        };
+        own.is_own[(slot % SLOTS_PER_BLOCK) as usize]
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod cached_state;
 mod call;
+mod cold;
 mod control;
 mod crash_rows;
 mod daemon;
@@ -42,6 +43,10 @@
 pub use budget::RetryBudget;
 pub use cached_state::{CachedState, UpdateSource};
 pub use call::{AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts};
+pub use cold::{
+    ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
+    SlotSchedule,
+};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
