Send to cold targets only within a quota over all hosts

Cold targets were sent requests like others, crashed above their rate and came back cold. The deployment's bound (bounds.cold_overrun, bounds.cold_slack) and the services' figures (cold_start_s, cold_per_s) are now read, and cold_remaining_ms of the entries is kept beside the view, so that a renewal publishes no view; relays and hosts pause 1 s after an answer with renewals only, instead of 0.6 s. Placement takes a slot for a cold target and checks it right before the send; a target without a free slot is no candidate. If only such targets are left, the request is refused as overloaded. A broken or refused connection, and an idle one closed before its time, makes its target presumed cold.

The opening of connections moves to traffic/open.rs, the store's clock to store_clock.rs. Without the two bounds nothing changes.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,16 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const TARGETS_COLD: Event = event(
+        5060,
+        "targets_cold",
+        "Targets have become cold, or are presumed cold; this host sends to them only within its quota.",
+    );
+    pub const TARGETS_WARM: Event = event(
+        5061,
+        "targets_warm",
+        "Targets are no longer cold; this host sends to them without a quota.",
+    );
 }
 
 /// All events, ordered by number.
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -5,11 +5,14 @@
 use error_stack::Report;
 use utils::{ModelId, Monotonic};
 
+use crate::cold::{ColdEntry, ColdReport};
 use crate::crash_rows::{CRASH_PREFIX, CrashRows, SOUND_PREFIX, is_on_crash};
 use crate::departed::{DepartedTargets, Departure};
 use crate::lost_rows::{LostRow, LostRows};
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::rows::{Rows, TableUpdate};
+use crate::store_clock::StoreClock;
+use crate::store_link::{StoreLink, UpdateSource};
 use crate::view::{HostEntry, View};
 use crate::weights_history::{DeclaredAge, DeclaredTimes, WeightsHistory};
 use crate::{Declared, Position, Target};
@@ -19,24 +22,6 @@
 /// Prefix of the keys under which the ages of a model's declared weights are kept.
 pub(crate) const DECLARED_TIMES_PREFIX: &str = "weights/";
 
-/// Where an update of a table comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum UpdateSource {
-    /// The platform's store.
-    Store,
-    /// Another entry host.
-    Peer,
-}
-
-/// Availability of the store, derived from the results of calls to it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StoreLink {
-    /// Calls succeed. Holds the end of the last outage until the grace period after it has passed.
-    Up(Option<Monotonic>),
-    /// Calls fail.
-    Down,
-}
-
 /// The host's cached state: declarations, targets and other hosts. A state machine without I/O.
 ///
 /// Positions only increase: a row older than the cached one is ignored, so a late or stale answer can't undo
@@ -59,9 +44,8 @@
     weights: HashMap<ModelId, WeightsHistory>,
     /// When a host received each declared version, by model, as recorded in the shared table.
     declared_times: BTreeMap<ModelId, DeclaredTimes>,
-    /// Time on the store's clock at time 0 of this host's clock. May be negative: the host's clock can be
-    /// ahead. `None` until the store or another host has reported its time.
-    store_clock_offset_ms: Option<i64>,
+    /// The store's clock.
+    store_clock: StoreClock,
     /// Confirmed targets by key.
     targets: BTreeMap<String, Arc<Target>>,
     /// Targets by key whose entry disappeared around an outage and may have only lapsed.
@@ -74,6 +58,8 @@
     crashes: CrashRows,
     /// Rows on crashes that a restored store has lost. They count as before until a host has written them again.
     lost_rows: LostRows,
+    /// What entries said of the coldness of targets since it was last taken.
+    cold_reports: Vec<ColdReport>,
     /// Whether the declared table was read in full before the current update. Only versions received after
     /// that have a known age.
     was_declared_read: bool,
@@ -93,13 +79,14 @@
             declared: None,
             weights: HashMap::new(),
             declared_times: BTreeMap::new(),
-            store_clock_offset_ms: None,
+            store_clock: StoreClock::default(),
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             departed: DepartedTargets::default(),
             hosts: BTreeMap::new(),
             crashes: CrashRows::default(),
             lost_rows: LostRows::default(),
+            cold_reports: Vec::new(),
             was_declared_read: false,
             is_changed: false,
         }
@@ -256,20 +243,25 @@
         }
     }
 
+    /// Returns what entries have said of the coldness of targets since the last call.
+    pub(crate) fn take_cold_reports(&mut self) -> Vec<ColdReport> {
+        std::mem::take(&mut self.cold_reports)
+    }
+
+    /// Returns the store's clock.
+    pub(crate) fn store_clock(&self) -> StoreClock {
+        self.store_clock
+    }
+
     /// Returns the time on the store's clock; `None` until it is known.
     pub fn store_time(&self, now: Monotonic) -> Option<Duration> {
-        let ms = millis(now).saturating_add(self.store_clock_offset_ms?);
-        u64::try_from(ms).ok().map(Duration::from_millis)
+        self.store_clock.time(now)
     }
 
     /// Records the time on the store's clock, as the store or another host reported it. Answers arrive with a
     /// delay, so the latest of all times is the most accurate.
     pub fn record_store_time(&mut self, store_time: Duration, now: Monotonic) {
-        let offset = millis(store_time).saturating_sub(millis(now));
-        if self.store_clock_offset_ms.is_some_and(|known| known >= offset) {
-            return;
-        }
-        let was_unknown = self.store_clock_offset_ms.replace(offset).is_none();
+        let was_unknown = self.store_clock.record(store_time, now);
         if was_unknown {
             for model in self.declared_times.keys().cloned().collect::<Vec<_>>() {
                 self.apply_declared_times(&model, now);
@@ -357,6 +349,7 @@
             quarantined: self.crashes.quarantined(),
             parts: self.crashes.suspect_parts(),
             has_read_targets: self.complete_position(Table::Targets).is_some(),
+            has_read_hosts: self.complete_position(Table::Shared).is_some(),
         })
     }
 
@@ -367,7 +360,7 @@
         source: UpdateSource,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
-        self.is_changed |= !applied.is_empty();
+        self.is_changed |= table != Table::Targets && !applied.is_empty();
         let unusable = applied
             .into_iter()
             .filter_map(|record| self.apply_record(table, record, source, now).err())
@@ -421,7 +414,9 @@
         now: Monotonic,
     ) -> Result<(), Report<UnusableRecord>> {
         let era = record.position.era();
+        let was_changed = std::mem::replace(&mut self.is_changed, true);
         if record.value.is_none() {
+            self.cold_reports.push(ColdReport::Gone(record.key.clone()));
             self.departed.drop_held(&record.key);
             self.remove_target(&record.key, source, era, now);
             return Ok(());
@@ -430,7 +425,11 @@
         if decoded.is_err() {
             self.targets.remove(&record.key);
         }
-        let target = Arc::new(decoded?);
+        let mut target = decoded?;
+        let remaining = target.cold_remaining.take();
+        let entry = ColdEntry::of(&target, remaining);
+        self.cold_reports.push(ColdReport::Entry(entry));
+        let target = Arc::new(target);
         if self.departed.hold(&record.key, &target, era, now) {
             self.remove_target(&record.key, source, era, now);
             return Ok(());
@@ -440,7 +439,11 @@
             self.departed.record(&target.run, Departure::Leaving, era, now);
         }
         let run = target.run.clone();
-        let replaced = self.targets.insert(record.key, target);
+        let replaced = self.targets.insert(record.key, target.clone());
+        if replaced.as_ref() == Some(&target) {
+            // A renewal: nothing but the time for which the target is cold can have changed.
+            self.is_changed = was_changed;
+        }
         if let Some(replaced) = replaced.filter(|replaced| replaced.run != run) {
             self.departed.record(&replaced.run, Departure::Removed, era, now);
         }
@@ -523,8 +526,3 @@
         self.is_changed = true;
     }
 }
-
-/// Returns a duration in whole milliseconds.
-fn millis(time: Duration) -> i64 {
-    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
-}
--- a/components/gateway/src/cold/mod.rs
+++ b/components/gateway/src/cold/mod.rs
@@ -14,4 +14,5 @@
 pub use limit::{ColdBound, ColdLimit, ColdRules};
 pub use quota::SlotQuota;
 pub use schedule::SlotSchedule;
+pub(crate) use targets::ColdReport;
 pub use targets::{ColdChanges, ColdEntry, ColdPermit, ColdTargets};
--- a/components/gateway/src/cold/targets.rs
+++ b/components/gateway/src/cold/targets.rs
@@ -4,7 +4,7 @@
 use utils::{Monotonic, ServiceId, TargetId};
 
 use super::{ColdLimit, ColdRules, SlotHosts, SlotQuota};
-use crate::Target;
+use crate::{StoreClock, Target};
 
 /// Time after a failure in which an entry may arrive that was written before it: the pause of a relay, the interval
 /// between queries to it and the age of a relay's state.
@@ -37,6 +37,15 @@
     }
 }
 
+/// What a row of the store says of the coldness of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ColdReport {
+    /// Its entry.
+    Entry(ColdEntry),
+    /// The entry of this instance is gone.
+    Gone(String),
+}
+
 /// Permission to send one request to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdPermit {
@@ -150,8 +159,8 @@
 pub struct ColdTargets {
     /// Hosts that share the slots.
     pub hosts: SlotHosts,
-    /// Time on the store's clock at time 0 of this host's clock, in milliseconds; `None` until it is known.
-    store_clock_offset_ms: Option<i64>,
+    /// The store's clock.
+    store_clock: StoreClock,
     /// What is known of each target, by instance.
     targets: HashMap<String, TargetState>,
 }
@@ -161,14 +170,14 @@
     pub fn new(own: utils::HostId) -> Self {
         Self {
             hosts: SlotHosts::new(own),
-            store_clock_offset_ms: None,
+            store_clock: StoreClock::default(),
             targets: HashMap::new(),
         }
     }
 
-    /// Sets the time on the store's clock at time 0 of this host's clock.
-    pub fn set_store_clock_offset(&mut self, offset_ms: Option<i64>) {
-        self.store_clock_offset_ms = offset_ms;
+    /// Sets the store's clock.
+    pub fn set_store_clock(&mut self, clock: StoreClock) {
+        self.store_clock = clock;
     }
 
     /// Records an entry of a target.
@@ -183,6 +192,14 @@
         }
     }
 
+    /// Records a row of the store.
+    pub(crate) fn record(&mut self, report: &ColdReport, now: Monotonic) {
+        match report {
+            ColdReport::Entry(entry) => self.record_entry(entry, now),
+            ColdReport::Gone(instance) => self.record_gone(instance),
+        }
+    }
+
     /// Records that a target was unreachable or broke a connection: it may have restarted.
     pub fn record_failure(&mut self, instance: &str, now: Monotonic) {
         let state = self.state(instance, now);
@@ -213,7 +230,7 @@
         match permit {
             ColdPermit::Warm => self.cold_left(instance, &rules.limit, now).is_none(),
             ColdPermit::Slot(slot) => {
-                let schedule = rules.schedule.zip(self.store_time(now));
+                let schedule = rules.schedule.zip(self.store_clock.time(now));
                 let open = schedule.and_then(|(schedule, time)| schedule.open_slots(instance, time));
                 open.is_some_and(|open| open.contains(&slot)) && self.hosts.may_use_slots(now)
             }
@@ -250,12 +267,6 @@
             .retain(|name, state| listed.contains(&**name) || now < state.touched_at + RETENTION);
     }
 
-    fn store_time(&self, now: Monotonic) -> Option<Duration> {
-        let now_ms = i64::try_from(now.as_millis()).ok()?;
-        let ms = now_ms.checked_add(self.store_clock_offset_ms?)?;
-        u64::try_from(ms).ok().map(Duration::from_millis)
-    }
-
     fn permit(
         &mut self,
         instance: &str,
@@ -263,7 +274,7 @@
         now: Monotonic,
         slot: SlotOperation,
     ) -> Option<ColdPermit> {
-        let store_time = self.store_time(now);
+        let store_time = self.store_clock.time(now);
         if self.state(instance, now).cold_until(&rules.limit) <= now {
             return Some(ColdPermit::Warm);
         }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -24,6 +24,9 @@
 /// Pause after a change of targets, which batches changes in quick succession into few calls. Well below the
 /// time within which a host must stop using a leaving target.
 const TARGETS_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after targets have only renewed their entries. As long as the wait of a relay, so that relays call no more
+/// often than without renewals.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause after a change of the shared table that concerns crashes of targets.
 const CRASH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after any other change of the shared table.
@@ -71,8 +74,10 @@
             }
             Ok(Fetched::Changed(changed)) => {
                 let pause = pause_after(table, &changed);
-                control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
-                smol::Timer::after(pause).await;
+                let is_changed =
+                    control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
+                let is_renewal = table == Table::Targets && !is_changed && !pause.is_zero();
+                smol::Timer::after(if is_renewal { RENEWAL_PAUSE } else { pause }).await;
             }
             Ok(Fetched::Compacted) => needs_full_read = true,
             Err(e) => {
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -124,8 +124,10 @@
     pub(crate) fn record_confirmed(&self, table: Table, now: Monotonic) {
         let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
         confirmed_at.insert(table, now);
-        if table == Table::Declared {
-            self.traffic.kept().record_declared(now);
+        match table {
+            Table::Declared => self.traffic.kept().record_declared(now),
+            Table::Shared => self.traffic.confirm_slot_hosts(now),
+            _ => {}
         }
     }
 
@@ -141,6 +143,7 @@
     /// Records a relay's answer to a query sent at `sent_at`, with the state of the store at `confirmed_at`.
     pub(crate) fn record_relayed(&self, confirmed_at: Monotonic, sent_at: Monotonic) {
         self.traffic.kept().record_declared(confirmed_at);
+        self.traffic.confirm_slot_hosts(confirmed_at);
         // A relay gives the age of its state only while the store answers it.
         self.cached_state().store_answered(sent_at);
         *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
@@ -151,11 +154,12 @@
         *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies a change to the cached state, logs unusable rows and publishes the new view.
+    /// Applies a change to the cached state, logs unusable rows and publishes the new view. Returns whether the view
+    /// has changed.
     pub(crate) fn update(
         &self,
         change: impl FnOnce(&mut CachedState) -> Vec<error_stack::Report<UnusableRecord>>,
-    ) {
+    ) -> bool {
         let mut state = self.cached_state();
         let era = state.era();
         for unusable in change(&mut state) {
@@ -168,13 +172,17 @@
                 "era" => state.era(), "previous" => era,
                 "unconfirmed" => state.unconfirmed_count());
         }
-        let Some(view) = state.publish() else { return };
+        let reports = state.take_cold_reports();
+        self.traffic.record_cold_reports(&reports, state.store_clock());
+        let Some(view) = state.publish() else { return false };
         info!(self.traffic.log, "cached state changed"; events::STATE_CHANGED,
             "declared" => view.declared.as_ref().map_or(0, |d| d.version),
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
             "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
+        self.traffic.set_slot_hosts(&view);
         self.traffic.view.store(Arc::new(view));
+        true
     }
 
     /// Logs the prompt parts that enter or leave the quarantine.
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -4,6 +4,8 @@
 
 use utils::{FailureDomainId, ModelId, ServiceId, WorkspaceId};
 
+use crate::cold::ColdLimit;
+
 /// Whether requests of a route can be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetrySafety {
@@ -99,6 +101,8 @@
     pub engine: Option<EngineSpec>,
     /// The store of kept cache, if the service is one.
     pub store: Option<StoreSpec>,
+    /// How its targets behave while they are cold; `None` if they have no cold state.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A declared workspace.
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -4,6 +4,8 @@
 
 use utils::{FailureDomainId, HostId, RegionId};
 
+use crate::cold::ColdBound;
+
 /// Bounds set by the deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -23,6 +25,8 @@
     pub is_fenced: bool,
     /// How long an entry that is missing after an outage of the store stays listed.
     pub return_grace: Duration,
+    /// Bound on the requests that arrive at a cold target, if the deployment has one.
+    pub cold: Option<ColdBound>,
 }
 
 /// Settings of an entry host on a platform.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,8 @@
 mod rows;
 mod sampling;
 mod sessions;
+mod store_clock;
+mod store_link;
 mod suspects;
 mod target;
 mod telemetry;
@@ -41,7 +43,7 @@
 
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
-pub use cached_state::{CachedState, UpdateSource};
+pub use cached_state::CachedState;
 pub use call::{AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts};
 pub use cold::{
     ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
@@ -69,6 +71,8 @@
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
+pub use store_clock::StoreClock;
+pub use store_link::UpdateSource;
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
     PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use utils::{FailureDomainId, ModelId, ServiceId, TargetId};
 
@@ -24,6 +25,9 @@
     pub is_leaving: bool,
     /// Models that it serves, with the weight version of each.
     pub models: Vec<(ModelId, u64)>,
+    /// For how much longer the target is cold, if its entry says so. `None` in a view: it changes with every renewal of
+    /// an entry.
+    pub cold_remaining: Option<Duration>,
 }
 
 impl Target {
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -34,6 +34,10 @@
     pauses: Counter<u64>,
     /// Targets that have said that they are leaving.
     leavings: Counter<u64>,
+    /// Sends to cold targets by whether the quota allowed them.
+    cold_sends: Counter<u64>,
+    /// Cold targets.
+    cold_targets: Gauge<u64>,
     /// Calls to the platform's store by result.
     store_calls: Counter<u64>,
     /// Time since the platform's store last answered, in seconds.
@@ -118,6 +122,8 @@
             retries: meter.u64_counter("laburnumtally.route.repeats").build(),
             pauses: meter.u64_counter("laburnumtally.targets.pauses").build(),
             leavings: meter.u64_counter("laburnumtally.targets.leaving").build(),
+            cold_sends: meter.u64_counter("laburnumtally.cold.sends").build(),
+            cold_targets: meter.u64_gauge("laburnumtally.cold.targets").build(),
             store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
             store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
             in_flight: meter.u64_gauge("laburnumtally.route.open").build(),
@@ -145,6 +151,17 @@
         self.retries.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a send to a cold target that the quota allowed, or refused right before it.
+    pub(crate) fn cold_send(&self, is_allowed: bool) {
+        let result = if is_allowed { "allowed" } else { "refused" };
+        self.cold_sends.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Records the number of cold targets.
+    pub(crate) fn record_cold_targets(&self, count: usize) {
+        self.cold_targets.record(count as u64, &[]);
+    }
+
     /// Counts a call to the platform's store.
     pub(crate) fn store_call(&self, is_answered: bool) {
         let result = if is_answered { "answered" } else { "failed" };
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -9,8 +9,9 @@
 use hyper::http::response::Parts;
 use utils::Monotonic;
 
-use super::connect::{Connection, connect};
+use super::connect::Connection;
 use super::crashes::BrokenAttempt;
+use super::open::open;
 use super::outgoing::{request, strip_connection_headers};
 use super::place::Placed;
 use super::request::Call;
@@ -34,8 +35,6 @@
 /// Pause after another instance has answered at a target's address. The entry of a target that is gone is removed
 /// within this time, and one that is back is another run.
 const OTHER_INSTANCE_PAUSE: Duration = Duration::from_secs(5);
-/// Connections to a target that a host may open regardless of the limits.
-const MIN_CONNECTIONS: usize = 2;
 
 /// The result of an attempt to send a request to a target.
 pub(crate) enum AttemptResult {
@@ -188,6 +187,7 @@
         self.cx.with_slot(&self.target, |slot| {
             slot.load.record_outcome(SendOutcome::Failed, now)
         });
+        self.cx.record_cold_failure(&self.target, now);
     }
 }
 
@@ -264,6 +264,9 @@
     let Some(conn) = exchange.conn.as_mut() else {
         return AttemptResult::NotSent;
     };
+    if !cx.may_use_permit(placed) {
+        return AttemptResult::NotSent;
+    }
     let answer = async { Ok(conn.sender.try_send_request(req).await) };
     let timeout = async {
         smol::Timer::after(begin_by.saturating_sub(cx.now())).await;
@@ -393,66 +396,3 @@
     };
     read.or(timeout).await
 }
-
-/// Takes an idle connection to a target, or opens one within this host's share of the target's limit.
-async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Option<Connection> {
-    let limit = connection_share(cx, call);
-    let (idle, has_room) = cx.with_slot(target, |slot| {
-        let idle = slot.take_idle(call.number, cx.now());
-        let has_room = idle.is_none() && slot.reserve(limit);
-        (idle, has_room)
-    });
-    if idle.is_some() || !has_room {
-        return idle;
-    }
-    let mut reserved = Reserved {
-        cx,
-        target,
-        is_used: false,
-    };
-    match connect(&cx.ex, target.address).await {
-        Ok(conn) => {
-            reserved.is_used = true;
-            Some(conn)
-        }
-        Err(e) => {
-            slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
-                "request" => &call.id, "target" => &target.instance, "error" => %e);
-            let now = cx.now();
-            cx.with_slot(target, |slot| {
-                slot.load.record_outcome(SendOutcome::Unreachable, now)
-            });
-            None
-        }
-    }
-}
-
-/// A reserved connection of a target, which is released on drop if no connection was opened.
-struct Reserved<'a> {
-    /// The traffic thread's state.
-    cx: &'a Traffic,
-    /// The target.
-    target: &'a Target,
-    /// Whether a connection was opened for the reservation.
-    is_used: bool,
-}
-
-impl Drop for Reserved<'_> {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.cx.with_slot(self.target, super::pool::TargetSlot::release);
-        }
-    }
-}
-
-/// Returns this host's share of the connections that a target accepts from all hosts, bounded by this host's
-/// sockets.
-fn connection_share(cx: &Traffic, call: &Call) -> usize {
-    let view = cx.view.load();
-    let declared = view.declared.as_ref();
-    let service = declared.and_then(|declared| declared.service(&call.service));
-    let limit = service.map_or(u32::MAX, |service| service.connection_limit) as usize;
-    let targets = view.targets.values().map(Vec::len).sum::<usize>();
-    let sockets = cx.settings.sockets / 2 / targets.max(1);
-    (limit / view.host_count()).min(sockets).max(MIN_CONNECTIONS)
-}
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -20,6 +20,8 @@
     AlreadyTried,
     /// Its weights were replaced too long ago.
     OldWeights,
+    /// It is cold, and this host may not send to it at this moment.
+    ColdQuotaUsed,
 }
 
 impl Exclusion {
@@ -36,6 +38,7 @@
             Self::Paused => "paused",
             Self::AlreadyTried => "already-tried",
             Self::OldWeights => "old-weights",
+            Self::ColdQuotaUsed => "cold-quota-used",
         }
     }
 }
@@ -47,6 +50,8 @@
     pub announcements: &'a Announcements,
     /// Targets that the request was sent to or that were unreachable.
     pub tried: &'a [TargetId],
+    /// Cold targets to which this host may not send at this moment.
+    pub cold_quota_used: &'a [TargetId],
     /// Time of the decision.
     pub now: Monotonic,
 }
@@ -65,6 +70,7 @@
             (Exclusion::Leaving, !self.announcements.may_send(run, self.now)),
             (Exclusion::AlreadyTried, self.tried.contains(run)),
             (Exclusion::OldWeights, old_weights == OldWeightsPolicy::Forbidden),
+            (Exclusion::ColdQuotaUsed, self.cold_quota_used.contains(run)),
         ];
         let found = reasons.into_iter().find(|(_, applies)| *applies);
         found.map(|(reason, _)| reason)
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -2,10 +2,12 @@
 
 mod accept;
 mod admit;
+mod cold;
 mod connect;
 mod crashes;
 mod exchange;
 mod exclusion;
+mod open;
 mod other_hosts;
 mod outgoing;
 mod pipeline;
--- /dev/null
+++ b/components/gateway/src/traffic/open.rs
@@ -0,0 +1,79 @@
+use std::sync::Arc;
+
+use super::connect::{Connection, connect};
+use super::pool::TargetSlot;
+use super::request::Call;
+use super::state::Traffic;
+use crate::Target;
+use crate::load::SendOutcome;
+
+/// Connections to a target that a host may open regardless of the limits.
+const MIN_CONNECTIONS: usize = 2;
+
+/// Takes an idle connection to a target, or opens one within this host's share of the target's limit.
+pub(super) async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Option<Connection> {
+    let limit = connection_share(cx, call);
+    let now = cx.now();
+    let (idle, has_room, has_lost_idle) = cx.with_slot(target, |slot| {
+        let idle = slot.take_idle(call.number, now);
+        let has_room = idle.is_none() && slot.reserve(limit);
+        (idle, has_room, slot.take_lost_idle())
+    });
+    if has_lost_idle {
+        cx.record_cold_failure(target, now);
+    }
+    if idle.is_some() || !has_room {
+        return idle;
+    }
+    let mut reserved = Reserved {
+        cx,
+        target,
+        is_used: false,
+    };
+    match connect(&cx.ex, target.address).await {
+        Ok(conn) => {
+            reserved.is_used = true;
+            Some(conn)
+        }
+        Err(e) => {
+            slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
+                "request" => &call.id, "target" => &target.instance, "error" => %e);
+            let now = cx.now();
+            cx.with_slot(target, |slot| {
+                slot.load.record_outcome(SendOutcome::Unreachable, now)
+            });
+            cx.record_cold_failure(target, now);
+            None
+        }
+    }
+}
+
+/// A reserved connection of a target, which is released on drop if no connection was opened.
+struct Reserved<'a> {
+    /// The traffic thread's state.
+    cx: &'a Traffic,
+    /// The target.
+    target: &'a Target,
+    /// Whether a connection was opened for the reservation.
+    is_used: bool,
+}
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.cx.with_slot(self.target, TargetSlot::release);
+        }
+    }
+}
+
+/// Returns this host's share of the connections that a target accepts from all hosts, bounded by this host's
+/// sockets.
+fn connection_share(cx: &Traffic, call: &Call) -> usize {
+    let view = cx.view.load();
+    let declared = view.declared.as_ref();
+    let service = declared.and_then(|declared| declared.service(&call.service));
+    let limit = service.map_or(u32::MAX, |service| service.connection_limit) as usize;
+    let targets = view.targets.values().map(Vec::len).sum::<usize>();
+    let sockets = cx.settings.sockets / 2 / targets.max(1);
+    (limit / view.host_count()).min(sockets).max(MIN_CONNECTIONS)
+}
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -13,6 +13,7 @@
 use super::accept::{accept, draining_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange, read_whole};
+use super::exclusion::Exclusion;
 use super::place::{Placed, PlacementError, place, session_for_weights};
 use super::refusal::Refusal;
 use super::relay::relay;
@@ -175,6 +176,11 @@
                 let detail = "every target is paused";
                 Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
             }
+            Some(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed))) => {
+                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
+                let detail = "the remaining targets are cold and take no more requests now";
+                Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
+            }
             _ => Refusal::not_run(ProblemKind::NoTarget, "no target took the request")
                 .with_retry_after(NO_TARGET_RETRY_AFTER),
         }
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -8,6 +8,7 @@
 use super::other_hosts::OtherHostsLoad;
 use super::request::Call;
 use super::state::{RoutingState, Traffic};
+use crate::cold::ColdPermit;
 use crate::freshness::{OldWeightsPolicy, old_weights_policy};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest, RegionStore, region_stores};
@@ -36,6 +37,8 @@
     pub work: Work,
     /// Parts that the request fetches from stores and saves to them.
     pub cache: CachePlan,
+    /// Permission to send to the target.
+    pub permit: ColdPermit,
 }
 
 /// Why no target was chosen.
@@ -54,8 +57,16 @@
 /// Chooses a target for a request, without the targets in `tried`.
 pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, PlacementError> {
     let view = cx.view.load();
-    let routing = cx.routing();
-    let context = PlacementContext::new(cx, &view, &routing, call, tried);
+    let mut routing = cx.routing();
+    let now = cx.now();
+    let cold_quota_used = cx.cold_quota_used(&view, &mut routing, &call.service, now);
+    let rules = PlacementRules {
+        announcements: &routing.announcements,
+        tried,
+        cold_quota_used: &cold_quota_used,
+        now,
+    };
+    let context = PlacementContext::new(cx, &view, &routing, call, rules);
     let mut targets = context.targets();
     let session = call.session_key();
     if let Some(session) = session {
@@ -93,8 +104,11 @@
     let owner = targets.first().copied().filter(|owner| **owner != target);
     let held = candidates[choice.index].cache_hit_chance * f64::from(demand.shared_tokens);
     let weights = context.weights_at(&target);
+    let cache = context.cache_plan(&target, weights, owner, fetch_limit(&demand, &choice));
+    let permit = cx.take_cold_permit(&view, &mut routing, &target, now);
     Ok(Placed {
-        cache: context.cache_plan(&target, weights, owner, fetch_limit(&demand, &choice)),
+        cache,
+        permit: permit.ok_or(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed)))?,
         weights,
         target,
         choice,
@@ -133,24 +147,19 @@
         view: &'a View,
         routing: &'a RoutingState,
         call: &'a Call,
-        tried: &'a [TargetId],
+        rules: PlacementRules<'a>,
     ) -> Self {
         let targets = view.targets_of(&call.service);
-        let now = cx.now();
         let mut context = Self {
             cx,
             view,
             routing,
             call,
-            rules: PlacementRules {
-                announcements: &routing.announcements,
-                tried,
-                now,
-            },
+            rules,
             others: OtherHostsLoad::estimate(routing, targets, view.host_count()),
             engine_memory: engine_memory(view, call),
             stores: HashMap::new(),
-            now,
+            now: rules.now,
         };
         for target in targets {
             let found = context.stores.entry(&target.domain);
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -29,6 +29,8 @@
     open: usize,
     /// Idle connections, the most recently used one last.
     idle: Vec<Idle>,
+    /// Whether the target has closed an idle connection before its time: it may have restarted.
+    has_lost_idle: bool,
 }
 
 impl TargetSlot {
@@ -41,11 +43,17 @@
             if now < idle.usable_until && idle.conn.sender.is_ready() {
                 return Some(idle.conn);
             }
+            self.has_lost_idle |= now < idle.usable_until;
             self.open = self.open.saturating_sub(1);
         }
         None
     }
 
+    /// Returns whether the target has closed an idle connection before its time since the last call.
+    pub(crate) fn take_lost_idle(&mut self) -> bool {
+        std::mem::take(&mut self.has_lost_idle)
+    }
+
     /// Whether an idle connection can be used.
     pub(crate) fn is_connected(&self, now: Monotonic) -> bool {
         let newest = self.idle.last();
@@ -84,6 +92,8 @@
     /// Closes the idle connections that may no longer be used.
     pub(crate) fn close_expired(&mut self, now: Monotonic) {
         let before = self.idle.len();
+        let is_lost = |idle: &Idle| now < idle.usable_until && idle.conn.sender.is_closed();
+        self.has_lost_idle |= self.idle.iter().any(is_lost);
         self.idle
             .retain(|idle| now < idle.usable_until && !idle.conn.sender.is_closed());
         self.open = self.open.saturating_sub(before - self.idle.len());
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,7 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::pool::TargetSlot;
+use crate::cold::ColdTargets;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
@@ -23,7 +24,6 @@
 };
 
 /// Mutable routing state of the traffic thread.
-#[derive(Default)]
 pub(crate) struct RoutingState {
     /// Connections, load and health by run of a target.
     pub slots: HashMap<TargetId, TargetSlot>,
@@ -39,12 +39,31 @@
     pub part_trials: PartTrials,
     /// What targets have said of themselves.
     pub announcements: Announcements,
+    /// Which targets are cold, and this host's quota of sends to them.
+    pub cold: ColdTargets,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
     /// Recent times of complete answers by service.
     pub run_times: HashMap<ServiceId, RunTimes>,
 }
 
+impl RoutingState {
+    fn new(settings: &HostSettings) -> Self {
+        Self {
+            slots: HashMap::new(),
+            budgets: HashMap::new(),
+            sessions: Sessions::default(),
+            crashes: Crashes::default(),
+            part_successes: PartSuccesses::default(),
+            part_trials: PartTrials::default(),
+            announcements: Announcements::default(),
+            cold: ColdTargets::new(settings.name.clone()),
+            paces: HashMap::new(),
+            run_times: HashMap::new(),
+        }
+    }
+}
+
 /// State that the stages of a request share.
 pub(crate) struct Traffic {
     /// Settings of the host.
@@ -88,6 +107,7 @@
         last_answers: Shutdown,
     ) -> Self {
         Self {
+            routing: Mutex::new(RoutingState::new(&settings)),
             settings,
             clock,
             view: ArcSwap::default(),
@@ -100,7 +120,6 @@
             in_flight: AtomicUsize::new(0),
             last_call: AtomicU64::new(0),
             crashes,
-            routing: Mutex::default(),
             kept: Mutex::default(),
         }
     }
@@ -233,6 +252,8 @@
         for slot in routing.slots.values_mut() {
             slot.close_expired(now);
         }
+        drop(routing);
+        self.update_cold(&view, now);
     }
 
     fn with_budget<T>(&self, service: &ServiceId, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -67,6 +67,8 @@
     pub parts: SuspectParts,
     /// Whether the targets have been read in full.
     pub has_read_targets: bool,
+    /// Whether the hosts have been read in full.
+    pub has_read_hosts: bool,
 }
 
 impl View {
--- a/components/gateway/tests/cold_quota.rs
+++ b/components/gateway/tests/cold_quota.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use gateway::{ColdBound, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets};
+use gateway::{ColdBound, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, StoreClock};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
@@ -21,8 +21,8 @@
 const CONFIRM_INTERVAL_MS: u64 = 1_000;
 /// Time after which the other hosts remove a host that is cut off.
 const REMOVAL_MS: u64 = 6_000;
-/// Largest difference of a host's estimate of the store's time.
-const MAX_CLOCK_ERROR_MS: i64 = 40;
+/// Largest difference between two hosts' estimates of the store's time.
+const MAX_CLOCK_ERROR_MS: u64 = 80;
 /// Longest time until a request arrives.
 const MAX_TRANSIT_MS: u64 = 70;
 /// The cold target.
@@ -44,6 +44,13 @@
     ColdRules::new(limit, &bound)
 }
 
+/// Returns the store's clock that shows this time when the host's clock starts.
+fn clock(offset: Duration) -> StoreClock {
+    let mut clock = StoreClock::default();
+    clock.record(offset, Duration::ZERO);
+    clock
+}
+
 fn entry(run: &str, remaining: Option<u64>) -> ColdEntry {
     ColdEntry {
         instance: TARGET.to_owned(),
@@ -71,8 +78,8 @@
     fn new(number: usize, hosts: usize, faults: bool, rng: &mut StdRng) -> Self {
         let name: HostId = format!("host-{number}").into();
         let mut state = ColdTargets::new(name.clone());
-        let error = rng.random_range(-MAX_CLOCK_ERROR_MS..=MAX_CLOCK_ERROR_MS);
-        state.set_store_clock_offset(Some(1_000_000 + error));
+        let error = rng.random_range(0..=MAX_CLOCK_ERROR_MS);
+        state.set_store_clock(clock(ms(1_000_000 + error)));
         // Cold for the whole time.
         state.record_entry(&entry("t1/1", Some(10 * SIMULATED_MS)), Duration::ZERO);
         let mut fault = |longest: u64| {
@@ -208,7 +215,7 @@
     state.hosts.update([&host].into_iter(), Duration::ZERO);
     state.hosts.confirm(ms(10_000));
     assert_eq!(state.take(TARGET, &rules(), ms(10_000)), None);
-    state.set_store_clock_offset(Some(0));
+    state.set_store_clock(clock(Duration::ZERO));
     let permit = state.take(TARGET, &rules(), ms(10_000)).unwrap();
     assert!(state.is_valid(permit, TARGET, &rules(), ms(10_010)));
     // Suspended after it took the slot.
@@ -254,7 +261,7 @@
     for per_second in [f64::MAX, f64::MIN_POSITIVE, f64::INFINITY] {
         let rules = rules(per_second, f64::MAX, f64::MAX);
         let mut state = ColdTargets::new("h1".into());
-        state.set_store_clock_offset(Some(i64::MAX));
+        state.set_store_clock(clock(Duration::MAX));
         state.record_failure(TARGET, Duration::from_secs(u64::MAX / 2));
         assert_eq!(state.take(TARGET, &rules, ms(1)), None);
     }
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -64,6 +64,7 @@
         slots: 8,
         is_leaving: false,
         models: vec![("m".into(), version)],
+        cold_remaining: None,
     }
 }
 
