Bound the calls to the store after crashes of targets

A minute in which a third of the engines crashed 211 times cost 10,809 calls to the store. Each host wrote a row for each of its requests in flight at a crash (some 25 over all hosts), each row was removed again by another call after 120 s, and each write ended the wait of all who follow the shared table.

Requests that were in flight at crashes in quick succession now share a row, and all hosts together write at most 8 rows per second in the long run, beyond a burst of 4 per host. Evidence against a request that its target had just begun goes first and keeps a reserve; all evidence is still reported. Parts that succeeded while a report waited are left out of it. Followers double their pause after successive changes on crashes, from 0.5 s to 2 s.

--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -1,20 +1,21 @@
-use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use errors::events;
+use futures_lite::FutureExt;
 use slog::{info, warn};
 use utils::Monotonic;
 
 use super::Control;
 use super::register::{WRITE_RETRY_DELAY, shared_write};
+use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash};
 use crate::crash_rows::{CRASH_PREFIX, sound_key};
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, RecordWritten, Table};
 use crate::probe::{Probe, probe};
 use crate::quarantine::Crash;
-use crate::suspects::{CrashEvidence, PartFingerprint};
+use crate::suspects::{CrashEvidence, PartFingerprint, SuspectPart};
 
 /// Time in which the requests of one crashed target are collected.
 const CRASH_COLLECT_TIME: Duration = Duration::from_millis(10);
@@ -28,60 +29,108 @@
 /// Writes crashes of targets with the requests that were in flight to the shared table, from which all hosts
 /// read them.
 pub(crate) async fn report_crashes(control: Arc<Control>, crashed: async_channel::Receiver<Crash>) {
-    while let Ok(first) = crashed.recv().await {
-        smol::Timer::after(CRASH_COLLECT_TIME).await;
-        let mut crashes = vec![first];
-        while let Ok(crash) = crashed.try_recv() {
-            crashes.push(crash);
+    let mut reports = CrashReports::default();
+    loop {
+        let received = async { crashed.recv().await.map(Some) };
+        let first = match reports.is_empty() {
+            true => received.await,
+            false => received.or(next_check()).await,
+        };
+        let Ok(first) = first else { return };
+        if let Some(first) = first {
+            smol::Timer::after(CRASH_COLLECT_TIME).await;
+            let mut crashes = vec![first];
+            while let Ok(crash) = crashed.try_recv() {
+                crashes.push(crash);
+            }
+            add_reports(&control, &mut reports, crashes).await;
         }
-        // The request that caused the crash is probably among those with the strongest evidence.
-        crashes.sort_by_key(|crash| Reverse(crash.stage));
-        let addresses: HashSet<_> = crashes.iter().map(|crash| crash.address).collect();
-        let mut accepting = HashSet::new();
-        for address in addresses {
-            if probe(address).await == Probe::Accepts {
-                accepting.insert(address);
+        let hosts = control.traffic.view.load().host_count();
+        let row = reports.take_row(hosts, control.traffic.now());
+        write_crashes(&control, row).await;
+    }
+}
+
+/// Waits until waiting crashes are checked again.
+async fn next_check() -> Result<Option<Crash>, async_channel::RecvError> {
+    smol::Timer::after(CHECK_INTERVAL).await;
+    Ok(None)
+}
+
+/// Adds crashes to those to report. The first broken connection is not reported as a crash if the target still accepts
+/// connections, and none is then evidence against a part.
+async fn add_reports(control: &Control, reports: &mut CrashReports, crashes: Vec<Crash>) {
+    let addresses: HashSet<_> = crashes.iter().map(|crash| crash.address).collect();
+    let mut accepting = HashSet::new();
+    for address in addresses {
+        if probe(address).await == Probe::Accepts {
+            accepting.insert(address);
+        }
+    }
+    for mut crash in crashes {
+        if accepting.contains(&crash.address) {
+            crash.parts.clear();
+            if crash.count == 1 {
+                continue;
             }
         }
-        for crash in crashes {
-            let accepts_connections = accepting.contains(&crash.address);
-            report_crash(&control, crash, accepts_connections).await;
+        if let Some(dropped) = reports.add(crash) {
+            log_not_shared(control, &dropped);
         }
     }
 }
 
-/// Writes the row of one request that was in flight at a crash. The first broken connection is not reported
-/// as a crash if the target still accepts connections, and none is then evidence against a part.
-async fn report_crash(control: &Control, mut crash: Crash, accepts_connections: bool) {
-    if accepts_connections {
-        crash.parts.clear();
-        if crash.count == 1 {
-            return;
-        }
+/// Writes one row for requests that were in flight at crashes.
+async fn write_crashes(control: &Control, mut crashes: Vec<Crash>) {
+    for crash in &mut crashes {
+        // A crash that waited to be reported is no evidence against parts that have succeeded meanwhile.
+        let routing = control.traffic.routing();
+        let has_succeeded =
+            |suspect: &SuspectPart| routing.part_successes.contains_since(&suspect.part, crash.at);
+        crash.parts.retain(|suspect| !has_succeeded(suspect));
     }
-    info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
-        "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
-        "accepts_connections" => accepts_connections);
+    let Some(first) = crashes.first() else { return };
     let host = &control.traffic.settings.name;
     let key = format!(
         "{CRASH_PREFIX}{}/{host}/{}",
-        crash.fingerprint.text(),
-        crash.count
+        first.fingerprint.text(),
+        first.count
     );
-    let evidence = CrashEvidence {
-        run: crash.run,
-        stage: crash.stage,
-        at: control.cached_state().store_time(crash.at),
-        parts: crash.parts,
-    };
-    let value = serde_json::to_vec(&evidence).unwrap_or_default();
+    for crash in &crashes {
+        info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
+            "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
+            "key" => &key);
+    }
+    let value = row_value(control, &crashes).and_then(|value| serde_json::to_vec(&value).ok());
     for _ in 0..CRASH_WRITE_ATTEMPTS {
-        let write = shared_write(key.clone(), Some(value.clone()));
+        let write = shared_write(key.clone(), Some(value.clone().unwrap_or_default()));
         if control.store.write(write).await.is_ok() {
             return;
         }
         smol::Timer::after(WRITE_RETRY_DELAY).await;
     }
+    crashes.iter().for_each(|crash| log_not_shared(control, crash));
+}
+
+fn row_value(control: &Control, crashes: &[Crash]) -> Option<CrashRowValue> {
+    let evidence = |crash: &Crash| CrashEvidence {
+        run: crash.run.clone(),
+        stage: crash.stage,
+        at: control.cached_state().store_time(crash.at),
+        parts: crash.parts.clone(),
+    };
+    let (first, others) = crashes.split_first()?;
+    let others = others.iter().map(|crash| FurtherCrash {
+        request: crash.fingerprint,
+        evidence: evidence(crash),
+    });
+    Some(CrashRowValue {
+        first: evidence(first),
+        others: others.collect(),
+    })
+}
+
+fn log_not_shared(control: &Control, crash: &Crash) {
     warn!(control.traffic.log, "crash not reported to other hosts"; events::CRASH_NOT_SHARED,
         "request" => crash.fingerprint.text());
 }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -27,7 +27,8 @@
 /// Pause after targets have only renewed their entries. As long as the wait of a relay, so that relays call no more
 /// often than without renewals.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(1_000);
-/// Pause after a change of the shared table that concerns crashes of targets.
+/// Pause after a change of the shared table that concerns crashes of targets. It doubles with each further one in
+/// succession, up to the pause after other changes.
 const CRASH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after any other change of the shared table.
 const SHARED_PAUSE: Duration = Duration::from_millis(2_000);
@@ -50,6 +51,7 @@
 pub(crate) async fn follow(control: Arc<Control>, table: Table) {
     let mut backoff = FIRST_BACKOFF;
     let mut needs_full_read = false;
+    let mut crash_pause = CRASH_PAUSE;
     loop {
         if relays::is_relayed(&control) {
             smol::Timer::after(RELAY_CHECK_INTERVAL).await;
@@ -73,7 +75,7 @@
                 }
             }
             Ok(Fetched::Changed(changed)) => {
-                let pause = pause_after(table, &changed);
+                let pause = pause_after(table, &changed, &mut crash_pause);
                 let is_changed =
                     control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
                 let is_renewal = table == Table::Targets && !is_changed && !pause.is_zero();
@@ -104,10 +106,16 @@
 }
 
 /// Returns the pause before the next call for a table.
-fn pause_after(table: Table, changed: &Snapshot) -> Duration {
+fn pause_after(table: Table, changed: &Snapshot, crash_pause: &mut Duration) -> Duration {
+    let is_on_crashes = changed.records.iter().any(|record| is_on_crash(&record.key));
+    let next_crash_pause = match is_on_crashes {
+        true => (*crash_pause * 2).min(SHARED_PAUSE),
+        false => CRASH_PAUSE,
+    };
+    let crash_pause = std::mem::replace(crash_pause, next_crash_pause);
     match table {
         Table::Targets if !changed.records.is_empty() => TARGETS_PAUSE,
-        Table::Shared if changed.records.iter().any(|record| is_on_crash(&record.key)) => CRASH_PAUSE,
+        Table::Shared if is_on_crashes => crash_pause,
         Table::Shared if !changed.records.is_empty() => SHARED_PAUSE,
         _ => Duration::ZERO,
     }
--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -78,6 +78,8 @@
         return;
     };
     if report.born_ms != target.born_ms {
+        // Another run than the one listed: the target has restarted.
+        control.traffic.record_cold_failure(target, control.traffic.now());
         return;
     }
     let now = control.traffic.now();
--- /dev/null
+++ b/components/gateway/src/crash_reports.rs
@@ -0,0 +1,123 @@
+//! When a host reports the requests that were in flight at crashes to the other hosts.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use utils::Monotonic;
+
+use crate::Crash;
+use crate::quarantine::{CRASHES_TO_QUARANTINE, Fingerprint};
+use crate::suspects::{AnswerStage, CrashEvidence};
+
+/// Rows on crashes that all hosts together write per second in the long run. Each is removed again later, and is read by
+/// all who follow the store. With one row for each request, a third of the engines that crashed again and again cost
+/// 10,809 calls to the store in a minute.
+const ROWS_PER_SECOND: f64 = 8.0;
+/// Rows that a host may write in quick succession after a quiet time.
+const MAX_BURST: f64 = 4.0;
+/// Rows that a host keeps for strong evidence: bystanders of a crash wait until it has more left.
+const STRONG_RESERVE: f64 = 2.0;
+/// Most requests in one row. Bounds the size of a row to some 20 kB.
+const MAX_REQUESTS_PER_ROW: usize = 32;
+/// Most requests that wait to be reported; those with the weakest evidence are dropped first.
+const MAX_PENDING: usize = 256;
+
+/// The value of a row on crashes. Hosts of earlier versions read only the first request, whose fingerprint is in the
+/// row's key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashRowValue {
+    /// What is known of the request in the key.
+    #[serde(flatten)]
+    pub first: CrashEvidence,
+    /// Further requests that the host reports with it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub others: Vec<FurtherCrash>,
+}
+
+/// A further request in a row on crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FurtherCrash {
+    /// The request.
+    pub request: Fingerprint,
+    /// What is known of it.
+    #[serde(flatten)]
+    pub evidence: CrashEvidence,
+}
+
+/// Crashes that wait to be reported, and this host's share of the rows that all hosts may write.
+///
+/// All evidence is reported, but requests that were in flight at crashes in quick succession share rows. Strong evidence
+/// is reported at once as long as the host has rows left.
+#[derive(Debug)]
+pub struct CrashReports {
+    /// Crashes that wait.
+    pending: Vec<Crash>,
+    /// Rows that this host may write now.
+    rows_left: f64,
+    /// Time at which `rows_left` was computed.
+    refilled_at: Monotonic,
+}
+
+impl Default for CrashReports {
+    fn default() -> Self {
+        Self {
+            pending: Vec::new(),
+            rows_left: MAX_BURST,
+            refilled_at: Monotonic::ZERO,
+        }
+    }
+}
+
+impl CrashReports {
+    /// Adds a crash; returns one that is dropped for it if too many wait.
+    pub fn add(&mut self, crash: Crash) -> Option<Crash> {
+        let position = self
+            .pending
+            .partition_point(|other| strength(other) >= strength(&crash));
+        self.pending.insert(position, crash);
+        match self.pending.len() > MAX_PENDING {
+            true => self.pending.pop(),
+            false => None,
+        }
+    }
+
+    /// Whether no crash waits.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes the requests of a row that may be written now, those with the strongest evidence first; none if none may.
+    pub fn take_row(&mut self, hosts: usize, now: Monotonic) -> Vec<Crash> {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        let refilled = self.rows_left + elapsed * ROWS_PER_SECOND / hosts.max(1) as f64;
+        self.rows_left = refilled.min(MAX_BURST);
+        self.refilled_at = now;
+        let needed = match self.pending.first() {
+            Some(first) if is_strong(first) => 1.0,
+            Some(_) => 1.0 + STRONG_RESERVE,
+            None => return Vec::new(),
+        };
+        if self.rows_left < needed {
+            return Vec::new();
+        }
+        self.rows_left -= 1.0;
+        let count = self.pending.len().min(MAX_REQUESTS_PER_ROW);
+        self.pending.drain(..count).collect()
+    }
+}
+
+/// Whether a request probably caused the crash: the target had just begun it, or it was in flight at crashes before.
+fn is_strong(crash: &Crash) -> bool {
+    let has_begun = crash.stage == AnswerStage::Head && !crash.parts.is_empty();
+    has_begun || crash.count >= CRASHES_TO_QUARANTINE
+}
+
+/// Orders crashes by the strength of their evidence.
+fn strength(crash: &Crash) -> (bool, AnswerStage) {
+    (is_strong(crash), crash.stage)
+}
+
+/// Time between checks whether a row may be written, while crashes wait.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(200);
--- a/components/gateway/src/crash_rows.rs
+++ b/components/gateway/src/crash_rows.rs
@@ -6,6 +6,7 @@
 use utils::Monotonic;
 
 use crate::Position;
+use crate::crash_reports::CrashRowValue;
 use crate::ports::{Record, UnusableRecord};
 use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint, PART_RETENTION};
 use crate::suspects::{CrashEvidence, CrashRecord, PartFingerprint, SuspectParts, find_suspect_parts};
@@ -25,16 +26,14 @@
     format!("{SOUND_PREFIX}{}", part.text())
 }
 
-/// A row on a request that was in flight at a crash.
+/// A row on requests that were in flight at crashes.
 struct CrashRow {
-    /// The request.
-    fingerprint: Fingerprint,
+    /// The requests with their evidence; `None` from a host of an older version.
+    requests: Vec<(Fingerprint, Option<CrashEvidence>)>,
     /// Time at which this host received the row.
     received_at: Monotonic,
     /// Position of the row.
     position: Position,
-    /// Suspect parts of the request; `None` from a host of an older version.
-    evidence: Option<CrashEvidence>,
 }
 
 /// A row on a prompt part that succeeded while it was suspected.
@@ -74,16 +73,15 @@
             self.crashes.remove(&record.key);
             return Ok(());
         };
-        let evidence = (!value.is_empty()).then(|| serde_json::from_slice(value));
-        let (evidence, error) = match evidence.transpose() {
-            Ok(evidence) => (evidence, None),
-            Err(e) => (None, Some(e)),
+        let parsed = (!value.is_empty()).then(|| serde_json::from_slice::<CrashRowValue>(value));
+        let (requests, error) = match parsed.transpose() {
+            Ok(parsed) => (requests(fingerprint, parsed), None),
+            Err(e) => (requests(fingerprint, None), Some(e)),
         };
         let row = CrashRow {
-            fingerprint,
+            requests,
             received_at: now,
             position: record.position,
-            evidence,
         };
         self.crashes.insert(record.key.clone(), row);
         error.map_or(Ok(()), |e| Err(Report::new(e).change_context(UnusableRecord)))
@@ -136,8 +134,8 @@
     /// Returns the requests that were running in enough crashes, counted over all hosts.
     pub(crate) fn quarantined(&self) -> HashSet<Fingerprint> {
         let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
-        for row in self.crashes.values() {
-            *counts.entry(row.fingerprint).or_default() += 1;
+        for (request, _) in self.crashes.values().flat_map(|row| &row.requests) {
+            *counts.entry(*request).or_default() += 1;
         }
         counts.retain(|_, count| *count >= CRASHES_TO_QUARANTINE);
         counts.into_keys().collect()
@@ -152,11 +150,15 @@
     }
 
     fn find_suspect_parts(&self) -> SuspectParts {
-        let records = self.crashes.values().filter_map(|row| {
+        let requests = self
+            .crashes
+            .values()
+            .flat_map(|row| row.requests.iter().map(|request| (row.position, request)));
+        let records = requests.filter_map(|(position, (fingerprint, evidence))| {
             Some(CrashRecord {
-                position: row.position,
-                fingerprint: row.fingerprint,
-                evidence: row.evidence.as_ref()?,
+                position,
+                fingerprint: *fingerprint,
+                evidence: evidence.as_ref()?,
             })
         });
         let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.position));
@@ -165,7 +167,18 @@
 
     /// Whether a crash is evidence for the quarantine of one of these parts.
     fn supports_quarantine(row: &CrashRow, quarantined: &HashSet<PartFingerprint>) -> bool {
-        let mut parts = row.evidence.iter().flat_map(|evidence| &evidence.parts);
+        let evidence = row.requests.iter().filter_map(|(_, evidence)| evidence.as_ref());
+        let mut parts = evidence.flat_map(|evidence| &evidence.parts);
         parts.any(|suspect| quarantined.contains(&suspect.part))
     }
 }
+
+/// Returns the requests of a row whose key names the first.
+fn requests(first: Fingerprint, value: Option<CrashRowValue>) -> Vec<(Fingerprint, Option<CrashEvidence>)> {
+    let Some(value) = value else {
+        return vec![(first, None)];
+    };
+    let others = value.others.into_iter();
+    let others = others.map(|other| (other.request, Some(other.evidence)));
+    [(first, Some(value.first))].into_iter().chain(others).collect()
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod cold;
 mod control;
+mod crash_reports;
 mod crash_rows;
 mod daemon;
 mod declared;
@@ -49,6 +50,7 @@
     ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
     SlotSchedule,
 };
+pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -2,12 +2,15 @@
 use std::time::Duration;
 
 use data_encoding::{HEXLOWER, HEXLOWER_PERMISSIVE};
+use serde::{Deserialize, Serialize};
 use utils::{Monotonic, TargetId, digest};
 
 use crate::suspects::{AnswerStage, SuspectPart};
 
 /// Identifies a request by path, workspace and body, independent of who sends it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct Fingerprint([u8; 16]);
 
 /// Crashes with the same request in flight after which the request is quarantined.
@@ -46,6 +49,20 @@
     }
 }
 
+impl From<Fingerprint> for String {
+    fn from(request: Fingerprint) -> Self {
+        request.text()
+    }
+}
+
+impl TryFrom<String> for Fingerprint {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        Self::parse(&text).ok_or("not a fingerprint")
+    }
+}
+
 /// Returns a digest of fields that depends on where each of them ends.
 pub(crate) fn digest_fields<const N: usize>(fields: [&[u8]; N]) -> [u8; 16] {
     let length: usize = fields.iter().map(|field| size_of::<u64>() + field.len()).sum();
--- a/components/gateway/src/traffic/cold.rs
+++ b/components/gateway/src/traffic/cold.rs
@@ -72,7 +72,7 @@
     }
 
     /// Records that a target was unreachable or broke a connection. It may have restarted, and is then cold.
-    pub(super) fn record_cold_failure(&self, target: &Target, now: Monotonic) {
+    pub(crate) fn record_cold_failure(&self, target: &Target, now: Monotonic) {
         if self.settings.bounds.cold.is_some() {
             self.routing().cold.record_failure(&target.instance, now);
         }
--- /dev/null
+++ b/components/gateway/tests/crash_reports.rs
@@ -0,0 +1,129 @@
+//! Calls to the store for reports of crashes, in virtual time.
+
+mod support;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use gateway::ports::Table;
+use gateway::{
+    AnswerStage, CachedState, Crash, CrashEvidence, CrashReports, CrashRowValue, Fingerprint, FurtherCrash,
+    PartFingerprint, SuspectPart, UpdateSource,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use support::{decode, ms, row, snapshot};
+
+/// Entry hosts.
+const HOSTS: usize = 85;
+/// Crashes of targets in a minute, and the requests of all hosts in flight at each.
+const CRASHES: u64 = 211;
+const IN_FLIGHT: u64 = 25;
+const SIMULATED_MS: u64 = 60_000;
+const STEP_MS: u64 = 100;
+/// Longest time until strong evidence is written in such a minute.
+const MAX_STRONG_DELAY_MS: u64 = 15_000;
+
+/// A request in flight at the crash of a target; `has_begun` if the target had just begun to answer it.
+fn crash(number: u64, run: u64, at: u64, has_begun: bool) -> Crash {
+    let part = PartFingerprint::of("m", &format!("p{}", number % 50));
+    Crash {
+        fingerprint: Fingerprint::of("/a/", "mill", &number.to_le_bytes()),
+        address: ([127, 0, 0, 1], 1).into(),
+        count: 1,
+        run: format!("t/{run}").into(),
+        stage: if has_begun {
+            AnswerStage::Head
+        } else {
+            AnswerStage::Events
+        },
+        at: ms(at),
+        parts: match has_begun {
+            true => vec![SuspectPart {
+                part,
+                has_succeeded: false,
+            }],
+            false => Vec::new(),
+        },
+    }
+}
+
+// Guards against calls to the store that rise with each crash: one row for each request in flight, and its removal.
+#[test]
+fn a_minute_of_crashes_costs_a_bounded_number_of_rows_and_drops_no_evidence() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut hosts: Vec<_> = (0..HOSTS).map(|_| CrashReports::default()).collect();
+    let (mut rows, mut reported) = (0, HashSet::new());
+    let mut crashes = 0;
+    let mut longest_wait = 0;
+    for at in (0..SIMULATED_MS + 30_000).step_by(STEP_MS as usize) {
+        while crashes < CRASHES && at >= crashes * SIMULATED_MS / CRASHES {
+            for number in 0..IN_FLIGHT {
+                let crash = crash(crashes * IN_FLIGHT + number, crashes, at, number == 0);
+                assert_eq!(hosts[rng.random_range(0..HOSTS)].add(crash), None);
+            }
+            crashes += 1;
+        }
+        for host in &mut hosts {
+            let row = host.take_row(HOSTS, ms(at));
+            rows += u64::from(!row.is_empty());
+            for crash in row {
+                assert!(reported.insert(crash.fingerprint), "reported twice");
+                if crash.stage == AnswerStage::Head {
+                    longest_wait = longest_wait.max(at - crash.at.as_millis() as u64);
+                }
+            }
+        }
+    }
+    assert_eq!(reported.len() as u64, CRASHES * IN_FLIGHT);
+    // One row for each request were 5,275.
+    assert!(rows <= 1_100, "{rows} rows");
+    assert!(longest_wait <= MAX_STRONG_DELAY_MS, "{longest_wait} ms");
+}
+
+#[test]
+fn the_first_crashes_after_a_quiet_time_are_reported_at_once_with_the_strongest_first() {
+    let mut reports = CrashReports::default();
+    for number in 0..40 {
+        reports.add(crash(number, 1, 1_000, number == 17));
+    }
+    let row = reports.take_row(HOSTS, ms(1_000));
+    assert_eq!((row.len(), row[0].stage), (32, AnswerStage::Head));
+    assert_eq!(reports.take_row(HOSTS, ms(1_000)).len(), 8);
+    // Bystanders wait for a further row, the request that a target had just begun does not.
+    reports.add(crash(100, 2, 1_100, false));
+    assert!(reports.take_row(HOSTS, ms(1_100)).is_empty());
+    reports.add(crash(101, 2, 1_100, true));
+    assert_eq!(reports.take_row(HOSTS, ms(1_100)).len(), 2);
+}
+
+#[test]
+fn each_request_of_a_row_counts_for_its_quarantine() {
+    let evidence = |run: &str| CrashEvidence {
+        run: run.into(),
+        stage: AnswerStage::Events,
+        at: Some(Duration::ZERO),
+        parts: Vec::new(),
+    };
+    let request = |body: &str| Fingerprint::of("/a/", "mill", body.as_bytes());
+    let mut state = CachedState::new(decode(), Duration::from_secs(2));
+    for (version, first) in [(1, "one"), (2, "two")] {
+        let value = CrashRowValue {
+            first: evidence(first),
+            others: vec![FurtherCrash {
+                request: request("bad"),
+                evidence: evidence(first),
+            }],
+        };
+        let key = format!("crash/{}/{first}/1", request(first).text());
+        let text = serde_json::to_string(&value).unwrap();
+        // Hosts of earlier versions read the first request.
+        assert_eq!(
+            serde_json::from_str::<CrashEvidence>(&text).unwrap(),
+            evidence(first)
+        );
+        let rows = snapshot(version, [row(&key, &text, version)]);
+        state.apply(Table::Shared, rows, UpdateSource::Store, ms(0));
+    }
+    assert_eq!(state.publish().unwrap().quarantined, [request("bad")].into());
+}
