--- a/components/gateway/tests/cold_quota.rs
+++ b/components/gateway/tests/cold_quota.rs
@@ -65,7 +65,7 @@
     name: HostId,
     state: ColdTargets,
     joins_at: u64,
-    /// Time in which the host reaches targets, but neither the store nor other hosts.
+    /// Time in which half of the hosts reach targets, but not the store.
     cut_off: Range<u64>,
     /// Time in which the host does not run. A send that it has begun goes on afterwards.
     frozen: Range<u64>,
@@ -75,34 +75,37 @@
 }
 
 impl Host {
-    fn new(number: usize, hosts: usize, faults: bool, rng: &mut StdRng) -> Self {
+    fn new(number: usize, hosts: usize, faults: bool, zone_fault: &Range<u64>, rng: &mut StdRng) -> Self {
         let name: HostId = format!("host-{number}").into();
         let mut state = ColdTargets::new(name.clone());
         let error = rng.random_range(0..=MAX_CLOCK_ERROR_MS);
         state.set_store_clock(clock(ms(1_000_000 + error)));
         // Cold for the whole time.
         state.record_entry(&entry("t1/1", Some(10 * SIMULATED_MS)), Duration::ZERO);
-        let mut fault = |longest: u64| {
-            let start = rng.random_range(10_000..SIMULATED_MS);
-            let is_hit = faults && rng.random_bool(0.3);
-            start..if is_hit {
-                start + rng.random_range(100..longest)
-            } else {
-                start
-            }
+        let frozen_at = rng.random_range(10_000..SIMULATED_MS);
+        let is_frozen = faults && rng.random_bool(0.3);
+        let frozen_for = if is_frozen {
+            rng.random_range(100..45_000)
+        } else {
+            0
         };
-        let (cut_off, frozen) = (fault(60_000), fault(45_000));
-        let is_late = faults && number >= hosts * 4 / 5;
+        // Most hosts start together, some later.
+        let is_late = number >= hosts * 4 / 5;
+        let latest_join = if is_late { SIMULATED_MS } else { 4_000 };
         Self {
             name,
             state,
-            joins_at: if is_late {
-                rng.random_range(0..SIMULATED_MS)
+            joins_at: if faults {
+                rng.random_range(0..latest_join)
             } else {
                 0
             },
-            cut_off,
-            frozen,
+            cut_off: if number.is_multiple_of(2) {
+                zone_fault.clone()
+            } else {
+                0..0
+            },
+            frozen: frozen_at..frozen_at + frozen_for,
             list_delay: rng.random_range(0..MAX_LIST_DELAY_MS),
             begun: None,
         }
@@ -139,8 +142,10 @@
 /// Returns the arrivals at one cold target, to which each host sends as often as its quota allows.
 fn arrivals(hosts: usize, faults: bool, seed: u64) -> Vec<u64> {
     let mut rng = StdRng::seed_from_u64(seed);
+    let start = rng.random_range(15_000..30_000);
+    let zone_fault = start..if faults { SIMULATED_MS } else { start };
     let mut all: Vec<Host> = (0..hosts)
-        .map(|number| Host::new(number, hosts, faults, &mut rng))
+        .map(|number| Host::new(number, hosts, faults, &zone_fault, &mut rng))
         .collect();
     let mut arrivals = Vec::new();
     for at in (0..SIMULATED_MS).step_by(STEP_MS as usize) {
