Take an idle connection as lost only if it ends within two seconds

A target that closes idle connections early without saying so would have been presumed cold again and again. Placement also looks up a target's state without copying its name.

--- a/components/gateway/src/cold/targets.rs
+++ b/components/gateway/src/cold/targets.rs
@@ -274,12 +274,17 @@
         now: Monotonic,
         slot: SlotOperation,
     ) -> Option<ColdPermit> {
-        let store_time = self.store_clock.time(now);
-        if self.state(instance, now).cold_until(&rules.limit) <= now {
+        let Some(state) = self.targets.get_mut(instance) else {
+            // Nothing is known of the target: it is presumed cold from now on.
+            self.state(instance, now);
+            return None;
+        };
+        if state.cold_until(&rules.limit) <= now {
             return Some(ColdPermit::Warm);
         }
-        let quota = &mut self.targets.get_mut(instance)?.quota;
-        let slot = slot(quota, instance, &rules.schedule?, &self.hosts, store_time?, now)?;
+        let store_time = self.store_clock.time(now)?;
+        let (quota, schedule) = (&mut state.quota, rules.schedule?);
+        let slot = slot(quota, instance, &schedule, &self.hosts, store_time, now)?;
         Some(ColdPermit::Slot(slot))
     }
 
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -10,12 +10,24 @@
 /// Time for which an idle connection is kept if the target gives no keep-alive timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Time for which targets keep idle connections, whatever they announce.
+const MIN_IDLE_TIME: Duration = Duration::from_secs(2);
+
 /// An idle connection.
 struct Idle {
     /// The connection.
     conn: Connection,
     /// Time until which it may be used.
     usable_until: Monotonic,
+    /// Time of the end of its last request.
+    idle_since: Monotonic,
+}
+
+impl Idle {
+    /// Whether the target has closed it so soon that it has probably restarted.
+    fn is_lost(&self, now: Monotonic) -> bool {
+        self.conn.sender.is_closed() && now < self.idle_since + MIN_IDLE_TIME
+    }
 }
 
 /// The traffic thread's state for one target.
@@ -29,7 +41,7 @@
     open: usize,
     /// Idle connections, the most recently used one last.
     idle: Vec<Idle>,
-    /// Whether the target has closed an idle connection before its time: it may have restarted.
+    /// Whether the target has closed an idle connection so soon that it has probably restarted.
     has_lost_idle: bool,
 }
 
@@ -43,13 +55,13 @@
             if now < idle.usable_until && idle.conn.sender.is_ready() {
                 return Some(idle.conn);
             }
-            self.has_lost_idle |= now < idle.usable_until;
+            self.has_lost_idle |= idle.is_lost(now);
             self.open = self.open.saturating_sub(1);
         }
         None
     }
 
-    /// Returns whether the target has closed an idle connection before its time since the last call.
+    /// Returns whether the target has lost an idle connection since the last call.
     pub(crate) fn take_lost_idle(&mut self) -> bool {
         std::mem::take(&mut self.has_lost_idle)
     }
@@ -86,14 +98,14 @@
         self.idle.push(Idle {
             conn,
             usable_until: now + idle_time,
+            idle_since: now,
         });
     }
 
     /// Closes the idle connections that may no longer be used.
     pub(crate) fn close_expired(&mut self, now: Monotonic) {
         let before = self.idle.len();
-        let is_lost = |idle: &Idle| now < idle.usable_until && idle.conn.sender.is_closed();
-        self.has_lost_idle |= self.idle.iter().any(is_lost);
+        self.has_lost_idle |= self.idle.iter().any(|idle| idle.is_lost(now));
         self.idle
             .retain(|idle| now < idle.usable_until && !idle.conn.sender.is_closed());
         self.open = self.open.saturating_sub(before - self.idle.len());
