--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -170,7 +170,7 @@
         if state.era() > era && self.traffic.view.load().can_serve() {
             warn!(self.traffic.log, "the store was restored from an older copy"; events::STORE_RESTORED,
                 "era" => state.era(), "previous" => era,
-                "unconfirmed" => state.unconfirmed_count());
+                "unconfirmed" => state.unconfirmed_count(), "lost_evacuations" => state.lost_evacuation_count());
         }
         let reports = state.take_cold_reports();
         self.traffic.record_cold_reports(&reports, state.store_clock());
@@ -181,10 +181,22 @@
             "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.set_slot_hosts(&view);
+        self.log_evacuations(&self.traffic.view.load(), &view);
         self.traffic.view.store(Arc::new(view));
         true
     }
 
+    /// Logs the evacuations that begin or end.
+    fn log_evacuations(&self, before: &View, after: &View) {
+        let log = &self.traffic.log;
+        for domain in after.evacuated.difference(&before.evacuated) {
+            warn!(log, "evacuation began"; events::EVACUATION_BEGAN, "domain" => &**domain);
+        }
+        for domain in before.evacuated.difference(&after.evacuated) {
+            info!(log, "evacuation ended"; events::EVACUATION_ENDED, "domain" => &**domain);
+        }
+    }
+
     /// Logs the prompt parts that enter or leave the quarantine.
     fn log_quarantine(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate contains the decisions and is independent of wire formats. The traits in [`ports`] cover the
 //! protocols of a deployment's platform.
 
+mod allowed_regions;
 mod announcements;
 mod budget;
 mod cached_state;
@@ -14,9 +15,11 @@
 mod crash_rows;
 mod daemon;
 mod declared;
+mod declared_weights;
 mod departed;
 mod drain;
 mod error;
+mod evacuations;
 mod first_token;
 mod freshness;
 mod host;
@@ -42,6 +45,7 @@
 mod weights;
 mod weights_history;
 
+pub use allowed_regions::AllowedRegions;
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
 pub use cached_state::CachedState;
@@ -58,6 +62,7 @@
 };
 pub use drain::{DrainSchedule, RunBound, RunTimes};
 pub use error::GatewayError;
+pub use evacuations::Evacuations;
 pub use first_token::{Pace, TimeParts};
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -61,10 +61,9 @@
     let now = cx.now();
     let cold_quota_used = cx.cold_quota_used(&view, &mut routing, &call.service, now);
     let rules = PlacementRules {
-        announcements: &routing.announcements,
-        tried,
         cold_quota_used: &cold_quota_used,
         now,
+        ..cx.placement_rules(&view, &routing.announcements, call, tried)
     };
     let context = PlacementContext::new(cx, &view, &routing, call, rules);
     let mut targets = context.targets();
@@ -135,7 +134,7 @@
     others: OtherHostsLoad,
     /// Memory of an engine of the service, in tokens.
     engine_memory: u64,
-    /// Stores of kept cache in the region of each failure domain that has targets.
+    /// Stores of kept cache that targets of each failure domain may use.
     stores: HashMap<&'a str, Vec<RegionStore>>,
     /// Time of the placement.
     now: Monotonic,
@@ -163,7 +162,7 @@
         };
         for target in targets {
             let found = context.stores.entry(&target.domain);
-            found.or_insert_with(|| stores_in_region(cx, view, &target.domain));
+            found.or_insert_with(|| usable_stores(view, &context.rules, &target.domain));
         }
         context
     }
@@ -318,13 +317,14 @@
     }
 }
 
-/// Returns the stores of kept cache in the region of a failure domain.
-fn stores_in_region(cx: &Traffic, view: &View, domain: &str) -> Vec<RegionStore> {
+/// Returns the stores of kept cache that a request may use from a failure domain. They are in its region.
+fn usable_stores(view: &View, rules: &PlacementRules<'_>, domain: &str) -> Vec<RegionStore> {
     let Some(declared) = &view.declared else {
         return Vec::new();
     };
     let stores = declared.services().filter_map(|service| service.store.as_ref());
-    region_stores(stores, domain, |domain| cx.settings.regions.get(domain).cloned())
+    let usable = stores.filter(|store| rules.domain_exclusion(&store.domain).is_none());
+    region_stores(usable, domain, |domain| rules.regions.get(domain).cloned())
 }
 
 /// Returns the memory of an engine of the call's service, in tokens; unlimited if none is declared.
