--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -137,8 +137,13 @@
         let Some(peer) = choose_peer(&control) else {
             continue;
         };
+        let sent_at = control.traffic.now();
         if let Some(answer) = query_changes(&control, &client, peer).await {
+            let confirmed_at = answer.store_age.map(|age| sent_at.saturating_sub(age));
             apply_answer(&control, peer, answer);
+            if let Some(confirmed_at) = confirmed_at {
+                control.traffic.confirm_slot_hosts(confirmed_at);
+            }
         }
     }
 }
