Do not presume a target cold after a late response

A response that was not whole at its deadline was recorded like a broken connection, and made its target presumed cold at this host for seconds. Only what counts as a crash, refused connections and lost idle ones do now.

--- a/components/gateway/src/traffic/crashes.rs
+++ b/components/gateway/src/traffic/crashes.rs
@@ -51,6 +51,7 @@
 /// Records a crash of a target with the request in flight, and reports it to the control thread.
 pub(crate) fn record_crash(cx: &Traffic, call: &Call, target: &Target, broken: BrokenAttempt) {
     let now = cx.now();
+    cx.record_cold_failure(target, now);
     let count = cx.routing().crashes.record_crash(call.fingerprint, now);
     let crash = Crash {
         fingerprint: call.fingerprint,
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -187,7 +187,6 @@
         self.cx.with_slot(&self.target, |slot| {
             slot.load.record_outcome(SendOutcome::Failed, now)
         });
-        self.cx.record_cold_failure(&self.target, now);
     }
 }
 
