--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -370,6 +370,16 @@
         "evacuation_ended",
         "The evacuation of a failure domain ended; its targets receive requests again.",
     );
+    pub const TARGETS_COLD: Event = event(
+        5060,
+        "targets_cold",
+        "Targets have become cold, or are presumed cold; this host sends to them only within its quota.",
+    );
+    pub const TARGETS_WARM: Event = event(
+        5061,
+        "targets_warm",
+        "Targets are no longer cold; this host sends to them without a quota.",
+    );
 }
 
 /// All events, ordered by number.
@@ -448,6 +458,8 @@
     events::PAUSE_REQUESTED,
     events::EVACUATION_BEGAN,
     events::EVACUATION_ENDED,
+    events::TARGETS_COLD,
+    events::TARGETS_WARM,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -24,7 +24,11 @@
 /// Pause after a change of targets, which batches changes in quick succession into few calls. Well below the
 /// time within which a host must stop using a leaving target.
 const TARGETS_PAUSE: Duration = Duration::from_millis(600);
-/// Pause after a change of the shared table that concerns crashes of targets.
+/// Pause after targets have only renewed their entries. As long as the wait of a relay, so that relays call no more
+/// often than without renewals.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause after a change of the shared table that concerns crashes of targets. It doubles with each further one in
+/// succession, up to the pause after other changes.
 const CRASH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after any other change of the shared table.
 const SHARED_PAUSE: Duration = Duration::from_millis(2_000);
@@ -47,6 +51,7 @@
 pub(crate) async fn follow(control: Arc<Control>, table: Table) {
     let mut backoff = FIRST_BACKOFF;
     let mut needs_full_read = false;
+    let mut crash_pause = CRASH_PAUSE;
     loop {
         if relays::is_relayed(&control) {
             smol::Timer::after(RELAY_CHECK_INTERVAL).await;
@@ -70,9 +75,11 @@
                 }
             }
             Ok(Fetched::Changed(changed)) => {
-                let pause = pause_after(table, &changed);
-                control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
-                smol::Timer::after(pause).await;
+                let pause = pause_after(table, &changed, &mut crash_pause);
+                let is_changed =
+                    control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
+                let is_renewal = table == Table::Targets && !is_changed && !pause.is_zero();
+                smol::Timer::after(if is_renewal { RENEWAL_PAUSE } else { pause }).await;
             }
             Ok(Fetched::Compacted) => needs_full_read = true,
             Err(e) => {
@@ -99,10 +106,16 @@
 }
 
 /// Returns the pause before the next call for a table.
-fn pause_after(table: Table, changed: &Snapshot) -> Duration {
+fn pause_after(table: Table, changed: &Snapshot, crash_pause: &mut Duration) -> Duration {
+    let is_on_crashes = changed.records.iter().any(|record| is_on_crash(&record.key));
+    let next_crash_pause = match is_on_crashes {
+        true => (*crash_pause * 2).min(SHARED_PAUSE),
+        false => CRASH_PAUSE,
+    };
+    let crash_pause = std::mem::replace(crash_pause, next_crash_pause);
     match table {
         Table::Targets if !changed.records.is_empty() => TARGETS_PAUSE,
-        Table::Shared if changed.records.iter().any(|record| is_on_crash(&record.key)) => CRASH_PAUSE,
+        Table::Shared if is_on_crashes => crash_pause,
         Table::Shared if !changed.records.is_empty() => SHARED_PAUSE,
         _ => Duration::ZERO,
     }
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -5,6 +5,7 @@
 use utils::{FailureDomainId, ModelId, ServiceId, WorkspaceId};
 
 use crate::AllowedRegions;
+use crate::cold::ColdLimit;
 
 /// Whether requests of a route can be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +104,8 @@
     pub engine: Option<EngineSpec>,
     /// The store of kept cache, if the service is one.
     pub store: Option<StoreSpec>,
+    /// How its targets behave while they are cold; `None` if they have no cold state.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A declared workspace.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,7 +9,9 @@
 mod budget;
 mod cached_state;
 mod call;
+mod cold;
 mod control;
+mod crash_reports;
 mod crash_rows;
 mod daemon;
 mod declared;
@@ -33,6 +35,8 @@
 mod rows;
 mod sampling;
 mod sessions;
+mod store_clock;
+mod store_link;
 mod suspects;
 mod target;
 mod telemetry;
@@ -44,8 +48,13 @@
 pub use allowed_regions::AllowedRegions;
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
-pub use cached_state::{CachedState, UpdateSource};
+pub use cached_state::CachedState;
 pub use call::{AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts};
+pub use cold::{
+    ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
+    SlotSchedule,
+};
+pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
@@ -69,6 +78,8 @@
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
+pub use store_clock::StoreClock;
+pub use store_link::UpdateSource;
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
     PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -21,6 +21,8 @@
     AlreadyTried,
     /// Its weights were replaced too long ago.
     OldWeights,
+    /// It is cold, and this host may not send to it at this moment.
+    ColdQuotaUsed,
 }
 
 impl Exclusion {
@@ -37,6 +39,7 @@
             Self::Paused => "paused",
             Self::AlreadyTried => "already-tried",
             Self::OldWeights => "old-weights",
+            Self::ColdQuotaUsed => "cold-quota-used",
         }
     }
 }
@@ -54,6 +57,8 @@
     pub announcements: &'a Announcements,
     /// Targets that the request was sent to or that were unreachable.
     pub tried: &'a [TargetId],
+    /// Cold targets to which this host may not send at this moment.
+    pub cold_quota_used: &'a [TargetId],
     /// Time of the decision.
     pub now: Monotonic,
 }
@@ -89,6 +94,10 @@
         if self.tried.contains(run) {
             return Some(Exclusion::AlreadyTried);
         }
-        (old_weights == OldWeightsPolicy::Forbidden).then_some(Exclusion::OldWeights)
+        if old_weights == OldWeightsPolicy::Forbidden {
+            return Some(Exclusion::OldWeights);
+        }
+        let is_used = self.cold_quota_used.contains(run);
+        is_used.then_some(Exclusion::ColdQuotaUsed)
     }
 }
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -175,6 +175,12 @@
                 let refusal = Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait);
                 refusal.with_exclusion(Some(Exclusion::Paused))
             }
+            Some(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed))) => {
+                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
+                let detail = "the remaining targets are cold and take no more requests now";
+                let refusal = Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait);
+                refusal.with_exclusion(Some(Exclusion::ColdQuotaUsed))
+            }
             Some(PlacementError::NoTarget(exclusion)) => Refusal::no_target(exclusion),
             None => Refusal::no_target(None),
         }
--- a/components/gateway/tests/exclusion.rs
+++ b/components/gateway/tests/exclusion.rs
@@ -32,6 +32,7 @@
         evacuated: &evacuated,
         announcements,
         tried: &[],
+        cold_quota_used: &[],
         now: NOW,
     };
     rules.exclusion(&target("t1", 1), OldWeightsPolicy::Allowed)
@@ -58,6 +59,7 @@
             evacuated: &HashSet::new(),
             announcements: &Announcements::default(),
             tried: &[],
+            cold_quota_used: &[],
             now: NOW,
         }
         .exclusion(&unknown, OldWeightsPolicy::Allowed)
