--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate contains the decisions and is independent of wire formats. The traits in [`ports`] cover the
 //! protocols of a deployment's platform.
 
+mod admission;
 mod announcements;
 mod budget;
 mod cached_state;
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use crate::admission::{MIN_WAITING_TO_REFUSE, has_room};
 use crate::first_token::{Pace, TimeParts};
 
 /// Prompt tokens that an engine is assumed to prefill in a millisecond.
@@ -35,14 +36,6 @@
 /// milliseconds.
 const ROUND_TRIP_MS: [f64; 3] = [0.2, 3.0, 17.0];
 
-/// Share of an engine's memory that requests of each priority may fill. Less urgent requests leave room for
-/// urgent ones.
-const MEMORY_FILL_BY_PRIORITY: [f64; 3] = [1.1, 0.95, 0.85];
-/// Most requests that may wait at an engine that a request of each priority is sent to.
-const MAX_WAITING_BY_PRIORITY: [f64; 3] = [8.0, 2.0, 0.7];
-/// Total of waiting requests from which a request may be refused for lack of room.
-const MIN_WAITING_TO_REFUSE: f64 = 1.0;
-
 /// The resources and the latency that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
@@ -149,13 +142,6 @@
     Decision::Send(choice)
 }
 
-fn has_room(demand: &Demand, c: &Candidate) -> bool {
-    let priority = usize::from(demand.priority).min(MEMORY_FILL_BY_PRIORITY.len() - 1);
-    let (taken, all) = c.memory;
-    let fits = taken + f64::from(demand.memory) <= all as f64 * MEMORY_FILL_BY_PRIORITY[priority];
-    fits && c.waiting <= MAX_WAITING_BY_PRIORITY[priority]
-}
-
 /// Returns how long the engine should wait for the shared part of the prompt to be fetched: until it could begin
 /// the request, and somewhat longer than it would take to compute the part itself. On a slow link waiting
 /// longer delays the request and all that the engine prefills after it.
