Send to an engine that begins in time where the cheapest one would not

While requests wait, a request was refused as too late if the candidate of the lowest cost would begin after its deadline, also when another engine would have begun in time: the refusal was not true. Such an engine is chosen now.

--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -136,10 +136,17 @@
     let Some(choice) = choose(demand, candidates, &allowed, tie_break) else {
         return Decision::NoCandidate;
     };
-    if is_waiting && choice.expected_ms > demand.time_left.as_secs_f64() * 1e3 {
-        return Decision::TooLate;
+    let time_left_ms = demand.time_left.as_secs_f64() * 1e3;
+    if !is_waiting || choice.expected_ms <= time_left_ms {
+        return Decision::Send(choice);
     }
-    Decision::Send(choice)
+    // The candidate of the lowest cost is not always the one that begins first.
+    let begins_in_time = |c: &Candidate| demand.pace.expected_ms(&time_parts(demand, c)) <= time_left_ms;
+    let allowed = candidates.iter().zip(allowed);
+    let allowed: Vec<_> = allowed
+        .map(|(c, is_allowed)| is_allowed && begins_in_time(c))
+        .collect();
+    choose(demand, candidates, &allowed, tie_break).map_or(Decision::TooLate, Decision::Send)
 }
 
 /// Returns how long the engine should wait for the shared part of the prompt to be fetched: until it could begin
--- a/components/gateway/tests/overload.rs
+++ b/components/gateway/tests/overload.rs
@@ -307,6 +307,34 @@
     assert_eq!(sent(&urgent, &[busy, busy, less_busy]), 2);
 }
 
+/// The engine with the cache cost least but could not begin in time, and the request was refused although an idle
+/// engine would have begun it.
+#[test]
+fn a_request_with_little_time_goes_to_an_engine_that_begins_in_time() {
+    let owner = Candidate {
+        waiting: 1.0,
+        queued: 3.0,
+        cache_hit_chance: 1.0,
+        ..engine()
+    };
+    let late = Demand {
+        time_left: ms(200),
+        latency_target: ms(2_000),
+        ..prompt(0)
+    };
+    assert_eq!(
+        sent(
+            &Demand {
+                time_left: ms(2_000),
+                ..late
+            },
+            &[owner, engine()]
+        ),
+        0
+    );
+    assert_eq!(sent(&late, &[owner, engine()]), 1);
+}
+
 #[test]
 fn requests_of_other_hosts_in_their_prefill_count_as_queued() {
     let mut load = LoadEstimate::default();
