Refuse a share of the least urgent prompts before engines are full

Bursts of long prompts of low priority crowded out short urgent ones: hosts refused only when no engine had room in their late reports, which among 60 engines was never so (8 of 8,285). The engines evicted shared parts, prefilled each prompt again and stayed slow for 20 s after the burst.

Each host follows a pressure level per service from waiting requests and memory in use, refuses a share of each priority by it, the least urgent first and more of the workspaces that send most, and spreads the callers' return by how long the shortage has lasted. Without waiting requests nothing changes. Gauge laburnumtally.capacity.pressure, events 5070 and 5071.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,16 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const CAPACITY_SHORT: Event = event(
+        5070,
+        "capacity_short",
+        "Requests wait at the engines of a service; a share of the least urgent ones is refused from now on.",
+    );
+    pub const CAPACITY_ENOUGH: Event = event(
+        5071,
+        "capacity_enough",
+        "The engines of a service have capacity for all requests again; gives how long it was short.",
+    );
 }
 
 /// All events, ordered by number.
@@ -436,6 +446,8 @@
     events::LOST_ROW_WRITTEN,
     events::TARGET_LEAVING,
     events::PAUSE_REQUESTED,
+    events::CAPACITY_SHORT,
+    events::CAPACITY_ENOUGH,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/admission/mod.rs
+++ b/components/gateway/src/admission/mod.rs
@@ -1,5 +1,77 @@
 //! Who gets capacity at the engines of a service when it is short.
+//!
+//! [`Admission`] refuses a growing share of the least urgent requests before the engines' memory is full, and
+//! [`has_room`] says which engines may take a request. Both decide from this host's estimates alone.
 
+mod pressure;
+mod retry_after;
 mod room;
+mod shares;
+mod short;
 
-pub(crate) use room::{MIN_WAITING_TO_REFUSE, has_room};
+use std::time::Duration;
+
+use utils::Monotonic;
+
+use pressure::Pressure;
+use shares::Shares;
+
+pub use pressure::{PressureChange, ServiceLoad};
+pub(crate) use room::MIN_WAITING_TO_REFUSE;
+pub use room::has_room;
+pub use short::ShortCapacity;
+
+/// Number of priorities that are told apart; less urgent ones count as the last.
+const RANKS: usize = 3;
+
+/// Admission of prompts to the engines of one service, at one host.
+///
+/// ```
+/// use std::time::Duration;
+/// use gateway::{Admission, ServiceLoad};
+///
+/// let mut admission = Admission::default();
+/// let idle = ServiceLoad { engines: 4, fill: 0.3, waiting: 0.0 };
+/// admission.observe(&idle, Duration::ZERO);
+/// assert!(admission.admits(2, "workspace", 0.0, Duration::ZERO));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Admission {
+    /// How short capacity is.
+    pressure: Pressure,
+    /// Demand of the workspaces.
+    shares: Shares,
+}
+
+impl Admission {
+    /// Follows the estimated load; returns whether capacity has become short, or is no longer.
+    pub fn observe(&mut self, load: &ServiceLoad, now: Monotonic) -> Option<PressureChange> {
+        self.pressure.observe(load, now)
+    }
+
+    /// Counts a request in the demand of its workspace, and returns whether it may be sent. `draw` is a random
+    /// number from 0 to 1. Its size does not matter, so that large requests of a class are refused as often as
+    /// small ones.
+    pub fn admits(&mut self, priority: u8, workspace: &str, draw: f64, now: Monotonic) -> bool {
+        let rank = rank_of(priority);
+        self.shares.record(rank, workspace, now);
+        let refused = self.pressure.refused_share(rank);
+        refused <= 0.0 || draw >= self.shares.refused_share(rank, workspace, refused, now)
+    }
+
+    /// Returns the time after which a caller refused now should retry, at most as long as callers wait.
+    /// `draw` is a random number from 0 to 1.
+    pub fn retry_after(&self, time_left: Duration, draw: f64, now: Monotonic) -> Duration {
+        retry_after::wait(self.pressure.lasted(now), time_left, draw)
+    }
+
+    /// Returns how short capacity is, from 0 if it is not.
+    pub fn level(&self) -> f64 {
+        self.pressure.level()
+    }
+}
+
+/// Returns the index of a priority in the tables by priority.
+fn rank_of(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod weights;
 mod weights_history;
 
+pub use admission::{Admission, PressureChange, ServiceLoad, ShortCapacity, has_room};
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
 pub use cached_state::{CachedState, UpdateSource};
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 
 use crate::RequestedPause;
+use crate::admission::PressureChange;
 use crate::placement::Choice;
 
 /// Log and metric instruments of the traffic thread.
@@ -34,6 +35,8 @@
     pauses: Counter<u64>,
     /// Targets that have said that they are leaving.
     leavings: Counter<u64>,
+    /// How short the capacity of each service is, from 0 if it is not.
+    pressure: Gauge<f64>,
     /// Calls to the platform's store by result.
     store_calls: Counter<u64>,
     /// Time since the platform's store last answered, in seconds.
@@ -118,6 +121,7 @@
             retries: meter.u64_counter("laburnumtally.route.repeats").build(),
             pauses: meter.u64_counter("laburnumtally.targets.pauses").build(),
             leavings: meter.u64_counter("laburnumtally.targets.leaving").build(),
+            pressure: meter.f64_gauge("laburnumtally.capacity.pressure").build(),
             store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
             store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
             in_flight: meter.u64_gauge("laburnumtally.route.open").build(),
@@ -250,6 +254,24 @@
         }
     }
 
+    /// Records how short the capacity of a service is, and logs when it becomes short and when it no longer is.
+    pub(crate) fn pressure(&self, service: &str, level: f64, change: Option<PressureChange>) {
+        if level > 0.0 || change.is_some() {
+            self.pressure
+                .record(level, &[KeyValue::new("service", service.to_owned())]);
+        }
+        match change {
+            Some(PressureChange::Short) => {
+                warn!(self.log, "capacity is short"; events::CAPACITY_SHORT, "service" => service);
+            }
+            Some(PressureChange::Enough(lasted)) => {
+                info!(self.log, "capacity is enough again"; events::CAPACITY_ENOUGH, "service" => service,
+                    "lasted_ms" => u64::try_from(lasted.as_millis()).unwrap_or(u64::MAX));
+            }
+            None => {}
+        }
+    }
+
     /// Logs that a crash is not reported to other hosts.
     pub(crate) fn crash_not_shared(&self, id: &str) {
         warn!(self.log, "crash not reported to other hosts"; events::CRASH_NOT_SHARED, "request" => id);
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod admit;
+mod capacity;
 mod connect;
 mod crashes;
 mod exchange;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -29,9 +29,6 @@
 const MAX_UNREACHABLE: u32 = 6;
 /// `Retry-After` of a request that no target took.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// `Retry-After` of a request for which all targets are full, as a share of the route's timeout. It is
-/// jittered, as requests refused together would return together otherwise.
-const OVERLOAD_RETRY_AFTER_SHARE: f64 = 0.12;
 /// Share of a pause that all targets have asked for by which the callers' return is spread after its end.
 const PAUSE_SPREAD: f64 = 0.5;
 /// Least time left for another send.
@@ -160,14 +157,8 @@
             return draining_refusal();
         }
         match self.placement_error {
-            Some(PlacementError::AllFull) => {
-                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
-                Refusal::not_run(ProblemKind::Overloaded, "every target is full").with_retry_after(wait)
-            }
-            Some(PlacementError::TooLate) => {
-                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
-                let detail = "no target is expected to begin before the deadline";
-                Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
+            Some(PlacementError::NoCapacity(reason, wait)) => {
+                Refusal::not_run(ProblemKind::Overloaded, reason.as_str()).with_retry_after(wait)
             }
             Some(PlacementError::AllPaused(pause)) => {
                 // Spread, so that the callers do not return together.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -4,8 +4,10 @@
 
 use utils::{Monotonic, TargetId, rendezvous_score};
 
+use super::capacity::{is_admitted, overload_wait};
 use super::request::Call;
 use super::state::{RoutingState, Traffic};
+use crate::admission::ShortCapacity;
 use crate::freshness::{OldWeightsPolicy, old_weights_policy};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest, RegionStore, region_stores};
@@ -41,10 +43,8 @@
 /// Why no target was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlacementError {
-    /// No target has room.
-    AllFull,
-    /// No target is expected to begin before the request's deadline.
-    TooLate,
+    /// Capacity is short; a retry may succeed after this time.
+    NoCapacity(ShortCapacity, Duration),
     /// No target is allowed for the request.
     NoTarget,
     /// All targets are paused; the first pause ends after this time.
@@ -83,10 +83,14 @@
         view.host_count(),
         &mut rand::rng(),
     );
+    let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
+    if tried.is_empty() && !is_admitted(cx, call, &demand, &candidates) {
+        return Err(no_capacity(ShortCapacity::Shed));
+    }
     let choice = match decide_from(&demand, &candidates, &sample) {
         Decision::Send(choice) => choice,
-        Decision::AllFull => return Err(PlacementError::AllFull),
-        Decision::TooLate => return Err(PlacementError::TooLate),
+        Decision::AllFull => return Err(no_capacity(ShortCapacity::AllFull)),
+        Decision::TooLate => return Err(no_capacity(ShortCapacity::TooLate)),
         Decision::NoCandidate => return Err(context.no_target()),
     };
     let target = targets[choice.index].clone();
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -19,7 +19,8 @@
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
-    Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target, View,
+    Admission, Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target,
+    View,
 };
 
 /// Mutable routing state of the traffic thread.
@@ -75,6 +76,8 @@
     routing: Mutex<RoutingState>,
     /// Directories of the stores of kept cache.
     kept: Mutex<KeptCache>,
+    /// Admission of prompts by service.
+    admissions: Mutex<HashMap<ServiceId, Admission>>,
 }
 
 impl Traffic {
@@ -102,6 +105,7 @@
             crashes,
             routing: Mutex::default(),
             kept: Mutex::default(),
+            admissions: Mutex::default(),
         }
     }
 
@@ -173,6 +177,10 @@
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn admissions(&self) -> MutexGuard<'_, HashMap<ServiceId, Admission>> {
+        self.admissions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Calls `f` with the state of a target.
     pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
         f(self.routing().slots.entry(target.run.clone()).or_default())
@@ -223,6 +231,8 @@
     pub(crate) fn remove_stale(&self) {
         let now = self.now();
         let view = self.view.load();
+        self.admissions()
+            .retain(|service, _| view.targets.contains_key(service));
         let listed = view.targets.values().flatten();
         let listed: HashSet<&TargetId> = listed.map(|target| &target.run).collect();
         let mut routing = self.routing();
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 // Each test file uses only some of the helpers.
 #![allow(dead_code)]
 
+pub(crate) mod engines;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
