--- a/components/gateway/src/admission/pressure.rs
+++ b/components/gateway/src/admission/pressure.rs
@@ -11,9 +11,12 @@
 /// Shares of the engines' memory in use between which the level rises by one. Above, running requests evict the
 /// shared parts that later prompts need, and each of these is prefilled again.
 const FILL_RANGE: (f64, f64) = (0.8, 0.95);
-/// Waiting requests per engine above which each further one raises the level by one. The estimate is about 0.4
-/// per engine without contention, as owners of popular sessions are busier than others.
-const USUAL_WAITING: f64 = 1.0;
+/// Waiting requests per engine without contention, as owners of popular sessions are busier than others. Memory in use
+/// does not count up to here: the estimate is too high where there are no reports.
+const USUAL_WAITING: f64 = 0.4;
+/// Waiting requests per engine from which memory in use counts in full, and above which each further one raises the
+/// level by one.
+const HIGH_WAITING: f64 = 1.0;
 /// Highest level: a share of the most urgent requests is refused.
 const MAX_LEVEL: f64 = 4.0;
 /// Level from which requests of each priority are refused; their largest share is refused one level above.
@@ -64,13 +67,17 @@
         if self.waiting * (self.engines as f64) < MIN_WAITING_TO_REFUSE {
             return 0.0;
         }
-        let (low, high) = FILL_RANGE;
-        let fill = ((self.fill - low) / (high - low)).clamp(0.0, 1.0);
-        let waiting = (self.waiting - USUAL_WAITING).max(0.0);
-        (fill + waiting).min(MAX_LEVEL)
+        let weight = share_between(self.waiting, (USUAL_WAITING, HIGH_WAITING));
+        let waiting = (self.waiting - HIGH_WAITING).max(0.0);
+        (weight * share_between(self.fill, FILL_RANGE) + waiting).min(MAX_LEVEL)
     }
 }
 
+/// Returns where a value lies in a range, from 0 at its begin to 1 at its end.
+fn share_between(value: f64, (low, high): (f64, f64)) -> f64 {
+    ((value - low) / (high - low)).clamp(0.0, 1.0)
+}
+
 /// A change between enough and short capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PressureChange {
--- a/components/gateway/src/admission/shares.rs
+++ b/components/gateway/src/admission/shares.rs
@@ -1,6 +1,6 @@
 //! How a refused share is divided among workspaces.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use utils::Monotonic;
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Shares {
     /// Demand by workspace; the empty name stands for those beyond [`MAX_WORKSPACES`] and for callers without one.
-    classes: [HashMap<Box<str>, Demand>; RANKS],
+    classes: [BTreeMap<Box<str>, Demand>; RANKS],
 }
 
 impl Shares {
