--- a/components/gateway/src/admission/mod.rs
+++ b/components/gateway/src/admission/mod.rs
@@ -50,8 +50,8 @@
     }
 
     /// Counts a request in the demand of its workspace, and returns whether it may be sent. `draw` is a random
-    /// number from 0 to 1. Its size does not matter, so that large requests of a class are refused as often as
-    /// small ones.
+    /// number from 0 to 1. The size of the request does not matter, so that large requests of a class are refused
+    /// as often as small ones.
     pub fn admits(&mut self, priority: u8, workspace: &str, draw: f64, now: Monotonic) -> bool {
         let rank = rank_of(priority);
         self.shares.record(rank, workspace, now);
--- a/components/gateway/src/admission/pressure.rs
+++ b/components/gateway/src/admission/pressure.rs
@@ -31,6 +31,8 @@
 /// Level from which capacity counts as short, and level below which it no longer does.
 const SHORT_FROM: f64 = 0.1;
 const SHORT_UNTIL: f64 = 0.02;
+/// Level that counts as none, so that the metric is not recorded for ever.
+const NEGLIGIBLE: f64 = 0.001;
 /// Time without a request after which a shortage counts as a new one; also after a suspension of the host.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(5);
 
@@ -110,6 +112,9 @@
         let age = now.saturating_sub(self.observed_at);
         let kept = 0.5f64.powf(age.as_secs_f64() / half_time.as_secs_f64());
         self.level = wanted + (self.level - wanted) * kept;
+        if wanted <= 0.0 && self.level < NEGLIGIBLE {
+            self.level = 0.0;
+        }
         self.observed_at = now;
         if age > FORGOTTEN_AFTER && self.short_since.is_some() {
             self.short_since = Some(now);
