--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -380,6 +380,16 @@
         "targets_warm",
         "Targets are no longer cold; this host sends to them without a quota.",
     );
+    pub const CAPACITY_SHORT: Event = event(
+        5070,
+        "capacity_short",
+        "Requests wait at the engines of a service; a share of the least urgent ones is refused from now on.",
+    );
+    pub const CAPACITY_ENOUGH: Event = event(
+        5071,
+        "capacity_enough",
+        "The engines of a service have capacity for all requests again; gives how long it was short.",
+    );
 }
 
 /// All events, ordered by number.
@@ -460,6 +470,8 @@
     events::EVACUATION_ENDED,
     events::TARGETS_COLD,
     events::TARGETS_WARM,
+    events::CAPACITY_SHORT,
+    events::CAPACITY_ENOUGH,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate contains the decisions and is independent of wire formats. The traits in [`ports`] cover the
 //! protocols of a deployment's platform.
 
+mod admission;
 mod allowed_regions;
 mod announcements;
 mod budget;
@@ -45,6 +46,7 @@
 mod weights;
 mod weights_history;
 
+pub use admission::{Admission, PressureChange, ServiceLoad, ShortCapacity, has_room};
 pub use allowed_regions::AllowedRegions;
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod admit;
+mod capacity;
 mod cold;
 mod connect;
 mod crashes;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -28,9 +28,6 @@
 const MAX_SENDS: u32 = 4;
 /// Most unreachable targets before a request is refused.
 const MAX_UNREACHABLE: u32 = 6;
-/// `Retry-After` of a request for which all targets are full, as a share of the route's timeout. It is
-/// jittered, as requests refused together would return together otherwise.
-const OVERLOAD_RETRY_AFTER_SHARE: f64 = 0.12;
 /// Share of a pause that all targets have asked for by which the callers' return is spread after its end.
 const PAUSE_SPREAD: f64 = 0.5;
 /// Least time left for another send.
@@ -159,14 +156,8 @@
             return draining_refusal();
         }
         match self.placement_error {
-            Some(PlacementError::AllFull) => {
-                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
-                Refusal::not_run(ProblemKind::Overloaded, "every target is full").with_retry_after(wait)
-            }
-            Some(PlacementError::TooLate) => {
-                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
-                let detail = "no target is expected to begin before the deadline";
-                Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait)
+            Some(PlacementError::NoCapacity(reason, wait)) => {
+                Refusal::not_run(ProblemKind::Overloaded, reason.as_str()).with_retry_after(wait)
             }
             Some(PlacementError::AllPaused(pause)) => {
                 // Spread, so that the callers do not return together.
@@ -175,12 +166,6 @@
                 let refusal = Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait);
                 refusal.with_exclusion(Some(Exclusion::Paused))
             }
-            Some(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed))) => {
-                let wait = jittered(call.route.timeout.mul_f64(OVERLOAD_RETRY_AFTER_SHARE), 0.3);
-                let detail = "the remaining targets are cold and take no more requests now";
-                let refusal = Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(wait);
-                refusal.with_exclusion(Some(Exclusion::ColdQuotaUsed))
-            }
             Some(PlacementError::NoTarget(exclusion)) => Refusal::no_target(exclusion),
             None => Refusal::no_target(None),
         }
--- a/components/gateway/src/traffic/refusal.rs
+++ b/components/gateway/src/traffic/refusal.rs
@@ -14,6 +14,10 @@
 /// does not help, and jittered, as requests refused together would return together otherwise.
 const CONSTRAINT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `Retry-After` of a request for which only cold targets are left, which stay cold for seconds. Jittered for the same
+/// reason.
+const COLD_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
 /// A response that the host gives in place of a target's answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Refusal {
@@ -53,6 +57,7 @@
     /// Refuses a request for which no target is a candidate.
     pub(crate) fn no_target(exclusion: Option<Exclusion>) -> Self {
         let (detail, wait) = match exclusion {
+            Some(Exclusion::ColdQuotaUsed) => return Self::cold_quota_used(),
             Some(Exclusion::OutsideAllowedRegions) => (
                 "no target is in a region that the route and the workspace allow",
                 jittered(CONSTRAINT_RETRY_AFTER, 0.3),
@@ -67,6 +72,14 @@
         refusal.with_exclusion(exclusion)
     }
 
+    /// Refuses a request for which only cold targets are left, none of which this host may send to at this moment.
+    fn cold_quota_used() -> Self {
+        let detail = "the remaining targets are cold and take no more requests now";
+        let refusal = Self::not_run(ProblemKind::Overloaded, detail);
+        let refusal = refusal.with_retry_after(jittered(COLD_RETRY_AFTER, 0.3));
+        refusal.with_exclusion(Some(Exclusion::ColdQuotaUsed))
+    }
+
     pub(crate) const fn with_exclusion(mut self, exclusion: Option<Exclusion>) -> Self {
         self.exclusion = exclusion;
         self
