Decide which memory a process gives to callers and targets

A pure decision: holders with phase, bytes and time of last progress, and a request for memory, give a grant with the holders to evict, or a refusal. Bodies without progress for longest go first; a request that may run is never evicted. The budget follows from the machine's memory; an eighth of it is for small holders only.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod ejection;
 mod limits;
 mod links;
+mod memory;
 mod placement;
 mod placement_choice;
 mod placement_cost;
@@ -24,6 +25,7 @@
 pub use ejection::{ServiceTarget, ServiceTargetKey, ServiceTargets};
 pub use limits::{DemandMeter, TokenBucket, rate_share};
 pub use links::{LinkHealth, LinkMeter, VolumeBudget};
+pub use memory::{Grant, Holder, HolderPhase, MemoryBudget, MemoryRequest, choose_to_close};
 pub use placement::{
     Candidate, CandidateKey, Chosen, CostTerms, Fetch, Placement, PlacementRequest, Placer, Rejected,
     RejectedReason, TargetState,
--- /dev/null
+++ b/components/policy/src/memory.rs
@@ -0,0 +1,209 @@
+use std::time::Duration;
+
+use utils::Monotonic;
+
+/// Memory that the process uses without callers and targets: code, state and the store's tables. An idle host peaks at
+/// about 16 MB; the rest is for the buffers of sockets in use, which are not charged exactly.
+const PROCESS_BYTES: usize = 28 << 20;
+/// Part of the remaining memory that is given out. The allocator and the kernel need the rest.
+const USABLE_SHARE: usize = 2;
+/// Smallest budget, for a machine without room beside the process.
+const MIN_BUDGET: usize = 4 << 20;
+/// Part of the budget that only holders of little memory use, so that ordinary requests pass a crowd of large ones.
+const SMALL_ONLY_SHARE: usize = 8;
+/// Largest number of bytes with which a holder counts as small.
+const SMALL_HOLDER_BYTES: usize = 128 << 10;
+/// Part of the budget that is freed in one go, so that not every following charge looks for holders to evict.
+const EVICTION_SHARE: usize = 64;
+/// Time without progress before a holder may be evicted. Holders that make progress do not evict each other.
+const MIN_STALL: Duration = Duration::from_millis(250);
+/// The same for an answer that the caller does not read. Longer, as the work for it is done.
+const MIN_UNREAD: Duration = Duration::from_secs(1);
+
+/// What a holder of memory is doing, as far as it decides whether it may be evicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum HolderPhase {
+    /// A connection without a request.
+    #[default]
+    Idle,
+    /// A request whose head has not fully arrived.
+    Head,
+    /// A request whose body has not fully arrived; it has not been sent to a target.
+    Body,
+    /// A request that may have been sent to a target.
+    Running,
+    /// An answer that is being passed to the caller.
+    Answering,
+    /// An answer that the caller does not read.
+    Unread,
+}
+
+impl HolderPhase {
+    /// Whether a holder in this phase may lose its memory. A request that may run is never evicted.
+    pub fn is_evictable(self) -> bool {
+        !matches!(self, Self::Running | Self::Answering)
+    }
+
+    /// Returns the order of eviction; lower phases go first.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Head | Self::Body => 0,
+            Self::Unread => 1,
+            Self::Idle => 2,
+            Self::Running | Self::Answering => 3,
+        }
+    }
+}
+
+/// A connection and what is held for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holder<K> {
+    /// Key of the holder.
+    pub key: K,
+    /// What it is doing.
+    pub phase: HolderPhase,
+    /// Bytes that it holds.
+    pub bytes: usize,
+    /// Time at which it last made progress.
+    pub progress_at: Monotonic,
+    /// Whether it has been evicted and is about to release its memory.
+    pub is_leaving: bool,
+}
+
+/// A request for memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryRequest<K> {
+    /// Holder that needs the memory; it is not evicted for itself.
+    pub holder: K,
+    /// Bytes that the holder has, or that it is known to need in all.
+    pub total: usize,
+}
+
+/// The decision on a request for memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Grant<K> {
+    /// The memory is granted once these holders have been evicted.
+    Granted {
+        /// Holders to evict, in the order of eviction.
+        evict: Vec<K>,
+    },
+    /// There is no room, and nothing may be evicted.
+    Refused,
+}
+
+/// Budget for the memory that a process holds for callers and targets.
+///
+/// ```
+/// use policy::MemoryBudget;
+///
+/// let budget = MemoryBudget::for_machine(88 << 20);
+/// assert_eq!(budget.capacity(), 30 << 20);
+/// assert!(budget.has_room(4 << 20, 4 << 20));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryBudget {
+    /// Bytes that may be held.
+    capacity: usize,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `capacity` bytes.
+    pub fn new(capacity: usize) -> Self {
+        Self { capacity }
+    }
+
+    /// Derives the budget from the memory of the machine, in bytes.
+    pub fn for_machine(memory: usize) -> Self {
+        let capacity = memory.saturating_sub(PROCESS_BYTES) / USABLE_SHARE;
+        Self::new(capacity.max(MIN_BUDGET))
+    }
+
+    /// Returns the bytes that may be held.
+    pub fn capacity(self) -> usize {
+        self.capacity
+    }
+
+    /// Whether a holder of `total` bytes has room while `used` bytes are held by all, its own included.
+    pub fn has_room(self, used: usize, total: usize) -> bool {
+        used <= self.limit_of(total)
+    }
+
+    /// Decides on a request for memory. `used` are the bytes that all hold, the requested ones included.
+    pub fn decide<K: Copy + PartialEq>(
+        self,
+        request: MemoryRequest<K>,
+        used: usize,
+        holders: impl IntoIterator<Item = Holder<K>>,
+        now: Monotonic,
+    ) -> Grant<K> {
+        let limit = self.limit_of(request.total);
+        let mut left = used;
+        let mut candidates = Vec::new();
+        for holder in holders {
+            if holder.key == request.holder {
+                continue;
+            }
+            if holder.is_leaving {
+                left = left.saturating_sub(holder.bytes);
+            } else if is_stalled(&holder, now) {
+                candidates.push(holder);
+            }
+        }
+        if left <= limit {
+            return Grant::Granted { evict: Vec::new() };
+        }
+        candidates.sort_by_key(|holder| (holder.phase.rank(), holder.progress_at));
+        let goal = limit.saturating_sub(self.capacity / EVICTION_SHARE);
+        let mut evict = Vec::new();
+        for holder in candidates {
+            if left <= goal {
+                break;
+            }
+            left = left.saturating_sub(holder.bytes);
+            evict.push(holder.key);
+        }
+        match left <= limit {
+            true => Grant::Granted { evict },
+            false => Grant::Refused,
+        }
+    }
+
+    /// Returns the bytes that all may hold when a holder of `total` bytes asks for more.
+    fn limit_of(self, total: usize) -> usize {
+        match total <= SMALL_HOLDER_BYTES {
+            true => self.capacity,
+            false => self.capacity - self.capacity / SMALL_ONLY_SHARE,
+        }
+    }
+}
+
+/// Chooses up to `count` connections to close for new ones when no more may be open: those that have been idle for
+/// longest, then those whose head has not arrived for longest, then those whose body or answer is stalled for longest.
+pub fn choose_to_close<K: Copy>(
+    holders: impl IntoIterator<Item = Holder<K>>,
+    count: usize,
+    now: Monotonic,
+) -> Vec<K> {
+    let rank = |holder: &Holder<K>| match holder.phase {
+        HolderPhase::Idle => Some(0),
+        HolderPhase::Head => Some(1),
+        HolderPhase::Body | HolderPhase::Unread if is_stalled(holder, now) => Some(2),
+        _ => None,
+    };
+    let open = holders.into_iter().filter(|holder| !holder.is_leaving);
+    let mut ranked: Vec<_> = open.filter_map(|holder| Some((rank(&holder)?, holder))).collect();
+    ranked.sort_by_key(|(rank, holder)| (*rank, holder.progress_at));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, holder)| holder.key)
+        .collect()
+}
+
+fn is_stalled<K>(holder: &Holder<K>, now: Monotonic) -> bool {
+    let stall = match holder.phase {
+        HolderPhase::Unread => MIN_UNREAD,
+        _ => MIN_STALL,
+    };
+    holder.phase.is_evictable() && now.saturating_sub(holder.progress_at) >= stall
+}
