Bound the memory and the connections of callers and targets

Callers could end a process: up to max_body_bytes were buffered for each connection, nothing bounded the sum, and chunks of one byte kept read buffers alive. Heads, bodies, whole answers, partial events and connections are now charged to one account a process as they arrive. When the budget is short, the body without progress for longest is refused (503, Retry-After, not run), then unread answers and idle connections are closed. Listeners bound their connections by the descriptors. The operator's limits on heads and times are in force, also when they change. The account has gauges, counters and one log line a kind and second. The product's own interface and the port between hosts use the same account.

--- a/components/config/src/fields.rs
+++ b/components/config/src/fields.rs
@@ -244,6 +244,20 @@
         Allowed::Range(1, 1_000_000),
         "Maximum number of concurrent streams on the host.",
     ),
+    field(
+        "limits.memory_mb",
+        "MiB",
+        "256",
+        Allowed::Range(64, 1_048_576),
+        "Memory of the machine, from which the memory for callers and targets is derived.",
+    ),
+    field(
+        "limits.connections",
+        "connections",
+        "4000",
+        Allowed::Range(64, 1_000_000),
+        "Maximum number of open connections of callers; a new one closes those idle for longest.",
+    ),
     field(
         "timeouts.header_ms",
         "ms",
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -145,6 +145,10 @@
     pub prompt_tokens: u32,
     /// Maximum number of concurrent streams on the host.
     pub open_streams: usize,
+    /// Memory of the machine, in MiB, from which the memory for callers and targets is derived.
+    pub memory_mb: usize,
+    /// Maximum number of open connections of callers on the host.
+    pub connections: usize,
 }
 
 /// Timeouts.
@@ -238,6 +242,8 @@
             headers: 64,
             prompt_tokens: 256 << 10,
             open_streams: 10_000,
+            memory_mb: 256,
+            connections: 4_000,
         }
     }
 }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -7,9 +7,9 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use errors::events;
-use http_io::{Executor, Shutdown, load_acceptor, shutdown_channel};
+use http_io::{Executor, MemoryAccount, Shutdown, load_acceptor, shutdown_channel};
 use ledger::LedgerWriter;
-use policy::CacheAware;
+use policy::{CacheAware, MemoryBudget};
 use slog::{Logger, info, o};
 use utils::{Clock, Incarnation, SystemClock};
 
@@ -169,6 +169,8 @@
         log.clone(),
     )?;
     let (suspects, commands) = Suspects::new(&settings, incarnation);
+    let memory = settings.limits.memory_mb.saturating_mul(1 << 20);
+    let memory = MemoryAccount::new(MemoryBudget::for_machine(memory));
     let shared = Shared {
         incarnation,
         clock,
@@ -178,7 +180,8 @@
         retries: Retries::default(),
         live_hosts,
         log,
-        metrics: Metrics::new()?,
+        metrics: Metrics::new(&memory)?,
+        memory,
         view: ViewCell::default(),
         gate: NoteGate::default(),
         placer: Arc::new(CacheAware::new(cache.clone())),
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -1,7 +1,9 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use errors::Outcome;
+use http_io::MemoryAccount;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -26,7 +28,7 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Result<Self, Report<EntryError>> {
+    pub(crate) fn new(memory: &Arc<MemoryAccount>) -> Result<Self, Report<EntryError>> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -34,6 +36,7 @@
             .change_context(EntryError::Metrics)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("laburnumtally");
+        memory.register(&meter);
         Ok(Self {
             registry,
             requests: meter.u64_counter("laburnumtally_requests").build(),
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -37,9 +37,17 @@
     observations_dropped: u64,
 }
 
+/// Maximum number of open connections of operators.
+const MAX_CONNECTIONS: usize = 256;
+
 /// Serves operators until `stop` resolves.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, ex: Executor, stop: Shutdown) {
-    let Ok(server) = Server::from_std(listener, ServerConfig::default()) else {
+    let cfg = ServerConfig {
+        memory: shared.memory.clone(),
+        max_connections: MAX_CONNECTIONS,
+        ..ServerConfig::default()
+    };
+    let Ok(server) = Server::from_std(listener, cfg) else {
         return;
     };
     let handler: Handler = Arc::new(move |req| {
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use config::Settings;
+use http_io::MemoryAccount;
 use ledger::LedgerHandle;
 use policy::Placer;
 use slog::Logger;
@@ -56,6 +57,8 @@
     pub retries: Retries,
     /// Entry hosts on the platform's list.
     pub live_hosts: LiveHosts,
+    /// Memory held for callers and targets.
+    pub memory: Arc<MemoryAccount>,
     /// Whether the host is draining.
     pub draining: AtomicBool,
     /// Number of open streams.
--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use futures_rustls::TlsAcceptor;
-use http_io::{Client, ClientConfig, Executor, Handler, Server, ServerConfig, Shutdown};
+use http_io::{Client, ClientConfig, ConnectionLimits, Executor, Handler, Server, ServerConfig, Shutdown};
 
 use crate::shared::Shared;
 
@@ -36,6 +36,9 @@
 /// Upper bound of the response timeout of plain services. A release note can only lower it.
 const MAX_CALL_TIME: Duration = Duration::from_secs(60);
 
+/// Size of the kernel's buffers of a connection, in bytes.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
 /// Serves callers until `stop` resolves and all open requests have finished, or until `abort` resolves.
 pub(crate) fn run(
     shared: Arc<Shared>,
@@ -45,11 +48,17 @@
     abort: Shutdown,
 ) {
     let limits = &shared.settings.limits;
+    let header_timeout = Duration::from_millis(shared.settings.timeouts.header_ms);
+    let connection_limits = ConnectionLimits::new(limits.head_bytes, header_timeout, header_timeout);
     let cfg = ServerConfig {
-        header_timeout: Duration::from_millis(shared.settings.timeouts.header_ms),
+        header_timeout,
         max_headers: limits.headers,
         max_head_bytes: limits.head_bytes,
         tls,
+        limits: Some(Arc::new(connection_limits)),
+        memory: shared.memory.clone(),
+        max_connections: limits.connections / shared.settings.threads.traffic.max(1),
+        socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES),
     };
     let Ok(server) = Server::from_std(listener, cfg) else {
         return;
--- a/components/entry/src/traffic/route.rs
+++ b/components/entry/src/traffic/route.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use errors::{Outcome, ProblemKind, events};
 use futures_lite::FutureExt;
-use http_io::{Body, HttpError, read_limited};
+use http_io::{Body, Charge, HttpError, MemoryHolder, charge_body, read_request};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request, Response};
@@ -34,6 +34,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory of the body.
+    _charge: Charge,
 }
 
 /// Answers a request of a caller.
@@ -61,6 +63,7 @@
     view: std::sync::Arc<View>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
+    let memory = MemoryHolder::of(&req);
     let (parts, body) = req.into_parts();
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().map(str::to_owned);
@@ -68,7 +71,7 @@
     if let Some(wanted) = path.strip_prefix("/v1/requests/") {
         return look_up(cx, &view, &workspace, wanted);
     }
-    let body = read_body(cx, body).await?;
+    let (body, charge) = read_body(cx, body, &memory).await?;
     // The release notes may have changed while the body was received.
     let view = cx.shared.view.load_full();
     let workspace = authenticate(cx, &view, &parts.headers)?;
@@ -81,15 +84,22 @@
         query,
         headers: parts.headers,
         body,
+        _charge: charge,
     };
-    match received.path.as_str() {
+    let res = match received.path.as_str() {
         "/v1/completions" | "/v1/chat/completions" => drafts::answer(cx, received).await,
         path if path.starts_with("/v1/services/") => calls::answer(cx, received).await,
         _ => Err(Failure::refused(
             ProblemKind::NotFound,
             "see the documentation for the paths",
         )),
-    }
+    };
+    let (parts, body) = res?.into_parts();
+    let body = charge_body(body, &memory).map_err(|_| {
+        let detail = "this host has no memory for the answer";
+        Failure::may_have_run(ProblemKind::AnswerCut, detail)
+    })?;
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Fails if the host can not accept new requests under a view.
@@ -125,18 +135,25 @@
     }
 }
 
-async fn read_body(cx: &Context, body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(cx: &Context, body: Incoming, memory: &MemoryHolder) -> Result<(Bytes, Charge), Failure> {
     let settings = &cx.shared.settings;
     let timeout = async {
         smol::Timer::after(Duration::from_millis(settings.timeouts.body_ms)).await;
         Err(HttpError::TimedOut.into())
     };
-    let read = read_limited(body, settings.limits.body_bytes).or(timeout).await;
-    read.map_err(|e| match e.current_context() {
+    let read = async {
+        read_request(body, settings.limits.body_bytes, memory)
+            .await?
+            .join()
+    };
+    read.or(timeout).await.map_err(|e| match e.current_context() {
         HttpError::TooLarge { limit } => Failure::refused(
             ProblemKind::BodyTooLarge,
             format!("at most {limit} bytes are allowed"),
         ),
+        HttpError::NoMemory => {
+            Failure::refused(ProblemKind::Overloaded, "this host has no memory for the body")
+        }
         HttpError::TimedOut => Failure::refused(ProblemKind::SlowSender, "the body did not arrive in time"),
         _ => Failure::refused(ProblemKind::MalformedRequest, "the body broke off"),
     })
--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,36 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const BODY_EVICTED: Event = event(
+        5040,
+        "body_evicted",
+        "Request bodies that had made no progress gave their memory to others; gives their number. They were not run.",
+    );
+    pub const NO_MEMORY: Event = event(
+        5041,
+        "no_memory",
+        "Bodies or answers found no room in the memory budget; gives their number.",
+    );
+    pub const CONNECTIONS_CLOSED: Event = event(
+        5042,
+        "connections_closed",
+        "Connections without a whole request were closed, or new ones refused, for want of memory or descriptors.",
+    );
+    pub const ANSWER_UNREAD: Event = event(
+        5043,
+        "answer_unread",
+        "Connections were closed whose callers did not read their answers, as the memory was needed.",
+    );
+    pub const HEAD_LATE: Event = event(
+        5044,
+        "head_late",
+        "Connections were closed whose heads did not arrive in the time that the operator's limits allow.",
+    );
+    pub const HEAD_TOO_LARGE: Event = event(
+        5045,
+        "head_too_large",
+        "Requests were refused whose head is larger than the operator's limits allow.",
+    );
 }
 
 /// All events, ordered by number.
@@ -436,6 +466,12 @@
     events::LOST_ROW_WRITTEN,
     events::TARGET_LEAVING,
     events::PAUSE_REQUESTED,
+    events::BODY_EVICTED,
+    events::NO_MEMORY,
+    events::CONNECTIONS_CLOSED,
+    events::ANSWER_UNREAD,
+    events::HEAD_LATE,
+    events::HEAD_TOO_LARGE,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -174,6 +174,9 @@
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
             "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
+        if let Some(declared) = &view.declared {
+            self.traffic.resources.apply(&declared.limits);
+        }
         self.traffic.view.store(Arc::new(view));
     }
 
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -5,10 +5,11 @@
 use errors::events;
 use futures_lite::FutureExt;
 use http_io::{
-    Body, Client, ClientConfig, Handler, HandlerFuture, Server, ServerConfig, Shutdown, empty_body,
-    full_body, read_limited,
+    Body, Client, ClientConfig, Handler, HandlerFuture, HeldBody, HttpError, MemoryHolder, Server, Shutdown,
+    empty_body, full_body, read_limited, read_request,
 };
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
@@ -26,6 +27,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for an answer.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// `Retry-After` of a message for which the host has no memory, in seconds.
+const NO_MEMORY_RETRY_AFTER: &str = "0.5";
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Tables that hosts forward to each other.
@@ -55,7 +58,7 @@
 /// Answers queries from other hosts until `stop` resolves.
 pub(crate) async fn serve(control: Arc<Control>, stop: Shutdown) {
     let addr = control.traffic.settings.peers;
-    let server = match Server::bind(addr, ServerConfig::default()) {
+    let server = match Server::bind(addr, control.traffic.resources.for_peers()) {
         Ok(server) => server,
         Err(e) => {
             warn!(control.traffic.log, "can not listen for other hosts"; events::CONNECTION_FAILED,
@@ -75,8 +78,18 @@
 
 async fn answer(control: &Control, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
-    let body = read_limited(req.into_body(), MAX_MESSAGE_BYTES).await;
-    let answer = body.ok().and_then(|bytes| match path.as_str() {
+    let holder = MemoryHolder::of(&req);
+    let body = match read_request(req.into_body(), MAX_MESSAGE_BYTES, &holder).await {
+        Ok(body) => body.join(),
+        Err(e) => Err(e),
+    };
+    if body
+        .as_ref()
+        .is_err_and(|e| *e.current_context() == HttpError::NoMemory)
+    {
+        return no_memory();
+    }
+    let answer = body.ok().and_then(|(bytes, _charge)| match path.as_str() {
         CHANGES_PATH => pack(&answer_changes(control, &postcard::from_bytes(&bytes).ok()?)),
         kept_updates::PATH => pack(&kept_updates::answer(
             control,
@@ -90,7 +103,17 @@
         *res.status_mut() = StatusCode::BAD_REQUEST;
         return res;
     };
-    Response::new(full_body(answer))
+    let held = HeldBody::from_bytes(answer, &holder);
+    held.map_or_else(|_| no_memory(), |held| Response::new(held.into_body()))
+}
+
+/// Returns the refusal of a message for which the host has no memory.
+fn no_memory() -> Response<Body> {
+    let mut res = Response::new(empty_body());
+    *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    res.headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static(NO_MEMORY_RETRY_AFTER));
+    res
 }
 
 fn pack(message: &impl Serialize) -> Option<Vec<u8>> {
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 use error_stack::{Report, ResultExt};
 use errors::events;
 use http_io::{
-    Body, Executor, Handler, HandlerFuture, HttpError, Server, ServerConfig, Shutdown, empty_body, full_body,
+    Body, Executor, Handler, HandlerFuture, HttpError, Server, Shutdown, empty_body, full_body,
     shutdown_channel,
 };
 use hyper::{Response, StatusCode};
@@ -19,12 +19,6 @@
 use crate::traffic::{Traffic, crash_channels, serve};
 use crate::{DrainSchedule, GatewayError, HostSettings};
 
-/// Idle timeout of a caller's connection.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(16);
-/// Largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Most headers of a request.
-const MAX_HEADERS: usize = 100;
 /// Share of the shutdown grace in which the balancer notices that the host is not ready and all requests are
 /// still accepted. After it, only requests that can finish before the process ends are accepted.
 const ACCEPT_SHARE: f64 = 0.33;
@@ -201,16 +195,11 @@
     signals: ShutdownSignals,
 ) -> Result<(), Report<HttpError>> {
     let ex = traffic.ex.clone();
-    let cfg = ServerConfig {
-        header_timeout: CALLER_IDLE_TIMEOUT,
-        max_headers: MAX_HEADERS,
-        max_head_bytes: MAX_HEAD_BYTES,
-        tls: None,
-    };
+    let cfg = traffic.resources.for_callers();
     let late_callers = callers.try_clone().change_context(HttpError::Listen)?;
     let callers = Server::from_std(callers, cfg.clone())?;
-    let late_callers = Server::from_std(late_callers, cfg.clone())?;
-    let readiness = Server::from_std(readiness, cfg)?;
+    let late_callers = Server::from_std(late_callers, cfg)?;
+    let readiness = Server::from_std(readiness, traffic.resources.for_readiness())?;
     let answer = handler(traffic.clone(), |cx, req| Box::pin(serve(cx, req)));
     let ready = handler(traffic, |cx, req| {
         Box::pin(async move { readiness_of(&cx, req.uri().path()) })
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -117,6 +117,24 @@
 pub struct CallerLimits {
     /// Largest body, in bytes.
     pub body_bytes: usize,
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time in which a head has to arrive.
+    pub header_time: Duration,
+    /// Longest time that a connection stays open without a request.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits in force until a configuration is known.
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 << 20,
+            head_bytes: 32 << 10,
+            header_time: Duration::from_secs(16),
+            idle_time: Duration::from_secs(16),
+        }
+    }
 }
 
 /// The weight version that the operator has declared for a model.
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -48,6 +48,8 @@
     pub store: SocketAddr,
     /// Number of sockets that the process may open.
     pub sockets: usize,
+    /// Memory of the machine, in bytes.
+    pub memory: usize,
     /// Bounds set by the deployment.
     pub bounds: Bounds,
 }
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use data_encoding::{HEXLOWER, HEXLOWER_PERMISSIVE};
-use utils::{Monotonic, TargetId, digest};
+use utils::{Hasher, Monotonic, TargetId};
 
 use crate::suspects::{AnswerStage, SuspectPart};
 
@@ -31,7 +31,20 @@
     /// assert_eq!(Fingerprint::parse(&one.text()), Some(one));
     /// ```
     pub fn of(path: &str, workspace: &str, body: &[u8]) -> Self {
-        Self(digest_fields([path.as_bytes(), workspace.as_bytes(), body]))
+        Self::of_parts(path, workspace, [body])
+    }
+
+    /// Returns the fingerprint of a request whose body is in parts; the same as that of the joined body.
+    pub fn of_parts<'a>(
+        path: &str,
+        workspace: &str,
+        body: impl IntoIterator<Item = &'a [u8]> + Clone,
+    ) -> Self {
+        let mut digest = FieldDigest::default();
+        digest.add_field([path.as_bytes()]);
+        digest.add_field([workspace.as_bytes()]);
+        digest.add_field(body);
+        Self(digest.finish())
     }
 
     /// Returns the fingerprint as hexadecimal digits.
@@ -48,15 +61,31 @@
 
 /// Returns a digest of fields that depends on where each of them ends.
 pub(crate) fn digest_fields<const N: usize>(fields: [&[u8]; N]) -> [u8; 16] {
-    let length: usize = fields.iter().map(|field| size_of::<u64>() + field.len()).sum();
-    let mut text = Vec::with_capacity(length);
+    let mut digest = FieldDigest::default();
     for field in fields {
-        text.extend_from_slice(&(field.len() as u64).to_le_bytes());
-        text.extend_from_slice(field);
+        digest.add_field([field]);
+    }
+    digest.finish()
+}
+
+/// Digest of fields that are added one by one, without a copy of them.
+#[derive(Default)]
+struct FieldDigest(Hasher);
+
+impl FieldDigest {
+    fn add_field<'a>(&mut self, parts: impl IntoIterator<Item = &'a [u8]> + Clone) {
+        let length: usize = parts.clone().into_iter().map(<[u8]>::len).sum();
+        self.0.update(&(length as u64).to_le_bytes());
+        for part in parts {
+            self.0.update(part);
+        }
+    }
+
+    fn finish(&self) -> [u8; 16] {
+        let mut first = [0; 16];
+        first.copy_from_slice(&self.0.finish().as_bytes()[..16]);
+        first
     }
-    let mut first = [0; 16];
-    first.copy_from_slice(&digest(&text).as_bytes()[..16]);
-    first
 }
 
 /// A crash of a target with a request in flight.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -1,8 +1,10 @@
 //! Log lines and metrics of requests: a numbered event and a counter for each decision.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use errors::{Outcome, events};
+use http_io::MemoryAccount;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -94,7 +96,7 @@
 }
 
 impl Telemetry {
-    pub(crate) fn new(log: Logger) -> Self {
+    pub(crate) fn new(log: Logger, memory: &Arc<MemoryAccount>) -> Self {
         let registry = Registry::new();
         let mut provider = SdkMeterProvider::builder();
         match opentelemetry_prometheus::exporter()
@@ -108,6 +110,7 @@
         }
         let provider = provider.build();
         let meter = provider.meter("laburnumtally");
+        memory.register(&meter);
         let first_byte = meter.f64_histogram("laburnumtally.route.first_byte");
         let replaced_weights_age = meter.f64_histogram("laburnumtally.route.replaced_weights_age");
         Self {
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -1,10 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use errors::ProblemKind;
 use futures_lite::FutureExt;
-use http_io::{HttpError, read_limited};
+use http_io::{HeldBody, HttpError, MemoryHolder, read_request};
 use hyper::Request;
 use hyper::body::Incoming;
 use utils::ServiceId;
@@ -15,6 +14,7 @@
 use super::state::Traffic;
 use crate::CallFacts;
 use crate::declared::Route;
+use crate::jitter::jittered;
 use crate::quarantine::Fingerprint;
 use crate::suspects::PartFingerprint;
 
@@ -23,6 +23,9 @@
 /// `Retry-After` of a quarantined request. The request may not be the cause of the crashes.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// `Retry-After` of a request for which the host has no memory. Stalled requests leave within this time.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Returns the refusal of a request that the host may not be able to answer before it ends.
 pub(crate) fn draining_refusal() -> Refusal {
     Refusal::not_run(ProblemKind::NotServing, "this host is about to end")
@@ -35,6 +38,13 @@
     Refusal::not_run(ProblemKind::NoTarget, detail).with_retry_after(QUARANTINE_RETRY_AFTER)
 }
 
+/// Returns the refusal of a request whose body found no room, or lost it to others that made progress. Only whole
+/// bodies are sent to targets.
+fn no_memory_refusal() -> Refusal {
+    let detail = "this host has no memory for the body";
+    Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(jittered(NO_MEMORY_RETRY_AFTER, 0.5))
+}
+
 /// Checks a request and reads its body.
 pub(crate) async fn accept(
     cx: &Arc<Traffic>,
@@ -42,6 +52,7 @@
     facts: CallFacts,
 ) -> Result<Call, Refusal> {
     let started = cx.now();
+    let memory = MemoryHolder::of(&req);
     let (parts, body) = req.into_parts();
     let view = cx.view.load_full();
     let Admitted {
@@ -56,10 +67,10 @@
     if cx.begin_by(&service, tokens, deadline).is_none() {
         return Err(draining_refusal());
     }
-    let body = read_body(body, declared.limits.body_bytes, wait).await?;
+    let body = read_body(body, declared.limits.body_bytes, &memory, wait).await?;
     let workspace_name = workspace.as_ref().map_or("", |w| &w.name);
     let target_uri = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    let fingerprint = Fingerprint::of(target_uri, workspace_name, &body);
+    let fingerprint = Fingerprint::of_parts(target_uri, workspace_name, body.parts());
     if view.quarantined.contains(&fingerprint) || cx.routing().crashes.is_quarantined(&fingerprint) {
         let detail = "targets that ran this request have crashed";
         return Err(Refusal::not_run(ProblemKind::NoTarget, detail).with_retry_after(QUARANTINE_RETRY_AFTER));
@@ -80,7 +91,8 @@
         target_uri: target_uri.parse().map_err(|_| malformed)?,
         method: parts.method,
         headers: parts.headers,
-        body,
+        body: Arc::new(body),
+        memory,
         route,
         service,
         workspace,
@@ -93,18 +105,24 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Refusal> {
-    let read = async { Some(read_limited(body, limit).await) };
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    memory: &MemoryHolder,
+    wait: Duration,
+) -> Result<HeldBody, Refusal> {
+    let read = async { Some(read_request(body, limit, memory).await) };
     let timeout = async {
         smol::Timer::after(wait).await;
         None
     };
     match read.or(timeout).await {
-        Some(Ok(bytes)) => Ok(bytes),
+        Some(Ok(body)) => Ok(body),
         Some(Err(e)) => Err(match e.current_context() {
             HttpError::TooLarge { .. } => {
                 Refusal::not_run(ProblemKind::BodyTooLarge, "the body is too large")
             }
+            HttpError::NoMemory => no_memory_refusal(),
             _ => Refusal::not_run(ProblemKind::MalformedRequest, "the body ended early"),
         }),
         None => Err(Refusal::not_run(
--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -18,6 +18,9 @@
 /// Unanswered probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
+/// Largest buffers of a connection, in bytes; also the largest head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
 
@@ -51,7 +54,9 @@
             .await
             .change_context(HttpError::Connect)?;
         configure_socket(&stream).change_context(HttpError::Connect)?;
-        http1::handshake(FuturesIo::new(stream))
+        http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .change_context(HttpError::Connect)
     };
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod request;
 mod state;
 mod stream_events;
+mod whole;
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub(crate) use pipeline::serve;
--- a/components/gateway/src/traffic/outgoing.rs
+++ b/components/gateway/src/traffic/outgoing.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use http_io::full_body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::{Method, Request};
 
@@ -44,7 +43,7 @@
     let mut req = Request::builder()
         .method(call.method.clone())
         .uri(call.target_uri.clone())
-        .body(full_body(call.body.clone()))
+        .body(call.body.shared_body())
         .ok()?;
     *req.headers_mut() = headers;
     // Hyper adds the length of a body that arrived chunked. An empty GET request carries no length.
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -2,9 +2,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use errors::ProblemKind;
-use http_io::{Body, full_body};
+use http_io::{Body, HeldBody};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
@@ -12,12 +11,13 @@
 
 use super::accept::{accept, draining_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
-use super::exchange::{Answer, AttemptResult, exchange, read_whole};
+use super::exchange::{Answer, AttemptResult, exchange};
 use super::place::{Placed, PlacementError, place, session_for_weights};
 use super::refusal::Refusal;
 use super::relay::relay;
 use super::request::Call;
 use super::state::Traffic;
+use super::whole::{WholeAnswer, read_whole};
 use crate::AnswerFacts;
 use crate::declared::RetrySafety;
 use crate::jitter::jittered;
@@ -101,7 +101,7 @@
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
-    failure: Option<(hyper::http::response::Parts, Bytes)>,
+    failure: Option<(hyper::http::response::Parts, HeldBody)>,
 }
 
 impl Attempts {
@@ -228,7 +228,7 @@
         }
     }
     if let Some((parts, body)) = attempts.failure.take() {
-        return Response::from_parts(parts, full_body(body));
+        return Response::from_parts(parts, body.into_body());
     }
     refuse(cx, &call, &attempts.refusal(cx, &call))
 }
@@ -262,7 +262,13 @@
         exchange,
         ..
     } = answer;
-    let Some(bytes) = read_whole(body, call.deadline.saturating_sub(cx.now())).await else {
+    let read = read_whole(call, body, call.deadline.saturating_sub(cx.now())).await;
+    if matches!(read, WholeAnswer::NoMemory) {
+        let detail = "this host has no memory for the answer";
+        let refusal = Refusal::may_have_run(ProblemKind::AnswerCut, detail);
+        return AnswerAction::Whole(refuse(cx, call, &refusal));
+    }
+    let WholeAnswer::Read(whole) = read else {
         exchange.record_broken();
         // A timeout does not prove a crash.
         if cx.now() < call.deadline {
@@ -277,7 +283,7 @@
     let times = exchange.answer_times();
     exchange.finish(&facts);
     if parts.status.is_server_error() && call.route.retry_safety.is_idempotent() {
-        attempts.failure = Some((parts, bytes));
+        attempts.failure = Some((parts, whole));
         return AnswerAction::Retry;
     }
     if is_good {
@@ -289,7 +295,7 @@
     }
     cx.telemetry
         .answered(&call.id, &run, parts.status.as_u16(), 0, attempts.sends);
-    AnswerAction::Whole(Response::from_parts(parts, full_body(bytes)))
+    AnswerAction::Whole(Response::from_parts(parts, whole.into_body()))
 }
 
 /// Whether an answer is a JSON document, which has no events even on the route of a stream.
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -4,7 +4,7 @@
 use futures_lite::FutureExt;
 use futures_lite::stream;
 use http_body_util::BodyExt;
-use http_io::{Body, HttpError, stream_body};
+use http_io::{Body, Charge, HttpError, stream_body};
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
@@ -31,6 +31,8 @@
     attempts: Attempts,
     /// Splits the stream at event boundaries.
     splitter: EventSplitter,
+    /// Charge of the bytes that the splitter holds back.
+    charge: Charge,
     /// The target's answer; `None` once it has ended.
     source: Option<Source>,
     /// Counts the request as in flight until the stream ends.
@@ -91,6 +93,7 @@
     let splitter = EventSplitter::resume_after(call.last_event.clone());
     let relay = Relay {
         cx,
+        charge: call.memory.charge(),
         call,
         attempts,
         splitter,
@@ -115,6 +118,11 @@
                     source.is_unproven &= bytes.is_empty();
                     let was_answered = self.has_events();
                     let whole = self.splitter.push(&bytes);
+                    if self.charge.resize(self.splitter.held_bytes()).is_err() {
+                        self.source = None;
+                        self.log_interrupted("this host has no memory for the event");
+                        return Some(Err(HttpError::NoMemory));
+                    }
                     if !was_answered && self.has_events() {
                         record_success(&self.cx, &self.call);
                     }
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use bytes::Bytes;
+use http_io::{HeldBody, MemoryHolder};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use utils::{ModelId, Monotonic, ServiceId};
@@ -27,7 +27,9 @@
     /// Headers as received.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Arc<HeldBody>,
+    /// Connection that the memory of the request and its answer is charged to.
+    pub memory: MemoryHolder,
     /// Route that the request matches.
     pub route: Arc<Route>,
     /// Service that was chosen from the route's services.
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -16,6 +16,7 @@
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
 use crate::quarantine::Crashes;
+use crate::resources::Resources;
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
@@ -49,6 +50,8 @@
 pub(crate) struct Traffic {
     /// Settings of the host.
     pub settings: HostSettings,
+    /// Memory and connections of the host.
+    pub resources: Resources,
     /// Source of the time.
     pub clock: Arc<dyn Clock>,
     /// The host's view of declarations and targets.
@@ -87,13 +90,15 @@
         crashes: CrashSenders,
         last_answers: Shutdown,
     ) -> Self {
+        let resources = Resources::new(&settings);
         Self {
+            telemetry: Telemetry::new(log.clone(), &resources.memory),
+            resources,
             settings,
             clock,
             view: ArcSwap::default(),
             heads,
             ex,
-            telemetry: Telemetry::new(log.clone()),
             log,
             drain: OnceLock::new(),
             last_answers,
--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -84,6 +84,11 @@
         self.buf.split().freeze()
     }
 
+    /// Returns the number of bytes that are held back until their event is whole.
+    pub fn held_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Discards the partial event, for a stream that another target resumes.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -19,7 +19,10 @@
         match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
             ["declared", version] => {
                 let version = version.parse().map_err(|_| UnusableRecord)?;
-                let limits = CallerLimits { body_bytes: 1_000 };
+                let limits = CallerLimits {
+                    body_bytes: 1_000,
+                    ..CallerLimits::default()
+                };
                 let declared = Declared::new(version, limits, [], [], Some(HashMap::new()));
                 Ok(DeclaredRecord::All(Box::new(declared)))
             }
--- a/components/http/src/error.rs
+++ b/components/http/src/error.rs
@@ -26,6 +26,9 @@
     /// The body is not of the expected format, or a request could not be built.
     #[error("the body can not be read")]
     Malformed,
+    /// The memory budget has no room for the body.
+    #[error("no memory is left for the body")]
+    NoMemory,
     /// The server can not listen on the address.
     #[error("can not listen on the address")]
     Listen,
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -1,19 +1,28 @@
 //! HTTP/1.1 over `hyper` on `smol`: a client with a connection pool and a server that joins its connections
 //! on shutdown.
 
+mod account;
+mod account_metrics;
 mod body;
 mod client;
+mod connection_limits;
+mod connections;
 mod error;
+mod held;
+mod metered;
 mod pool;
 mod server;
 mod sse;
 mod tls;
 
+pub use account::{Charge, MemoryAccount, MemoryHolder, OutOfMemory, Shortage};
 pub use body::{
     Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited, stream_body,
 };
 pub use client::{Client, ClientConfig, PooledBody};
+pub use connection_limits::ConnectionLimits;
 pub use error::HttpError;
+pub use held::{HeldBody, charge_body, read_held, read_request};
 pub use server::{
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
 };
--- /dev/null
+++ b/components/http/src/metered.rs
@@ -0,0 +1,98 @@
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use policy::HolderPhase;
+
+use crate::account::{Charge, MemoryHolder};
+
+/// Part of a head that is charged with its connection, in bytes.
+const FREE_HEAD_BYTES: usize = 8 << 10;
+/// Bytes charged per further byte of a head: the buffer grows ahead of it, and the parsed head is copied.
+const HEAD_FACTOR: usize = 2;
+
+/// The socket of a connection. Charges heads as they arrive and records progress.
+pub(crate) struct Metered<S> {
+    inner: S,
+    holder: MemoryHolder,
+    /// Bytes of the current head.
+    head_bytes: usize,
+    /// Charge of the current head.
+    charge: Charge,
+}
+
+impl<S> Metered<S> {
+    pub(crate) fn new(inner: S, holder: MemoryHolder) -> Self {
+        Self {
+            inner,
+            charge: holder.charge(),
+            holder,
+            head_bytes: 0,
+        }
+    }
+
+    /// Records received bytes. Fails if there is no room for a head.
+    fn record_received(&mut self, count: usize) -> Result<()> {
+        match self.holder.phase() {
+            HolderPhase::Idle => {
+                self.holder.set_phase(HolderPhase::Head);
+                self.head_bytes = 0;
+            }
+            HolderPhase::Head => {}
+            _ => return Ok(()),
+        }
+        self.head_bytes = self.head_bytes.saturating_add(count);
+        let bytes = self.head_bytes.saturating_sub(FREE_HEAD_BYTES);
+        let charged = self.charge.resize(bytes.saturating_mul(HEAD_FACTOR));
+        charged.map_err(|_| Error::from(ErrorKind::OutOfMemory))
+    }
+
+    fn record_written(&self, written: &Poll<Result<usize>>) {
+        match written {
+            Poll::Ready(_) => {
+                self.holder.set_blocked(false);
+                self.holder.record_progress();
+            }
+            Poll::Pending => self.holder.set_blocked(true),
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if let Poll::Ready(Ok(count)) = polled
+            && count > 0
+        {
+            self.record_received(count)?;
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.record_written(&polled);
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.record_written(&polled);
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -3,19 +3,26 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_rustls::TlsAcceptor;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
+use policy::HolderPhase;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::SockRef;
 
-use crate::{Body, Executor, HttpError};
+use crate::account::{MemoryAccount, MemoryHolder, Shortage};
+use crate::connections::Connections;
+use crate::metered::Metered;
+use crate::{Body, ConnectionLimits, Executor, HttpError, empty_body};
 
 /// Future of a [`Handler`] that resolves to the response.
 pub type HandlerFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
@@ -42,6 +49,16 @@
     pub max_head_bytes: usize,
     /// Acceptor that encrypts the connections; `None` serves plain TCP.
     pub tls: Option<TlsAcceptor>,
+    /// Limits that can change while the server runs. They replace `header_timeout` and `max_head_bytes`, except for the
+    /// time of a TLS handshake.
+    pub limits: Option<Arc<ConnectionLimits>>,
+    /// Account that connections and their requests are charged to.
+    pub memory: Arc<MemoryAccount>,
+    /// Maximum number of open connections. A new one closes those that have been idle for longest.
+    pub max_connections: usize,
+    /// Size of the kernel's buffers of each connection, in bytes; `None` lets them grow to megabytes while the process
+    /// is slower than its peers.
+    pub socket_buffer_bytes: Option<usize>,
 }
 
 impl Default for ServerConfig {
@@ -51,6 +68,20 @@
             max_headers: 64,
             max_head_bytes: 16 << 10,
             tls: None,
+            limits: None,
+            memory: MemoryAccount::unlimited(),
+            max_connections: usize::MAX,
+            socket_buffer_bytes: None,
+        }
+    }
+}
+
+impl ServerConfig {
+    /// Returns the size of a connection's buffers.
+    fn buffer_bytes(&self) -> usize {
+        match &self.limits {
+            Some(limits) => limits.buffer_bytes(),
+            None => self.max_head_bytes.max(8 << 10),
         }
     }
 }
@@ -78,6 +109,14 @@
     /// # Errors
     /// [`HttpError::Listen`] if the listener can not be made non-blocking.
     pub fn from_std(listener: std::net::TcpListener, cfg: ServerConfig) -> Result<Self, Report<HttpError>> {
+        if let Some(bytes) = cfg.socket_buffer_bytes {
+            // Accepted connections take the sizes over.
+            let socket = SockRef::from(&listener);
+            socket
+                .set_recv_buffer_size(bytes)
+                .and_then(|()| socket.set_send_buffer_size(bytes))
+                .change_context(HttpError::Listen)?;
+        }
         let listener = smol::Async::new(listener)
             .change_context(HttpError::Listen)?
             .into();
@@ -102,25 +141,41 @@
     /// Serves as [`Server::run`] does, but once `abort` resolves, closes and joins all connections without
     /// finishing their requests.
     pub async fn run_or_abort(self, ex: Executor, handler: Handler, stop: Shutdown, abort: Shutdown) {
-        let mut tasks = Vec::new();
+        let mut connections = Connections::new(&self.cfg);
         let accept = async {
-            while let Some(stream) = self.accept(&stop).await {
+            while let Some(stream) = self.accept_or_sweep(&stop, &mut connections).await {
+                let Some(holder) = connections.make_room().await else {
+                    continue;
+                };
                 let _ = stream.set_nodelay(true);
-                let serve = serve_stream(stream, self.cfg.clone(), handler.clone(), stop.clone());
-                tasks.push(ex.spawn(serve));
-                tasks.retain(|t| !t.is_finished());
+                let serve = serve_stream(
+                    stream,
+                    self.cfg.clone(),
+                    handler.clone(),
+                    stop.clone(),
+                    holder.clone(),
+                );
+                connections.add(ex.spawn(serve), holder);
             }
         };
         accept.or(resolved(&abort)).await;
         drop(self.listener);
-        let finish = async {
-            for task in &mut tasks {
-                task.await;
+        connections.join().or(resolved(&abort)).await;
+        connections.cancel().await;
+    }
+
+    /// Accepts the next connection and closes late ones meanwhile; returns `None` once `stop` resolves.
+    async fn accept_or_sweep(&self, stop: &Shutdown, connections: &mut Connections) -> Option<TcpStream> {
+        loop {
+            let sweep = async {
+                connections.next_sweep().await;
+                None
+            };
+            let accepted = async { Some(self.accept(stop).await) };
+            match accepted.or(sweep).await {
+                Some(accepted) => return accepted,
+                None => connections.sweep(),
             }
-        };
-        finish.or(resolved(&abort)).await;
-        for task in tasks {
-            task.cancel().await;
         }
     }
 
@@ -148,16 +203,26 @@
     None
 }
 
-async fn serve_stream(stream: TcpStream, cfg: ServerConfig, handler: Handler, stop: Shutdown) {
+async fn serve_stream(
+    stream: TcpStream,
+    cfg: ServerConfig,
+    handler: Handler,
+    stop: Shutdown,
+    holder: MemoryHolder,
+) {
     let Some(acceptor) = cfg.tls.clone() else {
-        return serve_connection(stream, cfg, handler, stop).await;
+        return serve_held(stream, cfg, handler, stop, holder).await;
     };
     let timed_out = async {
         smol::Timer::after(cfg.header_timeout).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
-    if let Ok(stream) = acceptor.accept(stream).or(timed_out).await {
-        serve_connection(stream, cfg, handler, stop).await;
+    let closed = async {
+        until_closed(&holder, std::pin::pin!(std::future::pending::<()>())).await;
+        Err(std::io::ErrorKind::ConnectionAborted.into())
+    };
+    if let Ok(stream) = acceptor.accept(stream).or(timed_out).or(closed).await {
+        serve_held(stream, cfg, handler, stop, holder).await;
     }
 }
 
@@ -169,19 +234,56 @@
     handler: Handler,
     stop: Shutdown,
 ) {
-    let service = service_fn(move |req| {
-        let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+    if let Ok(holder) = cfg.memory.open() {
+        serve_held(stream, cfg, handler, stop, holder).await;
+    }
+}
+
+async fn serve_held(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    cfg: ServerConfig,
+    handler: Handler,
+    stop: Shutdown,
+    holder: MemoryHolder,
+) {
+    let max_head_bytes = cfg.limits.as_ref().map(|limits| limits.head_bytes());
+    let service = service_fn({
+        let (holder, memory) = (holder.clone(), cfg.memory.clone());
+        move |req| {
+            let is_too_large = max_head_bytes.is_some_and(|max| head_bytes(&req) > max);
+            let answer = match is_too_large {
+                true => {
+                    memory.record(Shortage::HeadTooLarge);
+                    None
+                }
+                false => Some(handler(begin_request(req, &holder))),
+            };
+            let holder = holder.clone();
+            async move {
+                let res = match answer {
+                    Some(answer) => answer.await,
+                    None => head_too_large(),
+                };
+                holder.set_phase(HolderPhase::Answering);
+                Ok::<_, Infallible>(res.map(|body| AnswerBody { body, holder }))
+            }
+        }
     });
-    let conn = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(SmolTimer::new())
-        .header_read_timeout(cfg.header_timeout)
         .max_headers(cfg.max_headers)
-        .max_buf_size(cfg.max_head_bytes.max(8 << 10))
-        .serve_connection(FuturesIo::new(stream), service);
+        .max_buf_size(cfg.buffer_bytes());
+    match max_head_bytes {
+        // The server's sweep closes late connections.
+        Some(max) => builder.header_read_timeout(None).max_header_size(max),
+        None => builder.header_read_timeout(cfg.header_timeout),
+    };
+    let stream = Metered::new(stream, holder.clone());
+    let conn = builder.serve_connection(FuturesIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let ended = async {
-        let _ = conn.as_mut().await;
+        until_closed(&holder, conn.as_mut()).await;
         true
     };
     let stop = async {
@@ -190,6 +292,76 @@
     };
     if !ended.or(stop).await {
         conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
+        until_closed(&holder, conn).await;
+    }
+}
+
+/// Runs a connection until it ends or its memory is taken away. Dropping it closes the socket.
+async fn until_closed(holder: &MemoryHolder, mut conn: Pin<&mut impl Future>) {
+    std::future::poll_fn(|cx| {
+        holder.register(cx.waker());
+        match holder.must_close() {
+            true => Poll::Ready(()),
+            false => conn.as_mut().poll(cx).map(|_| ()),
+        }
+    })
+    .await;
+}
+
+/// Records that a head has arrived, and attaches the connection to the request.
+fn begin_request(mut req: Request<Incoming>, holder: &MemoryHolder) -> Request<Incoming> {
+    holder.set_phase(match req.body().is_end_stream() {
+        true => HolderPhase::Running,
+        false => HolderPhase::Body,
+    });
+    req.extensions_mut().insert(holder.clone());
+    req
+}
+
+/// Returns the size of a head in its usual form, in bytes.
+fn head_bytes(req: &Request<Incoming>) -> usize {
+    const LINE_BYTES: usize = " HTTP/1.1\r\n\r\n".len() + 1;
+    const HEADER_BYTES: usize = ": \r\n".len();
+    let path = req.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    let headers = req.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
+    req.method().as_str().len() + path + LINE_BYTES + headers.sum::<usize>()
+}
+
+fn head_too_large() -> Response<Body> {
+    let mut res = Response::new(empty_body());
+    *res.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    res
+}
+
+/// Body of an answer. The connection has no request once it is dropped.
+struct AnswerBody {
+    body: Body,
+    holder: MemoryHolder,
+}
+
+impl hyper::body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = HttpError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, HttpError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.holder.set_phase(HolderPhase::Idle);
     }
 }
--- a/components/utils/src/digest.rs
+++ b/components/utils/src/digest.rs
@@ -85,3 +85,26 @@
 pub fn digest(bytes: &[u8]) -> Digest {
     Digest(*blake3::hash(bytes).as_bytes())
 }
+
+/// Hashes bytes that arrive in pieces. The result is that of [`digest`] for all bytes together.
+///
+/// ```
+/// let mut hasher = utils::Hasher::default();
+/// hasher.update(b"sa");
+/// hasher.update(b"ck");
+/// assert_eq!(hasher.finish(), utils::digest(b"sack"));
+/// ```
+#[derive(Default)]
+pub struct Hasher(blake3::Hasher);
+
+impl Hasher {
+    /// Adds bytes.
+    pub fn update(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+
+    /// Returns the hash of all bytes so far.
+    pub fn finish(&self) -> Digest {
+        Digest(*self.0.finalize().as_bytes())
+    }
+}
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -6,7 +6,7 @@
 mod rendezvous;
 
 pub use clock::{Clock, ManualClock, Monotonic, SystemClock};
-pub use digest::{Digest, ParseDigestError, digest};
+pub use digest::{Digest, Hasher, ParseDigestError, digest};
 pub use ids::{
     Attempt, Epoch, FailureDomainId, HostId, Incarnation, ModelId, NoteVersion, RegionId, RequestId,
     ServiceId, TargetId, WeightVersion, WorkspaceId,
