Charge connections to targets to the memory budget

Buffers of connections to targets were outside the budget: half of the descriptors may be such connections. Each is charged like a connection of a caller and never evicted, and its buffers are at most 32 KiB. Without room the request is not sent, and the target does not count as unreachable.

--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
-use http_io::{Body, Executor, HttpError};
+use http_io::{Body, Executor, HttpError, MemoryAccount, MemoryHolder};
 use hyper::client::conn::http1::{self, SendRequest};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -19,7 +20,7 @@
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
 /// Largest buffers of a connection, in bytes; also the largest head of an answer.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
@@ -32,6 +33,8 @@
     last_call: Option<CallNumber>,
     /// Reads and writes the socket.
     _driver: smol::Task<()>,
+    /// Memory of its buffers.
+    _memory: MemoryHolder,
 }
 
 impl Connection {
@@ -47,8 +50,14 @@
     }
 }
 
-/// Opens a connection that detects the failure of its peer by itself.
-pub(crate) async fn connect(ex: &Executor, address: SocketAddr) -> Result<Connection, Report<HttpError>> {
+/// Opens a connection that detects the failure of its peer by itself. An error of [`HttpError::NoMemory`] says nothing
+/// about the peer.
+pub(crate) async fn connect(
+    ex: &Executor,
+    memory: &Arc<MemoryAccount>,
+    address: SocketAddr,
+) -> Result<Connection, Report<HttpError>> {
+    let memory = memory.open_outgoing().change_context(HttpError::NoMemory)?;
     let open = async {
         let stream = TcpStream::connect(address)
             .await
@@ -73,6 +82,7 @@
         sender,
         last_call: None,
         _driver: driver,
+        _memory: memory,
     })
 }
 
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use http_io::HttpError;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -394,7 +395,7 @@
         target,
         is_used: false,
     };
-    match connect(&cx.ex, target.address).await {
+    match connect(&cx.ex, &cx.resources.memory, target.address).await {
         Ok(conn) => {
             reserved.is_used = true;
             Some(conn)
@@ -402,10 +403,12 @@
         Err(e) => {
             slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
                 "request" => &call.id, "target" => &target.instance, "error" => %e);
-            let now = cx.now();
-            cx.with_slot(target, |slot| {
-                slot.load.record_outcome(SendOutcome::Unreachable, now)
-            });
+            if *e.current_context() != HttpError::NoMemory {
+                let now = cx.now();
+                cx.with_slot(target, |slot| {
+                    slot.load.record_outcome(SendOutcome::Unreachable, now)
+                });
+            }
             None
         }
     }
--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -158,6 +158,16 @@
         Ok(holder)
     }
 
+    /// Charges a connection that this process opens. It is never evicted.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if the budget is used up.
+    pub fn open_outgoing(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.open().inspect_err(|_| self.record(Shortage::NoRoom))?;
+        holder.set_phase(HolderPhase::Running);
+        Ok(holder)
+    }
+
     /// Charges bytes to a holder that has, or is known to need, `total` bytes.
     fn charge(&self, holder: &HolderState, bytes: usize, total: usize) -> Result<(), OutOfMemory> {
         let used = self
