--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -317,6 +317,10 @@
         req.extensions().get().cloned().unwrap_or_else(Self::unlimited)
     }
 
+    pub(crate) fn downgrade(&self) -> WeakHolder {
+        WeakHolder(Arc::downgrade(&self.0))
+    }
+
     /// Returns an empty charge.
     pub fn charge(&self) -> Charge {
         Charge {
@@ -420,6 +424,16 @@
     }
 }
 
+/// A connection that may have ended. It keeps nothing charged.
+pub(crate) struct WeakHolder(Weak<HolderState>);
+
+impl WeakHolder {
+    /// Returns the connection unless it has ended.
+    pub(crate) fn upgrade(&self) -> Option<MemoryHolder> {
+        self.0.upgrade().map(MemoryHolder)
+    }
+}
+
 /// Bytes charged to a connection until they are released; dropping it releases all.
 pub struct Charge {
     holder: MemoryHolder,
--- a/components/http/src/connections.rs
+++ b/components/http/src/connections.rs
@@ -5,7 +5,7 @@
 use policy::choose_to_close;
 
 use crate::ServerConfig;
-use crate::account::{MemoryAccount, MemoryHolder, Shortage};
+use crate::account::{MemoryAccount, MemoryHolder, Shortage, WeakHolder};
 use crate::connection_limits::ConnectionLimits;
 
 /// Part of the connections that is closed in one go when no more may be open.
@@ -18,7 +18,7 @@
 /// An open connection with its task.
 struct Connection {
     task: smol::Task<()>,
-    holder: MemoryHolder,
+    holder: WeakHolder,
 }
 
 /// The open connections of a server, within their limits.
@@ -68,7 +68,7 @@
         holder
     }
 
-    pub(crate) fn add(&mut self, task: smol::Task<()>, holder: MemoryHolder) {
+    pub(crate) fn add(&mut self, task: smol::Task<()>, holder: WeakHolder) {
         self.open.push(Connection { task, holder });
     }
 
@@ -90,9 +90,9 @@
         self.swept_at = Instant::now();
         self.remove_ended();
         if let Some(limits) = &self.limits {
-            self.open
+            self.holders()
                 .iter()
-                .for_each(|connection| connection.holder.close_if_late(limits));
+                .for_each(|holder| holder.close_if_late(limits));
         }
     }
 
@@ -111,14 +111,23 @@
     }
 
     fn evict(&self) {
-        let holders = self.open.iter().enumerate();
-        let holders = holders.map(|(index, connection)| connection.holder.describe(index));
+        let open = self.holders();
+        let described = open
+            .iter()
+            .enumerate()
+            .map(|(index, holder)| holder.describe(index));
         let count = (self.max / CLOSED_SHARE).max(1);
-        for index in choose_to_close(holders, count, self.memory.now()) {
-            self.open[index].holder.evict();
+        for index in choose_to_close(described, count, self.memory.now()) {
+            open[index].evict();
         }
     }
 
+    fn holders(&self) -> Vec<MemoryHolder> {
+        let open = self.open.iter();
+        open.filter_map(|connection| connection.holder.upgrade())
+            .collect()
+    }
+
     fn remove_ended(&mut self) {
         self.open.retain(|connection| !connection.task.is_finished());
     }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -148,14 +148,9 @@
                     continue;
                 };
                 let _ = stream.set_nodelay(true);
-                let serve = serve_stream(
-                    stream,
-                    self.cfg.clone(),
-                    handler.clone(),
-                    stop.clone(),
-                    holder.clone(),
-                );
-                connections.add(ex.spawn(serve), holder);
+                let weak = holder.downgrade();
+                let serve = serve_stream(stream, self.cfg.clone(), handler.clone(), stop.clone(), holder);
+                connections.add(ex.spawn(serve), weak);
             }
         };
         accept.or(resolved(&abort)).await;
