--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -182,6 +182,9 @@
         self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.set_slot_hosts(&view);
         self.log_evacuations(&self.traffic.view.load(), &view);
+        if let Some(declared) = &view.declared {
+            self.traffic.resources.apply(&declared.limits);
+        }
         self.traffic.view.store(Arc::new(view));
         true
     }
--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
-use http_io::{Body, Executor, HttpError};
+use http_io::{Body, Executor, HttpError, MemoryAccount, MemoryHolder};
 use hyper::client::conn::http1::{self, SendRequest};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -18,6 +19,9 @@
 /// Unanswered probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
+/// Largest buffers of a connection, in bytes; also the largest head of an answer.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
 
@@ -29,6 +33,8 @@
     last_call: Option<CallNumber>,
     /// Reads and writes the socket.
     _driver: smol::Task<()>,
+    /// Memory of its buffers.
+    _memory: MemoryHolder,
 }
 
 impl Connection {
@@ -44,14 +50,22 @@
     }
 }
 
-/// Opens a connection that detects the failure of its peer by itself.
-pub(crate) async fn connect(ex: &Executor, address: SocketAddr) -> Result<Connection, Report<HttpError>> {
+/// Opens a connection that detects the failure of its peer by itself. An error of [`HttpError::NoMemory`] says nothing
+/// about the peer.
+pub(crate) async fn connect(
+    ex: &Executor,
+    memory: &Arc<MemoryAccount>,
+    address: SocketAddr,
+) -> Result<Connection, Report<HttpError>> {
+    let memory = memory.open_outgoing().change_context(HttpError::NoMemory)?;
     let open = async {
         let stream = TcpStream::connect(address)
             .await
             .change_context(HttpError::Connect)?;
         configure_socket(&stream).change_context(HttpError::Connect)?;
-        http1::handshake(FuturesIo::new(stream))
+        http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .change_context(HttpError::Connect)
     };
@@ -68,6 +82,7 @@
         sender,
         last_call: None,
         _driver: driver,
+        _memory: memory,
     })
 }
 
--- a/components/gateway/src/traffic/open.rs
+++ b/components/gateway/src/traffic/open.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 
+use http_io::HttpError;
+
 use super::connect::{Connection, connect};
 use super::pool::TargetSlot;
 use super::request::Call;
@@ -30,7 +32,7 @@
         target,
         is_used: false,
     };
-    match connect(&cx.ex, target.address).await {
+    match connect(&cx.ex, &cx.resources.memory, target.address).await {
         Ok(conn) => {
             reserved.is_used = true;
             Some(conn)
@@ -38,11 +40,13 @@
         Err(e) => {
             slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
                 "request" => &call.id, "target" => &target.instance, "error" => %e);
-            let now = cx.now();
-            cx.with_slot(target, |slot| {
-                slot.load.record_outcome(SendOutcome::Unreachable, now)
-            });
-            cx.record_cold_failure(target, now);
+            if *e.current_context() != HttpError::NoMemory {
+                let now = cx.now();
+                cx.with_slot(target, |slot| {
+                    slot.load.record_outcome(SendOutcome::Unreachable, now)
+                });
+                cx.record_cold_failure(target, now);
+            }
             None
         }
     }
