Keep every crash row and count each observation once

The key of a crash row named its first request, the host and that request's count, which begins again after a success, after 120 s and after a restart. The next crash of the same request then replaced a row that also held up to 31 other requests. The key now has the host's incarnation and a row number, and the value has the count of each request. Rows of earlier versions stay readable, and such hosts read the first request as before.

Requests other than the first counted once for each row, so a popular request that succeeded between two crashes at one host was quarantined. Distinct observations (request, host, count) are counted now, as when each request had its own key.

The two new tests fail with the key or the count of before.

--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -10,7 +10,7 @@
 use super::Control;
 use super::register::{WRITE_RETRY_DELAY, shared_write};
 use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash};
-use crate::crash_rows::{CRASH_PREFIX, sound_key};
+use crate::crash_rows::sound_key;
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, RecordWritten, Table};
 use crate::probe::{Probe, probe};
@@ -47,7 +47,7 @@
         }
         let hosts = control.traffic.view.load().host_count();
         let row = reports.take_row(hosts, control.traffic.now());
-        write_crashes(&control, row).await;
+        write_crashes(&control, &mut reports, row).await;
     }
 }
 
@@ -81,7 +81,7 @@
 }
 
 /// Writes one row for requests that were in flight at crashes.
-async fn write_crashes(control: &Control, mut crashes: Vec<Crash>) {
+async fn write_crashes(control: &Control, reports: &mut CrashReports, mut crashes: Vec<Crash>) {
     for crash in &mut crashes {
         // A crash that waited to be reported is no evidence against parts that have succeeded meanwhile.
         let routing = control.traffic.routing();
@@ -91,11 +91,7 @@
     }
     let Some(first) = crashes.first() else { return };
     let host = &control.traffic.settings.name;
-    let key = format!(
-        "{CRASH_PREFIX}{}/{host}/{}",
-        first.fingerprint.text(),
-        first.count
-    );
+    let key = reports.next_key(&first.fingerprint, host, control.incarnation);
     for crash in &crashes {
         info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
             "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
@@ -122,10 +118,12 @@
     let (first, others) = crashes.split_first()?;
     let others = others.iter().map(|crash| FurtherCrash {
         request: crash.fingerprint,
+        count: crash.count,
         evidence: evidence(crash),
     });
     Some(CrashRowValue {
         first: evidence(first),
+        count: Some(first.count),
         others: others.collect(),
     })
 }
--- a/components/gateway/src/crash_reports.rs
+++ b/components/gateway/src/crash_reports.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use utils::Monotonic;
+use utils::{Incarnation, Monotonic};
 
 use crate::Crash;
+use crate::crash_rows::CRASH_PREFIX;
 use crate::quarantine::{CRASHES_TO_QUARANTINE, Fingerprint};
 use crate::suspects::{AnswerStage, CrashEvidence};
 
@@ -30,6 +31,9 @@
     /// What is known of the request in the key.
     #[serde(flatten)]
     pub first: CrashEvidence,
+    /// Crashes with this request in flight that the host has seen; earlier versions have it in the key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub count: Option<u32>,
     /// Further requests that the host reports with it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub others: Vec<FurtherCrash>,
@@ -41,11 +45,19 @@
 pub struct FurtherCrash {
     /// The request.
     pub request: Fingerprint,
+    /// Crashes with this request in flight that the host has seen.
+    #[serde(default = "first_crash")]
+    pub count: u32,
     /// What is known of it.
     #[serde(flatten)]
     pub evidence: CrashEvidence,
 }
 
+/// The count of a request in a row that does not tell it.
+fn first_crash() -> u32 {
+    1
+}
+
 /// Crashes that wait to be reported, and this host's share of the rows that all hosts may write.
 ///
 /// All evidence is reported, but requests that were in flight at crashes in quick succession share rows. Strong evidence
@@ -58,6 +70,8 @@
     rows_left: f64,
     /// Time at which `rows_left` was computed.
     refilled_at: Monotonic,
+    /// Rows that have got a key.
+    keys: u64,
 }
 
 impl Default for CrashReports {
@@ -66,6 +80,7 @@
             pending: Vec::new(),
             rows_left: MAX_BURST,
             refilled_at: Monotonic::ZERO,
+            keys: 0,
         }
     }
 }
@@ -106,6 +121,17 @@
         let count = self.pending.len().min(MAX_REQUESTS_PER_ROW);
         self.pending.drain(..count).collect()
     }
+
+    /// Returns the key of the next row. No other row of any host has it, so that a crash never replaces the evidence of
+    /// an earlier one.
+    pub fn next_key(&mut self, first: &Fingerprint, host: &str, incarnation: Incarnation) -> String {
+        self.keys += 1;
+        format!(
+            "{CRASH_PREFIX}{}/{host}/{incarnation}/{}",
+            first.text(),
+            self.keys
+        )
+    }
 }
 
 /// Whether a request probably caused the crash: the target had just begun it, or it was in flight at crashes before.
--- a/components/gateway/src/crash_rows.rs
+++ b/components/gateway/src/crash_rows.rs
@@ -11,7 +11,8 @@
 use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint, PART_RETENTION};
 use crate::suspects::{CrashEvidence, CrashRecord, PartFingerprint, SuspectParts, find_suspect_parts};
 
-/// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/NUMBER` records one crash observed by a host.
+/// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/INCARNATION/NUMBER` holds a row of a host on crashes that it
+/// observed. Hosts of earlier versions write `crash/FINGERPRINT/HOST/COUNT`.
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 /// Prefix of the keys under which hosts record that a suspected prompt part has succeeded.
 pub(crate) const SOUND_PREFIX: &str = "sound/";
@@ -26,10 +27,20 @@
     format!("{SOUND_PREFIX}{}", part.text())
 }
 
+/// A request that was in flight at a crash.
+struct CrashedRequest {
+    /// The request.
+    fingerprint: Fingerprint,
+    /// The host and its count of crashes with the request. A host that counts anew after a success repeats itself.
+    observation: String,
+    /// What is known of the request; `None` from a host of an older version.
+    evidence: Option<CrashEvidence>,
+}
+
 /// A row on requests that were in flight at crashes.
 struct CrashRow {
-    /// The requests with their evidence; `None` from a host of an older version.
-    requests: Vec<(Fingerprint, Option<CrashEvidence>)>,
+    /// The requests.
+    requests: Vec<CrashedRequest>,
     /// Time at which this host received the row.
     received_at: Monotonic,
     /// Position of the row.
@@ -66,8 +77,8 @@
         record: &Record,
         now: Monotonic,
     ) -> Result<(), Report<UnusableRecord>> {
-        let text = text.split('/').next().unwrap_or_default();
-        let fingerprint = Fingerprint::parse(text).ok_or(UnusableRecord)?;
+        let (first, observed_by) = text.split_once('/').unwrap_or((text, ""));
+        let first = Fingerprint::parse(first).ok_or(UnusableRecord)?;
         self.is_stale = true;
         let Some(value) = &record.value else {
             self.crashes.remove(&record.key);
@@ -75,8 +86,8 @@
         };
         let parsed = (!value.is_empty()).then(|| serde_json::from_slice::<CrashRowValue>(value));
         let (requests, error) = match parsed.transpose() {
-            Ok(parsed) => (requests(fingerprint, parsed), None),
-            Err(e) => (requests(fingerprint, None), Some(e)),
+            Ok(parsed) => (requests(first, observed_by, parsed), None),
+            Err(e) => (requests(first, observed_by, None), Some(e)),
         };
         let row = CrashRow {
             requests,
@@ -131,14 +142,16 @@
         expired.map(|(part, _)| sound_key(part)).collect()
     }
 
-    /// Returns the requests that were running in enough crashes, counted over all hosts.
+    /// Returns the requests that were running in enough crashes, counted over all hosts. Of crashes with the same count at
+    /// the same host one counts, since the request succeeded in between.
     pub(crate) fn quarantined(&self) -> HashSet<Fingerprint> {
-        let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
-        for (request, _) in self.crashes.values().flat_map(|row| &row.requests) {
-            *counts.entry(*request).or_default() += 1;
+        let mut observations: HashMap<Fingerprint, HashSet<&str>> = HashMap::new();
+        for request in self.crashes.values().flat_map(|row| &row.requests) {
+            let of_request = observations.entry(request.fingerprint).or_default();
+            of_request.insert(&request.observation);
         }
-        counts.retain(|_, count| *count >= CRASHES_TO_QUARANTINE);
-        counts.into_keys().collect()
+        observations.retain(|_, of_request| of_request.len() >= CRASHES_TO_QUARANTINE as usize);
+        observations.into_keys().collect()
     }
 
     /// Returns the quarantined and the suspected parts.
@@ -154,11 +167,11 @@
             .crashes
             .values()
             .flat_map(|row| row.requests.iter().map(|request| (row.position, request)));
-        let records = requests.filter_map(|(position, (fingerprint, evidence))| {
+        let records = requests.filter_map(|(position, request)| {
             Some(CrashRecord {
                 position,
-                fingerprint: *fingerprint,
-                evidence: evidence.as_ref()?,
+                fingerprint: request.fingerprint,
+                evidence: request.evidence.as_ref()?,
             })
         });
         let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.position));
@@ -167,18 +180,31 @@
 
     /// Whether a crash is evidence for the quarantine of one of these parts.
     fn supports_quarantine(row: &CrashRow, quarantined: &HashSet<PartFingerprint>) -> bool {
-        let evidence = row.requests.iter().filter_map(|(_, evidence)| evidence.as_ref());
+        let evidence = row
+            .requests
+            .iter()
+            .filter_map(|request| request.evidence.as_ref());
         let mut parts = evidence.flat_map(|evidence| &evidence.parts);
         parts.any(|suspect| quarantined.contains(&suspect.part))
     }
 }
 
-/// Returns the requests of a row whose key names the first.
-fn requests(first: Fingerprint, value: Option<CrashRowValue>) -> Vec<(Fingerprint, Option<CrashEvidence>)> {
-    let Some(value) = value else {
-        return vec![(first, None)];
+/// Returns the requests of a row. Its key names the first, and then the host; in rows of earlier versions its count
+/// follows, which makes that the observation.
+fn requests(first: Fingerprint, observed_by: &str, value: Option<CrashRowValue>) -> Vec<CrashedRequest> {
+    let host = observed_by.split('/').next().unwrap_or_default();
+    let observation = |count: u32| format!("{host}/{count}");
+    let count = value.as_ref().and_then(|value| value.count);
+    let (evidence, others) = value.map_or((None, Vec::new()), |value| (Some(value.first), value.others));
+    let first = CrashedRequest {
+        fingerprint: first,
+        observation: count.map_or_else(|| observed_by.to_owned(), observation),
+        evidence,
     };
-    let others = value.others.into_iter();
-    let others = others.map(|other| (other.request, Some(other.evidence)));
-    [(first, Some(value.first))].into_iter().chain(others).collect()
+    let others = others.into_iter().map(|other| CrashedRequest {
+        fingerprint: other.request,
+        observation: observation(other.count),
+        evidence: Some(other.evidence),
+    });
+    [first].into_iter().chain(others).collect()
 }
--- a/components/gateway/tests/crash_reports.rs
+++ b/components/gateway/tests/crash_reports.rs
@@ -105,13 +105,14 @@
         at: Some(Duration::ZERO),
         parts: Vec::new(),
     };
-    let request = |body: &str| Fingerprint::of("/a/", "mill", body.as_bytes());
     let mut state = CachedState::new(decode(), Duration::from_secs(2));
     for (version, first) in [(1, "one"), (2, "two")] {
         let value = CrashRowValue {
             first: evidence(first),
+            count: Some(1),
             others: vec![FurtherCrash {
                 request: request("bad"),
+                count: 1,
                 evidence: evidence(first),
             }],
         };
@@ -127,3 +128,75 @@
     }
     assert_eq!(state.publish().unwrap().quarantined, [request("bad")].into());
 }
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of("/a/", "mill", body.as_bytes())
+}
+
+/// Applies rows of hosts on requests with their counts; the first request of each is that of its key.
+fn apply(state: &mut CachedState, version: u64, key: &str, requests: &[(&str, u32)]) {
+    let evidence = CrashEvidence {
+        run: format!("t/{version}").into(),
+        stage: AnswerStage::Events,
+        at: Some(Duration::ZERO),
+        parts: Vec::new(),
+    };
+    let others = requests[1..].iter().map(|(body, count)| FurtherCrash {
+        request: request(body),
+        count: *count,
+        evidence: evidence.clone(),
+    });
+    let value = CrashRowValue {
+        others: others.collect(),
+        count: Some(requests[0].1),
+        first: evidence.clone(),
+    };
+    let text = serde_json::to_string(&value).unwrap();
+    let rows = snapshot(version, [row(key, &text, version)]);
+    assert!(
+        state
+            .apply(Table::Shared, rows, UpdateSource::Store, ms(0))
+            .is_empty()
+    );
+}
+
+// Guards against the loss of the evidence in a row when its first request is in flight at another crash after a
+// success or a restart.
+#[test]
+fn a_crash_after_a_success_or_a_restart_replaces_no_row() {
+    let mut state = CachedState::new(decode(), Duration::from_secs(2));
+    let first = request("first");
+    let mut reports = CrashReports::default();
+    let mut restarted = CrashReports::default();
+    let keys = [
+        reports.next_key(&first, "a", 7),
+        reports.next_key(&first, "a", 7),
+        restarted.next_key(&first, "a", 8),
+    ];
+    for (version, (key, other)) in (1..).zip(keys.iter().zip(["x", "y", "z"])) {
+        apply(&mut state, version, key, &[("first", 1), (other, 1)]);
+    }
+    let key = CrashReports::default().next_key(&request("x"), "b", 1);
+    apply(&mut state, 9, &key, &[("x", 1), ("y", 1), ("z", 1)]);
+    let quarantined = state.publish().unwrap().quarantined;
+    assert_eq!(quarantined, ["x", "y", "z"].map(request).into());
+}
+
+// Guards against the quarantine of popular requests that succeed between two crashes, in rows of any version.
+#[test]
+fn a_crash_after_a_success_at_the_same_host_counts_once() {
+    let mut state = CachedState::new(decode(), Duration::from_secs(2));
+    let mut reports = CrashReports::default();
+    for version in 1..4 {
+        let key = reports.next_key(&request("r"), "a", 7);
+        apply(&mut state, version, &key, &[("r", 1), ("popular", 1)]);
+    }
+    let old_key = format!("crash/{}/a/1", request("r").text());
+    let rows = snapshot(4, [row(&old_key, "", 4)]);
+    state.apply(Table::Shared, rows, UpdateSource::Store, ms(0));
+    assert!(state.publish().unwrap().quarantined.is_empty());
+    let key = reports.next_key(&request("r"), "a", 7);
+    apply(&mut state, 5, &key, &[("r", 2), ("popular", 2)]);
+    let quarantined = state.publish().unwrap().quarantined;
+    assert_eq!(quarantined, ["r", "popular"].map(request).into());
+}
