Forget bystanders of a crash after 120 s also in a row that stays

A row with one request that supports the quarantine of a part is kept for 10 minutes, and the up to 31 others in it counted towards their own quarantine all the time, so that popular requests were quarantined. A host now forgets them once they are past their own retention time.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -309,12 +309,13 @@
     }
 
     /// Removes targets still unconfirmed when the grace period after an outage ends, and purges expired
-    /// tombstones.
+    /// tombstones and requests in crash rows.
     pub fn tick(&mut self, now: Monotonic) {
         for rows in self.tables.values_mut() {
             rows.purge_tombstones(now);
         }
         self.expire_lost_rows(now);
+        self.is_changed |= self.crashes.forget_bystanders(now);
         self.is_changed |= self.evacuations.expire(now);
         for (key, target) in self.departed.expire(now) {
             self.targets.insert(key, target);
--- a/components/gateway/src/crash_rows.rs
+++ b/components/gateway/src/crash_rows.rs
@@ -37,6 +37,14 @@
     evidence: Option<CrashEvidence>,
 }
 
+impl CrashedRequest {
+    /// Whether the crash is evidence for the quarantine of one of these parts.
+    fn supports(&self, quarantined: &HashSet<PartFingerprint>) -> bool {
+        let mut parts = self.evidence.iter().flat_map(|evidence| &evidence.parts);
+        parts.any(|suspect| quarantined.contains(&suspect.part))
+    }
+}
+
 /// A row on requests that were in flight at crashes.
 struct CrashRow {
     /// The requests.
@@ -123,7 +131,7 @@
     /// quarantine of a part.
     pub(crate) fn expired(&self, now: Monotonic) -> Vec<String> {
         let quarantined = self.suspects.quarantined_parts();
-        let retention = |row: &CrashRow| match Self::supports_quarantine(row, &quarantined) {
+        let retention = |row: &CrashRow| match row.requests.iter().any(|r| r.supports(&quarantined)) {
             true => PART_RETENTION,
             false => CRASH_RETENTION,
         };
@@ -132,6 +140,26 @@
         expired.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Forgets requests past their retention time whose row stays because of another request in it; returns whether there
+    /// were any.
+    pub(crate) fn forget_bystanders(&mut self, now: Monotonic) -> bool {
+        let mut is_changed = false;
+        let quarantined = self.suspects.quarantined_parts();
+        for row in self.crashes.values_mut() {
+            if now < row.received_at + CRASH_RETENTION {
+                continue;
+            }
+            let supports = |request: &CrashedRequest| request.supports(&quarantined);
+            let count = row.requests.len();
+            if row.requests.iter().any(supports) {
+                row.requests.retain(supports);
+            }
+            is_changed |= row.requests.len() < count;
+        }
+        self.is_stale |= is_changed;
+        is_changed
+    }
+
     /// Returns the keys of rows on parts that have succeeded, past their retention time. They are kept as long
     /// as any crash that they refute.
     pub(crate) fn expired_sound_parts(&self, now: Monotonic) -> Vec<String> {
@@ -177,16 +205,6 @@
         let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.position));
         find_suspect_parts(records, &sound.collect())
     }
-
-    /// Whether a crash is evidence for the quarantine of one of these parts.
-    fn supports_quarantine(row: &CrashRow, quarantined: &HashSet<PartFingerprint>) -> bool {
-        let evidence = row
-            .requests
-            .iter()
-            .filter_map(|request| request.evidence.as_ref());
-        let mut parts = evidence.flat_map(|evidence| &evidence.parts);
-        parts.any(|suspect| quarantined.contains(&suspect.part))
-    }
 }
 
 /// Returns the requests of a row. Its key names the first, and then the host; in rows of earlier versions its count
--- a/components/gateway/tests/crash_reports.rs
+++ b/components/gateway/tests/crash_reports.rs
@@ -200,3 +200,41 @@
     let quarantined = state.publish().unwrap().quarantined;
     assert_eq!(quarantined, ["r", "popular"].map(request).into());
 }
+
+// Guards against the quarantine of a bystander by the longer retention of a row for another request in it.
+#[test]
+fn a_bystander_is_forgotten_before_the_request_that_supports_a_quarantine() {
+    let mut state = CachedState::new(decode(), Duration::from_secs(2));
+    for number in 0..2 {
+        let bad = crash(number * 50, number, 2_000 * number, true);
+        let evidence = |parts: &[SuspectPart], stage| CrashEvidence {
+            run: bad.run.clone(),
+            stage,
+            at: Some(bad.at),
+            parts: parts.to_vec(),
+        };
+        let value = CrashRowValue {
+            first: evidence(&bad.parts, bad.stage),
+            count: Some(1),
+            others: vec![FurtherCrash {
+                request: request("bystander"),
+                count: 1,
+                evidence: evidence(&[], AnswerStage::Events),
+            }],
+        };
+        let key = CrashReports::default().next_key(&bad.fingerprint, "a", 7);
+        let rows = [row(&key, &serde_json::to_string(&value).unwrap(), number + 1)];
+        let rows = snapshot(number + 1, rows);
+        state.apply(Table::Shared, rows, UpdateSource::Store, ms(0));
+    }
+    let quarantined = |state: &mut CachedState| state.publish().map(|view| view.parts.quarantined.len());
+    assert_eq!(quarantined(&mut state), Some(1));
+    state.tick(ms(119_000));
+    assert_eq!(quarantined(&mut state), None);
+    state.tick(ms(120_000));
+    assert_eq!(quarantined(&mut state), Some(1));
+    assert!(state.expired_crashes(ms(599_000)).is_empty());
+    let key = CrashReports::default().next_key(&request("bystander"), "b", 7);
+    apply(&mut state, 3, &key, &[("bystander", 1)]);
+    assert!(state.publish().unwrap().quarantined.is_empty());
+}
