Refute crashes that are reported only after the success of a part

Rows on crashes may wait for the host's share of rows. A row `sound/PART` that was written between the crash and its report was then older than the report and did not refute it, so sound parts gathered evidence. The row now has the store's time, and crashes until then don't count either. Rows of earlier versions have no time and refute by position alone.

Whether a part of a request still counts was decided by the position of its row, which other requests share now; the record itself decides.

--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -9,7 +9,7 @@
 
 use super::Control;
 use super::register::{WRITE_RETRY_DELAY, shared_write};
-use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash};
+use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash, SoundRowValue};
 use crate::crash_rows::sound_key;
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, RecordWritten, Table};
@@ -158,10 +158,14 @@
     }
     let key = sound_key(part);
     let position = control.cached_state().position_of(Table::Shared, &key);
+    let value = SoundRowValue {
+        at: control.cached_state().store_time(control.traffic.now()),
+    };
+    let value = serde_json::to_vec(&value).unwrap_or_default();
     let write = RecordWrite {
         // Refused if another host has recorded the success.
         expect: position.into(),
-        ..shared_write(key, Some(Vec::new()))
+        ..shared_write(key, Some(value))
     };
     match control.store.write(write).await {
         Ok(RecordWritten::Applied(_)) => {
--- a/components/gateway/src/crash_reports.rs
+++ b/components/gateway/src/crash_reports.rs
@@ -53,6 +53,15 @@
     pub evidence: CrashEvidence,
 }
 
+/// The value of a row on a prompt part that succeeded while it was suspected; empty in rows of earlier versions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SoundRowValue {
+    /// Time on the store's clock, if the host knew it. Crashes until then are no evidence against the part, also if they
+    /// are reported later.
+    pub at: Option<Duration>,
+}
+
 /// The count of a request in a row that does not tell it.
 fn first_crash() -> u32 {
     1
--- a/components/gateway/src/crash_rows.rs
+++ b/components/gateway/src/crash_rows.rs
@@ -6,10 +6,12 @@
 use utils::Monotonic;
 
 use crate::Position;
-use crate::crash_reports::CrashRowValue;
+use crate::crash_reports::{CrashRowValue, SoundRowValue};
 use crate::ports::{Record, UnusableRecord};
 use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint, PART_RETENTION};
-use crate::suspects::{CrashEvidence, CrashRecord, PartFingerprint, SuspectParts, find_suspect_parts};
+use crate::suspects::{
+    CrashEvidence, CrashRecord, PartFingerprint, SoundRecord, SuspectParts, find_suspect_parts,
+};
 
 /// Prefix of crash keys. The key `crash/FINGERPRINT/HOST/INCARNATION/NUMBER` holds a row of a host on crashes that it
 /// observed. Hosts of earlier versions write `crash/FINGERPRINT/HOST/COUNT`.
@@ -57,8 +59,8 @@
 
 /// A row on a prompt part that succeeded while it was suspected.
 struct SoundRow {
-    /// Position of the row.
-    position: Position,
+    /// The row.
+    record: SoundRecord,
     /// Time at which this host received the row.
     received_at: Monotonic,
 }
@@ -115,9 +117,13 @@
     ) -> Result<(), Report<UnusableRecord>> {
         let part = PartFingerprint::parse(text).ok_or(UnusableRecord)?;
         self.is_stale = true;
-        if record.value.is_some() {
+        if let Some(value) = &record.value {
+            let value = serde_json::from_slice::<SoundRowValue>(value).ok();
             let row = SoundRow {
-                position: record.position,
+                record: SoundRecord {
+                    position: record.position,
+                    at: value.and_then(|value| value.at),
+                },
                 received_at: now,
             };
             self.sound_parts.insert(part, row);
@@ -202,7 +208,7 @@
                 evidence: request.evidence.as_ref()?,
             })
         });
-        let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.position));
+        let sound = self.sound_parts.iter().map(|(part, row)| (*part, row.record));
         find_suspect_parts(records, &sound.collect())
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -56,7 +56,7 @@
     ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
     SlotSchedule,
 };
-pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash};
+pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash, SoundRowValue};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
@@ -84,7 +84,7 @@
 pub use store_link::UpdateSource;
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
-    PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
+    PartTrials, SoundRecord, SuspectPart, SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
 pub use traffic::{EventSplitter, Exclusion, PlacementRules, Progress};
--- a/components/gateway/src/suspects/detection.rs
+++ b/components/gateway/src/suspects/detection.rs
@@ -36,6 +36,24 @@
     pub evidence: &'a CrashEvidence,
 }
 
+/// A row of the shared table on a part that has succeeded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoundRecord {
+    /// Position of the row.
+    pub position: Position,
+    /// Time of the row on the store's clock; `None` if its host did not know it or has an earlier version.
+    pub at: Option<Duration>,
+}
+
+impl SoundRecord {
+    /// Whether a crash is no evidence against the part: its row is older, or it was written late and the crash itself is
+    /// older.
+    fn refutes(&self, crash: &CrashRecord) -> bool {
+        let times = self.at.zip(crash.evidence.at);
+        crash.position <= self.position || times.is_some_and(|(sound, crash)| crash <= sound)
+    }
+}
+
 impl CrashRecord<'_> {
     fn points(&self) -> u32 {
         match self.evidence.stage {
@@ -125,8 +143,8 @@
 /// Records that count against each part.
 type RecordsByPart<'a> = BTreeMap<PartFingerprint, Vec<CrashRecord<'a>>>;
 
-/// Finds the parts that crash targets. `sound` holds the version of the row that states that a part has
-/// succeeded; older records don't count for it.
+/// Finds the parts that crash targets. `sound` holds what states that a part has succeeded; older records and records of
+/// older crashes don't count for it.
 ///
 /// The part with the most evidence is taken to have caused all crashes at which it was in flight. Their records
 /// are removed before the next part is looked for, so that a part does not become a suspect only because it
@@ -137,7 +155,7 @@
 /// other parts together can have, the quarantine is in doubt.
 pub fn find_suspect_parts<'a>(
     records: impl IntoIterator<Item = CrashRecord<'a>>,
-    sound: &HashMap<PartFingerprint, Position>,
+    sound: &HashMap<PartFingerprint, SoundRecord>,
 ) -> SuspectParts {
     let mut by_part = records_by_part(records, sound);
     let mut suspects = SuspectParts::default();
@@ -181,14 +199,14 @@
 /// Sorts the records by part, those with the most points first.
 fn records_by_part<'a>(
     records: impl IntoIterator<Item = CrashRecord<'a>>,
-    sound: &HashMap<PartFingerprint, Position>,
+    sound: &HashMap<PartFingerprint, SoundRecord>,
 ) -> RecordsByPart<'a> {
     let mut by_part = RecordsByPart::new();
     for record in records.into_iter().filter(|record| record.points() > 0) {
         for suspect in &record.evidence.parts {
             if sound
                 .get(&suspect.part)
-                .is_none_or(|position| record.position > *position)
+                .is_none_or(|sound| !sound.refutes(&record))
             {
                 by_part.entry(suspect.part).or_default().push(record);
             }
@@ -202,7 +220,10 @@
 
 /// Returns the part with the most evidence among those that have enough for a quarantine. Parts that have
 /// never succeeded come first.
-fn strongest(by_part: &RecordsByPart, sound: &HashMap<PartFingerprint, Position>) -> Option<PartFingerprint> {
+fn strongest(
+    by_part: &RecordsByPart,
+    sound: &HashMap<PartFingerprint, SoundRecord>,
+) -> Option<PartFingerprint> {
     let weighed = by_part.iter().filter_map(|(part, records)| {
         let has_succeeded = has_succeeded(part, records, sound);
         let enough = match has_succeeded {
@@ -266,7 +287,11 @@
         .filter(|suspect| !suspect.has_succeeded);
     let counts = |part: &PartFingerprint| {
         let records = by_part.get(part);
-        records.is_some_and(|records| records.iter().any(|known| known.position == record.position))
+        records.is_some_and(|records| {
+            records
+                .iter()
+                .any(|known| std::ptr::eq(known.evidence, record.evidence))
+        })
     };
     never_succeeded
         .map(|suspect| suspect.part)
@@ -278,7 +303,7 @@
 fn has_succeeded(
     part: &PartFingerprint,
     records: &[CrashRecord],
-    sound: &HashMap<PartFingerprint, Position>,
+    sound: &HashMap<PartFingerprint, SoundRecord>,
 ) -> bool {
     let mut suspects = records.iter().flat_map(|record| &record.evidence.parts);
     sound.contains_key(part) || suspects.any(|suspect| suspect.part == *part && suspect.has_succeeded)
--- a/components/gateway/src/suspects/mod.rs
+++ b/components/gateway/src/suspects/mod.rs
@@ -6,7 +6,7 @@
 mod successes;
 mod trials;
 
-pub use detection::{CrashRecord, PartEvidence, PartSet, SuspectParts, find_suspect_parts};
+pub use detection::{CrashRecord, PartEvidence, PartSet, SoundRecord, SuspectParts, find_suspect_parts};
 pub use evidence::{AnswerStage, CrashEvidence, PartFingerprint, SuspectPart};
 pub use successes::PartSuccesses;
 pub use trials::PartTrials;
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -6,8 +6,8 @@
 
 use gateway::ports::{Record, Table};
 use gateway::{
-    AnswerStage, CachedState, CrashEvidence, Fingerprint, PartFingerprint, PartSuccesses, SuspectPart,
-    SuspectParts, UpdateSource,
+    AnswerStage, CachedState, CrashEvidence, Fingerprint, PartFingerprint, PartSuccesses, SoundRowValue,
+    SuspectPart, SuspectParts, UpdateSource,
 };
 use support::{decode, ms, removed, row, snapshot};
 
@@ -413,6 +413,26 @@
     assert_eq!(rows.quarantined(), [part("x")]);
 }
 
+// Guards against the quarantine of a sound part by crashes that were reported only after its success.
+#[test]
+fn a_success_refutes_earlier_crashes_that_are_reported_later() {
+    let mut rows = Rows::new();
+    let crash = |rows: &mut Rows, n: u64, parts: &[SuspectPart]| {
+        let (request, run) = (format!("r{n}"), format!("t{n}"));
+        rows.crash("a", &request, &run, AnswerStage::Head, n * APART, parts);
+    };
+    crash(&mut rows, 0, &[new("x")]);
+    let at = Some(ms(2 * APART));
+    let value = serde_json::to_string(&SoundRowValue { at }).unwrap();
+    rows.write(&format!("sound/{}", part("x").text()), &value);
+    for n in 1..3 {
+        crash(&mut rows, n, &[new("x"), new("y")]);
+    }
+    assert_eq!(rows.quarantined(), [part("y")]);
+    (3..7).for_each(|n| crash(&mut rows, n, &[new("x")]));
+    assert_eq!(rows.quarantined().len(), 2, "crashes after the success count");
+}
+
 // Guards against hosts of the last version, whose rows have no value, and against rows that can't be parsed.
 #[test]
 fn rows_without_evidence_count_for_whole_requests() {
