Report requests sooner that crash targets before the head of an answer

At its first crash such a request was treated like a bystander and waited for two rows in reserve, 10 s and more with many hosts. Only a target that no longer accepts connections is reported at a first crash, so it now waits only for the row that is kept for requests which a target had just begun. The decision no longer depends on whether the request has a prompt with parts.

--- a/components/gateway/src/crash_reports.rs
+++ b/components/gateway/src/crash_reports.rs
@@ -16,8 +16,11 @@
 const ROWS_PER_SECOND: f64 = 8.0;
 /// Rows that a host may write in quick succession after a quiet time.
 const MAX_BURST: f64 = 4.0;
-/// Rows that a host keeps for strong evidence: bystanders of a crash wait until it has more left.
-const STRONG_RESERVE: f64 = 2.0;
+/// Rows that a host keeps for requests that have probably caused a crash: bystanders wait until it has more left.
+const BYSTANDER_RESERVE: f64 = 2.0;
+/// Rows that a host keeps for requests that a target had just begun: those that may have waited in its queue wait until it
+/// has more left.
+const NO_HEAD_RESERVE: f64 = 1.0;
 /// Most requests in one row. Bounds the size of a row to some 20 kB.
 const MAX_REQUESTS_PER_ROW: usize = 32;
 /// Most requests that wait to be reported; those with the weakest evidence are dropped first.
@@ -70,7 +73,7 @@
 /// Crashes that wait to be reported, and this host's share of the rows that all hosts may write.
 ///
 /// All evidence is reported, but requests that were in flight at crashes in quick succession share rows. Strong evidence
-/// is reported at once as long as the host has rows left.
+/// is reported at once as long as the host has rows left, weaker evidence while it has more left.
 #[derive(Debug)]
 pub struct CrashReports {
     /// Crashes that wait.
@@ -99,7 +102,7 @@
     pub fn add(&mut self, crash: Crash) -> Option<Crash> {
         let position = self
             .pending
-            .partition_point(|other| strength(other) >= strength(&crash));
+            .partition_point(|other| Strength::of(other) >= Strength::of(&crash));
         self.pending.insert(position, crash);
         match self.pending.len() > MAX_PENDING {
             true => self.pending.pop(),
@@ -118,12 +121,8 @@
         let refilled = self.rows_left + elapsed * ROWS_PER_SECOND / hosts.max(1) as f64;
         self.rows_left = refilled.min(MAX_BURST);
         self.refilled_at = now;
-        let needed = match self.pending.first() {
-            Some(first) if is_strong(first) => 1.0,
-            Some(_) => 1.0 + STRONG_RESERVE,
-            None => return Vec::new(),
-        };
-        if self.rows_left < needed {
+        let reserve = self.pending.first().map(|first| Strength::of(first).reserve());
+        if reserve.is_none_or(|reserve| self.rows_left < reserve + 1.0) {
             return Vec::new();
         }
         self.rows_left -= 1.0;
@@ -143,15 +142,36 @@
     }
 }
 
-/// Whether a request probably caused the crash: the target had just begun it, or it was in flight at crashes before.
-fn is_strong(crash: &Crash) -> bool {
-    let has_begun = crash.stage == AnswerStage::Head && !crash.parts.is_empty();
-    has_begun || crash.count >= CRASHES_TO_QUARANTINE
+/// How probably a request caused the crash at which it was in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Strength {
+    /// The target could run it.
+    Bystander,
+    /// The target no longer accepts connections, and had not begun to answer it.
+    NoHead,
+    /// The target had just begun it, or it was in flight at crashes before.
+    Strong,
 }
 
-/// Orders crashes by the strength of their evidence.
-fn strength(crash: &Crash) -> (bool, AnswerStage) {
-    (is_strong(crash), crash.stage)
+impl Strength {
+    fn of(crash: &Crash) -> Self {
+        match crash.stage {
+            _ if crash.count >= CRASHES_TO_QUARANTINE => Self::Strong,
+            AnswerStage::Head => Self::Strong,
+            // Crashes with a count of 1 are reported only if the target no longer accepts connections.
+            AnswerStage::NoHead => Self::NoHead,
+            AnswerStage::Events => Self::Bystander,
+        }
+    }
+
+    /// Returns the rows that must be left to the host after a row on such a request.
+    fn reserve(self) -> f64 {
+        match self {
+            Self::Bystander => BYSTANDER_RESERVE,
+            Self::NoHead => NO_HEAD_RESERVE,
+            Self::Strong => 0.0,
+        }
+    }
 }
 
 /// Time between checks whether a row may be written, while crashes wait.
--- a/components/gateway/tests/crash_reports.rs
+++ b/components/gateway/tests/crash_reports.rs
@@ -90,10 +90,19 @@
     let row = reports.take_row(HOSTS, ms(1_000));
     assert_eq!((row.len(), row[0].stage), (32, AnswerStage::Head));
     assert_eq!(reports.take_row(HOSTS, ms(1_000)).len(), 8);
-    // Bystanders wait for a further row, the request that a target had just begun does not.
+    // Bystanders wait for a further row; requests that may have waited in the target's queue don't, and leave one for the
+    // request that a target had just begun.
+    let no_head = |number| Crash {
+        stage: AnswerStage::NoHead,
+        ..crash(number, 2, 1_100, false)
+    };
     reports.add(crash(100, 2, 1_100, false));
     assert!(reports.take_row(HOSTS, ms(1_100)).is_empty());
-    reports.add(crash(101, 2, 1_100, true));
+    reports.add(no_head(101));
+    assert_eq!(reports.take_row(HOSTS, ms(1_100)).len(), 2);
+    reports.add(no_head(102));
+    assert!(reports.take_row(HOSTS, ms(1_100)).is_empty());
+    reports.add(crash(103, 2, 1_100, true));
     assert_eq!(reports.take_row(HOSTS, ms(1_100)).len(), 2);
 }
 
