Keep the requests of a crash row that could not be written

After five failed attempts the up to 32 requests of a row were lost at once. They now wait for another row, with the strongest evidence first, within the bound of 256 waiting requests and until the 120 s are over for which a crash counts. An attempt uses up one of the host's rows also if it fails, so that an outage does not raise the number of calls. "crash reported" is logged once the row is written.

--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -19,7 +19,7 @@
 
 /// Time in which the requests of one crashed target are collected.
 const CRASH_COLLECT_TIME: Duration = Duration::from_millis(10);
-/// Attempts to write a crash to the shared table.
+/// Attempts to write a row on crashes to the shared table before its requests wait for another one.
 const CRASH_WRITE_ATTEMPTS: usize = 5;
 /// Interval between removals of expired crashes.
 const CRASH_CLEANUP_INTERVAL: Duration = Duration::from_secs(15);
@@ -80,7 +80,7 @@
     }
 }
 
-/// Writes one row for requests that were in flight at crashes.
+/// Writes one row for requests that were in flight at crashes. They wait for another row if it can't be written.
 async fn write_crashes(control: &Control, reports: &mut CrashReports, mut crashes: Vec<Crash>) {
     for crash in &mut crashes {
         // A crash that waited to be reported is no evidence against parts that have succeeded meanwhile.
@@ -92,20 +92,19 @@
     let Some(first) = crashes.first() else { return };
     let host = &control.traffic.settings.name;
     let key = reports.next_key(&first.fingerprint, host, control.incarnation);
-    for crash in &crashes {
-        info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
-            "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
-            "key" => &key);
-    }
     let value = row_value(control, &crashes).and_then(|value| serde_json::to_vec(&value).ok());
     for _ in 0..CRASH_WRITE_ATTEMPTS {
         let write = shared_write(key.clone(), Some(value.clone().unwrap_or_default()));
         if control.store.write(write).await.is_ok() {
+            crashes
+                .iter()
+                .for_each(|crash| log_reported(control, crash, &key));
             return;
         }
         smol::Timer::after(WRITE_RETRY_DELAY).await;
     }
-    crashes.iter().for_each(|crash| log_not_shared(control, crash));
+    let dropped = reports.put_back(crashes, control.traffic.now());
+    dropped.iter().for_each(|crash| log_not_shared(control, crash));
 }
 
 fn row_value(control: &Control, crashes: &[Crash]) -> Option<CrashRowValue> {
@@ -128,6 +127,12 @@
     })
 }
 
+fn log_reported(control: &Control, crash: &Crash, key: &str) {
+    info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
+        "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
+        "key" => key);
+}
+
 fn log_not_shared(control: &Control, crash: &Crash) {
     warn!(control.traffic.log, "crash not reported to other hosts"; events::CRASH_NOT_SHARED,
         "request" => crash.fingerprint.text());
--- a/components/gateway/src/crash_reports.rs
+++ b/components/gateway/src/crash_reports.rs
@@ -7,7 +7,7 @@
 
 use crate::Crash;
 use crate::crash_rows::CRASH_PREFIX;
-use crate::quarantine::{CRASHES_TO_QUARANTINE, Fingerprint};
+use crate::quarantine::{CRASH_RETENTION, CRASHES_TO_QUARANTINE, Fingerprint};
 use crate::suspects::{AnswerStage, CrashEvidence};
 
 /// Rows on crashes that all hosts together write per second in the long run. Each is removed again later, and is read by
@@ -110,6 +110,15 @@
         }
     }
 
+    /// Adds the requests of a row that could not be written, without those past the retention time; returns the crashes that
+    /// are dropped.
+    pub fn put_back(&mut self, crashes: Vec<Crash>, now: Monotonic) -> Vec<Crash> {
+        let is_expired = |crash: &Crash| now >= crash.at + CRASH_RETENTION;
+        let (mut dropped, kept): (Vec<_>, Vec<_>) = crashes.into_iter().partition(is_expired);
+        dropped.extend(kept.into_iter().filter_map(|crash| self.add(crash)));
+        dropped
+    }
+
     /// Whether no crash waits.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/components/gateway/tests/crash_reports.rs
+++ b/components/gateway/tests/crash_reports.rs
@@ -106,6 +106,25 @@
     assert_eq!(reports.take_row(HOSTS, ms(1_100)).len(), 2);
 }
 
+// Guards against the loss of all requests of a row during an outage of the store, and against reports without end.
+#[test]
+fn requests_of_a_row_that_could_not_be_written_wait_within_bounds() {
+    let mut reports = CrashReports::default();
+    let mut now = ms(1_000);
+    reports.add(crash(0, 1, 1_000, true));
+    let row = reports.take_row(HOSTS, now);
+    assert_eq!(reports.put_back(row, now), []);
+    let row = reports.take_row(HOSTS, now);
+    assert_eq!((row.len(), reports.is_empty()), (1, true));
+    for number in 1..257 {
+        assert_eq!(reports.add(crash(number, 2, 2_000, false)), None);
+    }
+    let dropped = reports.put_back(row.clone(), now);
+    assert_eq!((dropped.len(), dropped[0].stage), (1, AnswerStage::Events));
+    now += Duration::from_secs(120);
+    assert_eq!(reports.put_back(row.clone(), now), row);
+}
+
 #[test]
 fn each_request_of_a_row_counts_for_its_quarantine() {
     let evidence = |run: &str| CrashEvidence {
