Ask for changes of targets and crashes as often as before

Leaving targets were noticed up to 0.4 s later in every deployment, since any renewal lengthened the pause of a follower from 0.6 s to 1 s. The longer pause now applies only where the deployment bounds sends to cold targets and nothing but entries of cold targets was renewed. The pause after changes on crashes is 0.5 s again, also after successive ones: it was not shown that the doubling to 2 s is needed, and it delayed quarantines.

--- a/components/gateway/src/cold/targets.rs
+++ b/components/gateway/src/cold/targets.rs
@@ -214,6 +214,22 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Whether these targets are all cold; `limit_of` returns the limit of a service.
+    pub fn are_cold<'a>(
+        &self,
+        instances: impl IntoIterator<Item = &'a str>,
+        limit_of: impl Fn(&ServiceId) -> Option<ColdLimit>,
+        now: Monotonic,
+    ) -> bool {
+        let is_cold = |instance: &str| {
+            let state = self.targets.get(instance)?;
+            Some(now < state.cold_until(&limit_of(&state.service)?))
+        };
+        instances
+            .into_iter()
+            .all(|instance| is_cold(instance) == Some(true))
+    }
+
     /// Whether a request can be sent to a target now: it is warm, or a slot is free.
     pub fn has_quota(&mut self, instance: &str, rules: &ColdRules, now: Monotonic) -> bool {
         self.permit(instance, rules, now, SlotQuota::free_slot).is_some()
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -5,10 +5,11 @@
 use error_stack::Report;
 use errors::events;
 use slog::warn;
+use utils::Monotonic;
 
 use super::{Control, TICK_INTERVAL, relays};
 use crate::UpdateSource;
-use crate::crash_rows::is_on_crash;
+use crate::follow_pause::pause_after;
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::GaugeValues;
@@ -21,17 +22,6 @@
 const RELAY_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval between checks whether a relay still answers.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause after a change of targets, which batches changes in quick succession into few calls. Well below the
-/// time within which a host must stop using a leaving target.
-const TARGETS_PAUSE: Duration = Duration::from_millis(600);
-/// Pause after targets have only renewed their entries. As long as the wait of a relay, so that relays call no more
-/// often than without renewals.
-const RENEWAL_PAUSE: Duration = Duration::from_millis(1_000);
-/// Pause after a change of the shared table that concerns crashes of targets. It doubles with each further one in
-/// succession, up to the pause after other changes.
-const CRASH_PAUSE: Duration = Duration::from_millis(500);
-/// Pause after any other change of the shared table.
-const SHARED_PAUSE: Duration = Duration::from_millis(2_000);
 /// First backoff after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest backoff after failed calls.
@@ -51,7 +41,6 @@
 pub(crate) async fn follow(control: Arc<Control>, table: Table) {
     let mut backoff = FIRST_BACKOFF;
     let mut needs_full_read = false;
-    let mut crash_pause = CRASH_PAUSE;
     loop {
         if relays::is_relayed(&control) {
             smol::Timer::after(RELAY_CHECK_INTERVAL).await;
@@ -75,11 +64,7 @@
                 }
             }
             Ok(Fetched::Changed(changed)) => {
-                let pause = pause_after(table, &changed, &mut crash_pause);
-                let is_changed =
-                    control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
-                let is_renewal = table == Table::Targets && !is_changed && !pause.is_zero();
-                smol::Timer::after(if is_renewal { RENEWAL_PAUSE } else { pause }).await;
+                smol::Timer::after(apply_changes(&control, table, changed, now)).await;
             }
             Ok(Fetched::Compacted) => needs_full_read = true,
             Err(e) => {
@@ -98,6 +83,19 @@
     }
 }
 
+/// Applies changed rows; returns the pause before the next call.
+fn apply_changes(control: &Control, table: Table, changed: Snapshot, now: Monotonic) -> Duration {
+    let names = changed.records.iter().map(|record| record.key.clone());
+    let names: Vec<String> = names.filter(|_| table == Table::Targets).collect();
+    let pause = pause_after(table, &changed, false);
+    let renewed_pause = pause_after(table, &changed, true);
+    let is_changed = control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
+    match !is_changed && control.traffic.are_cold(&names) {
+        true => renewed_pause,
+        false => pause,
+    }
+}
+
 /// Logs an answer of the store that is not used.
 fn log_ignored(control: &Control, table: Table, reason: &dyn std::fmt::Display) {
     let held = control.cached_state().complete_position(table);
@@ -105,22 +103,6 @@
         "table" => format!("{table:?}"), "reason" => reason.to_string(), "held" => format!("{held:?}"));
 }
 
-/// Returns the pause before the next call for a table.
-fn pause_after(table: Table, changed: &Snapshot, crash_pause: &mut Duration) -> Duration {
-    let is_on_crashes = changed.records.iter().any(|record| is_on_crash(&record.key));
-    let next_crash_pause = match is_on_crashes {
-        true => (*crash_pause * 2).min(SHARED_PAUSE),
-        false => CRASH_PAUSE,
-    };
-    let crash_pause = std::mem::replace(crash_pause, next_crash_pause);
-    match table {
-        Table::Targets if !changed.records.is_empty() => TARGETS_PAUSE,
-        Table::Shared if is_on_crashes => crash_pause,
-        Table::Shared if !changed.records.is_empty() => SHARED_PAUSE,
-        _ => Duration::ZERO,
-    }
-}
-
 async fn fetch(
     control: &Control,
     table: Table,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod evacuations;
 mod first_token;
+mod follow_pause;
 mod freshness;
 mod host;
 mod jitter;
@@ -66,6 +67,7 @@
 pub use error::GatewayError;
 pub use evacuations::Evacuations;
 pub use first_token::{Pace, TimeParts};
+pub use follow_pause::pause_after;
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
--- a/components/gateway/src/traffic/cold.rs
+++ b/components/gateway/src/traffic/cold.rs
@@ -91,6 +91,17 @@
         }
     }
 
+    /// Whether the deployment bounds sends to cold targets and these targets are all cold.
+    pub(crate) fn are_cold(&self, instances: &[String]) -> bool {
+        if self.settings.bounds.cold.is_none() {
+            return false;
+        }
+        let view = self.view.load();
+        let instances = instances.iter().map(String::as_str);
+        let cold = &self.routing().cold;
+        cold.are_cold(instances, |service| cold_limit(&view, service), self.now())
+    }
+
     /// Sets the hosts that share the quota; none before the list has been read in full.
     pub(crate) fn set_slot_hosts(&self, view: &View) {
         let listed = view.hosts.keys().filter(|_| view.has_read_hosts);
--- a/components/gateway/tests/cold_quota.rs
+++ b/components/gateway/tests/cold_quota.rs
@@ -1,14 +1,18 @@
 //! The quota of sends to cold targets: the bound over all hosts, and what makes a target cold.
 
+mod support;
+
 use std::collections::BTreeSet;
 use std::ops::Range;
 use std::time::Duration;
 
-use gateway::{ColdBound, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, StoreClock};
+use gateway::ports::Table;
+use gateway::{ColdBound, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, StoreClock, pause_after};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use support::{row, snapshot};
 use utils::HostId;
 
 /// Time simulated per case, in milliseconds.
@@ -271,3 +275,29 @@
         assert_eq!(state.take(TARGET, &rules, ms(1)), None);
     }
 }
+
+// Guards against leaving targets that are noticed late because the store is asked less often for other reasons than
+// the renewals of cold targets.
+#[test]
+fn only_renewals_of_cold_targets_lengthen_the_pause() {
+    let mut state = ColdTargets::new("a".into());
+    state.record_entry(&entry("t1/1", Some(3_000)), ms(0));
+    let warm = ColdEntry {
+        instance: "warm".to_owned(),
+        ..entry("warm/1", Some(0))
+    };
+    state.record_entry(&warm, ms(0));
+    let limit = Some(rules().limit);
+    let pause = |names: &[&str], limit: Option<ColdLimit>, now| {
+        let records = names.iter().map(|name| row(name, "{}", 1));
+        let changed = snapshot(1, records.collect::<Vec<_>>());
+        let are_cold = state.are_cold(names.iter().copied(), |_| limit, now);
+        pause_after(Table::Targets, &changed, are_cold)
+    };
+    assert_eq!(pause(&[TARGET], limit, ms(100)), ms(1_000));
+    assert_eq!(pause(&[TARGET, "warm"], limit, ms(100)), ms(600));
+    assert_eq!(pause(&[TARGET, "unknown"], limit, ms(100)), ms(600));
+    assert_eq!(pause(&[TARGET], limit, ms(3_000)), ms(600));
+    assert_eq!(pause(&[TARGET], None, ms(100)), ms(600));
+    assert_eq!(pause(&[], limit, ms(100)), ms(0));
+}
