--- a/components/gateway/src/control/crashes.rs
+++ b/components/gateway/src/control/crashes.rs
@@ -9,8 +9,8 @@
 
 use super::Control;
 use super::register::{WRITE_RETRY_DELAY, shared_write};
-use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash};
-use crate::crash_rows::{CRASH_PREFIX, sound_key};
+use crate::crash_reports::{CHECK_INTERVAL, CrashReports, CrashRowValue, FurtherCrash, SoundRowValue};
+use crate::crash_rows::sound_key;
 use crate::jitter::jittered;
 use crate::ports::{RecordWrite, RecordWritten, Table};
 use crate::probe::{Probe, probe};
@@ -19,7 +19,7 @@
 
 /// Time in which the requests of one crashed target are collected.
 const CRASH_COLLECT_TIME: Duration = Duration::from_millis(10);
-/// Attempts to write a crash to the shared table.
+/// Attempts to write a row on crashes to the shared table before its requests wait for another one.
 const CRASH_WRITE_ATTEMPTS: usize = 5;
 /// Interval between removals of expired crashes.
 const CRASH_CLEANUP_INTERVAL: Duration = Duration::from_secs(15);
@@ -47,7 +47,7 @@
         }
         let hosts = control.traffic.view.load().host_count();
         let row = reports.take_row(hosts, control.traffic.now());
-        write_crashes(&control, row).await;
+        write_crashes(&control, &mut reports, row).await;
     }
 }
 
@@ -80,8 +80,8 @@
     }
 }
 
-/// Writes one row for requests that were in flight at crashes.
-async fn write_crashes(control: &Control, mut crashes: Vec<Crash>) {
+/// Writes one row for requests that were in flight at crashes. They wait for another row if it can't be written.
+async fn write_crashes(control: &Control, reports: &mut CrashReports, mut crashes: Vec<Crash>) {
     for crash in &mut crashes {
         // A crash that waited to be reported is no evidence against parts that have succeeded meanwhile.
         let routing = control.traffic.routing();
@@ -91,25 +91,20 @@
     }
     let Some(first) = crashes.first() else { return };
     let host = &control.traffic.settings.name;
-    let key = format!(
-        "{CRASH_PREFIX}{}/{host}/{}",
-        first.fingerprint.text(),
-        first.count
-    );
-    for crash in &crashes {
-        info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
-            "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
-            "key" => &key);
-    }
+    let key = reports.next_key(&first.fingerprint, host, control.incarnation);
     let value = row_value(control, &crashes).and_then(|value| serde_json::to_vec(&value).ok());
     for _ in 0..CRASH_WRITE_ATTEMPTS {
         let write = shared_write(key.clone(), Some(value.clone().unwrap_or_default()));
         if control.store.write(write).await.is_ok() {
+            crashes
+                .iter()
+                .for_each(|crash| log_reported(control, crash, &key));
             return;
         }
         smol::Timer::after(WRITE_RETRY_DELAY).await;
     }
-    crashes.iter().for_each(|crash| log_not_shared(control, crash));
+    let dropped = reports.put_back(crashes, control.traffic.now());
+    dropped.iter().for_each(|crash| log_not_shared(control, crash));
 }
 
 fn row_value(control: &Control, crashes: &[Crash]) -> Option<CrashRowValue> {
@@ -122,14 +117,22 @@
     let (first, others) = crashes.split_first()?;
     let others = others.iter().map(|crash| FurtherCrash {
         request: crash.fingerprint,
+        count: crash.count,
         evidence: evidence(crash),
     });
     Some(CrashRowValue {
         first: evidence(first),
+        count: Some(first.count),
         others: others.collect(),
     })
 }
 
+fn log_reported(control: &Control, crash: &Crash, key: &str) {
+    info!(control.traffic.log, "crash reported"; events::CRASH_REPORTED, "target" => &*crash.run,
+        "request" => crash.fingerprint.text(), "stage" => crash.stage.as_str(), "parts" => crash.parts.len(),
+        "key" => key);
+}
+
 fn log_not_shared(control: &Control, crash: &Crash) {
     warn!(control.traffic.log, "crash not reported to other hosts"; events::CRASH_NOT_SHARED,
         "request" => crash.fingerprint.text());
@@ -160,10 +163,14 @@
     }
     let key = sound_key(part);
     let position = control.cached_state().position_of(Table::Shared, &key);
+    let value = SoundRowValue {
+        at: control.cached_state().store_time(control.traffic.now()),
+    };
+    let value = serde_json::to_vec(&value).unwrap_or_default();
     let write = RecordWrite {
         // Refused if another host has recorded the success.
         expect: position.into(),
-        ..shared_write(key, Some(Vec::new()))
+        ..shared_write(key, Some(value))
     };
     match control.store.write(write).await {
         Ok(RecordWritten::Applied(_)) => {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod evacuations;
 mod first_token;
+mod follow_pause;
 mod freshness;
 mod host;
 mod jitter;
@@ -57,7 +58,7 @@
     ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
     SlotSchedule,
 };
-pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash};
+pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash, SoundRowValue};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
@@ -67,6 +68,7 @@
 pub use error::GatewayError;
 pub use evacuations::Evacuations;
 pub use first_token::{Pace, TimeParts};
+pub use follow_pause::pause_after;
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
@@ -86,7 +88,7 @@
 pub use store_link::UpdateSource;
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
-    PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
+    PartTrials, SoundRecord, SuspectPart, SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
 pub use traffic::{EventSplitter, Exclusion, PlacementRules, Progress};
