Refuse a prompt only if its own candidates are short of capacity

Requests restricted to an idle region were refused with "capacity is short" because engines of another region were crowded: the pressure is one level for each service, fed by the candidates of all requests.

A request is now refused only while the load of its own candidates calls for a level above 0. The level stays one for each service, as the demand by priority has to include all regions.

--- a/components/gateway/src/admission/mod.rs
+++ b/components/gateway/src/admission/mod.rs
@@ -44,12 +44,13 @@
 }
 
 impl Admission {
-    /// Follows the estimated load; returns whether capacity has become short, or is no longer.
+    /// Follows the estimated load of the engines that the next request could be sent to; returns whether capacity has become short, or is no longer.
     pub fn observe(&mut self, load: &ServiceLoad, now: Monotonic) -> Option<PressureChange> {
         self.pressure.observe(load, now)
     }
 
-    /// Counts a request in the demand of its workspace, and returns whether it may be sent. `draw` is a random
+    /// Counts a request in the demand of its workspace, and returns whether it may be sent to the engines of the last
+    /// observation. `draw` is a random
     /// number from 0 to 1. The size of the request does not matter, so that large requests of a class are refused
     /// as often as small ones.
     pub fn admits(&mut self, priority: u8, workspace: &str, draw: f64, now: Monotonic) -> bool {
--- a/components/gateway/src/admission/pressure.rs
+++ b/components/gateway/src/admission/pressure.rs
@@ -94,6 +94,8 @@
 pub(super) struct Pressure {
     /// From 0 without pressure to [`MAX_LEVEL`].
     level: f64,
+    /// Whether the last observed load calls for a level above 0.
+    is_loaded: bool,
     /// Time of the last observation.
     observed_at: Monotonic,
     /// Time since which capacity has been short, if it is.
@@ -104,6 +106,7 @@
     /// Moves the level towards the one that the load calls for.
     pub(super) fn observe(&mut self, load: &ServiceLoad, now: Monotonic) -> Option<PressureChange> {
         let wanted = load.level();
+        self.is_loaded = wanted > 0.0;
         let half_time = if wanted > self.level {
             RISE_HALF_TIME
         } else {
@@ -136,9 +139,11 @@
         }
     }
 
-    /// Returns the share of the requests of a rank to refuse.
+    /// Returns the share of the requests of a rank to refuse, of those for whose engines the load was just observed.
+    /// The level is that of all engines of the service, and other requests may be bound to other regions, so that
+    /// nothing is refused while these engines themselves are not short of capacity.
     pub(super) fn refused_share(&self, rank: usize) -> f64 {
-        if self.short_since.is_none() {
+        if self.short_since.is_none() || !self.is_loaded {
             return 0.0;
         }
         (self.level - REFUSED_FROM[rank]).clamp(0.0, 1.0) * MAX_REFUSED[rank]
--- a/components/gateway/tests/contention.rs
+++ b/components/gateway/tests/contention.rs
@@ -133,6 +133,23 @@
     assert!(admission.admits(2, "w", 0.0, ms(120_000)));
 }
 
+/// Requests bound to an idle region were refused because engines of another region were crowded.
+#[test]
+fn requests_for_idle_engines_are_not_refused_for_the_load_of_others() {
+    let load = |waiting| ServiceLoad {
+        engines: 10,
+        fill: 0.95,
+        waiting,
+    };
+    let mut admission = Admission::default();
+    admission.observe(&load(3.0), ms(10_000));
+    assert!(!admission.admits(2, "w", 0.0, ms(10_000)));
+    admission.observe(&load(0.0), ms(10_010));
+    assert!(admission.admits(2, "w", 0.0, ms(10_010)));
+    admission.observe(&load(3.0), ms(10_020));
+    assert!(!admission.admits(2, "w", 0.0, ms(10_020)));
+}
+
 /// Callers wait for up to a third of the time they have left.
 #[test]
 fn refused_callers_return_in_time_and_not_together() {
