Refuse a priority early only while a more urgent one is in demand

Where all prompts have one priority, or none, up to 85% of them were refused at the first signs of load in favor of more urgent ones that nobody sent, and the refusal said so.

A priority now counts as the most urgent one while no more urgent one has been in demand at this host lately. Such refusals have a reason of their own, ShortCapacity::Crowded.

--- a/components/gateway/src/admission/mod.rs
+++ b/components/gateway/src/admission/mod.rs
@@ -56,10 +56,27 @@
     pub fn admits(&mut self, priority: u8, workspace: &str, draw: f64, now: Monotonic) -> bool {
         let rank = rank_of(priority);
         self.shares.record(rank, workspace, now);
-        let refused = self.pressure.refused_share(rank);
+        let refused = self.pressure.refused_share(self.refused_as(rank, now));
         refused <= 0.0 || draw >= self.shares.refused_share(rank, workspace, refused, now)
     }
 
+    /// Returns why a request of a priority is refused if [`Self::admits`] does not admit it.
+    pub fn refusal(&self, priority: u8, now: Monotonic) -> ShortCapacity {
+        match self.refused_as(rank_of(priority), now) {
+            0 => ShortCapacity::Crowded,
+            _ => ShortCapacity::Shed,
+        }
+    }
+
+    /// Returns the rank by which requests are refused. Without recent demand of a more urgent one nobody gains from an
+    /// early refusal, and the rank counts as the most urgent.
+    fn refused_as(&self, rank: usize, now: Monotonic) -> usize {
+        match self.shares.has_more_urgent(rank, now) {
+            true => rank,
+            false => 0,
+        }
+    }
+
     /// Returns the time after which a caller refused now should retry, at most as long as callers wait.
     /// `draw` is a random number from 0 to 1.
     pub fn retry_after(&self, time_left: Duration, draw: f64, now: Monotonic) -> Duration {
--- a/components/gateway/src/admission/shares.rs
+++ b/components/gateway/src/admission/shares.rs
@@ -60,6 +60,12 @@
         };
     }
 
+    /// Whether there is recent demand of a more urgent rank.
+    pub(super) fn has_more_urgent(&self, rank: usize, now: Monotonic) -> bool {
+        let mut demands = self.classes[..rank].iter().flat_map(BTreeMap::values);
+        demands.any(|demand| demand.requests(now) >= MIN_DEMAND)
+    }
+
     /// Returns the share of a workspace's requests to refuse when `refused` of its class are.
     ///
     /// What the class keeps is divided evenly among its workspaces (max-min fairness); those that demand less leave
--- a/components/gateway/src/traffic/capacity.rs
+++ b/components/gateway/src/traffic/capacity.rs
@@ -2,13 +2,19 @@
 
 use super::request::Call;
 use super::state::Traffic;
-use crate::admission::ServiceLoad;
+use crate::admission::{ServiceLoad, ShortCapacity};
 use crate::placement::{Candidate, Demand};
 
-/// Whether the present load of the candidates lets the request be sent. Requests without a prompt always are.
-pub(super) fn is_admitted(cx: &Traffic, call: &Call, demand: &Demand, candidates: &[Candidate]) -> bool {
+/// Returns why the present load of the candidates does not let the request be sent; `None` if it does. Requests without
+/// a prompt always are.
+pub(super) fn refusal(
+    cx: &Traffic,
+    call: &Call,
+    demand: &Demand,
+    candidates: &[Candidate],
+) -> Option<ShortCapacity> {
     if demand.prompt_tokens == 0 || candidates.is_empty() {
-        return true;
+        return None;
     }
     let now = cx.now();
     let workspace = call.workspace.as_ref().map_or("", |workspace| &workspace.name);
@@ -17,7 +23,7 @@
     let change = admission.observe(&ServiceLoad::of(candidates), now);
     let is_admitted = admission.admits(demand.priority, workspace, rand::random(), now);
     cx.telemetry.pressure(&call.service, admission.level(), change);
-    is_admitted
+    (!is_admitted).then(|| admission.refusal(demand.priority, now))
 }
 
 /// Returns the `Retry-After` of a request that is refused for lack of capacity.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -4,7 +4,7 @@
 
 use utils::{Monotonic, TargetId, rendezvous_score};
 
-use super::capacity::{is_admitted, overload_wait};
+use super::capacity::{overload_wait, refusal};
 use super::exclusion::{Exclusion, PlacementRules};
 use super::other_hosts::OtherHostsLoad;
 use super::request::Call;
@@ -94,8 +94,10 @@
         &mut rand::rng(),
     );
     let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
-    if tried.is_empty() && !is_admitted(cx, call, &demand, &candidates) {
-        return Err(no_capacity(ShortCapacity::Shed));
+    if tried.is_empty()
+        && let Some(reason) = refusal(cx, call, &demand, &candidates)
+    {
+        return Err(no_capacity(reason));
     }
     let choice = match decide_from(&demand, &candidates, &sample) {
         Decision::Send(choice) => choice,
