Count and draw a request once although its first target stays a candidate

A request whose first target answered 421 and named newer weights was counted twice in the demand of its workspace and could be refused by the pressure after it had been admitted: the list of tried targets is empty then. The first placement is now told by the number of sends and of unreachable targets.

--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -101,6 +101,12 @@
 }
 
 impl Attempts {
+    /// Whether no target has been chosen yet. A target that was tried can still be a candidate, so that
+    /// `tried_targets` does not tell.
+    pub(crate) fn is_first(&self) -> bool {
+        self.sends == 0 && self.unreachable == 0
+    }
+
     /// Whether the quarantine, the route, the time left, a drain and, beyond the first send, the retry budget allow
     /// one more send. Takes a retry from the budget.
     pub(crate) fn may_send(&self, cx: &Traffic, call: &Call) -> bool {
@@ -177,7 +183,7 @@
     cx.record_request(&call.service);
     let mut attempts = Attempts::default();
     while attempts.may_send(cx, &call) {
-        let placed = match place(cx, &call, &attempts.tried_targets) {
+        let placed = match place(cx, &call, &attempts) {
             Ok(placed) => placed,
             Err(reason) => {
                 attempts.placement_error = Some(reason);
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -2,11 +2,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use utils::{Monotonic, TargetId, rendezvous_score};
+use utils::{Monotonic, rendezvous_score};
 
 use super::capacity::{overload_wait, refusal};
 use super::exclusion::{Exclusion, PlacementRules};
 use super::other_hosts::OtherHostsLoad;
+use super::pipeline::Attempts;
 use super::request::Call;
 use super::state::{RoutingState, Traffic};
 use crate::admission::ShortCapacity;
@@ -54,8 +55,8 @@
     AllPaused(Duration),
 }
 
-/// Chooses a target for a request, without the targets in `tried`.
-pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, PlacementError> {
+/// Chooses a target for a request after these attempts. Only the first placement can be refused by the pressure.
+pub(crate) fn place(cx: &Traffic, call: &Call, attempts: &Attempts) -> Result<Placed, PlacementError> {
     let view = cx.view.load();
     let mut routing = cx.routing();
     let now = cx.now();
@@ -63,7 +64,7 @@
     let rules = PlacementRules {
         cold_quota_used: &cold_quota_used,
         now,
-        ..cx.placement_rules(&view, &routing.announcements, call, tried)
+        ..cx.placement_rules(&view, &routing.announcements, call, &attempts.tried_targets)
     };
     let context = PlacementContext::new(cx, &view, &routing, call, rules);
     let mut targets = context.targets();
@@ -94,7 +95,7 @@
         &mut rand::rng(),
     );
     let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
-    if tried.is_empty()
+    if attempts.is_first()
         && let Some(reason) = refusal(cx, call, &demand, &candidates)
     {
         return Err(no_capacity(reason));
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -195,7 +195,7 @@
         }
         let after = self.splitter.progress().last_event.clone();
         while self.attempts.may_send(&self.cx, &self.call) {
-            let Ok(placed) = place(&self.cx, &self.call, &self.attempts.tried_targets) else {
+            let Ok(placed) = place(&self.cx, &self.call, &self.attempts) else {
                 return false;
             };
             let attempt = exchange(&self.cx, &self.call, &placed, after.clone()).await;
