Confirm the list of hosts only by reads of the shared table

A relay whose follow of the shared table hung kept a stale list confirmed for its region without end, as the ages of the declarations and of the targets stood for that of the list; a stale whole read confirmed it as well.

Hosts now send the age of their own read of the shared table with the changes (/changes/3). Hosts of the version before are asked by /changes/2, which is still served and does not confirm the list. A read counts as a confirmation only after it was found not to be stale and was applied.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -60,9 +60,6 @@
         let fetched = fetch(&control, table, needs_full_read).await;
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
-        if fetched.is_ok() {
-            control.record_confirmed(table, now);
-        }
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
                 let position = snapshot.position;
@@ -72,12 +69,19 @@
                     // A stale read. Another one at once would be as old.
                     log_ignored(&control, table, &"the table is older than the cached one");
                     smol::Timer::after(jittered(FIRST_BACKOFF, 0.5)).await;
+                } else {
+                    control.record_confirmed(table, now);
                 }
             }
             Ok(Fetched::Changed(changed)) => {
                 let pause = pause_after(table, &changed, &mut crash_pause);
+                let position = changed.position;
                 let is_changed =
                     control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
+                // Changes of another era are ignored.
+                if control.cached_state().complete_position(table) == Some(position) {
+                    control.record_confirmed(table, now);
+                }
                 let is_renewal = table == Table::Targets && !is_changed && !pause.is_zero();
                 smol::Timer::after(if is_renewal { RENEWAL_PAUSE } else { pause }).await;
             }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -120,7 +120,7 @@
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the store itself has answered with a table.
+    /// Records that the store itself has answered with the current state of a table, which has been applied.
     pub(crate) fn record_confirmed(&self, table: Table, now: Monotonic) {
         let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
         confirmed_at.insert(table, now);
@@ -140,10 +140,15 @@
         Some(now.saturating_sub(*oldest))
     }
 
+    /// Returns the time since the store itself confirmed the shared table.
+    pub(crate) fn shared_age(&self, now: Monotonic) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(now.saturating_sub(*confirmed_at.get(&Table::Shared)?))
+    }
+
     /// Records a relay's answer to a query sent at `sent_at`, with the state of the store at `confirmed_at`.
     pub(crate) fn record_relayed(&self, confirmed_at: Monotonic, sent_at: Monotonic) {
         self.traffic.kept().record_declared(confirmed_at);
-        self.traffic.confirm_slot_hosts(confirmed_at);
         // A relay gives the age of its state only while the store answers it.
         self.cached_state().store_answered(sent_at);
         *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use utils::Monotonic;
 
 use super::{Control, kept_updates, loads, relays};
 use crate::jitter::jittered;
@@ -21,7 +22,9 @@
 use crate::{Position, TableUpdate};
 
 /// Path on which hosts exchange changes of the replicated tables. Its number is that of the message format.
-const CHANGES_PATH: &str = "/changes/2";
+const CHANGES_PATH: &str = "/changes/3";
+/// Path of the format without the age of the shared table, for hosts of the version before.
+const CHANGES_2_PATH: &str = "/changes/2";
 /// Interval between queries while the store does not answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for an answer.
@@ -39,10 +42,21 @@
     known: Vec<(Table, Position)>,
 }
 
-/// Changes after the queried positions.
+/// Changes after the queried positions, with the age of the shared table.
 #[derive(Debug, Clone, Default)]
 #[derive(Serialize, Deserialize)]
 pub(super) struct ChangesAnswer {
+    /// The changes.
+    pub changes: ReplicatedChanges,
+    /// Time since the store confirmed the shared table to the answering host itself; `None` if it has not, if the
+    /// querying host has seen a later era, or if the answering host does not say.
+    shared_age: Option<Duration>,
+}
+
+/// Changes after the queried positions.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct ReplicatedChanges {
     /// Update of each table. Tables whose changes the answering host can't determine are left out.
     changes: Vec<(Table, TableUpdate)>,
     /// Time on the store's clock, if the answering host knows it.
@@ -78,6 +92,7 @@
     let body = read_limited(req.into_body(), MAX_MESSAGE_BYTES).await;
     let answer = body.ok().and_then(|bytes| match path.as_str() {
         CHANGES_PATH => pack(&answer_changes(control, &postcard::from_bytes(&bytes).ok()?)),
+        CHANGES_2_PATH => pack(&answer_changes(control, &postcard::from_bytes(&bytes).ok()?).changes),
         kept_updates::PATH => pack(&kept_updates::answer(
             control,
             &postcard::from_bytes(&bytes).ok()?,
@@ -100,6 +115,7 @@
 fn answer_changes(control: &Control, query: &ChangesQuery) -> ChangesAnswer {
     let now = control.traffic.now();
     let store_age = control.confirmed_age(now);
+    let shared_age = control.shared_age(now);
     let state = control.cached_state();
     let peer_position = |table: Table| {
         let found = query.known.iter().find(|(t, _)| *t == table);
@@ -112,10 +128,14 @@
     let changes = REPLICATED_TABLES
         .into_iter()
         .filter_map(|table| Some((table, state.changes_since(table, peer_position(table))?)));
-    ChangesAnswer {
+    let changes = ReplicatedChanges {
         changes: changes.collect(),
         store_time: state.store_time(now),
         store_age: store_age.filter(|_| !state.is_store_down() && !is_behind),
+    };
+    ChangesAnswer {
+        changes,
+        shared_age: shared_age.filter(|_| !is_behind),
     }
 }
 
@@ -139,11 +159,7 @@
         };
         let sent_at = control.traffic.now();
         if let Some(answer) = query_changes(&control, &client, peer).await {
-            let confirmed_at = answer.store_age.map(|age| sent_at.saturating_sub(age));
-            apply_answer(&control, peer, answer);
-            if let Some(confirmed_at) = confirmed_at {
-                control.traffic.confirm_slot_hosts(confirmed_at);
-            }
+            apply_answer(&control, peer, answer, sent_at);
         }
     }
 }
@@ -161,7 +177,17 @@
     let query = ChangesQuery {
         known: REPLICATED_TABLES.map(held_position).into(),
     };
-    send_query(client, peer, CHANGES_PATH, &query).await
+    let sent_at = control.traffic.now();
+    let answer = send_query(client, peer, CHANGES_PATH, &query).await;
+    // A host of the version before refuses the path at once. A host that hangs is not asked twice.
+    if answer.is_some() || control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
+        return answer;
+    }
+    let changes = send_query(client, peer, CHANGES_2_PATH, &query).await?;
+    Some(ChangesAnswer {
+        changes,
+        shared_age: None,
+    })
 }
 
 /// Chooses a random peer among the registered hosts and the seeds.
@@ -199,8 +225,13 @@
     answer.or(late).await
 }
 
-pub(super) fn apply_answer(control: &Control, peer: SocketAddr, answer: ChangesAnswer) {
+/// Applies the answer to a query that was sent at `sent_at`.
+pub(super) fn apply_answer(control: &Control, peer: SocketAddr, answer: ChangesAnswer, sent_at: Monotonic) {
     let now = control.traffic.now();
+    let ChangesAnswer {
+        changes: answer,
+        shared_age,
+    } = answer;
     let rows: usize = answer.changes.iter().map(|(_, update)| update.row_count()).sum();
     if rows > 0 {
         info!(control.traffic.log, "received changes from another host"; events::PEER_READ,
@@ -212,4 +243,7 @@
     for (table, update) in answer.changes {
         control.update(|state| state.apply_update(table, update, now));
     }
+    if let Some(age) = shared_age {
+        control.traffic.confirm_slot_hosts(sent_at.saturating_sub(age));
+    }
 }
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -63,10 +63,10 @@
     let Some(answer) = peers::query_changes(control, client, peer).await else {
         return Some(false);
     };
-    let Some(age) = answer.store_age.filter(|age| *age <= MAX_RELAY_AGE) else {
+    let Some(age) = answer.changes.store_age.filter(|age| *age <= MAX_RELAY_AGE) else {
         return Some(false);
     };
-    peers::apply_answer(control, peer, answer);
+    peers::apply_answer(control, peer, answer, sent_at);
     control.record_relayed(sent_at.saturating_sub(age), sent_at);
     Some(true)
 }
