Estimate the store's clock from recently reported times

The offset to the store's clock only grew: after minutes of drift of 100 ppm the error exceeded the 40 ms that the schedule of cold targets allows, and a restored store with an earlier clock was never followed.

The latest time of the last 100 to 200 s counts, and a restore starts the estimate anew.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -177,9 +177,13 @@
         if let Some(store_time) = snapshot.store_time {
             self.record_store_time(store_time, now);
         }
+        let store_time = snapshot.store_time;
         let Some(mut replaced) = self.tables.entry(table).or_default().replace(snapshot, now) else {
             return Vec::new();
         };
+        if let Some(store_time) = store_time.filter(|_| replaced.is_restored) {
+            self.store_clock.restart(store_time, now);
+        }
         // An empty snapshot is a change as well: it makes the table complete.
         self.is_changed = true;
         if replaced.is_restored && self.link != StoreLink::Down {
@@ -278,8 +282,7 @@
         self.store_clock.time(now)
     }
 
-    /// Records the time on the store's clock, as the store or another host reported it. Answers arrive with a
-    /// delay, so the latest of all times is the most accurate.
+    /// Records the time on the store's clock, as the store or another host reported it.
     pub fn record_store_time(&mut self, store_time: Duration, now: Monotonic) {
         let was_unknown = self.store_clock.record(store_time, now);
         if let Some(store_time) = self.store_time(now).filter(|_| was_unknown) {
--- a/components/gateway/tests/cold_quota.rs
+++ b/components/gateway/tests/cold_quota.rs
@@ -228,6 +228,26 @@
     assert_eq!(state.take(TARGET, &rules(), ms(45_000)), None);
 }
 
+// Guards against an error of the slots' times that grows as the clocks drift apart, and against the time of a store
+// that was replaced by a restore.
+#[test]
+fn the_stores_clock_follows_a_slower_clock_and_a_restored_store() {
+    let mut clock = StoreClock::default();
+    // Drift of 100 ppm, with answers that take 1 to 20 ms, and an hour without any.
+    for at in (0..10_000_000).filter(|at| at % 700 == 0 && !(4_000_000..7_600_000).contains(at)) {
+        let store_time = 1_000_000 + at - at / 10_000;
+        clock.record(ms(store_time - 1 - at / 700 % 20), ms(at));
+        let error = clock
+            .time(ms(at))
+            .unwrap()
+            .as_millis()
+            .abs_diff(u128::from(store_time));
+        assert!(error <= 40, "{error} ms at {at}");
+    }
+    clock.restart(ms(5_000), ms(10_000_000));
+    assert_eq!(clock.time(ms(10_000_100)), Some(ms(5_100)));
+}
+
 // Guards against full load on a target that has just come back, by an entry from before its failure.
 #[test]
 fn a_target_that_failed_is_cold_until_an_entry_written_after_its_return() {
