Presume targets cold only after signs of a restart

Warm targets were presumed cold, and got hardly any requests for the time of cold_start_s, after time-outs of connects, a lack of sockets at the host, idle connections that the target closed after the time it had announced, answers with the id of another request and answers that were too long.

Only refused, reset and unreachable connects, connections that broke in a request and idle ones that ended before the announced time (at most 2 s) count now. read_whole moves to a module of its own and says why it failed.

--- a/components/gateway/src/traffic/crashes.rs
+++ b/components/gateway/src/traffic/crashes.rs
@@ -39,19 +39,31 @@
     (senders, CrashReceivers { crashed, succeeded })
 }
 
-/// An attempt whose connection broke after the request was sent.
+/// An attempt that was broken off after the request was sent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct BrokenAttempt {
     /// Time at which the request was sent.
     pub sent_at: Monotonic,
     /// How far the answer had come.
     pub stage: AnswerStage,
+    /// Whether the target lost the connection, so that it may have restarted.
+    pub is_connection_lost: bool,
+}
+
+impl BrokenAttempt {
+    /// Marks an attempt that this host broke off because it could not use the answer.
+    pub(super) fn on_open_connection(mut self) -> Self {
+        self.is_connection_lost = false;
+        self
+    }
 }
 
 /// Records a crash of a target with the request in flight, and reports it to the control thread.
 pub(crate) fn record_crash(cx: &Traffic, call: &Call, target: &Target, broken: BrokenAttempt) {
     let now = cx.now();
-    cx.record_cold_failure(target, now);
+    if broken.is_connection_lost {
+        cx.record_cold_failure(target, now);
+    }
     let count = cx.routing().crashes.record_crash(call.fingerprint, now);
     let crash = Crash {
         fingerprint: call.fingerprint,
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -1,9 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -16,6 +14,7 @@
 use super::place::Placed;
 use super::request::Call;
 use super::state::Traffic;
+use super::whole_body::read_whole;
 use crate::Target;
 use crate::call::{AnswerFacts, RequestedPause};
 use crate::first_token::TimeParts;
@@ -25,8 +24,6 @@
 use crate::telemetry::SendResult;
 use crate::weights_history::Replacement;
 
-/// Longest answer that is buffered until it is whole, in bytes.
-const MAX_WHOLE_BYTES: usize = 8 << 20;
 /// Time limit for the body of an answer whose head says that the request did not run. The head is enough to
 /// send the request to another target; the body is read to keep the connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
@@ -178,6 +175,7 @@
         BrokenAttempt {
             sent_at: self.sent_at,
             stage,
+            is_connection_lost: true,
         }
     }
 
@@ -334,14 +332,14 @@
     let facts = cx.heads.read_answer(parts.status.as_u16(), &parts.headers);
     if !is_answer_to(call, &facts, exchange.is_fresh) {
         // The answer to this request can not be identified any more.
-        return AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead));
+        return AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead).on_open_connection());
     }
     exchange.record_first_byte(&facts, parts.status.as_u16(), has_old_weights);
     exchange.record_announcements(call, &facts);
     if facts.is_not_run || facts.is_misdirected {
         let time_left = call.deadline.saturating_sub(cx.now());
         let rest = read_whole(body, time_left.min(REFUSAL_TIMEOUT)).await;
-        if rest.is_some() {
+        if rest.is_ok() {
             exchange.finish(&facts);
         }
         return AttemptResult::NotRun(facts);
@@ -382,16 +380,3 @@
     cx.telemetry
         .replaced_weights_used(&call.id, &exchange.target.instance, age, waited);
 }
-
-/// Reads a body to its end; `None` if the connection breaks, the body is too long or `time_left` is over.
-pub(crate) async fn read_whole(body: Incoming, time_left: Duration) -> Option<Bytes> {
-    let read = async {
-        let limited = http_body_util::Limited::new(body, MAX_WHOLE_BYTES);
-        limited.collect().await.ok().map(|all| all.to_bytes())
-    };
-    let timeout = async {
-        smol::Timer::after(time_left).await;
-        None
-    };
-    read.or(timeout).await
-}
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod request;
 mod state;
 mod stream_events;
+mod whole_body;
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub use exclusion::{Exclusion, PlacementRules};
--- a/components/gateway/src/traffic/open.rs
+++ b/components/gateway/src/traffic/open.rs
@@ -1,5 +1,9 @@
+use std::io::ErrorKind;
 use std::sync::Arc;
 
+use error_stack::Report;
+use http_io::HttpError;
+
 use super::connect::{Connection, connect};
 use super::pool::TargetSlot;
 use super::request::Call;
@@ -42,12 +46,26 @@
             cx.with_slot(target, |slot| {
                 slot.load.record_outcome(SendOutcome::Unreachable, now)
             });
-            cx.record_cold_failure(target, now);
+            if shows_restart(&e) {
+                cx.record_cold_failure(target, now);
+            }
             None
         }
     }
 }
 
+/// Whether a failure to connect shows that the target does not run. A lack of sockets at this host, a route of its own
+/// or a time-out, which a busy host or network causes as well, does not.
+fn shows_restart(error: &Report<HttpError>) -> bool {
+    let cause = error.downcast_ref::<std::io::Error>();
+    cause.is_some_and(|cause| {
+        matches!(
+            cause.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::HostUnreachable
+        )
+    })
+}
+
 /// A reserved connection of a target, which is released on drop if no connection was opened.
 struct Reserved<'a> {
     /// The traffic thread's state.
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -12,13 +12,14 @@
 
 use super::accept::{accept, draining_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
-use super::exchange::{Answer, AttemptResult, exchange, read_whole};
+use super::exchange::{Answer, AttemptResult, exchange};
 use super::exclusion::Exclusion;
 use super::place::{Placed, PlacementError, place, session_for_weights};
 use super::refusal::Refusal;
 use super::relay::relay;
 use super::request::Call;
 use super::state::Traffic;
+use super::whole_body::{WholeBodyError, read_whole};
 use crate::AnswerFacts;
 use crate::declared::RetrySafety;
 use crate::jitter::jittered;
@@ -259,17 +260,21 @@
         exchange,
         ..
     } = answer;
-    let Some(bytes) = read_whole(body, call.deadline.saturating_sub(cx.now())).await else {
-        exchange.record_broken();
-        // A timeout does not prove a crash.
-        if cx.now() < call.deadline {
-            let broken = exchange.broken(AnswerStage::Head);
-            record_crash(cx, call, &exchange.target, broken);
-            if !may_send_again(cx, call, &exchange.target, broken).await {
-                return AnswerAction::Whole(refuse(cx, call, &attempts.refusal(cx, call)));
+    let bytes = match read_whole(body, call.deadline.saturating_sub(cx.now())).await {
+        Ok(bytes) => bytes,
+        Err(reason) => {
+            exchange.record_broken();
+            // A timeout does not prove a crash.
+            if cx.now() < call.deadline {
+                let mut broken = exchange.broken(AnswerStage::Head);
+                broken.is_connection_lost = reason == WholeBodyError::Broken;
+                record_crash(cx, call, &exchange.target, broken);
+                if !may_send_again(cx, call, &exchange.target, broken).await {
+                    return AnswerAction::Whole(refuse(cx, call, &attempts.refusal(cx, call)));
+                }
             }
+            return AnswerAction::Retry;
         }
-        return AnswerAction::Retry;
     };
     let times = exchange.answer_times();
     exchange.finish(&facts);
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -10,7 +10,7 @@
 /// Time for which an idle connection is kept if the target gives no keep-alive timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
-/// Time for which targets keep idle connections, whatever they announce.
+/// Time for which targets keep idle connections, unless they announce a shorter one.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(2);
 
 /// An idle connection.
@@ -19,14 +19,14 @@
     conn: Connection,
     /// Time until which it may be used.
     usable_until: Monotonic,
-    /// Time of the end of its last request.
-    idle_since: Monotonic,
+    /// Time until which a target that has not restarted keeps it open.
+    kept_until: Monotonic,
 }
 
 impl Idle {
     /// Whether the target has closed it so soon that it has probably restarted.
     fn is_lost(&self, now: Monotonic) -> bool {
-        self.conn.sender.is_closed() && now < self.idle_since + MIN_IDLE_TIME
+        self.conn.sender.is_closed() && now < self.kept_until
     }
 }
 
@@ -98,7 +98,7 @@
         self.idle.push(Idle {
             conn,
             usable_until: now + idle_time,
-            idle_since: now,
+            kept_until: now + keep_alive.map_or(MIN_IDLE_TIME, |keep_alive| keep_alive.min(MIN_IDLE_TIME)),
         });
     }
 
