Keep the connection of a send that lost its cold permit

If the permit of a cold target had run out after a connection was taken, the good connection was closed, the target counted as unreachable, and the caller was told that no target took the request.

The connection now returns to the pool, the attempt has a result of its own (AttemptResult::NoPermit), and the refusal is that for a used quota.

--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -8,6 +8,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
+use utils::Monotonic;
 
 /// Time limit for opening a connection: a round trip between regions, and the handshake with a busy target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -25,6 +26,8 @@
 pub(crate) struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Body>,
+    /// Time until which it may be used while it is idle, by the last answer; `None` before the first one.
+    pub usable_until: Option<Monotonic>,
     /// The last call that was sent on it.
     last_call: Option<CallNumber>,
     /// Reads and writes the socket.
@@ -66,6 +69,7 @@
     });
     Ok(Connection {
         sender,
+        usable_until: None,
         last_call: None,
         _driver: driver,
     })
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -37,6 +37,8 @@
 pub(crate) enum AttemptResult {
     /// No byte of the request reached the target.
     NotSent,
+    /// The target is cold, and this host may not send to it any more. No byte of the request reached it.
+    NoPermit,
     /// The target states that it did not run the request.
     NotRun(AnswerFacts),
     /// The request was sent, and nothing proves that it did not run.
@@ -170,6 +172,13 @@
         });
     }
 
+    /// Returns the connection to the pool although nothing was sent on it.
+    fn put_back(mut self) {
+        let now = self.cx.now();
+        let Some(conn) = self.conn.take() else { return };
+        self.cx.with_slot(&self.target, |slot| slot.put_back(conn, now));
+    }
+
     /// Describes the attempt after its connection broke.
     pub(crate) fn broken(&self, stage: AnswerStage) -> BrokenAttempt {
         BrokenAttempt {
@@ -211,7 +220,7 @@
 ) -> AttemptResult {
     let attempt = send_to_target(cx, call, placed, resume_after).await;
     let result = match &attempt {
-        AttemptResult::NotSent => SendResult::NotSent,
+        AttemptResult::NotSent | AttemptResult::NoPermit => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
         AttemptResult::Unknown(_) | AttemptResult::TimedOut => SendResult::NoAnswer,
         AttemptResult::Withdrawn | AttemptResult::HostEnds => SendResult::Withdrawn,
@@ -228,10 +237,9 @@
     resume_after: Option<String>,
 ) -> AttemptResult {
     let target = placed.target.clone();
-    let Some(mut conn) = open(cx, call, &target).await else {
+    let Some(conn) = open(cx, call, &target).await else {
         return AttemptResult::NotSent;
     };
-    let is_fresh = conn.record_call(call.number);
     let sent_at = cx.now();
     cx.with_slot(&target, |slot| slot.load.record_start(placed.work, sent_at));
     let mut exchange = Exchange {
@@ -240,7 +248,7 @@
         conn: Some(conn),
         work: placed.work,
         sent_at,
-        is_fresh,
+        is_fresh: false,
         expected: placed.choice.parts,
         first_byte: None,
     };
@@ -258,12 +266,14 @@
     let Some(req) = request(cx, call, placed, time_left, resume_after) else {
         return AttemptResult::NotSent;
     };
+    if !cx.may_use_permit(placed) {
+        exchange.put_back();
+        return AttemptResult::NoPermit;
+    }
     let Some(conn) = exchange.conn.as_mut() else {
         return AttemptResult::NotSent;
     };
-    if !cx.may_use_permit(placed) {
-        return AttemptResult::NotSent;
-    }
+    exchange.is_fresh = conn.record_call(call.number);
     let answer = async { Ok(conn.sender.try_send_request(req).await) };
     let timeout = async {
         smol::Timer::after(begin_by.saturating_sub(cx.now())).await;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -27,7 +27,7 @@
 
 /// Most sends of one request, including those that targets rejected.
 const MAX_SENDS: u32 = 4;
-/// Most unreachable targets before a request is refused.
+/// Most unreachable targets, and sends given up for lack of a permit, before a request is refused.
 const MAX_UNREACHABLE: u32 = 6;
 /// Share of a pause that all targets have asked for by which the callers' return is spread after its end.
 const PAUSE_SPREAD: f64 = 0.5;
@@ -95,6 +95,8 @@
     pub possible_runs: u32,
     /// Unreachable targets.
     unreachable: u32,
+    /// Sends that were given up because the target was cold and this host's quota used.
+    without_permit: u32,
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
@@ -105,7 +107,7 @@
     /// Whether no target has been chosen yet. A target that was tried can still be a candidate, so that
     /// `tried_targets` does not tell.
     pub(crate) fn is_first(&self) -> bool {
-        self.sends == 0 && self.unreachable == 0
+        self.sends + self.unreachable + self.without_permit == 0
     }
 
     /// Whether the quarantine, the route, the time left, a drain and, beyond the first send, the retry budget allow
@@ -121,8 +123,8 @@
         let can_finish = cx
             .begin_by(&call.service, call.output_tokens(), call.deadline)
             .is_some();
-        let is_allowed =
-            is_early && may_run && has_attempts && can_finish && self.unreachable < MAX_UNREACHABLE;
+        let has_targets = self.unreachable + self.without_permit < MAX_UNREACHABLE;
+        let is_allowed = is_early && may_run && has_attempts && can_finish && has_targets;
         is_allowed && (self.sends == 0 || cx.take_retry(&call.service))
     }
 
@@ -130,6 +132,11 @@
     pub(crate) fn record(&mut self, placed: &Placed, attempt: &AttemptResult) {
         match attempt {
             AttemptResult::NotSent => self.unreachable += 1,
+            // The target stays a candidate: placement leaves it out until this host may send to it again.
+            AttemptResult::NoPermit => {
+                self.without_permit += 1;
+                return;
+            }
             AttemptResult::NotRun(_) => self.sends += 1,
             AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
@@ -174,6 +181,7 @@
                 refusal.with_exclusion(Some(Exclusion::Paused))
             }
             Some(PlacementError::NoTarget(exclusion)) => Refusal::no_target(exclusion),
+            None if self.without_permit > 0 => Refusal::no_target(Some(Exclusion::ColdQuotaUsed)),
             None => Refusal::no_target(None),
         }
     }
@@ -208,7 +216,10 @@
         let attempt = exchange(cx, &call, &placed, resume_after).await;
         attempts.record(&placed, &attempt);
         match attempt {
-            AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
+            AttemptResult::NotSent
+            | AttemptResult::NoPermit
+            | AttemptResult::NotRun(_)
+            | AttemptResult::Withdrawn => {}
             AttemptResult::Unknown(broken) => record_crash(cx, &call, &placed.target, broken),
             AttemptResult::TimedOut => {
                 return refuse(
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -17,13 +17,16 @@
 struct Idle {
     /// The connection.
     conn: Connection,
-    /// Time until which it may be used.
-    usable_until: Monotonic,
     /// Time until which a target that has not restarted keeps it open.
     kept_until: Monotonic,
 }
 
 impl Idle {
+    /// Whether the time in which it may be used is not over.
+    fn is_usable(&self, now: Monotonic) -> bool {
+        self.conn.usable_until.is_none_or(|until| now < until)
+    }
+
     /// Whether the target has closed it so soon that it has probably restarted.
     fn is_lost(&self, now: Monotonic) -> bool {
         self.conn.sender.is_closed() && now < self.kept_until
@@ -52,7 +55,7 @@
         let is_other = |idle: &Idle| !idle.conn.has_last_sent(call);
         while let Some(i) = self.idle.iter().rposition(is_other) {
             let idle = self.idle.remove(i);
-            if now < idle.usable_until && idle.conn.sender.is_ready() {
+            if idle.is_usable(now) && idle.conn.sender.is_ready() {
                 return Some(idle.conn);
             }
             self.has_lost_idle |= idle.is_lost(now);
@@ -69,7 +72,7 @@
     /// Whether an idle connection can be used.
     pub(crate) fn is_connected(&self, now: Monotonic) -> bool {
         let newest = self.idle.last();
-        newest.is_some_and(|idle| now < idle.usable_until && !idle.conn.sender.is_closed())
+        newest.is_some_and(|idle| idle.is_usable(now) && !idle.conn.sender.is_closed())
     }
 
     /// Reserves a new connection if the limit allows one more; returns whether it does.
@@ -87,7 +90,7 @@
     }
 
     /// Keeps a connection for the next request.
-    pub(crate) fn put_idle(&mut self, conn: Connection, keep_alive: Option<Duration>, now: Monotonic) {
+    pub(crate) fn put_idle(&mut self, mut conn: Connection, keep_alive: Option<Duration>, now: Monotonic) {
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIME, |keep_alive| {
             keep_alive.saturating_sub(CLOSE_MARGIN)
         });
@@ -95,10 +98,25 @@
             self.release();
             return;
         }
+        conn.usable_until = Some(now + idle_time);
+        let kept_for = keep_alive.map_or(MIN_IDLE_TIME, |keep_alive| keep_alive.min(MIN_IDLE_TIME));
+        self.idle.push(Idle {
+            conn,
+            kept_until: now + kept_for,
+        });
+    }
+
+    /// Keeps a connection on which nothing was sent. It was used so long ago that its end proves nothing.
+    pub(crate) fn put_back(&mut self, mut conn: Connection, now: Monotonic) {
+        if conn.sender.is_closed() {
+            self.release();
+            return;
+        }
+        let usable_until = conn.usable_until.unwrap_or(now + DEFAULT_IDLE_TIME);
+        conn.usable_until = Some(usable_until);
         self.idle.push(Idle {
             conn,
-            usable_until: now + idle_time,
-            kept_until: now + keep_alive.map_or(MIN_IDLE_TIME, |keep_alive| keep_alive.min(MIN_IDLE_TIME)),
+            kept_until: now,
         });
     }
 
@@ -107,7 +125,7 @@
         let before = self.idle.len();
         self.has_lost_idle |= self.idle.iter().any(|idle| idle.is_lost(now));
         self.idle
-            .retain(|idle| now < idle.usable_until && !idle.conn.sender.is_closed());
+            .retain(|idle| idle.is_usable(now) && !idle.conn.sender.is_closed());
         self.open = self.open.saturating_sub(before - self.idle.len());
     }
 }
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -201,7 +201,10 @@
             let attempt = exchange(&self.cx, &self.call, &placed, after.clone()).await;
             self.attempts.record(&placed, &attempt);
             match attempt {
-                AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
+                AttemptResult::NotSent
+                | AttemptResult::NoPermit
+                | AttemptResult::NotRun(_)
+                | AttemptResult::Withdrawn => {}
                 AttemptResult::Unknown(broken) => {
                     record_crash(&self.cx, &self.call, &placed.target, broken);
                 }
