Leave targets that may not be used out of the time until a pause ends

When all usable targets were paused, callers were told to return at the end of the shortest pause, also if that target was outside the allowed regions or in an evacuated domain.

--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -196,7 +196,10 @@
     fn no_target(&self) -> PlacementError {
         let listed = self.view.targets_of(&self.call.service);
         let reason = listed.iter().filter_map(|target| self.exclusion(target)).max();
-        let paused = listed.iter().filter_map(|target| self.rules.pause_left(target));
+        // A target outside the allowed regions or in an evacuated domain does not help after its pause.
+        let is_paused = |target: &&Arc<Target>| self.exclusion(target) == Some(Exclusion::Paused);
+        let paused = listed.iter().filter(is_paused);
+        let paused = paused.filter_map(|target| self.rules.pause_left(target));
         match (reason, paused.min()) {
             (Some(Exclusion::Paused), Some(pause)) => PlacementError::AllPaused(pause),
             _ => PlacementError::NoTarget(reason),
