Hash names once for the quota of cold targets

Each placement hashed the name of each cold target for the phase of its slots, and each block of slots the name of each host. Digests of the names are now kept and integers are mixed from them, the same on all hosts; cold targets without quota are looked up in a sorted list. The owners of slots change, so hosts with and without this commit must not share a deployment for long.

--- a/components/gateway/src/cold/hosts.rs
+++ b/components/gateway/src/cold/hosts.rs
@@ -33,6 +33,8 @@
     own: HostId,
     /// Hosts with the time of their removal from the list.
     members: BTreeMap<HostId, Option<Monotonic>>,
+    /// Digests of the names of the members, in the same order.
+    digests: Vec<u64>,
     /// Time since which this host is listed.
     listed_since: Option<Monotonic>,
     /// Time of the last confirmation of the list.
@@ -47,6 +49,7 @@
         Self {
             own,
             members: BTreeMap::new(),
+            digests: Vec::new(),
             listed_since: None,
             confirmed_at: None,
             generation: 0,
@@ -68,9 +71,15 @@
         self.generation += u64::from(self.members.len() != count);
         let is_listed = self.members.get(&self.own) == Some(&None);
         self.listed_since = is_listed.then(|| self.listed_since.unwrap_or(now));
+        self.update_digests();
         self.expire(now);
     }
 
+    fn update_digests(&mut self) {
+        let names = self.members.keys();
+        self.digests = names.map(|name| digest(name.as_bytes()).first_u64()).collect();
+    }
+
     /// Records that the list was current.
     pub fn confirm(&mut self, now: Monotonic) {
         self.confirmed_at = self.confirmed_at.max(Some(now));
@@ -81,7 +90,10 @@
         let count = self.members.len();
         self.members
             .retain(|_, removed_at| removed_at.is_none_or(|at| now < at + REMOVED_HOLD));
-        self.generation += u64::from(self.members.len() != count);
+        if self.members.len() != count {
+            self.generation += 1;
+            self.update_digests();
+        }
     }
 
     /// Whether this host may use its slots: it has been listed for a while, and its list is recent.
@@ -97,35 +109,29 @@
 
     /// Returns which slots of a block of a target belong to this host. Each slot belongs to the host with the highest
     /// score for it, so hosts whose lists differ in one host disagree only about the slots of that host.
-    pub(super) fn own_slots(&self, instance: &str, block: u64) -> [bool; SLOTS_PER_BLOCK as usize] {
+    pub(super) fn own_slots(&self, target: u64, block: u64) -> [bool; SLOTS_PER_BLOCK as usize] {
         let mut best = [None; SLOTS_PER_BLOCK as usize];
-        for name in self.members.keys() {
-            let scores = block_scores(instance, block, name);
-            for (best, score) in best.iter_mut().zip(scores) {
-                *best = (*best).max(Some((score, &**name)));
+        for (name, host) in self.members.keys().zip(&self.digests) {
+            for (best, slot) in best.iter_mut().zip(block * SLOTS_PER_BLOCK..) {
+                *best = (*best).max(Some((score(target, *host, slot), &**name)));
             }
         }
         best.map(|best| best.is_some_and(|(_, name)| *name == *self.own))
     }
 }
 
-/// Number of slots whose scores one digest gives.
+/// Number of slots whose owners are computed together.
 pub(super) const SLOTS_PER_BLOCK: u64 = 8;
 
-/// Returns the scores of a host for the slots of a block.
-fn block_scores(instance: &str, block: u64, host: &str) -> [u32; SLOTS_PER_BLOCK as usize] {
-    let mut text = Vec::with_capacity(instance.len() + host.len() + 2 * size_of::<u64>());
-    text.extend_from_slice(&block.to_le_bytes());
-    text.extend_from_slice(&(instance.len() as u64).to_le_bytes());
-    text.extend_from_slice(instance.as_bytes());
-    text.extend_from_slice(host.as_bytes());
-    let digest = digest(&text);
-    let mut scores = [0; SLOTS_PER_BLOCK as usize];
-    for (score, bytes) in scores
-        .iter_mut()
-        .zip(digest.as_bytes().chunks_exact(size_of::<u32>()))
-    {
-        *score = bytes.iter().fold(0, |score, byte| score << 8 | u32::from(*byte));
-    }
-    scores
+/// Returns the score of a host for a slot of a target, from the digests of their names. All hosts must compute the same.
+fn score(target: u64, host: u64, slot: u64) -> u64 {
+    mix(mix(mix(target) ^ host) ^ slot)
+}
+
+/// Mixes the bits of a number so that each of them changes about half of the result (the finalizer of SplitMix64).
+fn mix(number: u64) -> u64 {
+    let x = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
--- a/components/gateway/src/cold/quota.rs
+++ b/components/gateway/src/cold/quota.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use utils::Monotonic;
+use utils::{Monotonic, digest};
 
 use super::hosts::SLOTS_PER_BLOCK;
 use super::{SlotHosts, SlotSchedule};
@@ -23,6 +23,8 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SlotQuota {
+    /// Digest of the target's name, once it is known.
+    name_digest: Option<u64>,
     /// This host's slots in the blocks that may be open.
     blocks: [Option<OwnSlots>; OPEN_BLOCKS],
     /// Slots that have been taken and may still be open.
@@ -53,11 +55,14 @@
         if !hosts.may_use_slots(now) {
             return None;
         }
-        let mut open = schedule.open_slots(instance, store_time)?;
+        let name_digest = *self
+            .name_digest
+            .get_or_insert_with(|| digest(instance.as_bytes()).first_u64());
+        let mut open = schedule.open_slots_of(name_digest, store_time)?;
         let oldest = *open.start();
         // The time of the store only advances, but for a correction of a few milliseconds.
         self.taken.retain(|slot| *slot + SLOTS_PER_BLOCK >= oldest);
-        open.find(|slot| !self.taken.contains(slot) && self.is_own(instance, hosts, *slot))
+        open.find(|slot| !self.taken.contains(slot) && self.is_own(name_digest, hosts, *slot))
     }
 
     /// Takes the oldest open slot of this host, if one is free.
@@ -74,7 +79,7 @@
         Some(slot)
     }
 
-    fn is_own(&mut self, instance: &str, hosts: &SlotHosts, slot: u64) -> bool {
+    fn is_own(&mut self, name_digest: u64, hosts: &SlotHosts, slot: u64) -> bool {
         let block = slot / SLOTS_PER_BLOCK;
         let held = &mut self.blocks[(block % OPEN_BLOCKS as u64) as usize];
         let is_current = |own: &OwnSlots| own.block == block && own.generation == hosts.generation();
@@ -83,7 +88,7 @@
             _ => held.insert(OwnSlots {
                 block,
                 generation: hosts.generation(),
-                is_own: hosts.own_slots(instance, block),
+                is_own: hosts.own_slots(name_digest, block),
             }),
         };
         own.is_own[(slot % SLOTS_PER_BLOCK) as usize]
--- a/components/gateway/src/cold/schedule.rs
+++ b/components/gateway/src/cold/schedule.rs
@@ -58,8 +58,17 @@
 
     /// Returns the numbers of the slots of a target in which a request may be sent at a time on the store's clock.
     pub fn open_slots(&self, instance: &str, store_time: Duration) -> Option<RangeInclusive<u64>> {
+        self.open_slots_of(digest(instance.as_bytes()).first_u64(), store_time)
+    }
+
+    /// Returns the same for the target whose name has this digest.
+    pub(super) fn open_slots_of(
+        &self,
+        name_digest: u64,
+        store_time: Duration,
+    ) -> Option<RangeInclusive<u64>> {
         // Slots of different targets start at different times, so that a host's slots do not come together.
-        let phase = digest(instance.as_bytes()).first_u64() % self.period_us;
+        let phase = name_digest % self.period_us;
         let since_phase = micros(store_time).checked_sub(phase)?;
         let newest = since_phase / self.period_us;
         let validity = micros(SLOT_VALIDITY).min(MAX_OPEN_SLOTS * self.period_us);
--- a/components/gateway/src/traffic/cold.rs
+++ b/components/gateway/src/traffic/cold.rs
@@ -21,7 +21,7 @@
         Some(ColdRules::new(cold_limit(view, service)?, bound))
     }
 
-    /// Returns the cold targets of a service to which this host may not send at this moment.
+    /// Returns the cold targets of a service to which this host may not send at this moment, sorted.
     pub(super) fn cold_quota_used(
         &self,
         view: &View,
@@ -34,7 +34,9 @@
         };
         let targets = view.targets_of(service).iter();
         let used = targets.filter(|target| !routing.cold.has_quota(&target.instance, &rules, now));
-        used.map(|target| target.run.clone()).collect()
+        let mut used: Vec<_> = used.map(|target| target.run.clone()).collect();
+        used.sort_unstable();
+        used
     }
 
     /// Takes the permission to send one request to a target; `None` if this host may not send to it at this moment.
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -57,7 +57,7 @@
     pub announcements: &'a Announcements,
     /// Targets that the request was sent to or that were unreachable.
     pub tried: &'a [TargetId],
-    /// Cold targets to which this host may not send at this moment.
+    /// Cold targets to which this host may not send at this moment, sorted.
     pub cold_quota_used: &'a [TargetId],
     /// Time of the decision.
     pub now: Monotonic,
@@ -97,7 +97,7 @@
         if old_weights == OldWeightsPolicy::Forbidden {
             return Some(Exclusion::OldWeights);
         }
-        let is_used = self.cold_quota_used.contains(run);
+        let is_used = self.cold_quota_used.binary_search(run).is_ok();
         is_used.then_some(Exclusion::ColdQuotaUsed)
     }
 }
