--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -49,9 +49,6 @@
         let fetched = fetch(&control, table, needs_full_read).await;
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
-        if fetched.is_ok() {
-            control.record_confirmed(table, now);
-        }
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
                 let position = snapshot.position;
@@ -61,6 +58,8 @@
                     // A stale read. Another one at once would be as old.
                     log_ignored(&control, table, &"the table is older than the cached one");
                     smol::Timer::after(jittered(FIRST_BACKOFF, 0.5)).await;
+                } else {
+                    control.record_confirmed(table, now);
                 }
             }
             Ok(Fetched::Changed(changed)) => {
@@ -89,7 +88,12 @@
     let names: Vec<String> = names.filter(|_| table == Table::Targets).collect();
     let pause = pause_after(table, &changed, false);
     let renewed_pause = pause_after(table, &changed, true);
+    let position = changed.position;
     let is_changed = control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
+    // Changes of another era are ignored.
+    if control.cached_state().complete_position(table) == Some(position) {
+        control.record_confirmed(table, now);
+    }
     match !is_changed && control.traffic.are_cold(&names) {
         true => renewed_pause,
         false => pause,
--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -9,6 +9,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
+use utils::Monotonic;
 
 /// Time limit for opening a connection: a round trip between regions, and the handshake with a busy target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,6 +30,8 @@
 pub(crate) struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Body>,
+    /// Time until which it may be used while it is idle, by the last answer; `None` before the first one.
+    pub usable_until: Option<Monotonic>,
     /// The last call that was sent on it.
     last_call: Option<CallNumber>,
     /// Reads and writes the socket.
@@ -80,6 +83,7 @@
     });
     Ok(Connection {
         sender,
+        usable_until: None,
         last_call: None,
         _driver: driver,
         _memory: memory,
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -19,7 +19,7 @@
 mod request;
 mod state;
 mod stream_events;
-mod whole;
+mod whole_body;
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub use exclusion::{Exclusion, PlacementRules};
--- a/components/gateway/src/traffic/open.rs
+++ b/components/gateway/src/traffic/open.rs
@@ -1,5 +1,7 @@
+use std::io::ErrorKind;
 use std::sync::Arc;
 
+use error_stack::Report;
 use http_io::HttpError;
 
 use super::connect::{Connection, connect};
@@ -40,11 +42,14 @@
         Err(e) => {
             slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
                 "request" => &call.id, "target" => &target.instance, "error" => %e);
-            if *e.current_context() != HttpError::NoMemory {
-                let now = cx.now();
-                cx.with_slot(target, |slot| {
-                    slot.load.record_outcome(SendOutcome::Unreachable, now)
-                });
+            if *e.current_context() == HttpError::NoMemory {
+                return None;
+            }
+            let now = cx.now();
+            cx.with_slot(target, |slot| {
+                slot.load.record_outcome(SendOutcome::Unreachable, now)
+            });
+            if shows_restart(&e) {
                 cx.record_cold_failure(target, now);
             }
             None
@@ -52,6 +57,18 @@
     }
 }
 
+/// Whether a failure to connect shows that the target does not run. A lack of sockets at this host, a route of its own
+/// or a time-out, which a busy host or network causes as well, does not.
+fn shows_restart(error: &Report<HttpError>) -> bool {
+    let cause = error.downcast_ref::<std::io::Error>();
+    cause.is_some_and(|cause| {
+        matches!(
+            cause.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::HostUnreachable
+        )
+    })
+}
+
 /// A reserved connection of a target, which is released on drop if no connection was opened.
 struct Reserved<'a> {
     /// The traffic thread's state.
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -18,7 +18,7 @@
 use super::relay::relay;
 use super::request::Call;
 use super::state::Traffic;
-use super::whole::{WholeAnswer, read_whole};
+use super::whole_body::{WholeBodyError, read_whole};
 use crate::AnswerFacts;
 use crate::declared::RetrySafety;
 use crate::jitter::jittered;
@@ -26,7 +26,7 @@
 
 /// Most sends of one request, including those that targets rejected.
 const MAX_SENDS: u32 = 4;
-/// Most unreachable targets before a request is refused.
+/// Most unreachable targets, and sends given up for lack of a permit, before a request is refused.
 const MAX_UNREACHABLE: u32 = 6;
 /// Share of a pause that all targets have asked for by which the callers' return is spread after its end.
 const PAUSE_SPREAD: f64 = 0.5;
@@ -94,6 +94,8 @@
     pub possible_runs: u32,
     /// Unreachable targets.
     unreachable: u32,
+    /// Sends that were given up because the target was cold and this host's quota used.
+    without_permit: u32,
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
@@ -101,6 +103,12 @@
 }
 
 impl Attempts {
+    /// Whether no target has been chosen yet. A target that was tried can still be a candidate, so that
+    /// `tried_targets` does not tell.
+    pub(crate) fn is_first(&self) -> bool {
+        self.sends + self.unreachable + self.without_permit == 0
+    }
+
     /// Whether the quarantine, the route, the time left, a drain and, beyond the first send, the retry budget allow
     /// one more send. Takes a retry from the budget.
     pub(crate) fn may_send(&self, cx: &Traffic, call: &Call) -> bool {
@@ -114,8 +122,8 @@
         let can_finish = cx
             .begin_by(&call.service, call.output_tokens(), call.deadline)
             .is_some();
-        let is_allowed =
-            is_early && may_run && has_attempts && can_finish && self.unreachable < MAX_UNREACHABLE;
+        let has_targets = self.unreachable + self.without_permit < MAX_UNREACHABLE;
+        let is_allowed = is_early && may_run && has_attempts && can_finish && has_targets;
         is_allowed && (self.sends == 0 || cx.take_retry(&call.service))
     }
 
@@ -123,6 +131,11 @@
     pub(crate) fn record(&mut self, placed: &Placed, attempt: &AttemptResult) {
         match attempt {
             AttemptResult::NotSent => self.unreachable += 1,
+            // The target stays a candidate: placement leaves it out until this host may send to it again.
+            AttemptResult::NoPermit => {
+                self.without_permit += 1;
+                return;
+            }
             AttemptResult::NotRun(_) => self.sends += 1,
             AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
@@ -167,6 +180,7 @@
                 refusal.with_exclusion(Some(Exclusion::Paused))
             }
             Some(PlacementError::NoTarget(exclusion)) => Refusal::no_target(exclusion),
+            None if self.without_permit > 0 => Refusal::no_target(Some(Exclusion::ColdQuotaUsed)),
             None => Refusal::no_target(None),
         }
     }
@@ -177,7 +191,7 @@
     cx.record_request(&call.service);
     let mut attempts = Attempts::default();
     while attempts.may_send(cx, &call) {
-        let placed = match place(cx, &call, &attempts.tried_targets) {
+        let placed = match place(cx, &call, &attempts) {
             Ok(placed) => placed,
             Err(reason) => {
                 attempts.placement_error = Some(reason);
@@ -201,7 +215,10 @@
         let attempt = exchange(cx, &call, &placed, resume_after).await;
         attempts.record(&placed, &attempt);
         match attempt {
-            AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
+            AttemptResult::NotSent
+            | AttemptResult::NoPermit
+            | AttemptResult::NotRun(_)
+            | AttemptResult::Withdrawn => {}
             AttemptResult::Unknown(broken) => record_crash(cx, &call, &placed.target, broken),
             AttemptResult::TimedOut => {
                 return refuse(
@@ -253,23 +270,26 @@
         exchange,
         ..
     } = answer;
-    let read = read_whole(call, body, call.deadline.saturating_sub(cx.now())).await;
-    if matches!(read, WholeAnswer::NoMemory) {
-        let detail = "this host has no memory for the answer";
-        let refusal = Refusal::may_have_run(ProblemKind::AnswerCut, detail);
-        return AnswerAction::Whole(refuse(cx, call, &refusal));
-    }
-    let WholeAnswer::Read(whole) = read else {
-        exchange.record_broken();
-        // A timeout does not prove a crash.
-        if cx.now() < call.deadline {
-            let broken = exchange.broken(AnswerStage::Head);
-            record_crash(cx, call, &exchange.target, broken);
-            if !may_send_again(cx, call, &exchange.target, broken).await {
-                return AnswerAction::Whole(refuse(cx, call, &attempts.refusal(cx, call)));
+    let whole = match read_whole(call, body, call.deadline.saturating_sub(cx.now())).await {
+        Ok(whole) => whole,
+        Err(WholeBodyError::NoMemory) => {
+            let detail = "this host has no memory for the answer";
+            let refusal = Refusal::may_have_run(ProblemKind::AnswerCut, detail);
+            return AnswerAction::Whole(refuse(cx, call, &refusal));
+        }
+        Err(reason) => {
+            exchange.record_broken();
+            // A timeout does not prove a crash.
+            if cx.now() < call.deadline {
+                let mut broken = exchange.broken(AnswerStage::Head);
+                broken.is_connection_lost = reason == WholeBodyError::Broken;
+                record_crash(cx, call, &exchange.target, broken);
+                if !may_send_again(cx, call, &exchange.target, broken).await {
+                    return AnswerAction::Whole(refuse(cx, call, &attempts.refusal(cx, call)));
+                }
             }
+            return AnswerAction::Retry;
         }
-        return AnswerAction::Retry;
     };
     let times = exchange.answer_times();
     exchange.finish(&facts);
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -2,11 +2,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use utils::{Monotonic, TargetId, rendezvous_score};
+use utils::{Monotonic, rendezvous_score};
 
-use super::capacity::{is_admitted, overload_wait};
+use super::capacity::{overload_wait, refusal};
 use super::exclusion::{Exclusion, PlacementRules};
 use super::other_hosts::OtherHostsLoad;
+use super::pipeline::Attempts;
 use super::request::Call;
 use super::state::{RoutingState, Traffic};
 use crate::admission::ShortCapacity;
@@ -54,8 +55,8 @@
     AllPaused(Duration),
 }
 
-/// Chooses a target for a request, without the targets in `tried`.
-pub(crate) fn place(cx: &Traffic, call: &Call, tried: &[TargetId]) -> Result<Placed, PlacementError> {
+/// Chooses a target for a request after these attempts. Only the first placement can be refused by the pressure.
+pub(crate) fn place(cx: &Traffic, call: &Call, attempts: &Attempts) -> Result<Placed, PlacementError> {
     let view = cx.view.load();
     let mut routing = cx.routing();
     let now = cx.now();
@@ -63,7 +64,7 @@
     let rules = PlacementRules {
         cold_quota_used: &cold_quota_used,
         now,
-        ..cx.placement_rules(&view, &routing.announcements, call, tried)
+        ..cx.placement_rules(&view, &routing.announcements, call, &attempts.tried_targets)
     };
     let context = PlacementContext::new(cx, &view, &routing, call, rules);
     let mut targets = context.targets();
@@ -94,8 +95,10 @@
         &mut rand::rng(),
     );
     let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
-    if tried.is_empty() && !is_admitted(cx, call, &demand, &candidates) {
-        return Err(no_capacity(ShortCapacity::Shed));
+    if attempts.is_first()
+        && let Some(reason) = refusal(cx, call, &demand, &candidates)
+    {
+        return Err(no_capacity(reason));
     }
     let choice = match decide_from(&demand, &candidates, &sample) {
         Decision::Send(choice) => choice,
@@ -193,7 +196,10 @@
     fn no_target(&self) -> PlacementError {
         let listed = self.view.targets_of(&self.call.service);
         let reason = listed.iter().filter_map(|target| self.exclusion(target)).max();
-        let paused = listed.iter().filter_map(|target| self.rules.pause_left(target));
+        // A target outside the allowed regions or in an evacuated domain does not help after its pause.
+        let is_paused = |target: &&Arc<Target>| self.exclusion(target) == Some(Exclusion::Paused);
+        let paused = listed.iter().filter(is_paused);
+        let paused = paused.filter_map(|target| self.rules.pause_left(target));
         match (reason, paused.min()) {
             (Some(Exclusion::Paused), Some(pause)) => PlacementError::AllPaused(pause),
             _ => PlacementError::NoTarget(reason),
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -203,13 +203,16 @@
         }
         let after = self.splitter.progress().last_event.clone();
         while self.attempts.may_send(&self.cx, &self.call) {
-            let Ok(placed) = place(&self.cx, &self.call, &self.attempts.tried_targets) else {
+            let Ok(placed) = place(&self.cx, &self.call, &self.attempts) else {
                 return false;
             };
             let attempt = exchange(&self.cx, &self.call, &placed, after.clone()).await;
             self.attempts.record(&placed, &attempt);
             match attempt {
-                AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
+                AttemptResult::NotSent
+                | AttemptResult::NoPermit
+                | AttemptResult::NotRun(_)
+                | AttemptResult::Withdrawn => {}
                 AttemptResult::Unknown(broken) => {
                     record_crash(&self.cx, &self.call, &placed.target, broken);
                 }
