Keep readiness checks and hosts connected when memory is short

A host whose callers had used up the memory budget refused or evicted the connections of its readiness checks and of other hosts, so that balancers took it out and its peers lost it. Both listeners have few connections of their own. They are now charged without a check and not evicted for memory while idle; bodies on them are charged and refused as before.

--- a/components/entry/src/traffic/mod.rs
+++ b/components/entry/src/traffic/mod.rs
@@ -59,6 +59,7 @@
         memory: shared.memory.clone(),
         max_connections: limits.connections / shared.settings.threads.traffic.max(1),
         socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES),
+        is_reserved: false,
     };
     let Ok(server) = Server::from_std(listener, cfg) else {
         return;
--- a/components/gateway/src/resources.rs
+++ b/components/gateway/src/resources.rs
@@ -136,6 +136,7 @@
         ServerConfig {
             header_timeout: CallerLimits::default().idle_time,
             max_connections: self.shares.readiness,
+            is_reserved: true,
             ..self.base()
         }
     }
@@ -144,6 +145,7 @@
     pub(crate) fn for_peers(&self) -> ServerConfig {
         ServerConfig {
             max_connections: self.shares.peers,
+            is_reserved: true,
             ..self.base()
         }
     }
--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -141,11 +141,25 @@
 
     /// Charges a new connection. The caller counts a refusal.
     pub(crate) fn open(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.add_holder(false)?;
+        self.charge(&holder.0, CONNECTION_BYTES, CONNECTION_BYTES)?;
+        Ok(holder)
+    }
+
+    /// Charges a new connection that is accepted without room in the budget, and that is not evicted while idle.
+    pub(crate) fn open_reserved(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.add_holder(true)?;
+        self.used.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
+        holder.0.bytes.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
+        Ok(holder)
+    }
+
+    fn add_holder(self: &Arc<Self>, is_reserved: bool) -> Result<MemoryHolder, OutOfMemory> {
         let state = {
             let mut holders = self.holders();
             let mut opened = None;
             holders.insert_with_key(|key| {
-                let state = Arc::new(HolderState::new(self.clone(), key));
+                let state = Arc::new(HolderState::new(self.clone(), key, is_reserved));
                 let weak = Arc::downgrade(&state);
                 opened = Some(state);
                 weak
@@ -153,9 +167,7 @@
             opened.ok_or(OutOfMemory)?
         };
         self.connections.fetch_add(1, Ordering::Relaxed);
-        let holder = MemoryHolder(state);
-        self.charge(&holder.0, CONNECTION_BYTES, CONNECTION_BYTES)?;
-        Ok(holder)
+        Ok(MemoryHolder(state))
     }
 
     /// Charges a connection that this process opens. It is never evicted.
@@ -191,7 +203,8 @@
             holder: holder.key,
             total,
         };
-        let holders = open.iter().map(|state| state.describe());
+        let holders = open.iter().filter(|state| !state.is_kept_idle());
+        let holders = holders.map(|state| state.describe());
         match self.budget.decide(request, self.used(), holders, self.now()) {
             Grant::Refused => false,
             Grant::Granted { evict } => {
@@ -211,6 +224,8 @@
 struct HolderState {
     account: Arc<MemoryAccount>,
     key: HolderKey,
+    /// Whether its listener has connections of its own, which are not evicted while idle.
+    is_reserved: bool,
     /// Bytes charged to it.
     bytes: AtomicUsize,
     /// Time of the last progress, in milliseconds.
@@ -226,11 +241,12 @@
 }
 
 impl HolderState {
-    fn new(account: Arc<MemoryAccount>, key: HolderKey) -> Self {
+    fn new(account: Arc<MemoryAccount>, key: HolderKey, is_reserved: bool) -> Self {
         let now = account.now();
         Self {
             account,
             key,
+            is_reserved,
             bytes: AtomicUsize::new(0),
             progress_ms: AtomicU64::new(as_ms(now)),
             phase: AtomicU8::new(HolderPhase::Idle as u8),
@@ -249,6 +265,11 @@
         }
     }
 
+    /// Whether it is idle and keeps its connection when memory is short.
+    fn is_kept_idle(&self) -> bool {
+        self.is_reserved && self.phase() == HolderPhase::Idle
+    }
+
     fn describe(&self) -> Holder<HolderKey> {
         Holder {
             key: self.key,
@@ -307,7 +328,7 @@
     /// Returns a holder that is never refused, for requests that no server has received.
     pub fn unlimited() -> Self {
         let account = MemoryAccount::unlimited();
-        let state = HolderState::new(account.clone(), HolderKey::default());
+        let state = HolderState::new(account.clone(), HolderKey::default(), false);
         account.connections.fetch_add(1, Ordering::Relaxed);
         Self(Arc::new(state))
     }
@@ -432,6 +453,10 @@
     /// # Errors
     /// [`OutOfMemory`] if the budget is used up and nothing may be evicted; nothing is charged then.
     pub fn grow(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
+        // Reserved connections can bring the account over its budget, and need no more memory for an ordinary head.
+        if bytes == 0 {
+            return Ok(());
+        }
         let state = &self.holder.0;
         let total = state.bytes.load(Ordering::Relaxed).saturating_add(bytes);
         let charged = state.account.charge(state, bytes, total);
--- a/components/http/src/connections.rs
+++ b/components/http/src/connections.rs
@@ -27,6 +27,8 @@
     memory: Arc<MemoryAccount>,
     limits: Option<Arc<ConnectionLimits>>,
     max: usize,
+    /// Whether connections are accepted without room in the memory budget.
+    is_reserved: bool,
     /// Time of the last sweep.
     swept_at: Instant,
     /// Number of connections at which ended ones are removed next.
@@ -40,6 +42,7 @@
             memory: cfg.memory.clone(),
             limits: cfg.limits.clone(),
             max: cfg.max_connections.max(1),
+            is_reserved: cfg.is_reserved,
             swept_at: Instant::now(),
             clean_at: 0,
         }
@@ -59,6 +62,7 @@
             self.remove_ended();
         }
         let holder = match self.open.len() < self.max {
+            true if self.is_reserved => self.memory.open_reserved().ok(),
             true => self.memory.open().ok(),
             false => None,
         };
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -56,6 +56,9 @@
     pub memory: Arc<MemoryAccount>,
     /// Maximum number of open connections. A new one closes those that have been idle for longest.
     pub max_connections: usize,
+    /// Whether connections are accepted without room in the memory budget and are not evicted while idle. Only for
+    /// listeners of the system itself whose `max_connections` is small. Bodies are refused as on other listeners.
+    pub is_reserved: bool,
     /// Size of the kernel's buffers of each connection, in bytes; `None` lets them grow to megabytes while the process
     /// is slower than its peers.
     pub socket_buffer_bytes: Option<usize>,
@@ -71,6 +74,7 @@
             limits: None,
             memory: MemoryAccount::unlimited(),
             max_connections: usize::MAX,
+            is_reserved: false,
             socket_buffer_bytes: None,
         }
     }
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -26,6 +26,10 @@
 
 /// Runs a server that answers with the length of the body, or the error that reading it gave.
 fn serve(max_connections: usize, test: impl AsyncFnOnce(&Running)) {
+    serve_as(max_connections, false, test);
+}
+
+fn serve_as(max_connections: usize, is_reserved: bool, test: impl AsyncFnOnce(&Running)) {
     let ex: Executor = Arc::new(smol::Executor::new());
     let memory = MemoryAccount::new(MemoryBudget::new(1 << 20));
     let limits = ConnectionLimits::new(10_000, Duration::from_secs(60), Duration::from_secs(60));
@@ -34,6 +38,7 @@
         memory: memory.clone(),
         limits: Some(limits.clone()),
         max_connections,
+        is_reserved,
         ..ServerConfig::default()
     };
     let server = Server::bind(([127, 0, 0, 1], 0).into(), cfg).unwrap();
@@ -185,3 +190,25 @@
         assert_eq!(running.memory.count(Shortage::HeadLate), 1);
     });
 }
+
+/// Guards against readiness checks and messages between hosts that fail because callers use up the budget.
+#[test]
+fn reserved_connections_are_kept_and_accepted_without_room() {
+    serve_as(100, true, async |running| {
+        let mut idle = send(running.addr, "content-length: 1", 1).await;
+        assert!(receive(&mut idle).await.ends_with("read 1"));
+        smol::Timer::after(STALL).await;
+        let mut held = Vec::new();
+        while let Ok(holder) = running.memory.open_outgoing() {
+            held.push(holder);
+        }
+        let mut new = send(running.addr, "content-length: 0", 0).await;
+        assert!(receive(&mut new).await.ends_with("read 0"));
+        let mut with_body = send(running.addr, "content-length: 100000", 100_000).await;
+        assert!(receive(&mut with_body).await.ends_with("no memory"));
+        idle.write_all(b"POST / HTTP/1.1\r\nhost: t\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        assert!(receive(&mut idle).await.ends_with("read 0"));
+    });
+}
