Charge long events of streams until the caller has taken them

An event of up to 1 MiB was handed to the caller's connection in one part, after its charge had ended, and the buffer that it was split from (up to 2 MiB) stayed alive with the rest. Streams that were not read held both uncharged. Long events are now passed on in parts of 16 KiB from a charged queue, the capacity of the buffer is charged, and what follows a long event starts a buffer of its own. A crowd of unread streams without event ends is added.

--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -1,10 +1,11 @@
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::stream;
 use http_body_util::BodyExt;
-use http_io::{Body, Charge, HttpError, stream_body};
+use http_io::{Body, Charge, HttpError, OutOfMemory, stream_body};
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
@@ -20,6 +21,10 @@
 use crate::suspects::AnswerStage;
 use crate::{AnswerFacts, Target};
 
+/// Longest part that is passed to the caller's connection at once, in bytes. The connection copies it into a buffer that
+/// is not charged, and asks for the next part once the caller has read.
+const PART_BYTES: usize = 16 << 10;
+
 /// A stream that is passed to the caller. The caller's connection polls it; when the caller disconnects, the
 /// stream is dropped together with the target's connection.
 struct Relay {
@@ -31,7 +36,9 @@
     attempts: Attempts,
     /// Splits the stream at event boundaries.
     splitter: EventSplitter,
-    /// Charge of the bytes that the splitter holds back.
+    /// Parts of events that the caller's connection has not taken.
+    parts: VecDeque<Bytes>,
+    /// Charge of the parts and of the splitter's buffer.
     charge: Charge,
     /// The target's answer; `None` once it has ended.
     source: Option<Source>,
@@ -97,6 +104,7 @@
         call,
         attempts,
         splitter,
+        parts: VecDeque::new(),
         source: Some(source),
         _open: open,
     };
@@ -112,13 +120,20 @@
     /// otherwise.
     async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
         loop {
+            if let Some(part) = self.parts.pop_front() {
+                // The charge only shrinks here.
+                let _ = self.charge_held();
+                return Some(Ok(part));
+            }
             let source = self.source.as_mut()?;
             match read(&self.cx, &self.call, source).await {
                 Next::Data(bytes) => {
                     source.is_unproven &= bytes.is_empty();
                     let was_answered = self.has_events();
                     let whole = self.splitter.push(&bytes);
-                    if self.charge.resize(self.splitter.held_bytes()).is_err() {
+                    self.add_parts(whole);
+                    if self.charge_held().is_err() {
+                        self.parts.clear();
                         self.source = None;
                         self.log_interrupted("this host has no memory for the event");
                         return Some(Err(HttpError::NoMemory));
@@ -126,11 +141,8 @@
                     if !was_answered && self.has_events() {
                         record_success(&self.cx, &self.call);
                     }
-                    if !whole.is_empty() {
-                        return Some(Ok(whole));
-                    }
                 }
-                Next::End if !source.is_unproven && self.splitter.is_between_events() => return self.end(),
+                Next::End if !source.is_unproven && self.splitter.is_between_events() => self.end(),
                 Next::TimedOut => {
                     self.source = None;
                     self.log_interrupted("the route's time is up");
@@ -147,8 +159,24 @@
         }
     }
 
-    fn end(&mut self) -> Option<Result<Bytes, HttpError>> {
-        let source = self.source.take()?;
+    /// Adds bytes for the caller. Large ones are copied, so that each part releases its memory.
+    fn add_parts(&mut self, bytes: Bytes) {
+        match bytes.len() {
+            0 => {}
+            ..=PART_BYTES => self.parts.push_back(bytes),
+            _ => self
+                .parts
+                .extend(bytes.chunks(PART_BYTES).map(Bytes::copy_from_slice)),
+        }
+    }
+
+    fn charge_held(&mut self) -> Result<(), OutOfMemory> {
+        let parts = self.parts.iter().map(Bytes::len).sum::<usize>();
+        self.charge.resize(parts + self.splitter.held_bytes())
+    }
+
+    fn end(&mut self) {
+        let Some(source) = self.source.take() else { return };
         let run = source.exchange.target.run.clone();
         if let (Some(times), Some(tokens), 1) = (
             source.exchange.answer_times(),
@@ -165,7 +193,7 @@
             .telemetry
             .answered(&self.call.id, &run, 200, events, self.attempts.sends);
         let rest = self.splitter.finish();
-        (!rest.is_empty()).then_some(Ok(rest))
+        self.add_parts(rest);
     }
 
     /// Whether the caller has received an event.
--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -4,6 +4,8 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Line breaks of which the second ends an empty line. Longer combinations with `\r\n` end in one of these.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// Size from which bytes that are passed on take the buffer with them, so that the rest does not keep it alive.
+const LARGE_PART_BYTES: usize = 16 << 10;
 /// Longest incomplete part of an event's end, in bytes.
 const MAX_PARTIAL_END: usize = 2;
 
@@ -56,12 +58,20 @@
         let Some(end) = last_event_end(&self.buf) else {
             return self.split_long_event();
         };
-        let whole = self.buf.split_to(end).freeze();
+        let whole = self.split_off(end);
         self.count_events(&whole);
         self.is_split = false;
         whole
     }
 
+    fn split_off(&mut self, end: usize) -> Bytes {
+        let part = self.buf.split_to(end).freeze();
+        if part.len() > LARGE_PART_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+        }
+        part
+    }
+
     /// Returns the position in the stream.
     pub fn progress(&self) -> &Progress {
         &self.progress
@@ -81,17 +91,17 @@
 
     /// Returns the bytes held back at the end of a complete stream.
     pub fn finish(&mut self) -> Bytes {
-        self.buf.split().freeze()
+        self.split_off(self.buf.len())
     }
 
-    /// Returns the number of bytes that are held back until their event is whole.
+    /// Returns the size of the buffer for bytes that are held back until their event is whole.
     pub fn held_bytes(&self) -> usize {
-        self.buf.len()
+        self.buf.capacity()
     }
 
     /// Discards the partial event, for a stream that another target resumes.
     pub fn discard_partial(&mut self) {
-        self.buf.clear();
+        self.buf = BytesMut::new();
     }
 
     /// Passes on the start of an event above the limit; holds back a shorter one.
@@ -102,7 +112,7 @@
         self.is_split = true;
         self.had_split = true;
         // The last bytes may belong to the event's end.
-        self.buf.split_to(self.buf.len() - MAX_PARTIAL_END).freeze()
+        self.split_off(self.buf.len() - MAX_PARTIAL_END)
     }
 
     fn count_events(&mut self, whole: &[u8]) {
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -147,3 +147,17 @@
         assert_eq!(splitter.progress().events, 1, "{end:?}");
     }
 }
+
+/// Guards against the buffer of a long event that stays in memory after the event was passed on.
+#[test]
+fn a_long_event_leaves_no_large_buffer() {
+    for end in ["", "\n\n"] {
+        let mut splitter = EventSplitter::default();
+        let event = format!("data: {}{end}", "x".repeat(2 << 20));
+        let pieces = event.as_bytes().chunks(8 << 10);
+        let passed: Vec<u8> = pieces.flat_map(|piece| splitter.push(piece)).collect();
+        assert!(event.as_bytes().starts_with(&passed));
+        splitter.push(&vec![b'x'; 2 << 20]);
+        assert!(splitter.held_bytes() < 1_000, "{} bytes", splitter.held_bytes());
+    }
+}
--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -187,11 +187,13 @@
     settings.to_string()
 }
 
-/// Returns a declaration of one route without keys. Its timeout is longer than any test, so that no body is refused
+/// Returns a declaration of two routes without keys. Their timeout is longer than any test, so that no body is refused
 /// for its time.
 fn config(max_body: usize) -> Value {
     json!({"version": 1,
         "routes": [{"name": "safe", "host": "h.example", "prefix": "/safe/", "route_kind": "safe",
+            "timeout_ms": 120_000, "target_latency_ms": 1_000, "service": "s", "max_attempts": 1},
+            {"name": "stream", "host": "h.example", "prefix": "/stream/", "route_kind": "streaming",
             "timeout_ms": 120_000, "target_latency_ms": 1_000, "service": "s", "max_attempts": 1}],
         "services": [{"name": "s", "connection_limit": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": max_body, "header_timeout_ms": 60_000,
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -139,6 +139,22 @@
     host.check("unread answers", open);
 }
 
+/// Guards against events of any length that are held for callers that do not read them.
+#[test]
+fn streams_without_event_ends_stay_within_the_memory() {
+    let host = Host::start_with_target(SMALL, |req| match req.line.contains("/stream") {
+        true => answer_ok(&"x".repeat(LARGE_ANSWER)),
+        false => answer_ok("fine"),
+    });
+    let request = head("/stream/long", "Content-Length: 0");
+    let member = || Member {
+        bytes: request.clone().into_bytes(),
+        piece: usize::MAX,
+    };
+    let open = drive(host.address(), (0..MEMBERS).map(|_| member()).collect());
+    host.check("streams without event ends", open);
+}
+
 /// Guards against messages on the port between hosts that are buffered without a common bound.
 #[test]
 fn messages_from_hosts_stay_within_the_memory() {
