Charge whole answers of the product's interface until they are written

The charge of a whole answer ended when the connection took its only part, before a byte was written. The answer is now passed on in parts whose charge lasts until the last one is taken.

--- a/components/entry/src/traffic/route.rs
+++ b/components/entry/src/traffic/route.rs
@@ -1,10 +1,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use error_stack::Report;
 use errors::{Outcome, ProblemKind, events};
 use futures_lite::FutureExt;
-use http_io::{Body, Charge, HttpError, MemoryHolder, charge_body, read_request};
-use hyper::body::Incoming;
+use http_io::{Body, Charge, HeldBody, HttpError, MemoryHolder, read_limited, read_request};
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request, Response};
 use slog::info;
@@ -16,6 +17,9 @@
 use crate::outcomes::RequestRecord;
 use crate::view::{Serving, View};
 
+/// Largest answer that is not charged, in bytes: the connection's own buffers take it at once.
+const FREE_ANSWER_BYTES: u64 = 16 << 10;
+
 /// An authenticated request.
 pub(crate) struct Received {
     /// Identifier of the request.
@@ -95,13 +99,23 @@
         )),
     };
     let (parts, body) = res?.into_parts();
-    let body = charge_body(body, &memory).map_err(|_| {
+    let body = hold_whole(body, &memory).await.map_err(|_| {
         let detail = "this host has no memory for the answer";
         Failure::may_have_run(ProblemKind::AnswerCut, detail)
     })?;
     Ok(Response::from_parts(parts, body))
 }
 
+/// Charges an answer that is whole in memory until it is written; a stream stays as it is.
+async fn hold_whole(body: Body, memory: &MemoryHolder) -> Result<Body, Report<HttpError>> {
+    let size = body.size_hint().exact();
+    let Some(size) = size.filter(|size| *size > FREE_ANSWER_BYTES) else {
+        return Ok(body);
+    };
+    let bytes = read_limited(body, usize::try_from(size).unwrap_or(usize::MAX)).await?;
+    Ok(HeldBody::from_bytes(bytes, memory)?.into_body())
+}
+
 /// Fails if the host can not accept new requests under a view.
 pub(crate) fn check_serving(cx: &Context, view: &View) -> Result<(), Failure> {
     let detail = match cx.shared.serving(view) {
--- a/components/http/src/held.rs
+++ b/components/http/src/held.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Frame, SizeHint};
+use hyper::body::{Frame, SizeHint};
 
 use crate::account::{Charge, MemoryHolder};
 use crate::{Body, HttpError};
@@ -129,53 +129,6 @@
     }
 }
 
-/// Charges a body of known size to a connection until it is written. The connection copies it into its own buffer.
-///
-/// # Errors
-/// [`HttpError::NoMemory`] if the budget is used up.
-pub fn charge_body(body: Body, holder: &MemoryHolder) -> Result<Body, Report<HttpError>> {
-    let size = body.size_hint().exact().unwrap_or(0);
-    if size <= BLOCK_BYTES as u64 {
-        return Ok(body);
-    }
-    let size = usize::try_from(size).unwrap_or(usize::MAX);
-    let mut charge = holder.charge();
-    charge
-        .grow(size.saturating_mul(2))
-        .change_context(HttpError::NoMemory)?;
-    let body = ChargedBody {
-        body,
-        _charge: charge,
-    };
-    Ok(BodyExt::boxed_unsync(body))
-}
-
-/// A body with its charge.
-struct ChargedBody {
-    body: Body,
-    _charge: Charge,
-}
-
-impl hyper::body::Body for ChargedBody {
-    type Data = Bytes;
-    type Error = HttpError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, HttpError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A body whose parts stay held for another send.
 struct SharedParts {
     held: Arc<HeldBody>,
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -22,7 +22,7 @@
 pub use client::{Client, ClientConfig, PooledBody};
 pub use connection_limits::ConnectionLimits;
 pub use error::HttpError;
-pub use held::{HeldBody, charge_body, read_held, read_request};
+pub use held::{HeldBody, read_held, read_request};
 pub use server::{
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
 };
