Let running requests and answers use the whole memory budget

Whether a holder was small was decided by its connection, head and body together, so that ordinary requests could count as large, and an answer that found more than seven eighths in use became a 502 after its request had run. Only the size of an arriving body decides now.

--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -142,7 +142,7 @@
     /// Charges a new connection. The caller counts a refusal.
     pub(crate) fn open(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
         let holder = self.add_holder(false)?;
-        self.charge(&holder.0, CONNECTION_BYTES, CONNECTION_BYTES)?;
+        self.charge(&holder.0, CONNECTION_BYTES, 0)?;
         Ok(holder)
     }
 
@@ -180,13 +180,13 @@
         Ok(holder)
     }
 
-    /// Charges bytes to a holder that has, or is known to need, `total` bytes.
-    fn charge(&self, holder: &HolderState, bytes: usize, total: usize) -> Result<(), OutOfMemory> {
+    /// Charges bytes to a holder whose arriving body has, or is known to need, `body` bytes.
+    fn charge(&self, holder: &HolderState, bytes: usize, body: usize) -> Result<(), OutOfMemory> {
         let used = self
             .used
             .fetch_add(bytes, Ordering::Relaxed)
             .saturating_add(bytes);
-        if self.budget.has_room(used, total) || self.make_room(holder, total) {
+        if self.budget.has_room(used, body) || self.make_room(holder, body) {
             holder.bytes.fetch_add(bytes, Ordering::Relaxed);
             return Ok(());
         }
@@ -196,12 +196,12 @@
 
     /// Evicts holders so that all have room; returns false if that is not possible.
     #[cold]
-    fn make_room(&self, holder: &HolderState, total: usize) -> bool {
+    fn make_room(&self, holder: &HolderState, body: usize) -> bool {
         // The states are dropped after the lock is released, as dropping the last reference takes it again.
         let open: Vec<Arc<HolderState>> = self.holders().values().filter_map(Weak::upgrade).collect();
         let request = MemoryRequest {
             holder: holder.key,
-            total,
+            body,
         };
         let holders = open.iter().filter(|state| !state.is_kept_idle());
         let holders = holders.map(|state| state.describe());
@@ -270,6 +270,15 @@
         self.is_reserved && self.phase() == HolderPhase::Idle
     }
 
+    /// Returns the size of the body if it is that of a request that arrives. Answers, and all that running requests
+    /// need, may use the whole budget, as refusing them loses work.
+    fn body_of(&self, size: usize) -> usize {
+        match self.phase() {
+            HolderPhase::Body => size,
+            _ => 0,
+        }
+    }
+
     fn describe(&self) -> Holder<HolderKey> {
         Holder {
             key: self.key,
@@ -347,8 +356,8 @@
     }
 
     /// Checks that a body of this size has room now, and evicts others for it. Charges nothing.
-    pub(crate) fn check_room(&self, total: usize) -> Result<(), OutOfMemory> {
-        let checked = self.0.account.charge(&self.0, 0, total);
+    pub(crate) fn check_room(&self, size: usize) -> Result<(), OutOfMemory> {
+        let checked = self.0.account.charge(&self.0, 0, self.0.body_of(size));
         checked.inspect_err(|_| self.0.account.record(Shortage::NoRoom))
     }
 
@@ -458,8 +467,8 @@
             return Ok(());
         }
         let state = &self.holder.0;
-        let total = state.bytes.load(Ordering::Relaxed).saturating_add(bytes);
-        let charged = state.account.charge(state, bytes, total);
+        let body = state.body_of(self.bytes.saturating_add(bytes));
+        let charged = state.account.charge(state, bytes, body);
         charged.inspect_err(|_| state.account.record(Shortage::NoRoom))?;
         self.bytes += bytes;
         Ok(())
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -9,10 +9,10 @@
 const USABLE_SHARE: usize = 2;
 /// Smallest budget, for a machine without room beside the process.
 const MIN_BUDGET: usize = 4 << 20;
-/// Part of the budget that only holders of little memory use, so that ordinary requests pass a crowd of large ones.
-const SMALL_ONLY_SHARE: usize = 8;
-/// Largest number of bytes with which a holder counts as small.
-const SMALL_HOLDER_BYTES: usize = 128 << 10;
+/// Part of the budget that large bodies do not use, so that ordinary requests and answers pass a crowd of them.
+const RESERVED_SHARE: usize = 8;
+/// Largest body that counts as small, in bytes.
+const SMALL_BODY_BYTES: usize = 128 << 10;
 /// Part of the budget that is freed in one go, so that not every following charge looks for holders to evict.
 const EVICTION_SHARE: usize = 64;
 /// Time without progress before a holder may be evicted. Holders that make progress do not evict each other.
@@ -75,8 +75,9 @@
 pub struct MemoryRequest<K> {
     /// Holder that needs the memory; it is not evicted for itself.
     pub holder: K,
-    /// Bytes that the holder has, or that it is known to need in all.
-    pub total: usize,
+    /// Bytes of the request's body that the holder has, or that it is known to need in all; 0 for anything but a body
+    /// that arrives.
+    pub body: usize,
 }
 
 /// The decision on a request for memory.
@@ -123,9 +124,9 @@
         self.capacity
     }
 
-    /// Whether a holder of `total` bytes has room while `used` bytes are held by all, its own included.
-    pub fn has_room(self, used: usize, total: usize) -> bool {
-        used <= self.limit_of(total)
+    /// Whether a holder whose body has `body` bytes has room while `used` bytes are held by all, its own included.
+    pub fn has_room(self, used: usize, body: usize) -> bool {
+        used <= self.limit_of(body)
     }
 
     /// Decides on a request for memory. `used` are the bytes that all hold, the requested ones included.
@@ -136,7 +137,7 @@
         holders: impl IntoIterator<Item = Holder<K>>,
         now: Monotonic,
     ) -> Grant<K> {
-        let limit = self.limit_of(request.total);
+        let limit = self.limit_of(request.body);
         let mut left = used;
         let mut candidates = Vec::new();
         for holder in holders {
@@ -168,11 +169,11 @@
         }
     }
 
-    /// Returns the bytes that all may hold when a holder of `total` bytes asks for more.
-    fn limit_of(self, total: usize) -> usize {
-        match total <= SMALL_HOLDER_BYTES {
+    /// Returns the bytes that all may hold when a holder whose body has `body` bytes asks for more.
+    fn limit_of(self, body: usize) -> usize {
+        match body <= SMALL_BODY_BYTES {
             true => self.capacity,
-            false => self.capacity - self.capacity / SMALL_ONLY_SHARE,
+            false => self.capacity - self.capacity / RESERVED_SHARE,
         }
     }
 }
--- a/components/policy/tests/memory.rs
+++ b/components/policy/tests/memory.rs
@@ -17,8 +17,8 @@
     }
 }
 
-fn request(total: usize) -> MemoryRequest<u32> {
-    MemoryRequest { holder: 0, total }
+fn request(body: usize) -> MemoryRequest<u32> {
+    MemoryRequest { holder: 0, body }
 }
 
 /// Guards against the eviction of a caller that keeps sending, or of a request that may run.
@@ -56,7 +56,7 @@
 
 /// Guards against a crowd of large bodies that leaves no room for ordinary requests.
 #[test]
-fn a_part_of_the_budget_is_for_small_holders() {
+fn a_part_of_the_budget_is_not_for_large_bodies() {
     let budget = MemoryBudget::new(8 * MIB);
     assert!(!budget.has_room(7 * MIB + 1, MIB));
     assert!(budget.has_room(7 * MIB + 1, 72 << 10));
