Do not take the rest of a refused body for a late head

A request that was answered before its body had arrived (401, 404, 413) left the connection in the head phase when the rest of the body came, so that a connection that its caller kept was closed by the limit on heads. The connection now counts as idle until the next head is whole; bytes are charged as before.

--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -236,6 +236,8 @@
     is_leaving: AtomicBool,
     /// Whether the peer takes no more bytes.
     is_blocked: AtomicBool,
+    /// Whether the last request was answered before its body had arrived, so that the next bytes may belong to it.
+    has_unread_body: AtomicBool,
     /// Wakes the connection's task.
     waker: Mutex<Option<Waker>>,
 }
@@ -252,6 +254,7 @@
             phase: AtomicU8::new(HolderPhase::Idle as u8),
             is_leaving: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             waker: Mutex::default(),
         }
     }
@@ -418,6 +421,18 @@
         self.0.progress_ms.store(now, Ordering::Relaxed);
     }
 
+    /// Records that the handler has answered.
+    pub(crate) fn record_answered(&self) {
+        let is_unread = self.0.phase() == HolderPhase::Body;
+        self.0.has_unread_body.store(is_unread, Ordering::Relaxed);
+        self.set_phase(HolderPhase::Answering);
+    }
+
+    /// Whether received bytes may still belong to the body of a request that was answered early.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.0.has_unread_body.load(Ordering::Relaxed)
+    }
+
     /// Records whether the peer takes more bytes.
     pub(crate) fn set_blocked(&self, is_blocked: bool) {
         self.0.is_blocked.store(is_blocked, Ordering::Relaxed);
--- a/components/http/src/metered.rs
+++ b/components/http/src/metered.rs
@@ -9,6 +9,8 @@
 
 /// Part of a head that is charged with its connection, in bytes.
 const FREE_HEAD_BYTES: usize = 8 << 10;
+/// Most bytes that are charged for a head: the largest limit on heads.
+const MAX_HEAD_BYTES: usize = 256 << 10;
 /// Bytes charged per further byte of a head: the buffer grows ahead of it, and the parsed head is copied.
 const HEAD_FACTOR: usize = 2;
 
@@ -35,6 +37,9 @@
     /// Records received bytes. Fails if there is no room for a head.
     fn record_received(&mut self, count: usize) -> Result<()> {
         match self.holder.phase() {
+            // Where a head begins is not known until it is whole: the limit on idle connections holds for it. The rest of
+            // the body is not buffered.
+            HolderPhase::Idle if self.holder.has_unread_body() => {}
             HolderPhase::Idle => {
                 self.holder.set_phase(HolderPhase::Head);
                 self.head_bytes = 0;
@@ -42,7 +47,7 @@
             HolderPhase::Head => {}
             _ => return Ok(()),
         }
-        self.head_bytes = self.head_bytes.saturating_add(count);
+        self.head_bytes = self.head_bytes.saturating_add(count).min(MAX_HEAD_BYTES);
         let bytes = self.head_bytes.saturating_sub(FREE_HEAD_BYTES);
         let charged = self.charge.resize(bytes.saturating_mul(HEAD_FACTOR));
         charged.map_err(|_| Error::from(ErrorKind::OutOfMemory))
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -268,7 +268,7 @@
                     Some(answer) => answer.await,
                     None => head_too_large(),
                 };
-                holder.set_phase(HolderPhase::Answering);
+                holder.record_answered();
                 Ok::<_, Infallible>(res.map(|body| AnswerBody { body, holder }))
             }
         }
