Evict the slowest body when none is stalled

A caller that sent a byte every 250 ms was never stalled and could hold the budget. When evicting stalled holders is not enough, the arriving bodies and heads of at least 2 s that are slower than the one that asks are evicted, the slowest first. Callers of equal rate do not evict each other.

--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -228,6 +228,8 @@
     is_reserved: bool,
     /// Bytes charged to it.
     bytes: AtomicUsize,
+    /// Time at which the phase began, in milliseconds.
+    phase_ms: AtomicU64,
     /// Time of the last progress, in milliseconds.
     progress_ms: AtomicU64,
     /// A [`HolderPhase`]; written only under the lock of `waker`.
@@ -250,6 +252,7 @@
             key,
             is_reserved,
             bytes: AtomicUsize::new(0),
+            phase_ms: AtomicU64::new(as_ms(now)),
             progress_ms: AtomicU64::new(as_ms(now)),
             phase: AtomicU8::new(HolderPhase::Idle as u8),
             is_leaving: AtomicBool::new(false),
@@ -287,6 +290,7 @@
             key: self.key,
             phase: self.phase(),
             bytes: self.bytes.load(Ordering::Relaxed),
+            started_at: Duration::from_millis(self.phase_ms.load(Ordering::Relaxed)),
             progress_at: Duration::from_millis(self.progress_ms.load(Ordering::Relaxed)),
             is_leaving: self.is_leaving.load(Ordering::Acquire),
         }
@@ -404,6 +408,8 @@
         self.0.is_leaving.store(false, Ordering::Release);
         drop(_lock);
         self.record_progress();
+        let now = self.0.progress_ms.load(Ordering::Relaxed);
+        self.0.phase_ms.store(now, Ordering::Relaxed);
     }
 
     pub(crate) fn phase(&self) -> HolderPhase {
@@ -451,6 +457,7 @@
         let Holder {
             phase,
             bytes,
+            started_at,
             progress_at,
             is_leaving,
             ..
@@ -459,6 +466,7 @@
             key: index,
             phase,
             bytes,
+            started_at,
             progress_at,
             is_leaving,
         }
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -20,6 +20,10 @@
 /// The same for an answer that the caller does not read. Longer, as the work for it is done.
 const MIN_UNREAD: Duration = Duration::from_secs(1);
 
+/// Age from which an arriving body may be evicted for its low rate, though it makes progress. Younger ones have not shown
+/// their rate.
+const MIN_RATE_AGE: Duration = Duration::from_secs(2);
+
 /// What a holder of memory is doing, as far as it decides whether it may be evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum HolderPhase {
@@ -64,6 +68,8 @@
     pub phase: HolderPhase,
     /// Bytes that it holds.
     pub bytes: usize,
+    /// Time at which its phase began.
+    pub started_at: Monotonic,
     /// Time at which it last made progress.
     pub progress_at: Monotonic,
     /// Whether it has been evicted and is about to release its memory.
@@ -140,14 +146,19 @@
         let limit = self.limit_of(request.body);
         let mut left = used;
         let mut candidates = Vec::new();
+        let mut arriving = Vec::new();
+        let mut own_rate = usize::MAX;
         for holder in holders {
             if holder.key == request.holder {
+                own_rate = rate(&holder, now);
                 continue;
             }
             if holder.is_leaving {
                 left = left.saturating_sub(holder.bytes);
             } else if is_stalled(&holder, now) {
                 candidates.push(holder);
+            } else {
+                arriving.push((rate(&holder, now), holder));
             }
         }
         if left <= limit {
@@ -163,6 +174,17 @@
             left = left.saturating_sub(holder.bytes);
             evict.push(holder.key);
         }
+        // Callers that send a byte now and then are never stalled. Only slower ones are evicted, so that callers do not
+        // evict each other in turns.
+        arriving.retain(|(rate, _)| *rate < own_rate);
+        arriving.sort_by_key(|(rate, _)| *rate);
+        for (_, holder) in arriving {
+            if left <= limit {
+                break;
+            }
+            left = left.saturating_sub(holder.bytes);
+            evict.push(holder.key);
+        }
         match left <= limit {
             true => Grant::Granted { evict },
             false => Grant::Refused,
@@ -201,6 +223,17 @@
         .collect()
 }
 
+/// Returns the bytes a second that have arrived for a request; the highest value if the rate does not count.
+fn rate<K>(holder: &Holder<K>, now: Monotonic) -> usize {
+    let age = now.saturating_sub(holder.started_at);
+    match holder.phase {
+        HolderPhase::Head | HolderPhase::Body if age >= MIN_RATE_AGE => {
+            (holder.bytes as f64 / age.as_secs_f64()) as usize
+        }
+        _ => usize::MAX,
+    }
+}
+
 fn is_stalled<K>(holder: &Holder<K>, now: Monotonic) -> bool {
     let stall = match holder.phase {
         HolderPhase::Unread => MIN_UNREAD,
--- a/components/policy/tests/memory.rs
+++ b/components/policy/tests/memory.rs
@@ -12,6 +12,7 @@
         key,
         phase,
         bytes,
+        started_at: NOW - Duration::from_millis(quiet_ms),
         progress_at: NOW - Duration::from_millis(quiet_ms),
         is_leaving: false,
     }
@@ -43,6 +44,23 @@
     );
 }
 
+/// Guards against callers that hold the budget by sending a byte now and then, and against callers at full speed that
+/// evict each other in turns.
+#[test]
+fn the_slowest_body_is_evicted_when_none_is_stalled() {
+    let budget = MemoryBudget::new(8 * MIB);
+    let sending = |key, age_s| Holder {
+        started_at: NOW - Duration::from_secs(age_s),
+        ..holder(key, HolderPhase::Body, 3 * MIB, 10)
+    };
+    let holders = [sending(1, 30), sending(2, 60), sending(3, 1), sending(0, 20)];
+    let grant = budget.decide(request(MIB), 9 * MIB, holders, NOW);
+    assert_eq!(grant, Grant::Granted { evict: vec![2] });
+    let holders = [sending(1, 30), sending(2, 60), sending(3, 1), sending(0, 90)];
+    let grant = budget.decide(request(MIB), 9 * MIB, holders, NOW);
+    assert_eq!(grant, Grant::Refused);
+}
+
 /// Guards against evicting more and more holders while the first ones are still releasing their memory.
 #[test]
 fn memory_on_its_way_out_counts_as_free() {
