Refuse a request at once when no connection to a target fits in the memory

A connection to a target that was refused for memory counted as an unreachable target, and the request ended in "no target took the request" after six tries. Idle connections to targets are now closed and the connection tried once more; then the request is refused as overloaded, with the lack of memory as the reason. Opening connections has a module of its own.

--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -38,10 +38,10 @@
     Refusal::not_run(ProblemKind::NoTarget, detail).with_retry_after(QUARANTINE_RETRY_AFTER)
 }
 
-/// Returns the refusal of a request whose body found no room, or lost it to others that made progress. Only whole
-/// bodies are sent to targets.
-fn no_memory_refusal() -> Refusal {
-    let detail = "this host has no memory for the body";
+/// Returns the refusal of a request whose body was evicted or found no room, or for which no connection to a target could
+/// be opened within the memory. Only whole bodies are sent to targets.
+pub(crate) fn no_memory_refusal() -> Refusal {
+    let detail = "this host has no memory for the request";
     Refusal::not_run(ProblemKind::Overloaded, detail).with_retry_after(jittered(NO_MEMORY_RETRY_AFTER, 0.5))
 }
 
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -2,14 +2,14 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http_io::HttpError;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use utils::Monotonic;
 
-use super::connect::{Connection, connect};
+use super::connect::Connection;
 use super::crashes::BrokenAttempt;
+use super::open::{OpenError, open};
 use super::outgoing::{request, strip_connection_headers};
 use super::place::Placed;
 use super::request::Call;
@@ -32,13 +32,13 @@
 /// Pause after another instance has answered at a target's address. The entry of a target that is gone is removed
 /// within this time, and one that is back is another run.
 const OTHER_INSTANCE_PAUSE: Duration = Duration::from_secs(5);
-/// Connections to a target that a host may open regardless of the limits.
-const MIN_CONNECTIONS: usize = 2;
 
 /// The result of an attempt to send a request to a target.
 pub(crate) enum AttemptResult {
     /// No byte of the request reached the target.
     NotSent,
+    /// The host has no memory for a connection to the target. No byte of the request reached it.
+    NoMemory,
     /// The target states that it did not run the request.
     NotRun(AnswerFacts),
     /// The request was sent, and nothing proves that it did not run.
@@ -212,7 +212,7 @@
 ) -> AttemptResult {
     let attempt = send_to_target(cx, call, placed, resume_after).await;
     let result = match &attempt {
-        AttemptResult::NotSent => SendResult::NotSent,
+        AttemptResult::NotSent | AttemptResult::NoMemory => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
         AttemptResult::Unknown(_) | AttemptResult::TimedOut => SendResult::NoAnswer,
         AttemptResult::Withdrawn | AttemptResult::HostEnds => SendResult::Withdrawn,
@@ -229,8 +229,10 @@
     resume_after: Option<String>,
 ) -> AttemptResult {
     let target = placed.target.clone();
-    let Some(mut conn) = open(cx, call, &target).await else {
-        return AttemptResult::NotSent;
+    let mut conn = match open(cx, call, &target).await {
+        Ok(conn) => conn,
+        Err(OpenError::Unavailable) => return AttemptResult::NotSent,
+        Err(OpenError::NoMemory) => return AttemptResult::NoMemory,
     };
     let is_fresh = conn.record_call(call.number);
     let sent_at = cx.now();
@@ -378,68 +380,3 @@
     cx.telemetry
         .replaced_weights_used(&call.id, &exchange.target.instance, age, waited);
 }
-
-/// Takes an idle connection to a target, or opens one within this host's share of the target's limit.
-async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Option<Connection> {
-    let limit = connection_share(cx, call);
-    let (idle, has_room) = cx.with_slot(target, |slot| {
-        let idle = slot.take_idle(call.number, cx.now());
-        let has_room = idle.is_none() && slot.reserve(limit);
-        (idle, has_room)
-    });
-    if idle.is_some() || !has_room {
-        return idle;
-    }
-    let mut reserved = Reserved {
-        cx,
-        target,
-        is_used: false,
-    };
-    match connect(&cx.ex, &cx.resources.memory, target.address).await {
-        Ok(conn) => {
-            reserved.is_used = true;
-            Some(conn)
-        }
-        Err(e) => {
-            slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
-                "request" => &call.id, "target" => &target.instance, "error" => %e);
-            if *e.current_context() != HttpError::NoMemory {
-                let now = cx.now();
-                cx.with_slot(target, |slot| {
-                    slot.load.record_outcome(SendOutcome::Unreachable, now)
-                });
-            }
-            None
-        }
-    }
-}
-
-/// A reserved connection of a target, which is released on drop if no connection was opened.
-struct Reserved<'a> {
-    /// The traffic thread's state.
-    cx: &'a Traffic,
-    /// The target.
-    target: &'a Target,
-    /// Whether a connection was opened for the reservation.
-    is_used: bool,
-}
-
-impl Drop for Reserved<'_> {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.cx.with_slot(self.target, super::pool::TargetSlot::release);
-        }
-    }
-}
-
-/// Returns this host's share of the connections that a target accepts from all hosts, bounded by this host's
-/// sockets.
-fn connection_share(cx: &Traffic, call: &Call) -> usize {
-    let view = cx.view.load();
-    let declared = view.declared.as_ref();
-    let service = declared.and_then(|declared| declared.service(&call.service));
-    let limit = service.map_or(u32::MAX, |service| service.connection_limit) as usize;
-    let targets = view.targets.values().map(Vec::len).sum::<usize>();
-    let sockets = cx.settings.sockets / 2 / targets.max(1);
-    (limit / view.host_count()).min(sockets).max(MIN_CONNECTIONS)
-}
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response};
 use utils::TargetId;
 
-use super::accept::{accept, draining_refusal, quarantined_part_refusal};
+use super::accept::{accept, draining_refusal, no_memory_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange};
 use super::place::{Placed, PlacementError, place, session_for_weights};
@@ -98,6 +98,8 @@
     pub possible_runs: u32,
     /// Unreachable targets.
     unreachable: u32,
+    /// Whether the host had no memory for a connection to a target.
+    lacks_memory: bool,
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
@@ -127,6 +129,7 @@
     pub(crate) fn record(&mut self, placed: &Placed, attempt: &AttemptResult) {
         match attempt {
             AttemptResult::NotSent => self.unreachable += 1,
+            AttemptResult::NoMemory => self.lacks_memory = true,
             AttemptResult::NotRun(_) => self.sends += 1,
             AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
@@ -152,6 +155,9 @@
                 "a target took the request and did not answer",
             );
         }
+        if self.lacks_memory {
+            return no_memory_refusal();
+        }
         if cx.view.load().has_quarantined(&call.shared_parts) {
             return quarantined_part_refusal();
         }
@@ -211,6 +217,7 @@
         attempts.record(&placed, &attempt);
         match attempt {
             AttemptResult::NotSent | AttemptResult::NotRun(_) | AttemptResult::Withdrawn => {}
+            AttemptResult::NoMemory => break,
             AttemptResult::Unknown(broken) => record_crash(cx, &call, &placed.target, broken),
             AttemptResult::TimedOut => {
                 return refuse(
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -81,6 +81,14 @@
         });
     }
 
+    /// Closes the idle connection that has not been used for longest.
+    pub(crate) fn close_oldest_idle(&mut self) {
+        if !self.idle.is_empty() {
+            self.idle.remove(0);
+            self.release();
+        }
+    }
+
     /// Closes the idle connections that may no longer be used.
     pub(crate) fn close_expired(&mut self, now: Monotonic) {
         let before = self.idle.len();
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -243,7 +243,7 @@
                 AttemptResult::Unknown(broken) => {
                     record_crash(&self.cx, &self.call, &placed.target, broken);
                 }
-                AttemptResult::TimedOut | AttemptResult::HostEnds => return false,
+                AttemptResult::NoMemory | AttemptResult::TimedOut | AttemptResult::HostEnds => return false,
                 AttemptResult::Answered(answer) => {
                     // Anything but events would reach the caller in the middle of the stream.
                     if !answer.parts.status.is_success() || !may_have_events(&answer.parts.headers) {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -183,6 +183,12 @@
         f(self.routing().slots.entry(target.run.clone()).or_default())
     }
 
+    /// Closes one idle connection to each target, to release its memory.
+    pub(crate) fn close_oldest_idle(&self) {
+        let mut routing = self.routing();
+        routing.slots.values_mut().for_each(TargetSlot::close_oldest_idle);
+    }
+
     /// Records the load that an engine reported at time `at`.
     pub(crate) fn record_report(&self, run: &TargetId, load: ReportedLoad, at: Monotonic) {
         let mut routing = self.routing();
