Apply a lowered limit on heads to open connections

The limit was read when a connection opened, so that a lower max_header_bytes held only for new connections. It is now read for each request.

--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -252,9 +252,12 @@
 ) {
     let max_head_bytes = cfg.limits.as_ref().map(|limits| limits.head_bytes());
     let service = service_fn({
-        let (holder, memory) = (holder.clone(), cfg.memory.clone());
+        let (holder, memory, limits) = (holder.clone(), cfg.memory.clone(), cfg.limits.clone());
         move |req| {
-            let is_too_large = max_head_bytes.is_some_and(|max| head_bytes(&req) > max);
+            // The limit can have been lowered since the connection opened.
+            let is_too_large = limits
+                .as_ref()
+                .is_some_and(|limits| head_bytes(&req) > limits.head_bytes());
             let answer = match is_too_large {
                 true => {
                     memory.record(Shortage::HeadTooLarge);
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -254,3 +254,18 @@
         assert_eq!(running.memory.count(Shortage::HeadLate), 0);
     });
 }
+
+/// Guards against a lowered limit on heads that open connections do not obey.
+#[test]
+fn a_lowered_limit_on_heads_holds_for_open_connections() {
+    serve(100, async |running| {
+        let mut stream = send(running.addr, "content-length: 1", 1).await;
+        assert!(receive(&mut stream).await.ends_with("read 1"));
+        let minute = Duration::from_secs(60);
+        running.limits.set(2_000, minute, minute);
+        let padding = "x".repeat(3_000);
+        let request = format!("POST / HTTP/1.1\r\nhost: t\r\npadding: {padding}\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        assert!(receive(&mut stream).await.starts_with("HTTP/1.1 431"));
+    });
+}
