Bound the connections of a draining host by one share

During a drain the second listener of callers had a full share of its own next to the connections that still had requests. It now gets what is left.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -197,11 +197,10 @@
     let ex = traffic.ex.clone();
     let cfg = traffic.resources.for_callers();
     let late_callers = callers.try_clone().change_context(HttpError::Listen)?;
-    let callers = Server::from_std(callers, cfg.clone())?;
-    let late_callers = Server::from_std(late_callers, cfg)?;
+    let callers = Server::from_std(callers, cfg)?;
     let readiness = Server::from_std(readiness, traffic.resources.for_readiness())?;
     let answer = handler(traffic.clone(), |cx, req| Box::pin(serve(cx, req)));
-    let ready = handler(traffic, |cx, req| {
+    let ready = handler(traffic.clone(), |cx, req| {
         Box::pin(async move { readiness_of(&cx, req.uri().path()) })
     });
     let ShutdownSignals {
@@ -215,12 +214,21 @@
             callers.run_or_abort(ex.clone(), answer.clone(), stop_keep_alive.clone(), abort.clone());
         let keep_alive = ex.spawn(keep_alive);
         let _ = stop_keep_alive.recv().await;
-        late_callers.run_or_abort(ex.clone(), answer, stop, abort).await;
+        // The connections of the first listener stay open as long as their requests.
+        let open = traffic.in_flight.load(Ordering::Acquire);
+        let late_callers = Server::from_std(late_callers, traffic.resources.for_late_callers(open));
+        let late_callers = match late_callers {
+            Ok(server) => {
+                server.run_or_abort(ex.clone(), answer, stop, abort).await;
+                Ok(())
+            }
+            Err(e) => Err(e),
+        };
         keep_alive.await;
         readiness.await;
+        late_callers
     };
-    smol::block_on(ex.run(run));
-    Ok(())
+    smol::block_on(ex.run(run))
 }
 
 fn handler(
--- a/components/gateway/src/resources.rs
+++ b/components/gateway/src/resources.rs
@@ -131,6 +131,15 @@
         }
     }
 
+    /// Returns the settings of the callers' listener during a drain, in place of the one whose connections still have
+    /// `open` requests.
+    pub(crate) fn for_late_callers(&self, open: usize) -> ServerConfig {
+        ServerConfig {
+            max_connections: self.shares.callers.saturating_sub(open).max(MIN_CONNECTIONS),
+            ..self.for_callers()
+        }
+    }
+
     /// Returns the settings of the listener for readiness checks and metrics.
     pub(crate) fn for_readiness(&self) -> ServerConfig {
         ServerConfig {
