Name evictions and refusals in logs and pages by their kind

The one log line for all kinds called late heads and idle connections refused for want of memory. Each kind now has a message of its own, and comments, events and pages say evicted and closed.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -363,7 +363,7 @@
     pub const BODY_EVICTED: Event = event(
         5040,
         "body_evicted",
-        "Request bodies that had made no progress gave their memory to others; gives their number. They were not run.",
+        "Request bodies that made no or the least progress were evicted to free memory; gives their number. They were not run.",
     );
     pub const NO_MEMORY: Event = event(
         5041,
@@ -373,7 +373,7 @@
     pub const CONNECTIONS_CLOSED: Event = event(
         5042,
         "connections_closed",
-        "Connections without a whole request were closed, or new ones refused, for want of memory or descriptors.",
+        "Connections without a whole request were closed, or new ones refused, for lack of memory or descriptors.",
     );
     pub const ANSWER_UNREAD: Event = event(
         5043,
--- a/components/gateway/src/resources.rs
+++ b/components/gateway/src/resources.rs
@@ -114,7 +114,7 @@
             let count = self.memory.count(kind);
             let new = count.saturating_sub(std::mem::replace(logged, count));
             if let Some(event) = event_of(kind).filter(|_| new > 0) {
-                warn!(log, "refused for want of memory or connections"; event,
+                warn!(log, "{}", message_of(kind); event,
                     "kind" => kind.as_str(), "count" => new, "used" => self.memory.used(),
                     "budget" => self.memory.capacity(), "connections" => self.memory.connections());
             }
@@ -168,6 +168,22 @@
     }
 }
 
+/// Returns the message that a kind of refusal is logged with.
+fn message_of(kind: Shortage) -> &'static str {
+    match kind {
+        Shortage::BodyEvicted => "evicted request bodies to free memory",
+        Shortage::NoRoom => "refused bodies or answers for lack of memory",
+        Shortage::ConnectionClosed => {
+            "closed connections without a whole request to free memory or connections"
+        }
+        Shortage::ConnectionRefused => "refused new connections for lack of memory or connections",
+        Shortage::AnswerUnread => "closed connections with unread answers to free memory or connections",
+        Shortage::IdleExpired => "closed idle connections at their time limit",
+        Shortage::HeadLate => "closed connections whose heads did not arrive in time",
+        Shortage::HeadTooLarge => "refused requests with heads over the limit",
+    }
+}
+
 /// Returns the event that a kind of refusal is logged with.
 fn event_of(kind: Shortage) -> Option<Event> {
     let event = match kind {
--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -296,7 +296,7 @@
         }
     }
 
-    /// Takes the memory away unless the holder has come to a phase that keeps it.
+    /// Evicts the holder unless it has come to a phase that is not evicted.
     fn evict(&self) {
         let kind = match self.phase() {
             HolderPhase::Body => Shortage::BodyEvicted,
@@ -373,7 +373,7 @@
         self.set_phase(HolderPhase::Running);
     }
 
-    /// Whether the memory was taken away.
+    /// Whether the connection was evicted.
     pub(crate) fn is_evicted(&self) -> bool {
         self.0.is_leaving.load(Ordering::Acquire)
     }
@@ -384,7 +384,7 @@
         self.is_evicted() && !answers
     }
 
-    /// Takes the memory away unless the connection has a request that may run or an answer that makes progress. Its
+    /// Evicts the connection unless it has a request that may run or an answer that makes progress. Its
     /// task then refuses the request or closes the connection.
     pub(crate) fn evict(&self) {
         self.0.evict();
@@ -444,7 +444,7 @@
         self.0.is_blocked.store(is_blocked, Ordering::Relaxed);
     }
 
-    /// Records the task that is woken when the memory is taken away.
+    /// Records the task that is woken when the connection is evicted.
     pub(crate) fn register(&self, waker: &Waker) {
         let mut registered = self.0.lock();
         if !registered.as_ref().is_some_and(|known| known.will_wake(waker)) {
--- a/components/http/src/held.rs
+++ b/components/http/src/held.rs
@@ -247,7 +247,7 @@
 ///
 /// # Errors
 /// [`HttpError::TooLarge`] if the body exceeds the limit, [`HttpError::NoMemory`] if the budget is used up or the
-/// memory was taken away, [`HttpError::Interrupted`] if the body ends early.
+/// body was evicted, [`HttpError::Interrupted`] if the body ends early.
 pub async fn read_held<B>(
     mut body: B,
     limit: usize,
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -303,7 +303,7 @@
     }
 }
 
-/// Runs a connection until it ends or its memory is taken away. Dropping it closes the socket.
+/// Runs a connection until it ends or is evicted. Dropping it closes the socket.
 async fn until_closed(holder: &MemoryHolder, mut conn: Pin<&mut impl Future>) {
     std::future::poll_fn(|cx| {
         holder.register(cx.waker());
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -1,4 +1,4 @@
-//! The memory account at work: bodies that are refused, evicted or released, and connections that make way.
+//! The memory account at work: bodies that are refused, evicted or released, and connections that are closed for new ones.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -264,7 +264,8 @@
         let minute = Duration::from_secs(60);
         running.limits.set(2_000, minute, minute);
         let padding = "x".repeat(3_000);
-        let request = format!("POST / HTTP/1.1\r\nhost: t\r\npadding: {padding}\r\ncontent-length: 0\r\n\r\n");
+        let request =
+            format!("POST / HTTP/1.1\r\nhost: t\r\npadding: {padding}\r\ncontent-length: 0\r\n\r\n");
         stream.write_all(request.as_bytes()).await.unwrap();
         assert!(receive(&mut stream).await.starts_with("HTTP/1.1 431"));
     });
--- a/components/policy/tests/memory.rs
+++ b/components/policy/tests/memory.rs
@@ -93,7 +93,7 @@
 
 /// Guards against closing a connection with a request when an idle one is open.
 #[test]
-fn the_longest_idle_connection_makes_way_for_a_new_one() {
+fn the_longest_idle_connection_is_closed_for_a_new_one() {
     let busy = holder(1, HolderPhase::Running, 0, 9_000);
     let head = holder(2, HolderPhase::Head, 0, 8_000);
     let idle = [
