--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -165,7 +165,7 @@
     fn add_parts(&mut self, bytes: Bytes) {
         match bytes.len() {
             0 => {}
-            ..=PART_BYTES => self.parts.push_back(bytes),
+            1..=PART_BYTES => self.parts.push_back(bytes),
             _ => self
                 .parts
                 .extend(bytes.chunks(PART_BYTES).map(Bytes::copy_from_slice)),
