--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -9,7 +9,7 @@
 
 use super::connect::Connection;
 use super::crashes::BrokenAttempt;
-use super::open::open;
+use super::open::{OpenError, open};
 use super::outgoing::{request, strip_connection_headers};
 use super::place::Placed;
 use super::request::Call;
@@ -39,6 +39,8 @@
     NotSent,
     /// The target is cold, and this host may not send to it any more. No byte of the request reached it.
     NoPermit,
+    /// The host has no memory for a connection to the target. No byte of the request reached it.
+    NoMemory,
     /// The target states that it did not run the request.
     NotRun(AnswerFacts),
     /// The request was sent, and nothing proves that it did not run.
@@ -220,7 +222,7 @@
 ) -> AttemptResult {
     let attempt = send_to_target(cx, call, placed, resume_after).await;
     let result = match &attempt {
-        AttemptResult::NotSent | AttemptResult::NoPermit => SendResult::NotSent,
+        AttemptResult::NotSent | AttemptResult::NoPermit | AttemptResult::NoMemory => SendResult::NotSent,
         AttemptResult::NotRun(_) => SendResult::NotRun,
         AttemptResult::Unknown(_) | AttemptResult::TimedOut => SendResult::NoAnswer,
         AttemptResult::Withdrawn | AttemptResult::HostEnds => SendResult::Withdrawn,
@@ -237,8 +239,10 @@
     resume_after: Option<String>,
 ) -> AttemptResult {
     let target = placed.target.clone();
-    let Some(conn) = open(cx, call, &target).await else {
-        return AttemptResult::NotSent;
+    let conn = match open(cx, call, &target).await {
+        Ok(conn) => conn,
+        Err(OpenError::Unavailable) => return AttemptResult::NotSent,
+        Err(OpenError::NoMemory) => return AttemptResult::NoMemory,
     };
     let sent_at = cx.now();
     cx.with_slot(&target, |slot| slot.load.record_start(placed.work, sent_at));
--- a/components/gateway/src/traffic/open.rs
+++ b/components/gateway/src/traffic/open.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use error_stack::Report;
+use errors::events;
 use http_io::HttpError;
 
 use super::connect::{Connection, connect};
@@ -14,8 +15,17 @@
 /// Connections to a target that a host may open regardless of the limits.
 const MIN_CONNECTIONS: usize = 2;
 
+/// Reason why there is no connection to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OpenError {
+    /// The target can not be reached, or has no connection left for this host.
+    Unavailable,
+    /// The host has no memory for a connection. This says nothing about the target.
+    NoMemory,
+}
+
 /// Takes an idle connection to a target, or opens one within this host's share of the target's limit.
-pub(super) async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Option<Connection> {
+pub(super) async fn open(cx: &Arc<Traffic>, call: &Call, target: &Target) -> Result<Connection, OpenError> {
     let limit = connection_share(cx, call);
     let now = cx.now();
     let (idle, has_room, has_lost_idle) = cx.with_slot(target, |slot| {
@@ -27,34 +37,42 @@
         cx.record_cold_failure(target, now);
     }
     if idle.is_some() || !has_room {
-        return idle;
+        return idle.ok_or(OpenError::Unavailable);
     }
     let mut reserved = Reserved {
         cx,
         target,
         is_used: false,
     };
-    match connect(&cx.ex, &cx.resources.memory, target.address).await {
+    let mut opened = connect(&cx.ex, &cx.resources.memory, target.address).await;
+    if opened.as_ref().is_err_and(is_for_memory) {
+        cx.close_oldest_idle();
+        opened = connect(&cx.ex, &cx.resources.memory, target.address).await;
+    }
+    let e = match opened {
         Ok(conn) => {
             reserved.is_used = true;
-            Some(conn)
-        }
-        Err(e) => {
-            slog::debug!(cx.log, "failed to connect to the target"; errors::events::ROUTE_ATTEMPT_FAILED,
-                "request" => &call.id, "target" => &target.instance, "error" => %e);
-            if *e.current_context() == HttpError::NoMemory {
-                return None;
-            }
-            let now = cx.now();
-            cx.with_slot(target, |slot| {
-                slot.load.record_outcome(SendOutcome::Unreachable, now)
-            });
-            if shows_restart(&e) {
-                cx.record_cold_failure(target, now);
-            }
-            None
+            return Ok(conn);
         }
+        Err(e) => e,
+    };
+    slog::debug!(cx.log, "failed to connect to the target"; events::ROUTE_ATTEMPT_FAILED,
+        "request" => &call.id, "target" => &target.instance, "error" => %e);
+    if is_for_memory(&e) {
+        return Err(OpenError::NoMemory);
     }
+    let now = cx.now();
+    cx.with_slot(target, |slot| {
+        slot.load.record_outcome(SendOutcome::Unreachable, now)
+    });
+    if shows_restart(&e) {
+        cx.record_cold_failure(target, now);
+    }
+    Err(OpenError::Unavailable)
+}
+
+fn is_for_memory(e: &Report<HttpError>) -> bool {
+    *e.current_context() == HttpError::NoMemory
 }
 
 /// Whether a failure to connect shows that the target does not run. A lack of sockets at this host, a route of its own
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response};
 use utils::TargetId;
 
-use super::accept::{accept, draining_refusal, quarantined_part_refusal};
+use super::accept::{accept, draining_refusal, no_memory_refusal, quarantined_part_refusal};
 use super::crashes::{may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, exchange};
 use super::exclusion::Exclusion;
@@ -96,6 +96,8 @@
     unreachable: u32,
     /// Sends that were given up because the target was cold and this host's quota used.
     without_permit: u32,
+    /// Whether the host had no memory for a connection to a target.
+    lacks_memory: bool,
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
@@ -136,6 +138,7 @@
                 self.without_permit += 1;
                 return;
             }
+            AttemptResult::NoMemory => self.lacks_memory = true,
             AttemptResult::NotRun(_) => self.sends += 1,
             AttemptResult::Unknown(_)
             | AttemptResult::TimedOut
@@ -161,6 +164,9 @@
                 "a target took the request and did not answer",
             );
         }
+        if self.lacks_memory {
+            return no_memory_refusal();
+        }
         if cx.view.load().has_quarantined(&call.shared_parts) {
             return quarantined_part_refusal();
         }
@@ -219,6 +225,7 @@
             | AttemptResult::NoPermit
             | AttemptResult::NotRun(_)
             | AttemptResult::Withdrawn => {}
+            AttemptResult::NoMemory => break,
             AttemptResult::Unknown(broken) => record_crash(cx, &call, &placed.target, broken),
             AttemptResult::TimedOut => {
                 return refuse(
--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -141,11 +141,25 @@
 
     /// Charges a new connection. The caller counts a refusal.
     pub(crate) fn open(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.add_holder(false)?;
+        self.charge(&holder.0, CONNECTION_BYTES, 0)?;
+        Ok(holder)
+    }
+
+    /// Charges a new connection that is accepted without room in the budget, and that is not evicted while idle.
+    pub(crate) fn open_reserved(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.add_holder(true)?;
+        self.used.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
+        holder.0.bytes.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
+        Ok(holder)
+    }
+
+    fn add_holder(self: &Arc<Self>, is_reserved: bool) -> Result<MemoryHolder, OutOfMemory> {
         let state = {
             let mut holders = self.holders();
             let mut opened = None;
             holders.insert_with_key(|key| {
-                let state = Arc::new(HolderState::new(self.clone(), key));
+                let state = Arc::new(HolderState::new(self.clone(), key, is_reserved));
                 let weak = Arc::downgrade(&state);
                 opened = Some(state);
                 weak
@@ -153,9 +167,7 @@
             opened.ok_or(OutOfMemory)?
         };
         self.connections.fetch_add(1, Ordering::Relaxed);
-        let holder = MemoryHolder(state);
-        self.charge(&holder.0, CONNECTION_BYTES, CONNECTION_BYTES)?;
-        Ok(holder)
+        Ok(MemoryHolder(state))
     }
 
     /// Charges a connection that this process opens. It is never evicted.
@@ -168,13 +180,13 @@
         Ok(holder)
     }
 
-    /// Charges bytes to a holder that has, or is known to need, `total` bytes.
-    fn charge(&self, holder: &HolderState, bytes: usize, total: usize) -> Result<(), OutOfMemory> {
+    /// Charges bytes to a holder whose arriving body has, or is known to need, `body` bytes.
+    fn charge(&self, holder: &HolderState, bytes: usize, body: usize) -> Result<(), OutOfMemory> {
         let used = self
             .used
             .fetch_add(bytes, Ordering::Relaxed)
             .saturating_add(bytes);
-        if self.budget.has_room(used, total) || self.make_room(holder, total) {
+        if self.budget.has_room(used, body) || self.make_room(holder, body) {
             holder.bytes.fetch_add(bytes, Ordering::Relaxed);
             return Ok(());
         }
@@ -184,14 +196,15 @@
 
     /// Evicts holders so that all have room; returns false if that is not possible.
     #[cold]
-    fn make_room(&self, holder: &HolderState, total: usize) -> bool {
+    fn make_room(&self, holder: &HolderState, body: usize) -> bool {
         // The states are dropped after the lock is released, as dropping the last reference takes it again.
         let open: Vec<Arc<HolderState>> = self.holders().values().filter_map(Weak::upgrade).collect();
         let request = MemoryRequest {
             holder: holder.key,
-            total,
+            body,
         };
-        let holders = open.iter().map(|state| state.describe());
+        let holders = open.iter().filter(|state| !state.is_kept_idle());
+        let holders = holders.map(|state| state.describe());
         match self.budget.decide(request, self.used(), holders, self.now()) {
             Grant::Refused => false,
             Grant::Granted { evict } => {
@@ -211,8 +224,12 @@
 struct HolderState {
     account: Arc<MemoryAccount>,
     key: HolderKey,
+    /// Whether its listener has connections of its own, which are not evicted while idle.
+    is_reserved: bool,
     /// Bytes charged to it.
     bytes: AtomicUsize,
+    /// Time at which the phase began, in milliseconds.
+    phase_ms: AtomicU64,
     /// Time of the last progress, in milliseconds.
     progress_ms: AtomicU64,
     /// A [`HolderPhase`]; written only under the lock of `waker`.
@@ -221,21 +238,26 @@
     is_leaving: AtomicBool,
     /// Whether the peer takes no more bytes.
     is_blocked: AtomicBool,
+    /// Whether the last request was answered before its body had arrived, so that the next bytes may belong to it.
+    has_unread_body: AtomicBool,
     /// Wakes the connection's task.
     waker: Mutex<Option<Waker>>,
 }
 
 impl HolderState {
-    fn new(account: Arc<MemoryAccount>, key: HolderKey) -> Self {
+    fn new(account: Arc<MemoryAccount>, key: HolderKey, is_reserved: bool) -> Self {
         let now = account.now();
         Self {
             account,
             key,
+            is_reserved,
             bytes: AtomicUsize::new(0),
+            phase_ms: AtomicU64::new(as_ms(now)),
             progress_ms: AtomicU64::new(as_ms(now)),
             phase: AtomicU8::new(HolderPhase::Idle as u8),
             is_leaving: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             waker: Mutex::default(),
         }
     }
@@ -249,17 +271,32 @@
         }
     }
 
+    /// Whether it is idle and keeps its connection when memory is short.
+    fn is_kept_idle(&self) -> bool {
+        self.is_reserved && self.phase() == HolderPhase::Idle
+    }
+
+    /// Returns the size of the body if it is that of a request that arrives. Answers, and all that running requests
+    /// need, may use the whole budget, as refusing them loses work.
+    fn body_of(&self, size: usize) -> usize {
+        match self.phase() {
+            HolderPhase::Body => size,
+            _ => 0,
+        }
+    }
+
     fn describe(&self) -> Holder<HolderKey> {
         Holder {
             key: self.key,
             phase: self.phase(),
             bytes: self.bytes.load(Ordering::Relaxed),
+            started_at: Duration::from_millis(self.phase_ms.load(Ordering::Relaxed)),
             progress_at: Duration::from_millis(self.progress_ms.load(Ordering::Relaxed)),
             is_leaving: self.is_leaving.load(Ordering::Acquire),
         }
     }
 
-    /// Takes the memory away unless the holder has come to a phase that keeps it.
+    /// Evicts the holder unless it has come to a phase that is not evicted.
     fn evict(&self) {
         let kind = match self.phase() {
             HolderPhase::Body => Shortage::BodyEvicted,
@@ -307,7 +344,7 @@
     /// Returns a holder that is never refused, for requests that no server has received.
     pub fn unlimited() -> Self {
         let account = MemoryAccount::unlimited();
-        let state = HolderState::new(account.clone(), HolderKey::default());
+        let state = HolderState::new(account.clone(), HolderKey::default(), false);
         account.connections.fetch_add(1, Ordering::Relaxed);
         Self(Arc::new(state))
     }
@@ -330,8 +367,8 @@
     }
 
     /// Checks that a body of this size has room now, and evicts others for it. Charges nothing.
-    pub(crate) fn check_room(&self, total: usize) -> Result<(), OutOfMemory> {
-        let checked = self.0.account.charge(&self.0, 0, total);
+    pub(crate) fn check_room(&self, size: usize) -> Result<(), OutOfMemory> {
+        let checked = self.0.account.charge(&self.0, 0, self.0.body_of(size));
         checked.inspect_err(|_| self.0.account.record(Shortage::NoRoom))
     }
 
@@ -340,7 +377,7 @@
         self.set_phase(HolderPhase::Running);
     }
 
-    /// Whether the memory was taken away.
+    /// Whether the connection was evicted.
     pub(crate) fn is_evicted(&self) -> bool {
         self.0.is_leaving.load(Ordering::Acquire)
     }
@@ -351,7 +388,7 @@
         self.is_evicted() && !answers
     }
 
-    /// Takes the memory away unless the connection has a request that may run or an answer that makes progress. Its
+    /// Evicts the connection unless it has a request that may run or an answer that makes progress. Its
     /// task then refuses the request or closes the connection.
     pub(crate) fn evict(&self) {
         self.0.evict();
@@ -375,6 +412,8 @@
         self.0.is_leaving.store(false, Ordering::Release);
         drop(_lock);
         self.record_progress();
+        let now = self.0.progress_ms.load(Ordering::Relaxed);
+        self.0.phase_ms.store(now, Ordering::Relaxed);
     }
 
     pub(crate) fn phase(&self) -> HolderPhase {
@@ -392,12 +431,24 @@
         self.0.progress_ms.store(now, Ordering::Relaxed);
     }
 
+    /// Records that the handler has answered.
+    pub(crate) fn record_answered(&self) {
+        let is_unread = self.0.phase() == HolderPhase::Body;
+        self.0.has_unread_body.store(is_unread, Ordering::Relaxed);
+        self.set_phase(HolderPhase::Answering);
+    }
+
+    /// Whether received bytes may still belong to the body of a request that was answered early.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.0.has_unread_body.load(Ordering::Relaxed)
+    }
+
     /// Records whether the peer takes more bytes.
     pub(crate) fn set_blocked(&self, is_blocked: bool) {
         self.0.is_blocked.store(is_blocked, Ordering::Relaxed);
     }
 
-    /// Records the task that is woken when the memory is taken away.
+    /// Records the task that is woken when the connection is evicted.
     pub(crate) fn register(&self, waker: &Waker) {
         let mut registered = self.0.lock();
         if !registered.as_ref().is_some_and(|known| known.will_wake(waker)) {
@@ -410,6 +461,7 @@
         let Holder {
             phase,
             bytes,
+            started_at,
             progress_at,
             is_leaving,
             ..
@@ -418,6 +470,7 @@
             key: index,
             phase,
             bytes,
+            started_at,
             progress_at,
             is_leaving,
         }
@@ -446,9 +499,13 @@
     /// # Errors
     /// [`OutOfMemory`] if the budget is used up and nothing may be evicted; nothing is charged then.
     pub fn grow(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
+        // Reserved connections can bring the account over its budget, and need no more memory for an ordinary head.
+        if bytes == 0 {
+            return Ok(());
+        }
         let state = &self.holder.0;
-        let total = state.bytes.load(Ordering::Relaxed).saturating_add(bytes);
-        let charged = state.account.charge(state, bytes, total);
+        let body = state.body_of(self.bytes.saturating_add(bytes));
+        let charged = state.account.charge(state, bytes, body);
         charged.inspect_err(|_| state.account.record(Shortage::NoRoom))?;
         self.bytes += bytes;
         Ok(())
--- a/components/http/src/held.rs
+++ b/components/http/src/held.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Frame, SizeHint};
+use hyper::body::{Frame, SizeHint};
 
 use crate::account::{Charge, MemoryHolder};
 use crate::{Body, HttpError};
@@ -30,6 +30,16 @@
 }
 
 impl HeldBody {
+    /// Returns a body without bytes.
+    pub fn empty(holder: &MemoryHolder) -> Self {
+        Self {
+            blocks: VecDeque::new(),
+            len: 0,
+            charge: holder.charge(),
+            releases_parts: false,
+        }
+    }
+
     /// Charges bytes that are already in memory to a connection, in parts that are written one by one.
     ///
     /// # Errors
@@ -74,13 +84,13 @@
         if self.blocks.len() <= 1 {
             return Ok((self.blocks.pop_front().unwrap_or_default(), self.charge));
         }
-        let held = self.len.next_multiple_of(BLOCK_BYTES);
         self.charge.grow(self.len).change_context(HttpError::NoMemory)?;
         let mut joined = Vec::with_capacity(self.len);
         while let Some(block) = self.blocks.pop_front() {
             joined.extend_from_slice(&block);
         }
-        self.charge.shrink(held);
+        // The charge only shrinks here.
+        let _ = self.charge.resize(self.len);
         Ok((joined.into(), self.charge))
     }
 
@@ -129,53 +139,6 @@
     }
 }
 
-/// Charges a body of known size to a connection until it is written. The connection copies it into its own buffer.
-///
-/// # Errors
-/// [`HttpError::NoMemory`] if the budget is used up.
-pub fn charge_body(body: Body, holder: &MemoryHolder) -> Result<Body, Report<HttpError>> {
-    let size = body.size_hint().exact().unwrap_or(0);
-    if size <= BLOCK_BYTES as u64 {
-        return Ok(body);
-    }
-    let size = usize::try_from(size).unwrap_or(usize::MAX);
-    let mut charge = holder.charge();
-    charge
-        .grow(size.saturating_mul(2))
-        .change_context(HttpError::NoMemory)?;
-    let body = ChargedBody {
-        body,
-        _charge: charge,
-    };
-    Ok(BodyExt::boxed_unsync(body))
-}
-
-/// A body with its charge.
-struct ChargedBody {
-    body: Body,
-    _charge: Charge,
-}
-
-impl hyper::body::Body for ChargedBody {
-    type Data = Bytes;
-    type Error = HttpError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, HttpError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A body whose parts stay held for another send.
 struct SharedParts {
     held: Arc<HeldBody>,
@@ -256,8 +219,8 @@
     }
 
     fn start_block(&mut self, needed: usize) -> Result<(), crate::OutOfMemory> {
-        let is_first = self.full.is_empty();
-        let size = match is_first {
+        let is_sized = self.announced > 0 || self.full.is_empty();
+        let size = match is_sized {
             true => self.announced.max(needed).clamp(FIRST_BLOCK_BYTES, BLOCK_BYTES),
             false => BLOCK_BYTES,
         };
@@ -284,7 +247,7 @@
 ///
 /// # Errors
 /// [`HttpError::TooLarge`] if the body exceeds the limit, [`HttpError::NoMemory`] if the budget is used up or the
-/// memory was taken away, [`HttpError::Interrupted`] if the body ends early.
+/// body was evicted, [`HttpError::Interrupted`] if the body ends early.
 pub async fn read_held<B>(
     mut body: B,
     limit: usize,
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -56,6 +56,9 @@
     pub memory: Arc<MemoryAccount>,
     /// Maximum number of open connections. A new one closes those that have been idle for longest.
     pub max_connections: usize,
+    /// Whether connections are accepted without room in the memory budget and are not evicted while idle. Only for
+    /// listeners of the system itself whose `max_connections` is small. Bodies are refused as on other listeners.
+    pub is_reserved: bool,
     /// Size of the kernel's buffers of each connection, in bytes; `None` lets them grow to megabytes while the process
     /// is slower than its peers.
     pub socket_buffer_bytes: Option<usize>,
@@ -71,6 +74,7 @@
             limits: None,
             memory: MemoryAccount::unlimited(),
             max_connections: usize::MAX,
+            is_reserved: false,
             socket_buffer_bytes: None,
         }
     }
@@ -243,9 +247,12 @@
 ) {
     let max_head_bytes = cfg.limits.as_ref().map(|limits| limits.head_bytes());
     let service = service_fn({
-        let (holder, memory) = (holder.clone(), cfg.memory.clone());
+        let (holder, memory, limits) = (holder.clone(), cfg.memory.clone(), cfg.limits.clone());
         move |req| {
-            let is_too_large = max_head_bytes.is_some_and(|max| head_bytes(&req) > max);
+            // The limit can have been lowered since the connection opened.
+            let is_too_large = limits
+                .as_ref()
+                .is_some_and(|limits| head_bytes(&req) > limits.head_bytes());
             let answer = match is_too_large {
                 true => {
                     memory.record(Shortage::HeadTooLarge);
@@ -259,7 +266,7 @@
                     Some(answer) => answer.await,
                     None => head_too_large(),
                 };
-                holder.set_phase(HolderPhase::Answering);
+                holder.record_answered();
                 Ok::<_, Infallible>(res.map(|body| AnswerBody { body, holder }))
             }
         }
@@ -291,7 +298,7 @@
     }
 }
 
-/// Runs a connection until it ends or its memory is taken away. Dropping it closes the socket.
+/// Runs a connection until it ends or is evicted. Dropping it closes the socket.
 async fn until_closed(holder: &MemoryHolder, mut conn: Pin<&mut impl Future>) {
     std::future::poll_fn(|cx| {
         holder.register(cx.waker());
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -1,4 +1,4 @@
-//! The memory account at work: bodies that are refused, evicted or released, and connections that make way.
+//! The memory account at work: bodies that are refused, evicted or released, and connections that are closed for new ones.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,7 +7,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_io::{
     ConnectionLimits, Executor, Handler, HttpError, MemoryAccount, MemoryHolder, Server, ServerConfig,
-    Shortage, full_body, read_request, shutdown_channel,
+    Shortage, full_body, read_held, read_request, shutdown_channel,
 };
 use hyper::Response;
 use policy::MemoryBudget;
@@ -26,6 +26,10 @@
 
 /// Runs a server that answers with the length of the body, or the error that reading it gave.
 fn serve(max_connections: usize, test: impl AsyncFnOnce(&Running)) {
+    serve_as(max_connections, false, test);
+}
+
+fn serve_as(max_connections: usize, is_reserved: bool, test: impl AsyncFnOnce(&Running)) {
     let ex: Executor = Arc::new(smol::Executor::new());
     let memory = MemoryAccount::new(MemoryBudget::new(1 << 20));
     let limits = ConnectionLimits::new(10_000, Duration::from_secs(60), Duration::from_secs(60));
@@ -34,6 +38,7 @@
         memory: memory.clone(),
         limits: Some(limits.clone()),
         max_connections,
+        is_reserved,
         ..ServerConfig::default()
     };
     let server = Server::bind(([127, 0, 0, 1], 0).into(), cfg).unwrap();
@@ -44,6 +49,9 @@
     };
     let handler: Handler = Arc::new(|req| {
         Box::pin(async move {
+            if req.headers().contains_key("refuse") {
+                return Response::new(full_body("refused"));
+            }
             let holder = MemoryHolder::of(&req);
             let read = read_request(req.into_body(), MAX_BODY, &holder).await;
             let text = match read {
@@ -185,3 +193,80 @@
         assert_eq!(running.memory.count(Shortage::HeadLate), 1);
     });
 }
+
+/// Guards against readiness checks and messages between hosts that fail because callers use up the budget.
+#[test]
+fn reserved_connections_are_kept_and_accepted_without_room() {
+    serve_as(100, true, async |running| {
+        let mut idle = send(running.addr, "content-length: 1", 1).await;
+        assert!(receive(&mut idle).await.ends_with("read 1"));
+        smol::Timer::after(STALL).await;
+        let mut held = Vec::new();
+        while let Ok(holder) = running.memory.open_outgoing() {
+            held.push(holder);
+        }
+        let mut new = send(running.addr, "content-length: 0", 0).await;
+        assert!(receive(&mut new).await.ends_with("read 0"));
+        let mut with_body = send(running.addr, "content-length: 100000", 100_000).await;
+        assert!(receive(&mut with_body).await.ends_with("no memory"));
+        idle.write_all(b"POST / HTTP/1.1\r\nhost: t\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        assert!(receive(&mut idle).await.ends_with("read 0"));
+    });
+}
+
+/// Guards against charges so far above what ordinary streams use that a small machine refuses them. A stream keeps its
+/// body until its answer begins; the last third of the streams waits for it.
+#[test]
+fn three_hundred_ordinary_streams_fit_on_a_small_machine() {
+    let memory = MemoryAccount::new(MemoryBudget::for_machine(88 << 20));
+    let mut streams = Vec::new();
+    for i in 0..300 {
+        let caller = memory.open_outgoing().unwrap();
+        let target = memory.open_outgoing().unwrap();
+        let body = full_body(vec![b'x'; 72 << 10]);
+        let body = smol::block_on(read_held(body, MAX_BODY, &caller)).unwrap();
+        streams.push((caller, target, (i >= 200).then_some(body)));
+    }
+    assert_eq!(memory.connections(), 600);
+}
+
+/// Guards against kept connections that are closed by the limit on heads after a request was refused before its body.
+#[test]
+fn the_rest_of_a_refused_body_is_not_a_late_head() {
+    serve(100, async |running| {
+        let mut stream = TcpStream::connect(running.addr).await.unwrap();
+        // The body is longer than the first read of the connection, so that its rest is read after the answer.
+        let head = "POST / HTTP/1.1\r\nhost: t\r\nrefuse: 1\r\ncontent-length: 10000\r\n\r\n";
+        let request = head.to_owned() + &"x".repeat(10_000);
+        stream.write_all(request.as_bytes()).await.unwrap();
+        assert!(receive(&mut stream).await.ends_with("refused"));
+        running
+            .limits
+            .set(10_000, Duration::from_millis(100), Duration::from_secs(60));
+        smol::Timer::after(STALL).await;
+        stream
+            .write_all(b"POST / HTTP/1.1\r\nhost: t\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        assert!(receive(&mut stream).await.ends_with("read 0"));
+        assert_eq!(running.memory.count(Shortage::HeadLate), 0);
+    });
+}
+
+/// Guards against a lowered limit on heads that open connections do not obey.
+#[test]
+fn a_lowered_limit_on_heads_holds_for_open_connections() {
+    serve(100, async |running| {
+        let mut stream = send(running.addr, "content-length: 1", 1).await;
+        assert!(receive(&mut stream).await.ends_with("read 1"));
+        let minute = Duration::from_secs(60);
+        running.limits.set(2_000, minute, minute);
+        let padding = "x".repeat(3_000);
+        let request =
+            format!("POST / HTTP/1.1\r\nhost: t\r\npadding: {padding}\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        assert!(receive(&mut stream).await.starts_with("HTTP/1.1 431"));
+    });
+}
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -9,10 +9,10 @@
 const USABLE_SHARE: usize = 2;
 /// Smallest budget, for a machine without room beside the process.
 const MIN_BUDGET: usize = 4 << 20;
-/// Part of the budget that only holders of little memory use, so that ordinary requests pass a crowd of large ones.
-const SMALL_ONLY_SHARE: usize = 8;
-/// Largest number of bytes with which a holder counts as small.
-const SMALL_HOLDER_BYTES: usize = 128 << 10;
+/// Part of the budget that large bodies do not use, so that ordinary requests and answers pass a crowd of them.
+const RESERVED_SHARE: usize = 8;
+/// Largest body that counts as small, in bytes.
+const SMALL_BODY_BYTES: usize = 128 << 10;
 /// Part of the budget that is freed in one go, so that not every following charge looks for holders to evict.
 const EVICTION_SHARE: usize = 64;
 /// Time without progress before a holder may be evicted. Holders that make progress do not evict each other.
@@ -20,6 +20,10 @@
 /// The same for an answer that the caller does not read. Longer, as the work for it is done.
 const MIN_UNREAD: Duration = Duration::from_secs(1);
 
+/// Age from which an arriving body may be evicted for its low rate, though it makes progress. Younger ones have not shown
+/// their rate.
+const MIN_RATE_AGE: Duration = Duration::from_secs(2);
+
 /// What a holder of memory is doing, as far as it decides whether it may be evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum HolderPhase {
@@ -64,6 +68,8 @@
     pub phase: HolderPhase,
     /// Bytes that it holds.
     pub bytes: usize,
+    /// Time at which its phase began.
+    pub started_at: Monotonic,
     /// Time at which it last made progress.
     pub progress_at: Monotonic,
     /// Whether it has been evicted and is about to release its memory.
@@ -75,8 +81,9 @@
 pub struct MemoryRequest<K> {
     /// Holder that needs the memory; it is not evicted for itself.
     pub holder: K,
-    /// Bytes that the holder has, or that it is known to need in all.
-    pub total: usize,
+    /// Bytes of the request's body that the holder has, or that it is known to need in all; 0 for anything but a body
+    /// that arrives.
+    pub body: usize,
 }
 
 /// The decision on a request for memory.
@@ -123,9 +130,9 @@
         self.capacity
     }
 
-    /// Whether a holder of `total` bytes has room while `used` bytes are held by all, its own included.
-    pub fn has_room(self, used: usize, total: usize) -> bool {
-        used <= self.limit_of(total)
+    /// Whether a holder whose body has `body` bytes has room while `used` bytes are held by all, its own included.
+    pub fn has_room(self, used: usize, body: usize) -> bool {
+        used <= self.limit_of(body)
     }
 
     /// Decides on a request for memory. `used` are the bytes that all hold, the requested ones included.
@@ -136,17 +143,22 @@
         holders: impl IntoIterator<Item = Holder<K>>,
         now: Monotonic,
     ) -> Grant<K> {
-        let limit = self.limit_of(request.total);
+        let limit = self.limit_of(request.body);
         let mut left = used;
         let mut candidates = Vec::new();
+        let mut arriving = Vec::new();
+        let mut own_rate = usize::MAX;
         for holder in holders {
             if holder.key == request.holder {
+                own_rate = rate(&holder, now);
                 continue;
             }
             if holder.is_leaving {
                 left = left.saturating_sub(holder.bytes);
             } else if is_stalled(&holder, now) {
                 candidates.push(holder);
+            } else {
+                arriving.push((rate(&holder, now), holder));
             }
         }
         if left <= limit {
@@ -162,17 +174,28 @@
             left = left.saturating_sub(holder.bytes);
             evict.push(holder.key);
         }
+        // Callers that send a byte now and then are never stalled. Only slower ones are evicted, so that callers do not
+        // evict each other in turns.
+        arriving.retain(|(rate, _)| *rate < own_rate);
+        arriving.sort_by_key(|(rate, _)| *rate);
+        for (_, holder) in arriving {
+            if left <= limit {
+                break;
+            }
+            left = left.saturating_sub(holder.bytes);
+            evict.push(holder.key);
+        }
         match left <= limit {
             true => Grant::Granted { evict },
             false => Grant::Refused,
         }
     }
 
-    /// Returns the bytes that all may hold when a holder of `total` bytes asks for more.
-    fn limit_of(self, total: usize) -> usize {
-        match total <= SMALL_HOLDER_BYTES {
+    /// Returns the bytes that all may hold when a holder whose body has `body` bytes asks for more.
+    fn limit_of(self, body: usize) -> usize {
+        match body <= SMALL_BODY_BYTES {
             true => self.capacity,
-            false => self.capacity - self.capacity / SMALL_ONLY_SHARE,
+            false => self.capacity - self.capacity / RESERVED_SHARE,
         }
     }
 }
@@ -200,6 +223,17 @@
         .collect()
 }
 
+/// Returns the bytes a second that have arrived for a request; the highest value if the rate does not count.
+fn rate<K>(holder: &Holder<K>, now: Monotonic) -> usize {
+    let age = now.saturating_sub(holder.started_at);
+    match holder.phase {
+        HolderPhase::Head | HolderPhase::Body if age >= MIN_RATE_AGE => {
+            (holder.bytes as f64 / age.as_secs_f64()) as usize
+        }
+        _ => usize::MAX,
+    }
+}
+
 fn is_stalled<K>(holder: &Holder<K>, now: Monotonic) -> bool {
     let stall = match holder.phase {
         HolderPhase::Unread => MIN_UNREAD,
--- a/components/policy/tests/memory.rs
+++ b/components/policy/tests/memory.rs
@@ -12,13 +12,14 @@
         key,
         phase,
         bytes,
+        started_at: NOW - Duration::from_millis(quiet_ms),
         progress_at: NOW - Duration::from_millis(quiet_ms),
         is_leaving: false,
     }
 }
 
-fn request(total: usize) -> MemoryRequest<u32> {
-    MemoryRequest { holder: 0, total }
+fn request(body: usize) -> MemoryRequest<u32> {
+    MemoryRequest { holder: 0, body }
 }
 
 /// Guards against the eviction of a caller that keeps sending, or of a request that may run.
@@ -43,6 +44,23 @@
     );
 }
 
+/// Guards against callers that hold the budget by sending a byte now and then, and against callers at full speed that
+/// evict each other in turns.
+#[test]
+fn the_slowest_body_is_evicted_when_none_is_stalled() {
+    let budget = MemoryBudget::new(8 * MIB);
+    let sending = |key, age_s| Holder {
+        started_at: NOW - Duration::from_secs(age_s),
+        ..holder(key, HolderPhase::Body, 3 * MIB, 10)
+    };
+    let holders = [sending(1, 30), sending(2, 60), sending(3, 1), sending(0, 20)];
+    let grant = budget.decide(request(MIB), 9 * MIB, holders, NOW);
+    assert_eq!(grant, Grant::Granted { evict: vec![2] });
+    let holders = [sending(1, 30), sending(2, 60), sending(3, 1), sending(0, 90)];
+    let grant = budget.decide(request(MIB), 9 * MIB, holders, NOW);
+    assert_eq!(grant, Grant::Refused);
+}
+
 /// Guards against evicting more and more holders while the first ones are still releasing their memory.
 #[test]
 fn memory_on_its_way_out_counts_as_free() {
@@ -56,7 +74,7 @@
 
 /// Guards against a crowd of large bodies that leaves no room for ordinary requests.
 #[test]
-fn a_part_of_the_budget_is_for_small_holders() {
+fn a_part_of_the_budget_is_not_for_large_bodies() {
     let budget = MemoryBudget::new(8 * MIB);
     assert!(!budget.has_room(7 * MIB + 1, MIB));
     assert!(budget.has_room(7 * MIB + 1, 72 << 10));
@@ -75,7 +93,7 @@
 
 /// Guards against closing a connection with a request when an idle one is open.
 #[test]
-fn the_longest_idle_connection_makes_way_for_a_new_one() {
+fn the_longest_idle_connection_is_closed_for_a_new_one() {
     let busy = holder(1, HolderPhase::Running, 0, 9_000);
     let head = holder(2, HolderPhase::Head, 0, 8_000);
     let idle = [
