Play stalled bodies, evacuations and cold engines in the soak

The soak did not know the new parts. Steps of a generator of their own hold connections with bodies that stop short of their end, evacuate the failure domain of the engines, and mark an engine as cold, beside the other disruptions; the steps of earlier seeds stay as they were.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -11,6 +11,10 @@
 const INTERVAL_MS: std::ops::Range<u64> = 60..500;
 /// Duration of a disruption, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 150..1_800;
+/// Interval between the starts of two steps of [`load_steps`], in milliseconds.
+const LOAD_INTERVAL_MS: std::ops::Range<u64> = 500..2_000;
+/// Separates the random numbers of [`load_steps`] from those of the other steps.
+const LOAD_STEPS_STREAM: u64 = 1 << 63;
 /// Duration of a pause of a process, in milliseconds. Long pauses exceed its leases, which other hosts then
 /// take over.
 const PROCESS_PAUSE_MS: std::ops::Range<u64> = 150..4_000;
@@ -57,6 +61,12 @@
     EngineReplaced(usize),
     /// An engine's entry is missing from the store for the duration.
     EntryLapses(usize),
+    /// Callers hold connections to a host whose request bodies stop short of their end.
+    StalledBodies(usize),
+    /// The operator evacuates the failure domain of the engines.
+    Evacuate,
+    /// An engine's entry says that it is cold.
+    EngineCold(usize),
 }
 
 impl Disruption {
@@ -64,7 +74,7 @@
     pub(crate) fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Term(_) | Self::Hup(_) | Self::Declare | Self::DeclareWeights
+            Self::Term(_) | Self::Hup(_) | Self::Declare | Self::DeclareWeights | Self::Evacuate
         )
     }
 }
@@ -99,6 +109,30 @@
         });
         at += Duration::from_millis(rng.random_range(INTERVAL_MS));
     }
+    steps.extend(load_steps(seed, size));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Returns the steps that limit where requests may run, or hold resources of a host. A generator of their own keeps the
+/// other steps of a seed as they were.
+fn load_steps(seed: u64, size: Size) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LOAD_STEPS_STREAM);
+    let mut at = Duration::from_millis(rng.random_range(LOAD_INTERVAL_MS));
+    let mut steps = Vec::new();
+    while at < size.duration {
+        let disruption = match rng.random_range(0..3) {
+            0 => Disruption::StalledBodies(rng.random_range(0..size.hosts)),
+            1 => Disruption::Evacuate,
+            _ => Disruption::EngineCold(rng.random_range(0..size.engines)),
+        };
+        steps.push(Step {
+            at,
+            duration: Duration::from_millis(rng.random_range(DURATION_MS)),
+            disruption,
+        });
+        at += Duration::from_millis(rng.random_range(LOAD_INTERVAL_MS));
+    }
     steps
 }
 
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,3 +1,5 @@
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -23,6 +25,11 @@
 const RESTART_DELAY: Duration = Duration::from_millis(250);
 /// Time from a declaration of weights until the first engines load them.
 const LOAD_START_DELAY: Duration = Duration::from_millis(400);
+/// Key of the row that evacuates the failure domain of the engines.
+const EVACUATION_KEY: &str = "evacuate/a";
+/// Connections with a stalled body, and the announced length of each body in bytes, below the declared limit.
+const STALLED_CALLERS: usize = 40;
+const STALLED_BODY: usize = 90_000;
 /// Interval between checks of the weights of engines and of the recovery.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -299,6 +306,23 @@
                     self.endpoints[engine].register(&self.store);
                 }
             }
+            Disruption::StalledBodies(host) => {
+                let _open = send_stalled_bodies(self.hosts[host].file.callers);
+                wait();
+            }
+            Disruption::Evacuate => {
+                self.store.put("op", EVACUATION_KEY, &json!({}));
+                wait();
+                self.store.remove("op", EVACUATION_KEY);
+            }
+            Disruption::EngineCold(engine) => {
+                let endpoint = &self.endpoints[engine];
+                let mut entry = endpoint.engine.entry(&endpoint.link.address.to_string());
+                entry["cold_remaining_ms"] = json!(step.duration.as_millis() as u64);
+                self.store.put("servers", &endpoint.key(), &entry);
+                wait();
+                endpoint.register(&self.store);
+            }
         }
     }
 
@@ -365,3 +389,19 @@
         None
     }
 }
+
+/// Opens connections to a host and sends requests on them whose bodies stop short of their end.
+fn send_stalled_bodies(host: SocketAddr) -> Vec<TcpStream> {
+    let head = format!(
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: stalled\r\nKey: {}\r\nContent-Length: {STALLED_BODY}\r\n\r\n",
+        WORKSPACES[0].1
+    );
+    let part = vec![b'x'; STALLED_BODY - 1];
+    let streams = (0..STALLED_CALLERS).filter_map(|_| {
+        let mut stream = TcpStream::connect(host).ok()?;
+        // The host may refuse the request or close the connection.
+        let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&part));
+        Some(stream)
+    });
+    streams.collect()
+}
