--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -400,7 +400,9 @@
     let streams = (0..STALLED_CALLERS).filter_map(|_| {
         let mut stream = TcpStream::connect(host).ok()?;
         // The host may refuse the request or close the connection.
-        let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&part));
+        let _ = stream
+            .write_all(head.as_bytes())
+            .and_then(|()| stream.write_all(&part));
         Some(stream)
     });
     streams.collect()
