Decode the longest gap that a route aims for

Routes declare target_gap_ms, the longest time between events of a stream at which its answer has full value. Nothing read it. Route::gap_target holds it for the cost of a placement.

--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -54,6 +54,8 @@
     pub timeout: Duration,
     /// Latency up to which an answer has its full value.
     pub latency_target: Duration,
+    /// Longest gap between events at which a stream has its full value; `None` without one.
+    pub gap_target: Option<Duration>,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Services that serve the route.
