Place requests so that the link between regions does not fill up

LinkUse estimates the use of the link from the own sends and the number of hosts, and its delay from the first bytes. Sending a request across it costs more as it fills up. Each session has an owner in the host's region as well, so that requests that stay meet at one engine. Own requests are taken out of a report as of its time, and the load of other hosts moves to the average of the reports instead of to a multiple of the own load.

placement.rs is split into cost, time and choice.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod host;
 mod jitter;
 mod kept;
+mod link;
 mod load;
 mod lost_rows;
 mod placement;
@@ -56,14 +57,15 @@
     CachePlan, CacheScope, KeptCache, KeptEvent, PartKey, PlanRequest, RegionStore, StoreChanges,
     StoreDirectory, StoreList, StoreUpdate, salt_of, weights_of_salt,
 };
-pub use load::{LoadEstimate, ReportedLoad, SendOutcome, Work};
+pub use link::LinkUse;
+pub use load::{LoadEstimate, OtherHostsLoad, ReportedLoad, SendOutcome, Work, average_others};
 pub use lost_rows::LostRow;
-pub use placement::{Candidate, Choice, Decision, Demand, decide, fetch_limit};
+pub use placement::{Candidate, Choice, Decision, Demand, FleetEffects, decide, fetch_limit, spread_for};
 pub use position::Position;
 pub use quarantine::{Crash, Crashes, Fingerprint};
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
-pub use sessions::{SessionKey, Sessions};
+pub use sessions::{OwnerRank, SessionKey, Sessions};
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
     PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -9,6 +9,15 @@
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Age at which a report and the expected load weigh the same.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// Age at which a reported queue and the expected one weigh the same. Prefills take some hundred milliseconds, so a
+/// queue changes faster than the number of running requests.
+const QUEUE_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Memory assumed for a request while this host has none in flight, in tokens.
+const DEFAULT_REQUEST_MEMORY: f64 = 4_000.0;
+/// Time for which a report counts in the average load of all targets.
+const REPORT_RETENTION: Duration = Duration::from_secs(2);
+/// Time for which ended requests are remembered. Reports that are older are not compared with own requests.
+const ENDED_RETENTION: Duration = Duration::from_secs(2);
 /// Time without a first byte after which a request counts as waiting at its target.
 const OVERDUE_AFTER: Duration = Duration::from_millis(250);
 /// First pause after a target was unreachable; it doubles with each further failure.
@@ -60,10 +69,41 @@
     pub memory: u64,
 }
 
+/// A request of this host at a target.
+#[derive(Debug, Clone, Copy)]
+struct OwnRequest {
+    /// Time of the send.
+    sent_at: Monotonic,
+    /// Memory that the request holds, in tokens.
+    memory: u64,
+    /// Time of the first byte of the answer.
+    answered_at: Option<Monotonic>,
+    /// Time at which the request ended.
+    ended_at: Option<Monotonic>,
+}
+
+impl OwnRequest {
+    /// Whether the request was at the target at a time.
+    fn was_running(&self, at: Monotonic) -> bool {
+        self.sent_at <= at && self.ended_at.is_none_or(|ended| at < ended)
+    }
+
+    /// Whether the request was at the target and had no first byte at a time.
+    fn was_unanswered(&self, at: Monotonic) -> bool {
+        self.was_running(at) && self.answered_at.is_none_or(|answered| at < answered)
+    }
+
+    /// Whether the request has neither been answered nor ended.
+    fn is_unanswered(&self) -> bool {
+        self.answered_at.is_none() && self.ended_at.is_none()
+    }
+}
+
 /// Estimates a target's load and health from this host's own sends and from the load that the target reports.
 ///
-/// Reports are delayed, and several hosts see the same idle target at once. The estimate therefore adds the
-/// own sends since the report, and the reported load of other hosts decays with the report's age.
+/// Reports are delayed, and several hosts see the same idle target at once. The own requests at the time of a report
+/// are taken out of it, and the present ones are added. The reported load of other hosts moves towards the average
+/// of all targets with the report's age, as other hosts send to the targets that were idle in the report.
 #[derive(Debug, Clone, Default)]
 pub struct LoadEstimate {
     /// Requests of this host that are in flight at the target.
@@ -72,8 +112,8 @@
     own_memory: u64,
     /// Prompt tokens of this host's requests that have not received their first byte.
     own_prefill_tokens: u64,
-    /// Send times of this host's requests that have not received their first byte.
-    unanswered: Vec<Monotonic>,
+    /// This host's requests, with those that ended a short time ago.
+    own: Vec<OwnRequest>,
     /// Requests of other hosts at the time of the last report.
     other_requests: f64,
     /// Requests that waited at the time of the last report.
@@ -99,39 +139,57 @@
     /// Records that a request is sent.
     pub fn record_start(&mut self, work: Work, now: Monotonic) {
         self.own_requests += 1;
-        self.unanswered.push(now);
+        self.own
+            .retain(|req| req.ended_at.is_none_or(|ended| now < ended + ENDED_RETENTION));
+        self.own.push(OwnRequest {
+            sent_at: now,
+            memory: work.memory,
+            answered_at: None,
+            ended_at: None,
+        });
         self.own_memory += work.memory;
         self.own_prefill_tokens += work.prefill_tokens;
     }
 
-    /// Records the first byte of a request's answer, or the end of the request: its prompt is prefilled.
-    pub fn record_first_byte(&mut self, tokens: u64, sent_at: Monotonic) {
+    /// Records the first byte of a request's answer: its prompt is prefilled.
+    pub fn record_first_byte(&mut self, tokens: u64, sent_at: Monotonic, now: Monotonic) {
         self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(tokens);
-        if let Some(found) = self.unanswered.iter().position(|at| *at == sent_at) {
-            self.unanswered.swap_remove(found);
+        let is_same = |req: &&mut OwnRequest| req.sent_at == sent_at && req.is_unanswered();
+        if let Some(req) = self.own.iter_mut().find(is_same) {
+            req.answered_at = Some(now);
         }
     }
 
-    /// Records that a request has ended.
-    pub fn record_end(&mut self, work: Work) {
+    /// Records that a request has ended. `work` has the prompt tokens of a request without a first byte.
+    pub fn record_end(&mut self, work: Work, sent_at: Monotonic, now: Monotonic) {
         self.own_requests = self.own_requests.saturating_sub(1);
         self.own_memory = self.own_memory.saturating_sub(work.memory);
+        self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(work.prefill_tokens);
+        let is_same = |req: &&mut OwnRequest| req.sent_at == sent_at && req.ended_at.is_none();
+        if let Some(req) = self.own.iter_mut().find(is_same) {
+            req.ended_at = Some(now);
+        }
     }
 
     /// Records the load that the target reported with an answer.
     pub fn record_answer_load(&mut self, note: ResponseLoad, now: Monotonic) {
-        let all = f64::from(note.running + note.waiting);
-        self.other_requests = (all - f64::from(self.own_requests)).max(0.0);
+        let own = self.own.iter().filter(|req| req.was_running(now)).count();
+        self.other_requests = (f64::from(note.running + note.waiting) - own as f64).max(0.0);
         self.waiting = f64::from(note.waiting);
         self.reported_at = now;
     }
 
     /// Records the load that an engine reported at time `at`. The counts of requests are used only if no
-    /// later answer has reported any.
+    /// later answer has reported any. A report that is older than the last one is ignored.
     pub fn record_report(&mut self, load: ReportedLoad, at: Monotonic) {
-        let memory = load.memory.saturating_sub(self.own_memory) as f64;
+        if self.other_queued.is_some_and(|(_, last)| at < last) {
+            return;
+        }
+        let own = self.own.iter().filter(|req| req.was_running(at));
+        let memory = load.memory.saturating_sub(own.map(|req| req.memory).sum()) as f64;
         self.other_memory = Some((memory, at));
-        let queued = f64::from(load.waiting + load.prefilling) - self.unanswered.len() as f64;
+        let own = self.own.iter().filter(|req| req.was_unanswered(at)).count();
+        let queued = f64::from(load.waiting + load.prefilling) - own as f64;
         self.other_queued = Some((queued.max(0.0), at));
         if at > self.reported_at {
             let note = ResponseLoad {
@@ -186,17 +244,27 @@
     /// Returns the estimated number of queued requests: the reported ones, or this host's overdue ones if
     /// those are more.
     pub fn waiting(&self, now: Monotonic) -> f64 {
-        let is_overdue = |at: &&Monotonic| now > **at + OVERDUE_AFTER;
-        let overdue = self.unanswered.iter().filter(is_overdue).count();
+        let is_overdue = |req: &&OwnRequest| req.is_unanswered() && now > req.sent_at + OVERDUE_AFTER;
+        let overdue = self.own.iter().filter(is_overdue).count();
         (self.waiting * self.report_weight(now)).max(overdue as f64)
     }
 
-    /// Returns the estimated number of requests of other hosts that are queued or in their prefill.
-    pub fn queued(&self, now: Monotonic) -> f64 {
-        let reported = self
-            .other_queued
-            .map_or(0.0, |(queued, at)| queued * report_weight_at(at, now));
-        reported.max(self.waiting(now) - self.unanswered.len() as f64)
+    /// Returns the estimated number of requests of other hosts that are queued or in their prefill. `expected` is the
+    /// number that is assumed without a recent report.
+    pub fn queued(&self, expected: f64, now: Monotonic) -> f64 {
+        let reported = self.other_queued.map_or(expected, |(queued, at)| {
+            let weight = weight_at(at, QUEUE_HALF_LIFE, now);
+            queued * weight + expected * (1.0 - weight)
+        });
+        let unanswered = self.own.iter().filter(|req| req.is_unanswered()).count();
+        reported.max(self.waiting(now) - unanswered as f64)
+    }
+
+    /// Returns the requests of other hosts, and those of them that were queued or in their prefill, in the engine's last
+    /// report; `None` if there is none that is recent.
+    pub fn reported_others(&self, now: Monotonic) -> Option<(f64, f64)> {
+        let (queued, at) = self.other_queued?;
+        (now < at + REPORT_RETENTION).then_some((self.other_requests, queued))
     }
 
     /// Returns the estimated KV-cache memory in use at the engine, in tokens. `memory_per_request` is the
@@ -247,8 +315,62 @@
     }
 }
 
-/// Returns the weight of a report made at `at`: 0.5 to the power of its age in half-lives.
+/// Load assumed for other hosts at a target without a recent report.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OtherHostsLoad {
+    /// Requests of all other hosts at one target.
+    pub requests: f64,
+    /// Those of them that are queued or in their prefill.
+    pub queued: f64,
+    /// Memory of each request, in tokens.
+    pub memory: f64,
+}
+
+/// Returns the load that other hosts are assumed to cause at a target without a recent report: the average of the
+/// reported ones. Without any report it is this host's average for each of the other hosts.
+///
+/// ```
+/// let others = gateway::average_others([], 3, 9, std::time::Duration::ZERO);
+/// assert_eq!(others.requests, 0.0);
+/// ```
+pub fn average_others<'a>(
+    loads: impl IntoIterator<Item = &'a LoadEstimate>,
+    targets: usize,
+    hosts: usize,
+    now: Monotonic,
+) -> OtherHostsLoad {
+    let (mut own_memory, mut own_requests) = (0, 0);
+    let (mut requests, mut queued, mut reports) = (0.0, 0.0, 0.0);
+    for load in loads {
+        own_memory += load.own_memory;
+        own_requests += u64::from(load.own_requests);
+        if let Some(reported) = load.reported_others(now) {
+            requests += reported.0;
+            queued += reported.1;
+            reports += 1.0;
+        }
+    }
+    let of_each_host = own_requests as f64 / targets.max(1) as f64;
+    OtherHostsLoad {
+        requests: match reports > 0.0 {
+            true => requests / reports,
+            false => of_each_host * hosts.saturating_sub(1) as f64,
+        },
+        queued: queued / f64::max(reports, 1.0),
+        memory: match own_requests {
+            0 => DEFAULT_REQUEST_MEMORY,
+            _ => own_memory as f64 / own_requests as f64,
+        },
+    }
+}
+
+/// Returns the weight of a report made at `at`.
 fn report_weight_at(at: Monotonic, now: Monotonic) -> f64 {
+    weight_at(at, REPORT_HALF_LIFE, now)
+}
+
+/// Returns the weight of an observation made at `at`: 0.5 to the power of its age in half-lives.
+fn weight_at(at: Monotonic, half_life: Duration, now: Monotonic) -> f64 {
     let age = now.saturating_sub(at).as_secs_f64();
-    0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+    0.5f64.powf(age / half_life.as_secs_f64())
 }
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -2,38 +2,15 @@
 
 use serde::Serialize;
 
+use self::choice::choose;
+pub use self::choice::spread_for;
+pub use self::time::fetch_limit;
+
 use crate::first_token::{Pace, TimeParts};
 
-/// Prompt tokens that an engine is assumed to prefill in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 80.0;
-/// Time from the end of the prefill at an idle engine to the first token, in milliseconds.
-const FIRST_TOKEN_MS: f64 = 45.0;
-/// Time by which each running request delays the tokens and the prefill of others, in milliseconds.
-const DELAY_PER_REQUEST_MS: f64 = 2.0;
-/// Assumed delay for each request that is queued at the engine or in its prefill already, in milliseconds.
-const QUEUED_MS: f64 = 50.0;
-/// Time that a fetch may take, relative to computing the part.
-const FETCH_PATIENCE: f64 = 1.5;
-/// Cost of recomputing a thousand tokens, in units of an average request's value.
-const RECOMPUTE_COST_PER_1000: f64 = 0.25;
-/// Share of the latency target up to which an answer has no risk of being late.
-const SAFE_LATENCY_SHARE: f64 = 0.4;
-/// Cost of an answer that is certain to be late.
-const LATE_COST: f64 = 0.8;
-/// Cost of an expected time as long as the latency target; proportional, also for answers in time.
-const WAIT_COST: f64 = 0.3;
-/// Cost of an answer by replaced weights: the share of its value that is lost, plus a small margin.
-const OLD_WEIGHTS_COST: f64 = 0.25;
-/// Cost of a failed request.
-const FAILURE_COST: f64 = 1.0;
-/// Costs of sending a request and its answer within the failure domain, to another failure domain of the
-/// region, and to another region.
-const TRANSFER_COST: [f64; 3] = [0.0, 0.02, 0.08];
-/// Cost of opening a connection.
-const CONNECT_COST: f64 = 0.05;
-/// Round trip times within the failure domain, to another one of the region, and to another region, in
-/// milliseconds.
-const ROUND_TRIP_MS: [f64; 3] = [0.2, 3.0, 17.0];
+mod choice;
+mod cost;
+mod time;
 
 /// Share of an engine's memory that requests of each priority may fill. Less urgent requests leave room for
 /// urgent ones.
@@ -60,6 +37,19 @@
     pub time_left: Duration,
     /// Learned factors on the assumed prefill and queueing times.
     pub pace: Pace,
+    /// Longest gap between events at which a stream has its full value.
+    pub gap_target: Option<Duration>,
+    /// Effects of the other hosts on the choice.
+    pub fleet: FleetEffects,
+}
+
+/// Effects of the other hosts on a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct FleetEffects {
+    /// Cost of sending the request and its answer to another region, from the use of the link.
+    pub link_cost: f64,
+    /// Difference of costs by which a candidate is chosen less often by a factor of e; 0 to choose the lowest cost.
+    pub spread: f64,
 }
 
 /// A target that may receive a request, with its estimated state.
@@ -155,79 +145,3 @@
     let fits = taken + f64::from(demand.memory) <= all as f64 * MEMORY_FILL_BY_PRIORITY[priority];
     fits && c.waiting <= MAX_WAITING_BY_PRIORITY[priority]
 }
-
-/// Returns how long the engine should wait for the shared part of the prompt to be fetched: until it could begin
-/// the request, and somewhat longer than it would take to compute the part itself. On a slow link waiting
-/// longer delays the request and all that the engine prefills after it.
-pub fn fetch_limit(demand: &Demand, choice: &Choice) -> Duration {
-    let parts = TimeParts {
-        prefill_ms: f64::from(demand.shared_tokens) / PREFILL_TOKENS_PER_MS,
-        ..TimeParts::default()
-    };
-    let compute_ms = demand.pace.expected_ms(&parts);
-    Duration::from_secs_f64((choice.expected_ms + FETCH_PATIENCE * compute_ms) / 1e3)
-}
-
-/// Chooses the candidate with the lowest cost: the risk of a late answer, recomputed prompt tokens, transfers
-/// between failure domains, failures and replaced weights, in units of an average request's value.
-/// `tie_break`, from 0 to 1, separates equal candidates, as hosts with the same view would all choose the
-/// same target otherwise.
-fn choose(demand: &Demand, candidates: &[Candidate], allowed: &[bool], tie_break: f64) -> Option<Choice> {
-    let spread = candidates.len().max(1);
-    let allowed = candidates.iter().enumerate().filter(|(index, _)| allowed[*index]);
-    let costs = allowed.map(|(index, candidate)| {
-        let parts = time_parts(demand, candidate);
-        let expected_ms = demand.pace.expected_ms(&parts);
-        let shift = (index + (tie_break * spread as f64) as usize) % spread;
-        let cost = cost(demand, candidate, expected_ms) + 1e-4 * shift as f64;
-        Choice {
-            index,
-            cost,
-            expected_ms,
-            parts,
-        }
-    });
-    costs.min_by(|a, b| a.cost.total_cmp(&b.cost))
-}
-
-fn time_parts(demand: &Demand, c: &Candidate) -> TimeParts {
-    let round_trip_ms = ROUND_TRIP_MS[c.distance.min(2)];
-    let slots = f64::from(c.slots.max(1));
-    if demand.prompt_tokens == 0 {
-        let waiting = (c.requests + 1.0 - slots).max(0.0) / slots;
-        let busy = c.requests / slots;
-        return TimeParts {
-            fixed_ms: round_trip_ms + c.latency_ms * (1.0 + 0.3 * busy + waiting),
-            ..TimeParts::default()
-        };
-    }
-    let to_prefill = f64::from(demand.prompt_tokens) - c.cache_hit_chance * f64::from(demand.shared_tokens);
-    let overflow_ms = (c.requests + 1.0 - slots).max(0.0) * FIRST_TOKEN_MS;
-    TimeParts {
-        fixed_ms: round_trip_ms + FIRST_TOKEN_MS + c.requests * DELAY_PER_REQUEST_MS + overflow_ms,
-        prefill_ms: (c.prefill_backlog as f64 + to_prefill.max(0.0)) / PREFILL_TOKENS_PER_MS,
-        queue_ms: c.queued * QUEUED_MS,
-    }
-}
-
-fn cost(demand: &Demand, c: &Candidate, expected_ms: f64) -> f64 {
-    let target_ms = (demand.latency_target.as_secs_f64() * 1e3).max(1.0);
-    let share = expected_ms / target_ms;
-    let risk = ((share - SAFE_LATENCY_SHARE) / (1.0 - SAFE_LATENCY_SHARE)).clamp(0.0, 1.0);
-    // Cache made by replaced weights is soon useless: it only postpones the prefill with the new weights.
-    let reusable = if c.has_old_weights {
-        0.0
-    } else {
-        c.cache_hit_chance
-    };
-    let recompute = (1.0 - reusable) * f64::from(demand.shared_tokens) / 1e3 * RECOMPUTE_COST_PER_1000;
-    let old = if c.has_old_weights { OLD_WEIGHTS_COST } else { 0.0 };
-    let connect = if c.is_connected { 0.0 } else { CONNECT_COST };
-    LATE_COST * risk
-        + WAIT_COST * share
-        + recompute
-        + TRANSFER_COST[c.distance.min(2)]
-        + FAILURE_COST * c.failures
-        + old
-        + connect
-}
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -108,13 +108,10 @@
         self.first_byte = Some(elapsed);
         self.cx.telemetry.first_byte(elapsed);
         if (200..300).contains(&status) && !facts.is_not_run {
-            let service = &self.target.service;
-            let mut routing = self.cx.routing();
-            let pace = routing.paces.entry(service.clone()).or_default();
-            pace.observe(&self.expected, elapsed);
+            self.cx.record_first_byte(&self.target, &self.expected, elapsed);
         }
         self.cx.with_slot(&self.target, |slot| {
-            slot.load.record_first_byte(prefill_tokens, self.sent_at);
+            slot.load.record_first_byte(prefill_tokens, self.sent_at, now);
             if let Some(load) = facts.load {
                 slot.load.record_answer_load(load, now);
             }
@@ -193,11 +190,10 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        let (work, sent_at) = (self.work, self.sent_at);
+        let (work, sent_at, now) = (self.work, self.sent_at, self.cx.now());
         let is_open = self.conn.take().is_some();
         self.cx.with_slot(&self.target, |slot| {
-            slot.load.record_first_byte(work.prefill_tokens, sent_at);
-            slot.load.record_end(work);
+            slot.load.record_end(work, sent_at, now);
             if is_open {
                 slot.release();
             }
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -20,6 +20,7 @@
 use super::state::Traffic;
 use crate::AnswerFacts;
 use crate::declared::RetrySafety;
+use crate::host::Distance;
 use crate::jitter::jittered;
 use crate::suspects::AnswerStage;
 
@@ -199,13 +200,7 @@
             &placed.choice,
             attempts.sends + 1,
         );
-        if let (Some(session), true) = (call.session_key(), attempts.possible_runs == 0) {
-            let now = cx.now();
-            let session = session_for_weights(session, placed.weights);
-            cx.routing()
-                .sessions
-                .record_sent(session, placed.target.run.clone(), now);
-        }
+        record_sent(cx, &call, &placed, attempts.possible_runs == 0);
         let resume_after = call.last_event.clone();
         let attempt = exchange(cx, &call, &placed, resume_after).await;
         attempts.record(&placed, &attempt);
@@ -233,6 +228,21 @@
     refuse(cx, &call, &attempts.refusal(cx, &call))
 }
 
+/// Records a send in the sessions, if the target will cache its prompt, and in the use of the links.
+fn record_sent(cx: &Traffic, call: &Call, placed: &Placed, is_first_run: bool) {
+    let now = cx.now();
+    let mut routing = cx.routing();
+    if let (Some(session), true) = (call.session_key(), is_first_run) {
+        let session = session_for_weights(session, placed.weights);
+        routing
+            .sessions
+            .record_sent(session, placed.target.run.clone(), now);
+    }
+    if cx.settings.distance(&placed.target.domain) == Distance::OtherRegion {
+        routing.link.record(call.transfer_bytes(), now);
+    }
+}
+
 /// How an answer is handled.
 enum AnswerAction {
     /// The answer is streamed to the caller.
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -9,15 +9,13 @@
 use crate::freshness::{OldWeightsPolicy, old_weights_policy};
 use crate::host::Distance;
 use crate::kept::{CachePlan, PlanRequest, RegionStore, region_stores};
-use crate::load::Work;
-use crate::placement::{Candidate, Choice, Decision, fetch_limit};
+use crate::load::{OtherHostsLoad, Work, average_others};
+use crate::placement::{Candidate, Choice, Decision, Demand, FleetEffects, fetch_limit, spread_for};
 use crate::sampling::{decide_from, sample};
-use crate::sessions::SessionKey;
+use crate::sessions::{OwnerRank, SessionKey};
 use crate::view::View;
 use crate::{PromptShape, Target};
 
-/// Memory assumed for a request while this host has none in flight, in tokens.
-const DEFAULT_REQUEST_MEMORY: f64 = 4_000.0;
 /// Value of a part that a store of the region holds, relative to one in the target's own cache; used as a
 /// cache hit probability.
 const STORED_CHANCE: f64 = 0.85;
@@ -63,12 +61,14 @@
     }
     let mut stored = HashMap::new();
     let owner = session.and_then(|_| targets.first().copied());
+    let first_near = targets.iter().position(|target| context.is_near(target));
     let candidates = targets.iter().enumerate().map(|(position, target)| {
         // Targets with the same weights in the same failure domain have the same stores and the same salt.
         let weights = context.weights_at(target);
         let is_stored = stored.entry((weights, &*target.domain));
         let is_stored = *is_stored.or_insert_with(|| context.is_stored(target, weights));
-        let mut chance = context.cache_hit_chance(target, weights, session, position);
+        let mut chance =
+            context.cache_hit_chance(target, weights, session, OwnerRank::new(position, first_near));
         if owner.is_some_and(|owner| context.is_fetchable(target, weights, owner)) {
             chance = chance.max(FETCHED_CHANCE);
         }
@@ -76,14 +76,14 @@
     });
     let candidates: Vec<_> = candidates.collect();
     let pace = routing.paces.get(&call.service).copied().unwrap_or_default();
-    let demand = call.demand(pace, context.now);
-    let sample = sample(
-        &candidates,
-        demand.prompt_tokens > 0,
-        view.host_count(),
-        &mut rand::rng(),
-    );
-    let choice = match decide_from(&demand, &candidates, &sample) {
+    let demand = Demand {
+        fleet: context.fleet_effects(),
+        ..call.demand(pace, context.now)
+    };
+    let mut rng = rand::rng();
+    let has_prompt = demand.prompt_tokens > 0;
+    let sample = sample(&candidates, has_prompt, view.host_count(), &mut rng);
+    let choice = match decide_from(&demand, &candidates, &sample, &mut rng) {
         Decision::Send(choice) => choice,
         Decision::AllFull => return Err(PlacementError::AllFull),
         Decision::TooLate => return Err(PlacementError::TooLate),
@@ -125,16 +125,6 @@
     now: Monotonic,
 }
 
-/// Load assumed for other hosts at a target without a report: this host's average per target, for each other
-/// host.
-#[derive(Debug, Clone, Copy)]
-struct OtherHostsLoad {
-    /// Requests of all other hosts at one target.
-    requests: f64,
-    /// Memory of each of these requests, in tokens.
-    memory: f64,
-}
-
 impl<'a> PlacementContext<'a> {
     fn new(cx: &'a Traffic, view: &'a View, routing: &'a RoutingState, call: &'a Call) -> Self {
         let targets = view.targets_of(&call.service);
@@ -143,7 +133,7 @@
             view,
             routing,
             call,
-            others: other_hosts_load(routing, targets, view.host_count()),
+            others: other_hosts_load(routing, targets, view.host_count(), cx.now()),
             engine_memory: engine_memory(view, call),
             stores: HashMap::new(),
             now: cx.now(),
@@ -199,15 +189,19 @@
         target: &Target,
         weights: Option<u64>,
         session: Option<SessionKey>,
-        position: usize,
+        rank: OwnerRank,
     ) -> f64 {
         let session = session.map(|session| session_for_weights(session, weights));
         let sessions = &self.routing.sessions;
         session.map_or(0.0, |session| {
-            sessions.cache_hit_chance(session, &target.run, position, self.now)
+            sessions.cache_hit_chance(session, &target.run, rank, self.now)
         })
     }
 
+    fn is_near(&self, target: &Target) -> bool {
+        self.cx.settings.distance(&target.domain) != Distance::OtherRegion
+    }
+
     /// Whether the target can fetch the session's part from the session's owner: an engine of the same region
     /// with the same weights.
     fn is_fetchable(&self, target: &Target, weights: Option<u64>, owner: &Target) -> bool {
@@ -227,7 +221,7 @@
             },
             requests: load.requests(self.others.requests, self.now),
             waiting: load.waiting(self.now),
-            queued: load.queued(self.now),
+            queued: load.queued(self.others.queued, self.now),
             memory: (
                 load.memory(self.others.memory, self.others.requests, self.now),
                 self.engine_memory,
@@ -246,6 +240,14 @@
         }
     }
 
+    fn fleet_effects(&self) -> FleetEffects {
+        let (hosts, bytes) = (self.view.host_count(), self.call.transfer_bytes());
+        FleetEffects {
+            link_cost: self.routing.link.cost(bytes, hosts, self.now),
+            spread: spread_for(hosts),
+        }
+    }
+
     /// Returns the weight version of a target: the one in its record, or a newer one seen in its answers.
     fn weights_at(&self, target: &Target) -> Option<u64> {
         let listed = target.weights_of(self.call.model()?);
@@ -331,23 +333,14 @@
     engine.map_or(u64::MAX, |engine| engine.memory_tokens)
 }
 
-fn other_hosts_load(routing: &RoutingState, targets: &[Arc<Target>], hosts: usize) -> OtherHostsLoad {
+fn other_hosts_load(
+    routing: &RoutingState,
+    targets: &[Arc<Target>],
+    hosts: usize,
+    now: Monotonic,
+) -> OtherHostsLoad {
     let slots = targets.iter().filter_map(|target| routing.slots.get(&target.run));
-    let (memory, requests) = slots.fold((0, 0), |(memory, requests), slot| {
-        (
-            memory + slot.load.own_memory(),
-            requests + u64::from(slot.load.own_requests()),
-        )
-    });
-    let each = memory as f64 / requests.max(1) as f64;
-    OtherHostsLoad {
-        requests: requests as f64 / targets.len().max(1) as f64 * hosts.saturating_sub(1) as f64,
-        memory: if requests == 0 {
-            DEFAULT_REQUEST_MEMORY
-        } else {
-            each
-        },
-    }
+    average_others(slots.map(|slot| &slot.load), targets.len(), hosts, now)
 }
 
 /// Derives the key of a session's cache under one weight version. Another version has to compute the cache
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -8,7 +8,8 @@
 use super::connect::CallNumber;
 use crate::declared::{Route, Workspace};
 use crate::kept::{CacheScope, salt_of};
-use crate::placement::Demand;
+use crate::link::request_bytes;
+use crate::placement::{Demand, FleetEffects};
 use crate::quarantine::Fingerprint;
 use crate::sessions::SessionKey;
 use crate::suspects::PartFingerprint;
@@ -69,9 +70,16 @@
             latency_target: self.route.latency_target,
             time_left: self.deadline.saturating_sub(now),
             pace,
+            gap_target: self.route.gap_target,
+            fleet: FleetEffects::default(),
         }
     }
 
+    /// Returns the bytes of the request and its answer, as far as its length is known.
+    pub(crate) fn transfer_bytes(&self) -> f64 {
+        request_bytes(self.body.len(), self.output_tokens().unwrap_or_default())
+    }
+
     /// Returns the key of the prompt part that later requests share, within the workspace if it is isolated.
     pub(crate) fn session_key(&self) -> Option<SessionKey> {
         let prompt = self.prompt.as_ref()?;
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,8 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::pool::TargetSlot;
+use crate::first_token::TimeParts;
+use crate::host::Distance;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
@@ -19,7 +21,7 @@
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
-    Announcements, DrainSchedule, HostSettings, Pace, RetryBudget, RunTimes, Sessions, Target, View,
+    Announcements, DrainSchedule, HostSettings, LinkUse, Pace, RetryBudget, RunTimes, Sessions, Target, View,
 };
 
 /// Mutable routing state of the traffic thread.
@@ -39,6 +41,8 @@
     pub part_trials: PartTrials,
     /// What targets have said of themselves.
     pub announcements: Announcements,
+    /// Use of the links between regions.
+    pub link: LinkUse,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
     /// Recent times of complete answers by service.
@@ -178,6 +182,16 @@
         f(self.routing().slots.entry(target.run.clone()).or_default())
     }
 
+    /// Records the time to the first byte of a good answer in the learned times and the delay of the links.
+    pub(crate) fn record_first_byte(&self, target: &Target, expected: &TimeParts, elapsed: Duration) {
+        let is_far = self.settings.distance(&target.domain) == Distance::OtherRegion;
+        let mut routing = self.routing();
+        let pace = routing.paces.entry(target.service.clone()).or_default();
+        let late_ms = elapsed.as_secs_f64() * 1e3 - pace.expected_ms(expected);
+        pace.observe(expected, elapsed);
+        routing.link.record_lateness(is_far, late_ms);
+    }
+
     /// Records the load that an engine reported at time `at`.
     pub(crate) fn record_report(&self, run: &TargetId, load: ReportedLoad, at: Monotonic) {
         let mut routing = self.routing();
