Learn the speed and the late gaps of each target

Callers of a deployment with noisy neighbours: some targets are 1.3 times slower for good and some 2.5 times for half a second, and streams have late gaps. Placement knew one pace per service and nothing read the gaps.

TargetSpeed holds a factor on the expected times per run of a target, learned from first bytes and from the time between events, both relative to the service's averages; it is bounded and halves in 15 s. The fourth figure of Server-Load is preferred for 0.3 s. The relay records the longest gap between chunks with one reading of the clock per chunk; the share of streams above the route's target adds to the cost, as does the risk of preemption in an engine that is over 85% full. A host that was suspended discards what it learned and ignores times that span the suspension. A stream sets one timer for its deadline instead of one per chunk.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,21 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const LINK_BUSY: Event = event(
+        5080,
+        "link_busy",
+        "The links between regions are estimated to be busy; requests stay in their region unless that costs more.",
+    );
+    pub const LINK_FREE: Event = event(
+        5081,
+        "link_free",
+        "The links between regions have free capacity again.",
+    );
+    pub const LEARNING_DISCARDED: Event = event(
+        5082,
+        "learning_discarded",
+        "The host was suspended; what it had learned of links and of the speed of targets was discarded.",
+    );
 }
 
 /// All events, ordered by number.
@@ -436,6 +451,9 @@
     events::LOST_ROW_WRITTEN,
     events::TARGET_LEAVING,
     events::PAUSE_REQUESTED,
+    events::LINK_BUSY,
+    events::LINK_FREE,
+    events::LEARNING_DISCARDED,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -97,6 +97,13 @@
     pub slots: u32,
 }
 
+/// Speed that a target states in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerSpeed {
+    /// How long work takes at this moment; 100 is as usual.
+    pub time_percent: u32,
+}
+
 /// A pause in requests that a target asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestedPause {
@@ -117,6 +124,8 @@
     pub is_misdirected: bool,
     /// Load of the target.
     pub load: Option<ResponseLoad>,
+    /// Speed of the target, if it states it.
+    pub speed: Option<ServerSpeed>,
     /// Weight version that served the request.
     pub weights: Option<u64>,
     /// Time for which the target keeps an idle connection open.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -142,6 +142,7 @@
         });
         control.traffic.remove_stale();
         let view = control.traffic.view.load();
+        control.traffic.record_link_share();
         control.traffic.telemetry.record_gauges(&GaugeValues {
             store_age: control.cached_state().store_age(now),
             in_flight: control.traffic.in_flight.load(Ordering::Acquire),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod crash_rows;
 mod daemon;
+mod decay;
 mod declared;
 mod departed;
 mod drain;
@@ -31,6 +32,7 @@
 mod rows;
 mod sampling;
 mod sessions;
+mod speed;
 mod suspects;
 mod target;
 mod telemetry;
@@ -42,7 +44,9 @@
 pub use announcements::Announcements;
 pub use budget::RetryBudget;
 pub use cached_state::{CachedState, UpdateSource};
-pub use call::{AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts};
+pub use call::{
+    AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts, ServerSpeed,
+};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
     CallerLimits, Declared, DesiredWeights, EngineSpec, RetrySafety, Route, Service, ServiceShare, StoreSpec,
@@ -60,12 +64,15 @@
 pub use link::LinkUse;
 pub use load::{LoadEstimate, OtherHostsLoad, ReportedLoad, SendOutcome, Work, average_others};
 pub use lost_rows::LostRow;
-pub use placement::{Candidate, Choice, Decision, Demand, FleetEffects, decide, fetch_limit, spread_for};
+pub use placement::{
+    Candidate, Choice, Decision, Demand, FleetEffects, TargetCondition, decide, fetch_limit, spread_for,
+};
 pub use position::Position;
 pub use quarantine::{Crash, Crashes, Fingerprint};
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{OwnerRank, SessionKey, Sessions};
+pub use speed::{ServiceTimes, StreamTimes, TargetSpeed};
 pub use suspects::{
     AnswerStage, CrashEvidence, CrashRecord, PartEvidence, PartFingerprint, PartSet, PartSuccesses,
     PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
--- a/components/gateway/src/link.rs
+++ b/components/gateway/src/link.rs
@@ -22,6 +22,10 @@
 /// Delay that costs nothing, and the further delay that has the full cost, in milliseconds.
 const FREE_DELAY_MS: f64 = 30.0;
 const FULL_COST_DELAY_MS: f64 = 150.0;
+/// Congestion from which the link is reported as busy.
+const BUSY_CONGESTION: f64 = 0.5;
+/// Shortest time between two reports of a change.
+const MIN_CHANGE_INTERVAL: Duration = Duration::from_secs(10);
 /// Weight of a new sample of the lateness, from 0 to 1.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Largest lateness that a sample counts with, in milliseconds.
@@ -44,6 +48,10 @@
     at: Monotonic,
     /// Average time by which answers came later than expected, from the own region and from others, in milliseconds.
     lateness_ms: [f64; 2],
+    /// Whether the link was last reported as busy.
+    is_busy: bool,
+    /// Time of that report.
+    changed_at: Monotonic,
 }
 
 impl LinkUse {
@@ -83,9 +91,28 @@
     /// Returns the cost of sending a request of this size to another region. It is zero while the link has much free
     /// capacity and does not delay requests. The capacity is an assumption; the delay shows a link that carries less.
     pub fn cost(&self, bytes: f64, hosts: usize, now: Monotonic) -> f64 {
+        FULL_COST * self.congestion(hosts, now) * bytes / LONG_REQUEST_BYTES
+    }
+
+    /// Returns whether the link has become busy or free, at most once in [`MIN_CHANGE_INTERVAL`].
+    pub(crate) fn change(&mut self, hosts: usize, now: Monotonic) -> Option<bool> {
+        let congestion = self.congestion(hosts, now);
+        let is_busy = match self.is_busy {
+            true => congestion > 0.0,
+            false => congestion >= BUSY_CONGESTION,
+        };
+        if is_busy == self.is_busy || now < self.changed_at + MIN_CHANGE_INTERVAL {
+            return None;
+        }
+        (self.is_busy, self.changed_at) = (is_busy, now);
+        Some(is_busy)
+    }
+
+    /// Returns the congestion from 0, free, over 1, full, to [`MAX_COST_FACTOR`].
+    fn congestion(&self, hosts: usize, now: Monotonic) -> f64 {
         let used = (self.share(hosts, now) - FREE_SHARE) / (FULL_COST_SHARE - FREE_SHARE);
         let delayed = (self.delay_ms() - FREE_DELAY_MS) / FULL_COST_DELAY_MS;
-        FULL_COST * used.max(delayed).clamp(0.0, MAX_COST_FACTOR) * bytes / LONG_REQUEST_BYTES
+        used.max(delayed).clamp(0.0, MAX_COST_FACTOR)
     }
 
     fn recent_bytes(&self, now: Monotonic) -> f64 {
--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -4,6 +4,7 @@
 use utils::Monotonic;
 
 use crate::ResponseLoad;
+use crate::decay::weight_at;
 
 /// Weight of a new sample in the exponentially weighted averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -368,9 +369,3 @@
 fn report_weight_at(at: Monotonic, now: Monotonic) -> f64 {
     weight_at(at, REPORT_HALF_LIFE, now)
 }
-
-/// Returns the weight of an observation made at `at`: 0.5 to the power of its age in half-lives.
-fn weight_at(at: Monotonic, half_life: Duration, now: Monotonic) -> f64 {
-    let age = now.saturating_sub(at).as_secs_f64();
-    0.5f64.powf(age / half_life.as_secs_f64())
-}
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -79,6 +79,26 @@
     pub has_old_weights: bool,
     /// Whether an idle connection to the target is open.
     pub is_connected: bool,
+    /// Speed and streams of the target.
+    pub condition: TargetCondition,
+}
+
+/// Speed and streams of a target, as learned from its answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TargetCondition {
+    /// Factor on the expected times, relative to the service.
+    pub time_factor: f64,
+    /// Share of its recent streams with a gap longer than the route's target.
+    pub late_gaps: f64,
+}
+
+impl Default for TargetCondition {
+    fn default() -> Self {
+        Self {
+            time_factor: 1.0,
+            late_gaps: 0.0,
+        }
+    }
 }
 
 /// The chosen candidate with its estimates.
--- a/components/gateway/src/placement/time.rs
+++ b/components/gateway/src/placement/time.rs
@@ -35,19 +35,20 @@
 pub(super) fn time_parts(demand: &Demand, c: &Candidate) -> TimeParts {
     let round_trip_ms = ROUND_TRIP_MS[c.distance.min(2)];
     let slots = f64::from(c.slots.max(1));
+    let factor = c.condition.time_factor;
     if demand.prompt_tokens == 0 {
         let waiting = (c.requests + 1.0 - slots).max(0.0) / slots;
         let busy = c.requests / slots;
         return TimeParts {
-            fixed_ms: round_trip_ms + c.latency_ms * (1.0 + 0.3 * busy + waiting),
+            fixed_ms: round_trip_ms + factor * c.latency_ms * (1.0 + 0.3 * busy + waiting),
             ..TimeParts::default()
         };
     }
     let to_prefill = f64::from(demand.prompt_tokens) - c.cache_hit_chance * f64::from(demand.shared_tokens);
     let overflow_ms = (c.requests + 1.0 - slots).max(0.0) * FIRST_TOKEN_MS;
     TimeParts {
-        fixed_ms: round_trip_ms + FIRST_TOKEN_MS + c.requests * DELAY_PER_REQUEST_MS + overflow_ms,
-        prefill_ms: (c.prefill_backlog as f64 + to_prefill.max(0.0)) / PREFILL_TOKENS_PER_MS,
-        queue_ms: c.queued * QUEUED_MS,
+        fixed_ms: round_trip_ms + factor * (FIRST_TOKEN_MS + c.requests * DELAY_PER_REQUEST_MS + overflow_ms),
+        prefill_ms: factor * (c.prefill_backlog as f64 + to_prefill.max(0.0)) / PREFILL_TOKENS_PER_MS,
+        queue_ms: factor * c.queued * QUEUED_MS,
     }
 }
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -28,6 +28,12 @@
     first_byte: Histogram<f64>,
     /// Time since weights were replaced, at the first byte of an answer on them, in seconds.
     replaced_weights_age: Histogram<f64>,
+    /// Longest time between chunks of a stream, in seconds.
+    stream_gap: Histogram<f64>,
+    /// Factor on the expected times at the target of a stream, relative to its service.
+    target_speed: Histogram<f64>,
+    /// Share of the capacity of the links between regions that all hosts are estimated to use.
+    link_share: Gauge<f64>,
     /// Retries by whether the budget allowed them.
     retries: Counter<u64>,
     /// Pauses that targets have asked for.
@@ -114,6 +120,12 @@
             requests: meter.u64_counter("laburnumtally.route.requests").build(),
             sends: meter.u64_counter("laburnumtally.route.sends").build(),
             first_byte: first_byte.with_unit("s").build(),
+            stream_gap: meter
+                .f64_histogram("laburnumtally.route.stream_gap")
+                .with_unit("s")
+                .build(),
+            target_speed: meter.f64_histogram("laburnumtally.targets.time_factor").build(),
+            link_share: meter.f64_gauge("laburnumtally.link.share").build(),
             replaced_weights_age: replaced_weights_age.with_unit("s").build(),
             retries: meter.u64_counter("laburnumtally.route.repeats").build(),
             pauses: meter.u64_counter("laburnumtally.targets.pauses").build(),
@@ -185,6 +197,31 @@
         self.first_byte.record(after.as_secs_f64(), &[]);
     }
 
+    /// Records the longest time between two chunks of a stream.
+    pub(crate) fn stream_gap(&self, gap: Duration) {
+        self.stream_gap.record(gap.as_secs_f64(), &[]);
+    }
+
+    /// Records the factor on the expected times at the target of a stream.
+    pub(crate) fn target_speed(&self, factor: f64) {
+        self.target_speed.record(factor, &[]);
+    }
+
+    /// Records the estimated use of the links between regions, and logs that they have become busy or free.
+    pub(crate) fn link(&self, share: f64, change: Option<bool>) {
+        self.link_share.record(share, &[]);
+        match change {
+            Some(true) => warn!(self.log, "link is busy"; events::LINK_BUSY, "share" => share),
+            Some(false) => info!(self.log, "link is free"; events::LINK_FREE, "share" => share),
+            None => {}
+        }
+    }
+
+    /// Logs that the host was suspended.
+    pub(crate) fn learning_discarded(&self) {
+        warn!(self.log, "host was suspended"; events::LEARNING_DISCARDED);
+    }
+
     /// Records and logs an answer that began on replaced weights. `age` is the time since newer weights were
     /// declared, if it is known, and `waited` the time since the request was sent.
     pub(crate) fn replaced_weights_used(
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -108,7 +108,8 @@
         self.first_byte = Some(elapsed);
         self.cx.telemetry.first_byte(elapsed);
         if (200..300).contains(&status) && !facts.is_not_run {
-            self.cx.record_first_byte(&self.target, &self.expected, elapsed);
+            self.cx
+                .record_first_byte(&self.target, &self.expected, elapsed, facts.speed);
         }
         self.cx.with_slot(&self.target, |slot| {
             slot.load.record_first_byte(prefill_tokens, self.sent_at, now);
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod connect;
 mod crashes;
 mod exchange;
+mod learn;
 mod outgoing;
 mod pipeline;
 mod place;
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -237,6 +237,7 @@
             failures: load.failures(),
             has_old_weights: self.old_weights(weights) == OldWeightsPolicy::Avoided,
             is_connected: slot.is_some_and(|slot| slot.is_connected(self.now)),
+            condition: slot.map_or_else(Default::default, |slot| slot.speed.condition(self.now)),
         }
     }
 
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -3,7 +3,7 @@
 use utils::Monotonic;
 
 use super::connect::{CallNumber, Connection};
-use crate::LoadEstimate;
+use crate::{LoadEstimate, TargetSpeed};
 
 /// Margin before the target's keep-alive timeout in which an idle connection is no longer used.
 const CLOSE_MARGIN: Duration = Duration::from_millis(1_200);
@@ -23,6 +23,8 @@
 pub(crate) struct TargetSlot {
     /// Estimated load and health.
     pub load: LoadEstimate,
+    /// Speed relative to the service, and late gaps of streams.
+    pub speed: TargetSpeed,
     /// Newest weight version that the target's answers have reported.
     pub observed_weights: Option<u64>,
     /// Open connections, idle and reserved ones included.
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -9,6 +10,8 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
+use smol::Timer;
+use utils::Monotonic;
 
 use super::crashes::{BrokenAttempt, may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, Exchange, exchange};
@@ -18,7 +21,7 @@
 use super::state::Traffic;
 use super::stream_events::EventSplitter;
 use crate::suspects::AnswerStage;
-use crate::{AnswerFacts, Target};
+use crate::{AnswerFacts, StreamTimes, Target};
 
 /// A stream that is passed to the caller. The caller's connection polls it; when the caller disconnects, the
 /// stream is dropped together with the target's connection.
@@ -31,6 +34,9 @@
     attempts: Attempts,
     /// Splits the stream at event boundaries.
     splitter: EventSplitter,
+    /// Resolves at the request's deadline. One timer serves the whole stream, as setting one for each chunk costs more
+    /// than passing the chunk on.
+    deadline: Timer,
     /// The target's answer; `None` once it has ended.
     source: Option<Source>,
     /// Counts the request as in flight until the stream ends.
@@ -45,6 +51,8 @@
     facts: AnswerFacts,
     /// The exchange with the target.
     exchange: Exchange,
+    /// Times of the chunks of events.
+    chunks: ChunkTimes,
     /// Whether an end at this point proves nothing: no byte has arrived of an unframed stream that begins with the
     /// first event.
     is_unproven: bool,
@@ -57,12 +65,39 @@
             body: answer.body,
             facts: answer.facts,
             exchange: answer.exchange,
+            chunks: ChunkTimes::default(),
             is_unproven: answer.is_unframed && after.is_none(),
         };
         (answer.parts, source)
     }
 }
 
+/// Times of the chunks of events that a target has sent.
+#[derive(Default)]
+struct ChunkTimes {
+    /// Times of the first and the last chunk.
+    bounds: Option<(Monotonic, Monotonic)>,
+    /// Longest time between two chunks.
+    longest_gap: Duration,
+}
+
+impl ChunkTimes {
+    fn record(&mut self, now: Monotonic) {
+        let (first, last) = self.bounds.unwrap_or((now, now));
+        self.longest_gap = self.longest_gap.max(now.saturating_sub(last));
+        self.bounds = Some((first, now));
+    }
+
+    fn stream_times(&self, events: u64) -> StreamTimes {
+        let (first, last) = self.bounds.unwrap_or_default();
+        StreamTimes {
+            events: events.saturating_sub(1),
+            rest: last.saturating_sub(first),
+            longest_gap: self.longest_gap,
+        }
+    }
+}
+
 /// The next item read from the target.
 enum Next {
     /// Bytes of the body.
@@ -89,7 +124,9 @@
         parts.headers.remove(CONTENT_LENGTH);
     }
     let splitter = EventSplitter::resume_after(call.last_event.clone());
+    let deadline = Timer::after(call.deadline.saturating_sub(cx.now()));
     let relay = Relay {
+        deadline,
         cx,
         call,
         attempts,
@@ -109,12 +146,15 @@
     /// otherwise.
     async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
         loop {
+            let was_answered = self.has_events();
             let source = self.source.as_mut()?;
-            match read(&self.cx, &self.call, source).await {
+            match read(&mut self.deadline, source).await {
                 Next::Data(bytes) => {
                     source.is_unproven &= bytes.is_empty();
-                    let was_answered = self.has_events();
                     let whole = self.splitter.push(&bytes);
+                    if !whole.is_empty() {
+                        source.chunks.record(self.cx.now());
+                    }
                     if !was_answered && self.has_events() {
                         record_success(&self.cx, &self.call);
                     }
@@ -124,7 +164,10 @@
                 }
                 Next::End if !source.is_unproven && self.splitter.is_between_events() => return self.end(),
                 Next::TimedOut => {
-                    self.source = None;
+                    source.chunks.record(self.cx.now());
+                    if let Some(source) = self.source.take() {
+                        self.record_stream(&source);
+                    }
                     self.log_interrupted("the route's time is up");
                     return Some(Err(HttpError::TimedOut));
                 }
@@ -150,6 +193,7 @@
             self.cx
                 .record_run(&self.call.service, tokens, times.first_byte, times.rest);
         }
+        self.record_stream(&source);
         source.exchange.finish(&source.facts);
         self.cx.routing().crashes.record_success(&self.call.fingerprint);
         let events = self.splitter.progress().events;
@@ -160,6 +204,17 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    fn record_stream(&self, source: &Source) {
+        // The events of a resumed stream come from several targets.
+        let events = match self.attempts.possible_runs {
+            1 => self.splitter.progress().events,
+            _ => 0,
+        };
+        let times = source.chunks.stream_times(events);
+        let gap_target = self.call.route.gap_target;
+        self.cx.record_stream(&source.exchange.target, &times, gap_target);
+    }
+
     /// Whether the caller has received an event.
     fn has_events(&self) -> bool {
         self.splitter.progress().events > 0
@@ -230,7 +285,7 @@
     }
 }
 
-async fn read(cx: &Traffic, call: &Call, source: &mut Source) -> Next {
+async fn read(deadline: &mut Timer, source: &mut Source) -> Next {
     let frame = async {
         loop {
             match source.body.frame().await {
@@ -245,7 +300,7 @@
         }
     };
     let timeout = async {
-        smol::Timer::after(call.deadline.saturating_sub(cx.now())).await;
+        deadline.await;
         Next::TimedOut
     };
     frame.or(timeout).await
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -11,9 +11,8 @@
 
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
+use super::learn::Suspensions;
 use super::pool::TargetSlot;
-use crate::first_token::TimeParts;
-use crate::host::Distance;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
 use crate::ports::Heads;
@@ -21,7 +20,8 @@
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
 use crate::telemetry::Telemetry;
 use crate::{
-    Announcements, DrainSchedule, HostSettings, LinkUse, Pace, RetryBudget, RunTimes, Sessions, Target, View,
+    Announcements, DrainSchedule, HostSettings, LinkUse, Pace, RetryBudget, RunTimes, ServiceTimes, Sessions,
+    Target, View,
 };
 
 /// Mutable routing state of the traffic thread.
@@ -45,6 +45,10 @@
     pub link: LinkUse,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
+    /// Average times by service, which those of targets are compared with.
+    pub service_times: HashMap<ServiceId, ServiceTimes>,
+    /// Suspensions of the host.
+    pub suspensions: Suspensions,
     /// Recent times of complete answers by service.
     pub run_times: HashMap<ServiceId, RunTimes>,
 }
@@ -182,16 +186,6 @@
         f(self.routing().slots.entry(target.run.clone()).or_default())
     }
 
-    /// Records the time to the first byte of a good answer in the learned times and the delay of the links.
-    pub(crate) fn record_first_byte(&self, target: &Target, expected: &TimeParts, elapsed: Duration) {
-        let is_far = self.settings.distance(&target.domain) == Distance::OtherRegion;
-        let mut routing = self.routing();
-        let pace = routing.paces.entry(target.service.clone()).or_default();
-        let late_ms = elapsed.as_secs_f64() * 1e3 - pace.expected_ms(expected);
-        pace.observe(expected, elapsed);
-        routing.link.record_lateness(is_far, late_ms);
-    }
-
     /// Records the load that an engine reported at time `at`.
     pub(crate) fn record_report(&self, run: &TargetId, load: ReportedLoad, at: Monotonic) {
         let mut routing = self.routing();
@@ -233,13 +227,17 @@
         is_allowed
     }
 
-    /// Closes expired connections and removes the state of targets that are gone.
+    /// Closes expired connections and removes the state of targets that are gone, and what was learned before a
+    /// suspension of the host.
     pub(crate) fn remove_stale(&self) {
         let now = self.now();
         let view = self.view.load();
         let listed = view.targets.values().flatten();
         let listed: HashSet<&TargetId> = listed.map(|target| &target.run).collect();
         let mut routing = self.routing();
+        if routing.tick(now) {
+            self.telemetry.learning_discarded();
+        }
         routing
             .slots
             .retain(|id, slot| listed.contains(id) || slot.load.own_requests() > 0);
--- /dev/null
+++ b/components/gateway/tests/condition.rs
@@ -0,0 +1,120 @@
+//! The speed of targets and the late gaps of their streams in a placement.
+
+use std::time::Duration;
+
+use gateway::{
+    Candidate, Decision, Demand, FleetEffects, Pace, ServerSpeed, ServiceTimes, StreamTimes, TargetCondition,
+    TargetSpeed, decide,
+};
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn engine() -> Candidate {
+    Candidate {
+        distance: 0,
+        requests: 8.0,
+        waiting: 0.0,
+        queued: 0.0,
+        memory: (60_000.0, 150_000),
+        slots: 32,
+        prefill_backlog: 0,
+        cache_hit_chance: 0.0,
+        latency_ms: 100.0,
+        failures: 0.0,
+        has_old_weights: false,
+        is_connected: true,
+        condition: TargetCondition::default(),
+    }
+}
+
+fn chosen(gap_target: Option<Duration>, candidates: &[Candidate]) -> usize {
+    let demand = Demand {
+        prompt_tokens: 2_000,
+        shared_tokens: 0,
+        memory: 2_000,
+        priority: 0,
+        latency_target: Duration::from_millis(400),
+        time_left: secs(3),
+        pace: Pace::default(),
+        gap_target,
+        fleet: FleetEffects::default(),
+    };
+    match decide(&demand, candidates, 0.0) {
+        Decision::Send(choice) => choice.index,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn slow_and_nearly_full_engines_and_those_with_late_gaps_are_avoided() {
+    let slow = TargetCondition {
+        time_factor: 2.5,
+        late_gaps: 0.0,
+    };
+    let with_gaps = TargetCondition {
+        time_factor: 1.0,
+        late_gaps: 0.5,
+    };
+    let engine_in = |condition| Candidate {
+        condition,
+        ..engine()
+    };
+    let full = Candidate {
+        memory: (145_000.0, 150_000),
+        ..engine()
+    };
+    assert_eq!(chosen(None, &[engine_in(slow), engine()]), 1);
+    assert_eq!(chosen(None, &[full, engine()]), 1);
+    assert_eq!(chosen(Some(secs(1)), &[engine_in(with_gaps), engine()]), 1);
+    // Without a target for gaps there is nothing to miss.
+    assert_eq!(chosen(None, &[engine_in(with_gaps), engine()]), 0);
+}
+
+/// A stalled answer or a wrong figure must not exclude a target.
+#[test]
+fn the_learned_speed_is_bounded_and_forgotten() {
+    let mut speed = TargetSpeed::default();
+    for second in 0..100 {
+        speed.observe_events(50.0, secs(second));
+    }
+    speed.record_stated(
+        ServerSpeed {
+            time_percent: 100_000,
+        },
+        secs(100),
+    );
+    assert!(speed.time_factor(secs(100)) <= 3.1);
+    assert!(speed.time_factor(secs(300)) < 1.01);
+}
+
+#[test]
+fn the_stated_speed_is_preferred_while_it_is_new() {
+    let mut speed = TargetSpeed::default();
+    speed.record_stated(ServerSpeed { time_percent: 250 }, secs(1));
+    assert!(speed.time_factor(secs(1)) > 2.4);
+    assert!(speed.time_factor(secs(3)) < 1.05);
+}
+
+#[test]
+fn a_slow_target_is_told_from_its_streams() {
+    let (mut times, mut speed) = (ServiceTimes::default(), TargetSpeed::default());
+    let stream = |ms| StreamTimes {
+        events: 100,
+        rest: Duration::from_millis(ms),
+        longest_gap: Duration::from_millis(20),
+    };
+    for second in 0..60 {
+        times.observe_stream(&stream(500));
+        if let Some(ratio) = times.observe_stream(&stream(650)) {
+            speed.observe_events(ratio, secs(second));
+        }
+    }
+    assert!(speed.time_factor(secs(60)) > 1.08);
+    let few_events = StreamTimes {
+        events: 2,
+        ..stream(500)
+    };
+    assert_eq!(times.observe_stream(&few_events), None);
+}
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use gateway::{Candidate, Decision, Demand, FleetEffects, Pace, decide_from, sample, spread_for};
+use gateway::{
+    Candidate, Decision, Demand, FleetEffects, Pace, TargetCondition, decide_from, sample, spread_for,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use support::ms;
@@ -50,6 +52,7 @@
         failures: 0.0,
         has_old_weights: false,
         is_connected: true,
+        condition: TargetCondition::default(),
     }
 }
 
--- a/components/gateway/tests/overload.rs
+++ b/components/gateway/tests/overload.rs
@@ -7,7 +7,7 @@
 
 use gateway::{
     Candidate, Decision, Demand, FleetEffects, LoadEstimate, Pace, ReportedLoad, ResponseLoad, RetryBudget,
-    SendOutcome, Work, decide, fetch_limit,
+    SendOutcome, TargetCondition, Work, decide, fetch_limit,
 };
 use support::ms;
 
@@ -28,6 +28,7 @@
         failures: 0.0,
         has_old_weights: false,
         is_connected: true,
+        condition: TargetCondition::default(),
     }
 }
 
--- a/components/gateway/tests/support/fleet_sim.rs
+++ b/components/gateway/tests/support/fleet_sim.rs
@@ -7,7 +7,8 @@
 
 use gateway::{
     Candidate, Choice, Demand, FleetEffects, LinkUse, LoadEstimate, OwnerRank, Pace, ReportedLoad,
-    ResponseLoad, Sessions, Work, average_others, spread_for,
+    ResponseLoad, ServiceTimes, Sessions, StreamTimes, TargetCondition, TargetSpeed, Work, average_others,
+    spread_for,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -106,6 +107,7 @@
     prefill_left: f64,
     cached: f64,
     made: u32,
+    first_event: f64,
     last_event: f64,
     longest_gap: f64,
 }
@@ -220,6 +222,8 @@
 struct Host {
     loads: Vec<LoadEstimate>,
     old_loads: Vec<OldLoad>,
+    speeds: Vec<TargetSpeed>,
+    times: ServiceTimes,
     sessions: Sessions,
     pace: Pace,
     link: LinkUse,
@@ -256,6 +260,8 @@
         let host = |_| Host {
             loads: vec![LoadEstimate::default(); fleet.engines],
             old_loads: vec![OldLoad::default(); fleet.engines],
+            speeds: vec![TargetSpeed::default(); fleet.engines],
+            times: ServiceTimes::default(),
             sessions: Sessions::default(),
             pace: Pace::default(),
             link: LinkUse::default(),
@@ -402,6 +408,10 @@
                     failures: load.failures(),
                     has_old_weights: false,
                     is_connected: true,
+                    condition: match self.rule.is_new() {
+                        true => state.speeds[*engine].condition(ms(now)),
+                        false => TargetCondition::default(),
+                    },
                 }
             })
             .collect();
@@ -452,6 +462,7 @@
             prefill_left: 0.0,
             cached: 0.0,
             made: 0,
+            first_event: 0.0,
             last_event: 0.0,
             longest_gap: 0.0,
         };
@@ -521,6 +532,7 @@
             let seen = self.transfer((run.host + 1) % 2, distance, EVENT_BYTES, at);
             if run.made == 0 {
                 self.first_token(index, &run, seen, at, load);
+                run.first_event = seen;
                 touched.push((run.session, run.class.shared));
             } else {
                 run.longest_gap = run.longest_gap.max(seen - run.last_event);
@@ -537,6 +549,16 @@
             };
             self.hosts[run.host].loads[index].record_end(ended, ms(run.sent_at), ms(at as u64));
             self.hosts[run.host].old_loads[index].end(run.work);
+            let times = StreamTimes {
+                events: u64::from(run.made) - 1,
+                rest: Duration::from_secs_f64((seen - run.first_event) / 1e3),
+                longest_gap: Duration::from_secs_f64(run.longest_gap / 1e3),
+            };
+            let host = &mut self.hosts[run.host];
+            if let Some(ratio) = host.times.observe_stream(&times) {
+                host.speeds[index].observe_events(ratio, ms(at as u64));
+            }
+            host.speeds[index].observe_gap(times.longest_gap > ms(GAP_TARGET_MS), ms(at as u64));
             if run.sent_at >= WARM_UP_MS {
                 self.gaps.0 += u32::from(run.longest_gap > GAP_TARGET_MS as f64);
                 self.gaps.1 += 1;
@@ -554,6 +576,11 @@
         let host = &mut self.hosts[run.host];
         let expected_ms = host.pace.expected_ms(&run.choice.parts);
         host.link.record_lateness(distance == 2, took - expected_ms);
+        if distance < 2 {
+            let took = Duration::from_secs_f64(took / 1e3);
+            let ratio = host.times.observe_first_byte(&host.pace, &run.choice.parts, took);
+            host.speeds[index].observe_first_byte(ratio, ms(seen as u64));
+        }
         host.pace
             .observe(&run.choice.parts, Duration::from_secs_f64(took / 1e3));
         host.loads[index].record_first_byte(run.work.prefill_tokens, ms(run.sent_at), ms(seen as u64));
