--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -78,7 +78,7 @@
     PartTrials, SuspectPart, SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
-pub use traffic::{EventSplitter, Progress};
+pub use traffic::{EventSplitter, Progress, Suspensions};
 pub use view::{HostEntry, Regions, View, is_sole_owner};
 pub use weights::{Rollout, RolloutAction, RolloutInput, is_overdue};
 pub use weights_history::{DeclaredAge, Replacement, WeightsHistory};
--- a/components/gateway/src/traffic/learn.rs
+++ b/components/gateway/src/traffic/learn.rs
@@ -14,8 +14,20 @@
 const SUSPENDED_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Detects that the host was suspended. Times that span a suspension say nothing about targets.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let at = Duration::from_millis;
+/// let mut suspensions = gateway::Suspensions::default();
+/// assert!(!suspensions.tick(at(5_000)));
+/// // An answer is read right after the host goes on, before its next tick.
+/// assert!(suspensions.is_between(at(5_100), at(9_000)));
+/// assert!(suspensions.tick(at(9_010)));
+/// assert!(!suspensions.is_between(at(9_020), at(9_200)));
+/// ```
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Suspensions {
+pub struct Suspensions {
     /// Time of the last tick.
     ticked_at: Monotonic,
     /// End of the last suspension.
@@ -24,7 +36,7 @@
 
 impl Suspensions {
     /// Records a tick; returns whether the host was suspended before it.
-    pub(crate) fn tick(&mut self, now: Monotonic) -> bool {
+    pub fn tick(&mut self, now: Monotonic) -> bool {
         let is_first = self.ticked_at.is_zero();
         let was_suspended = !is_first && now > self.ticked_at + SUSPENDED_AFTER;
         self.ticked_at = now;
@@ -35,7 +47,7 @@
     }
 
     /// Whether the host was suspended between `since` and `now`.
-    pub(crate) fn is_between(&self, since: Monotonic, now: Monotonic) -> bool {
+    pub fn is_between(&self, since: Monotonic, now: Monotonic) -> bool {
         let is_overdue = !self.ticked_at.is_zero() && now > self.ticked_at + SUSPENDED_AFTER;
         since < self.resumed_at || is_overdue
     }
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod stream_events;
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
+pub use learn::Suspensions;
 pub(crate) use pipeline::serve;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/tests/condition.rs
+++ b/components/gateway/tests/condition.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Candidate, Decision, Demand, FleetEffects, Pace, ServerSpeed, ServiceTimes, StreamTimes, TargetCondition,
-    TargetSpeed, decide,
+    Candidate, Decision, Demand, FleetEffects, LoadEstimate, Pace, ReportedLoad, ServerSpeed, ServiceTimes,
+    StreamTimes, TargetCondition, TargetSpeed, Work, average_others, decide,
 };
 
 fn secs(secs: u64) -> Duration {
@@ -118,3 +118,50 @@
     };
     assert_eq!(times.observe_stream(&few_events), None);
 }
+
+/// Reports arrive late: own sends after a report must not be taken out of it, and those before it not counted twice.
+#[test]
+fn own_requests_are_taken_out_of_a_report_as_of_its_time() {
+    let at = Duration::from_millis;
+    let mut load = LoadEstimate::default();
+    load.record_start(Work::default(), at(500));
+    load.record_start(Work::default(), at(900));
+    load.record_end(Work::default(), at(500), at(950));
+    let report = ReportedLoad {
+        running: 5,
+        ..ReportedLoad::default()
+    };
+    load.record_report(report, at(800));
+    // Four requests of others, and the own one of 900 ms.
+    assert!((load.requests(4.0, at(1_000)) - 5.0).abs() < 0.01);
+    // An older report that another host forwards later changes nothing.
+    let older = ReportedLoad {
+        running: 30,
+        ..report
+    };
+    load.record_report(older, at(700));
+    assert!((load.requests(4.0, at(1_000)) - 5.0).abs() < 0.01);
+}
+
+#[test]
+fn a_queue_decays_to_the_average_of_the_other_targets() {
+    let at = Duration::from_millis;
+    let report = |queued| {
+        let mut load = LoadEstimate::default();
+        let report = ReportedLoad {
+            running: 5,
+            prefilling: queued,
+            ..ReportedLoad::default()
+        };
+        load.record_report(report, at(1_000));
+        load
+    };
+    let loads = [report(0), report(4)];
+    let average = average_others(&loads, 2, 82, at(1_000)).queued;
+    assert!((average - 2.0).abs() < 0.01);
+    // The idle engine has received requests of other hosts since its report.
+    let estimate = loads[0].queued(average, at(1_800));
+    assert!(estimate > 1.4, "{estimate}");
+    // Without reports for a long time the own load of this host is assumed.
+    assert_eq!(average_others(&loads, 2, 82, at(9_000)).queued, 0.0);
+}
