Assume the reported memory for requests of other hosts

On engines that are nearly full, long prompts left the owner of their session and prefilled their shared part elsewhere, which evicted others. The estimate of an engine's memory moved from the report to requests times the memory of an own request, in which the part that a session shares counts each time, so that engines with room looked full. It moves to the reported memory per request now.

The baseline of tests/balance.rs follows the old code more closely: it assumed 4,000 tokens for a request instead of the own average, compared a sample also with 9 hosts, and had reports there.

--- a/components/gateway/src/load.rs
+++ b/components/gateway/src/load.rs
@@ -261,11 +261,16 @@
         reported.max(self.waiting(now) - unanswered as f64)
     }
 
-    /// Returns the requests of other hosts, and those of them that were queued or in their prefill, in the engine's last
-    /// report; `None` if there is none that is recent.
-    pub fn reported_others(&self, now: Monotonic) -> Option<(f64, f64)> {
+    /// Returns the load of other hosts in the engine's last report; `memory` is that of all their requests. `None` if
+    /// there is no recent report.
+    fn reported_others(&self, now: Monotonic) -> Option<OtherHostsLoad> {
         let (queued, at) = self.other_queued?;
-        (now < at + REPORT_RETENTION).then_some((self.other_requests, queued))
+        let memory = self.other_memory.map_or(0.0, |(memory, _)| memory);
+        (now < at + REPORT_RETENTION).then_some(OtherHostsLoad {
+            requests: self.other_requests,
+            queued,
+            memory,
+        })
     }
 
     /// Returns the estimated KV-cache memory in use at the engine, in tokens. `memory_per_request` is the
@@ -341,13 +346,14 @@
     now: Monotonic,
 ) -> OtherHostsLoad {
     let (mut own_memory, mut own_requests) = (0, 0);
-    let (mut requests, mut queued, mut reports) = (0.0, 0.0, 0.0);
+    let (mut requests, mut queued, mut memory, mut reports) = (0.0, 0.0, 0.0, 0.0);
     for load in loads {
         own_memory += load.own_memory;
         own_requests += u64::from(load.own_requests);
         if let Some(reported) = load.reported_others(now) {
-            requests += reported.0;
-            queued += reported.1;
+            requests += reported.requests;
+            queued += reported.queued;
+            memory += reported.memory;
             reports += 1.0;
         }
     }
@@ -358,7 +364,9 @@
             false => of_each_host * hosts.saturating_sub(1) as f64,
         },
         queued: queued / f64::max(reports, 1.0),
+        // Requests of a session share memory, so the reports give less for each request than the own requests do.
         memory: match own_requests {
+            _ if requests > 0.0 => memory / requests,
             0 => DEFAULT_REQUEST_MEMORY,
             _ => own_memory as f64 / own_requests as f64,
         },
--- a/components/gateway/tests/balance.rs
+++ b/components/gateway/tests/balance.rs
@@ -55,8 +55,8 @@
 struct Old;
 
 impl Rule for Old {
-    fn choose(&self, demand: &Demand, list: &[Candidate], _hosts: usize, rng: &mut StdRng) -> Option<Choice> {
-        old_rule::choose(demand, list, rng)
+    fn choose(&self, demand: &Demand, list: &[Candidate], hosts: usize, rng: &mut StdRng) -> Option<Choice> {
+        old_rule::choose(demand, list, hosts, rng)
     }
 
     fn is_new(&self) -> bool {
@@ -100,6 +100,20 @@
     assert!(new.cached_share >= old.cached_share - MAX_LOST_CACHE);
 }
 
+/// Engines are nearly full, and a request that leaves its session's owner evicts cached parts where it goes. Memory that
+/// requests of a session share was counted for each of them, so that engines with room looked full.
+#[test]
+fn sessions_stay_near_their_cache_when_memory_is_short() {
+    let mut fleet = LARGE;
+    for (class, out) in fleet.classes.iter_mut().zip([500, 300, 80]) {
+        class.out = out;
+    }
+    let (old, new) = compare("short memory", fleet);
+    assert!(old.late_share > MAX_LATE_SHARE);
+    assert!(new.late_share <= MAX_LATE_SHARE);
+    assert!(new.cached_share >= old.cached_share - MAX_LOST_CACHE);
+}
+
 /// The capacity of the link is an assumption; the delay of answers shows that it carries less.
 #[test]
 fn a_link_of_half_the_capacity_is_not_overrun() {
@@ -133,7 +147,8 @@
         class.out = out;
     }
     let mut small = calm;
-    (small.hosts, small.engines) = (9, 14);
+    // With so few hosts no engine is polled for reports.
+    (small.hosts, small.engines, small.reports_until_ms) = (9, 14, 0);
     for class in &mut small.classes {
         class.per_second *= 14.0 / 60.0;
         class.sessions = class.sessions * 14 / 60;
--- a/components/gateway/tests/support/fleet_sim.rs
+++ b/components/gateway/tests/support/fleet_sim.rs
@@ -373,6 +373,12 @@
         let state = &self.hosts[host];
         let own: u32 = state.loads.iter().map(LoadEstimate::own_requests).sum();
         let others = average_others(&state.loads, self.fleet.engines, hosts, ms(now));
+        let own_memory = state.loads.iter().map(LoadEstimate::own_memory).sum::<u64>();
+        let own_memory = if own == 0 {
+            4_000.0
+        } else {
+            own_memory as f64 / f64::from(own)
+        };
         let expected_others = f64::from(own) / self.fleet.engines as f64 * (hosts - 1) as f64;
         let first_near = order.iter().position(|engine| self.distance(host, *engine) < 2);
         let candidates: Vec<_> = order
@@ -382,7 +388,7 @@
                 let load = &state.loads[*engine];
                 let rank = OwnerRank::new(position, first_near.filter(|_| self.rule.is_new()));
                 let (requests, waiting, queued, memory) = match self.rule.is_new() {
-                    false => state.old_loads[*engine].at(expected_others, now),
+                    false => state.old_loads[*engine].at(expected_others, own_memory, now),
                     true => (
                         load.requests(others.requests, ms(now)),
                         load.waiting(ms(now)),
--- a/components/gateway/tests/support/old_rule.rs
+++ b/components/gateway/tests/support/old_rule.rs
@@ -6,13 +6,17 @@
 use rand::seq::IndexedRandom;
 
 /// Chooses the candidate with the lowest cost among the owners, the engines that surely cache the prompt, three near
-/// ones and a far one.
-pub(crate) fn choose(demand: &Demand, candidates: &[Candidate], rng: &mut StdRng) -> Option<Choice> {
-    let is_owner = |index: &usize| *index < 2 || candidates[*index].cache_hit_chance >= 0.88;
+/// ones and a far one; among all if there are few hosts.
+pub(crate) fn choose(
+    demand: &Demand,
+    candidates: &[Candidate],
+    hosts: usize,
+    rng: &mut StdRng,
+) -> Option<Choice> {
+    let is_owner = |index: &usize| hosts < 16 || *index < 2 || candidates[*index].cache_hit_chance >= 0.88;
     let (mut sample, others): (Vec<_>, Vec<_>) = (0..candidates.len()).partition(is_owner);
-    let (near, far): (Vec<usize>, Vec<usize>) = others
-        .into_iter()
-        .partition(|index| candidates[*index].distance < 2);
+    let is_near = |index: &usize| candidates[*index].distance < 2;
+    let (near, far): (Vec<usize>, Vec<usize>) = others.into_iter().partition(is_near);
     sample.extend(near.sample(rng, 3));
     sample.extend(far.sample(rng, 1));
     let choices = |indexes: Vec<usize>, rng: &mut StdRng| {
@@ -120,8 +124,9 @@
         }
     }
 
-    /// Returns the requests, the waiting and queued ones, and the memory.
-    pub(crate) fn at(&self, expected: f64, now: u64) -> (f64, f64, f64, f64) {
+    /// Returns the requests, the waiting and queued ones, and the memory. A request of another host is assumed to hold
+    /// `each` tokens.
+    pub(crate) fn at(&self, expected: f64, each: f64, now: u64) -> (f64, f64, f64, f64) {
         let weight = |at: u64| 0.5f64.powf(now.saturating_sub(at) as f64 / 1e3);
         let fresh = weight(self.reported_at);
         let others = self.others * fresh + expected * (1.0 - fresh);
@@ -129,7 +134,7 @@
         let waiting = (self.waiting * fresh).max(overdue as f64);
         let queued = (self.queued.0 * weight(self.queued.1)).max(waiting - self.unanswered.len() as f64);
         let fresh = weight(self.memory.1);
-        let memory = self.memory.0 * fresh + others * 4_000.0 * (1.0 - fresh);
+        let memory = self.memory.0 * fresh + others * each * (1.0 - fresh);
         (self.own + others, waiting, queued, self.own_memory + memory)
     }
 }
