Forget the delay of the link when no answer measures it

A host that had seen a full link kept its requests in their region for good: no far answer came any more that could show the link free again. The lateness of answers halves in 10 s without samples, and follows new ones faster.

--- a/components/gateway/src/link.rs
+++ b/components/gateway/src/link.rs
@@ -4,6 +4,8 @@
 
 use utils::Monotonic;
 
+use crate::decay::weight_at;
+
 /// Bytes that the links between regions are assumed to carry in a second and direction (60 Mbit/s).
 const LINK_BYTES_PER_S: f64 = 7.5e6;
 /// Time after which bytes count in the rate by a factor of e less.
@@ -27,7 +29,9 @@
 /// Shortest time between two reports of a change.
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_secs(10);
 /// Weight of a new sample of the lateness, from 0 to 1.
-const SAMPLE_WEIGHT: f64 = 0.05;
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Time without a sample after which the lateness has halved.
+const LATENESS_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Largest lateness that a sample counts with, in milliseconds.
 const MAX_LATENESS_MS: f64 = 1_000.0;
 /// Bytes of an event of a stream, with its framing.
@@ -38,6 +42,29 @@
     body as f64 + EVENT_BYTES * f64::from(output_tokens)
 }
 
+/// Average time by which answers came later than expected.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lateness {
+    average_ms: f64,
+    /// Time of the last sample.
+    sampled_at: Monotonic,
+}
+
+impl Lateness {
+    fn record(&mut self, late_ms: f64, now: Monotonic) {
+        let average = self.at(now);
+        let sample = late_ms.clamp(-MAX_LATENESS_MS, MAX_LATENESS_MS);
+        self.average_ms = average + SAMPLE_WEIGHT * (sample - average);
+        self.sampled_at = now;
+    }
+
+    /// Returns the average, which decays without samples: requests that the delay keeps in their region must try the
+    /// link again.
+    fn at(&self, now: Monotonic) -> f64 {
+        self.average_ms * weight_at(self.sampled_at, LATENESS_HALF_LIFE, now)
+    }
+}
+
 /// Estimates the use of the link from this host's own requests to other regions, which are a random share of those of
 /// all hosts. No message between hosts is needed.
 #[derive(Debug, Clone, Default)]
@@ -46,8 +73,10 @@
     bytes: f64,
     /// Time of the last record.
     at: Monotonic,
-    /// Average time by which answers came later than expected, from the own region and from others, in milliseconds.
-    lateness_ms: [f64; 2],
+    /// Lateness of answers from the own region.
+    near: Lateness,
+    /// Lateness of answers from other regions.
+    far: Lateness,
     /// Whether the link was last reported as busy.
     is_busy: bool,
     /// Time of that report.
@@ -77,15 +106,18 @@
     }
 
     /// Records by how much the first byte of an answer came later than expected, from this or another region.
-    pub fn record_lateness(&mut self, is_other_region: bool, late_ms: f64) {
-        let average = &mut self.lateness_ms[usize::from(is_other_region)];
-        *average += SAMPLE_WEIGHT * (late_ms.clamp(-MAX_LATENESS_MS, MAX_LATENESS_MS) - *average);
+    pub fn record_lateness(&mut self, is_other_region: bool, late_ms: f64, now: Monotonic) {
+        let lateness = if is_other_region {
+            &mut self.far
+        } else {
+            &mut self.near
+        };
+        lateness.record(late_ms, now);
     }
 
     /// Returns the time by which requests to other regions are delayed, in milliseconds.
-    pub fn delay_ms(&self) -> f64 {
-        let [near, far] = self.lateness_ms;
-        (far - near.max(0.0)).max(0.0)
+    pub fn delay_ms(&self, now: Monotonic) -> f64 {
+        (self.far.at(now) - self.near.at(now).max(0.0)).max(0.0)
     }
 
     /// Returns the cost of sending a request of this size to another region. It is zero while the link has much free
@@ -111,7 +143,7 @@
     /// Returns the congestion from 0, free, over 1, full, to [`MAX_COST_FACTOR`].
     fn congestion(&self, hosts: usize, now: Monotonic) -> f64 {
         let used = (self.share(hosts, now) - FREE_SHARE) / (FULL_COST_SHARE - FREE_SHARE);
-        let delayed = (self.delay_ms() - FREE_DELAY_MS) / FULL_COST_DELAY_MS;
+        let delayed = (self.delay_ms(now) - FREE_DELAY_MS) / FULL_COST_DELAY_MS;
         used.max(delayed).clamp(0.0, MAX_COST_FACTOR)
     }
 
--- a/components/gateway/src/traffic/learn.rs
+++ b/components/gateway/src/traffic/learn.rs
@@ -87,7 +87,7 @@
         let before = *pace;
         pace.observe(expected, elapsed);
         let late_ms = elapsed.as_secs_f64() * 1e3 - before.expected_ms(expected);
-        routing.link.record_lateness(is_far, late_ms);
+        routing.link.record_lateness(is_far, late_ms, now);
         let ratio = (!is_far).then(|| {
             let times = routing.service_times.entry(target.service.clone()).or_default();
             times.observe_first_byte(&before, expected, elapsed)
--- a/components/gateway/tests/condition.rs
+++ b/components/gateway/tests/condition.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use gateway::{
-    Candidate, Decision, Demand, FleetEffects, LoadEstimate, Pace, ReportedLoad, ServerSpeed, ServiceTimes,
-    StreamTimes, TargetCondition, TargetSpeed, Work, average_others, decide,
+    Candidate, Decision, Demand, FleetEffects, LinkUse, LoadEstimate, Pace, ReportedLoad, ServerSpeed,
+    ServiceTimes, StreamTimes, TargetCondition, TargetSpeed, Work, average_others, decide,
 };
 
 fn secs(secs: u64) -> Duration {
@@ -165,3 +165,15 @@
     // Without reports for a long time the own load of this host is assumed.
     assert_eq!(average_others(&loads, 2, 82, at(9_000)).queued, 0.0);
 }
+
+/// A delay that nothing measures any more, as all requests stay in their region, must not keep them there for good.
+#[test]
+fn requests_return_to_other_regions_after_a_delay_of_the_link() {
+    let mut link = LinkUse::default();
+    for _ in 0..50 {
+        link.record_lateness(true, 400.0, secs(10));
+        link.record_lateness(false, 5.0, secs(10));
+    }
+    assert!(link.cost(80_000.0, 82, secs(10)) > 1.0);
+    assert_eq!(link.cost(80_000.0, 82, secs(70)), 0.0);
+}
--- a/components/gateway/tests/support/fleet_sim.rs
+++ b/components/gateway/tests/support/fleet_sim.rs
@@ -581,7 +581,8 @@
         let distance = self.distance(run.host, index);
         let host = &mut self.hosts[run.host];
         let expected_ms = host.pace.expected_ms(&run.choice.parts);
-        host.link.record_lateness(distance == 2, took - expected_ms);
+        host.link
+            .record_lateness(distance == 2, took - expected_ms, ms(seen as u64));
         if distance < 2 {
             let took = Duration::from_secs_f64(took / 1e3);
             let ratio = host.times.observe_first_byte(&host.pace, &run.choice.parts, took);
