Estimate the use of the link over more time on large deployments

With 340 hosts each sends so rarely to the other region that one long prompt made the link look full, and requests left a free link. The average now covers 25 ms for each host, at least 2 s.

--- a/components/gateway/src/link.rs
+++ b/components/gateway/src/link.rs
@@ -8,8 +8,10 @@
 
 /// Bytes that the links between regions are assumed to carry in a second and direction (60 Mbit/s).
 const LINK_BYTES_PER_S: f64 = 7.5e6;
-/// Time after which bytes count in the rate by a factor of e less.
-const MEMORY: Duration = Duration::from_secs(2);
+/// Time after which bytes count in the rate by a factor of e less, at least and for each host. The more hosts there are,
+/// the fewer requests each sends, from which it estimates those of all.
+const MIN_MEMORY: Duration = Duration::from_secs(2);
+const MEMORY_PER_HOST: Duration = Duration::from_millis(25);
 /// Share of the capacity up to which the link costs nothing.
 const FREE_SHARE: f64 = 0.55;
 /// Share of the capacity at which the link has its full cost. Above it bursts queue on the link and delay everything
@@ -85,8 +87,8 @@
 
 impl LinkUse {
     /// Records the bytes of a request to another region and its answer.
-    pub fn record(&mut self, bytes: f64, now: Monotonic) {
-        self.bytes = self.recent_bytes(now) + bytes;
+    pub fn record(&mut self, bytes: f64, hosts: usize, now: Monotonic) {
+        self.bytes = self.recent_bytes(hosts, now) + bytes;
         self.at = now;
     }
 
@@ -96,12 +98,12 @@
     /// use std::time::Duration;
     ///
     /// let mut link = gateway::LinkUse::default();
-    /// link.record(1.5e6, Duration::from_secs(1));
+    /// link.record(1.5e6, 2, Duration::from_secs(1));
     /// assert_eq!(link.share(2, Duration::from_secs(1)), 0.1);
     /// assert!(link.share(2, Duration::from_secs(20)) < 0.001);
     /// ```
     pub fn share(&self, hosts: usize, now: Monotonic) -> f64 {
-        let bytes_per_s = self.recent_bytes(now) / MEMORY.as_secs_f64();
+        let bytes_per_s = self.recent_bytes(hosts, now) / memory_s(hosts);
         bytes_per_s * hosts as f64 / (2.0 * LINK_BYTES_PER_S)
     }
 
@@ -147,8 +149,14 @@
         used.max(delayed).clamp(0.0, MAX_COST_FACTOR)
     }
 
-    fn recent_bytes(&self, now: Monotonic) -> f64 {
+    fn recent_bytes(&self, hosts: usize, now: Monotonic) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.bytes * (-age / MEMORY.as_secs_f64()).exp()
+        self.bytes * (-age / memory_s(hosts)).exp()
     }
 }
+
+/// Returns the time after which bytes count by a factor of e less, in seconds.
+fn memory_s(hosts: usize) -> f64 {
+    let of_hosts = MEMORY_PER_HOST.as_secs_f64() * hosts as f64;
+    of_hosts.max(MIN_MEMORY.as_secs_f64())
+}
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -230,7 +230,7 @@
 
 /// Records a send in the sessions, if the target will cache its prompt, and in the use of the links.
 fn record_sent(cx: &Traffic, call: &Call, placed: &Placed, is_first_run: bool) {
-    let now = cx.now();
+    let (now, hosts) = (cx.now(), cx.view.load().host_count());
     let mut routing = cx.routing();
     if let (Some(session), true) = (call.session_key(), is_first_run) {
         let session = session_for_weights(session, placed.weights);
@@ -239,7 +239,7 @@
             .record_sent(session, placed.target.run.clone(), now);
     }
     if cx.settings.distance(&placed.target.domain) == Distance::OtherRegion {
-        routing.link.record(call.transfer_bytes(), now);
+        routing.link.record(call.transfer_bytes(), hosts, now);
     }
 }
 
--- a/components/gateway/tests/support/fleet_sim.rs
+++ b/components/gateway/tests/support/fleet_sim.rs
@@ -452,7 +452,7 @@
             .sessions
             .record_sent(session, (*self.names[engine]).into(), ms(now));
         if distance == 2 {
-            self.hosts[host].link.record(f64::from(bytes), ms(now));
+            self.hosts[host].link.record(f64::from(bytes), hosts, ms(now));
         }
         let arrived = self.transfer(host % 2, distance, class.tokens * BYTES_PER_TOKEN, now as f64);
         if now >= WARM_UP_MS {
