Log which declarations placed a request, and in which failure domain

What callers saw: requests ran outside the regions of their route (HOME). Line 5001 names the target alone, which tells none of the four hypotheses apart. It now gives the target's failure domain, the version of the declarations that decided and of those that admitted the request, and it is also written for a stream that the host resumes, which had no such line.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -215,7 +215,7 @@
     pub const ROUTE_PLACED: Event = event(
         5001,
         "route_placed",
-        "A target was chosen for a request on a declared route; gives the cost and the expected time.",
+        "A target was chosen for a request on a declared route; gives the cost, the expected time, and the versions of the declarations that decided and that admitted the request.",
     );
     pub const ROUTE_REFUSED: Event = event(
         5002,
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -13,8 +13,7 @@
 
 use crate::RequestedPause;
 use crate::admission::PressureChange;
-use crate::placement::Choice;
-use crate::traffic::Exclusion;
+use crate::traffic::{Call, Exclusion, Placed};
 
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
@@ -199,10 +198,13 @@
         self.evacuated.record(values.evacuated as u64, &[]);
     }
 
-    /// Logs the target chosen for a request, with its cost.
-    pub(crate) fn placed(&self, id: &str, target: &str, choice: &Choice, attempt: u32) {
-        info!(self.log, "request placed"; events::ROUTE_PLACED, "request" => id, "target" => target,
-            "cost" => choice.cost, "expected_ms" => choice.expected_ms, "try" => attempt);
+    /// Logs the target chosen for a request, with its cost and the declarations that decided.
+    pub(crate) fn placed(&self, call: &Call, placed: &Placed, attempt: u32) {
+        let Placed { target, choice, .. } = placed;
+        info!(self.log, "request placed"; events::ROUTE_PLACED, "request" => &call.id,
+            "target" => &target.instance, "domain" => &*target.domain, "cost" => choice.cost,
+            "expected_ms" => choice.expected_ms, "try" => attempt, "declared" => placed.declared,
+            "admitted" => call.declared);
     }
 
     /// Counts a send and logs it if it failed.
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -93,6 +93,7 @@
         headers: parts.headers,
         body: Arc::new(body),
         memory,
+        declared: declared.version,
         route,
         service,
         workspace,
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -24,5 +24,7 @@
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub use exclusion::{Exclusion, PlacementRules};
 pub(crate) use pipeline::serve;
+pub(crate) use place::Placed;
+pub(crate) use request::Call;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -204,12 +204,7 @@
                 break;
             }
         };
-        cx.telemetry.placed(
-            &call.id,
-            &placed.target.instance,
-            &placed.choice,
-            attempts.sends + 1,
-        );
+        cx.telemetry.placed(&call, &placed, attempts.sends + 1);
         if let (Some(session), true) = (call.session_key(), attempts.possible_runs == 0) {
             let now = cx.now();
             let session = session_for_weights(session, placed.weights);
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -36,6 +36,8 @@
     pub weights: Option<u64>,
     /// Index and estimates of the chosen candidate.
     pub choice: Choice,
+    /// Version of the declarations that decided.
+    pub declared: u64,
     /// Estimated resources that the request uses at the target.
     pub work: Work,
     /// Parts that the request fetches from stores and saves to them.
@@ -118,6 +120,7 @@
         weights,
         target,
         choice,
+        declared: view.declared.as_ref().map_or(0, |declared| declared.version),
         work: Work {
             memory: demand.memory.into(),
             prefill_tokens: (f64::from(demand.prompt_tokens) - held).max(0.0) as u64,
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -236,6 +236,9 @@
             let Ok(placed) = place(&self.cx, &self.call, &self.attempts) else {
                 return false;
             };
+            self.cx
+                .telemetry
+                .placed(&self.call, &placed, self.attempts.sends + 1);
             let attempt = exchange(&self.cx, &self.call, &placed, after.clone()).await;
             self.attempts.record(&placed, &attempt);
             match attempt {
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -30,6 +30,8 @@
     pub body: Arc<HeldBody>,
     /// Connection that the memory of the request and its answer is charged to.
     pub memory: MemoryHolder,
+    /// Version of the declarations that the request was admitted under.
+    pub declared: u64,
     /// Route that the request matches.
     pub route: Arc<Route>,
     /// Service that was chosen from the route's services.
