Take the regions of a request from the declaration that sends it to its service

What callers saw: a stream of a route that allows the south alone was resumed in the north after a change had removed its route. Cause: one request was judged by parts of two declarations. Its service was chosen under the one that admitted it; its regions were looked up by host and path in the newest, where another route can match, and the workspace's apart from the route's. No declaration allows what the two halves allow together. Why it works: route and workspace are read from one declaration, the newest if it also sends the request to its service and has the workspace, else that of the admission. A change of the regions of a route that stays is followed as before.

--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -69,6 +69,16 @@
     pub allowed_regions: AllowedRegions,
 }
 
+impl Route {
+    /// Returns whether requests of the route may go to a service.
+    pub(crate) fn sends_to(&self, service: &str) -> bool {
+        let shares = self.services.iter();
+        shares
+            .filter(|share| share.weight > 0)
+            .any(|share| *share.service == *service)
+    }
+}
+
 /// Capacity of a model engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -62,16 +62,29 @@
         self.prompt.as_ref().map(|prompt| &prompt.model)
     }
 
-    /// Returns the regions that the route allows, and those that the workspace allows. They are those of the newest
-    /// declarations, unless these no longer have the route or the workspace.
+    /// Returns the regions that the route allows, and those that the workspace allows. Both come from one declaration: the
+    /// newest if it also sends the request to its service, else the one that admitted the request.
     pub(crate) fn allowed_regions<'a>(&'a self, declared: Option<&'a Declared>) -> [&'a AllowedRegions; 2] {
-        let route = declared.and_then(|declared| declared.route(&self.route.host, self.target_uri.path()));
-        let of_route = &route.unwrap_or(&self.route).allowed_regions;
-        let of_workspace = self.workspace.as_ref().map_or(&AllowedRegions::Any, |workspace| {
-            let newest = declared.and_then(|declared| declared.workspace_regions(&workspace.name));
-            newest.unwrap_or(&workspace.allowed_regions)
-        });
-        [of_route, of_workspace]
+        let newest = declared.and_then(|declared| self.regions_under(declared));
+        newest.unwrap_or_else(|| {
+            let workspace = self.workspace.as_ref();
+            let of_workspace = workspace.map_or(&AllowedRegions::Any, |w| &w.allowed_regions);
+            [&self.route.allowed_regions, of_workspace]
+        })
+    }
+
+    /// Returns the regions that a declaration allows; `None` if it would not send the request to its service, or lacks the
+    /// workspace.
+    fn regions_under<'a>(&self, declared: &'a Declared) -> Option<[&'a AllowedRegions; 2]> {
+        let route = declared.route(&self.route.host, self.target_uri.path())?;
+        if !route.sends_to(&self.service) {
+            return None;
+        }
+        let of_workspace = match &self.workspace {
+            Some(workspace) => declared.workspace_regions(&workspace.name)?,
+            None => &AllowedRegions::Any,
+        };
+        Some([&route.allowed_regions, of_workspace])
     }
 
     /// Returns the resources and the latency that the request needs.
