Log the software version of targets, and the attempt that a caller's request resumes

Targets carry the version of their entry, 5001 gives it, and 5089 is written for each request that resumes a stream, with the attempt that it names. Nothing decides by it yet. Tests of errors, gateway and platform pass.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -215,7 +215,7 @@
     pub const ROUTE_PLACED: Event = event(
         5001,
         "route_placed",
-        "A target was chosen for a request on a declared route; gives the cost, the expected time, and the versions of the declarations that decided and that admitted the request.",
+        "A target was chosen for a request on a declared route; gives the cost, the expected time, the versions of the declarations that decided and that admitted the request, and the software version of the target.",
     );
     pub const ROUTE_REFUSED: Event = event(
         5002,
@@ -420,6 +420,11 @@
         "capacity_enough",
         "The engines of a service have capacity for all requests again; gives how long it was short.",
     );
+    pub const STREAM_RESUMPTION: Event = event(
+        5089,
+        "stream_resumption",
+        "A caller resumes a stream; gives the attempt that began it.",
+    );
 }
 
 /// All events, ordered by number.
@@ -508,6 +513,7 @@
     events::TARGETS_WARM,
     events::CAPACITY_SHORT,
     events::CAPACITY_ENOUGH,
+    events::STREAM_RESUMPTION,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -63,6 +63,8 @@
     pub prompt: Option<PromptShape>,
     /// Last event that the caller received, if it resumes a stream.
     pub last_event: Option<String>,
+    /// Identifier of the caller's attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// Metadata that the gateway sets in the headers of a request to a target.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -11,9 +11,9 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use slog::{Logger, info, warn};
 
-use crate::RequestedPause;
 use crate::admission::PressureChange;
 use crate::traffic::{Call, Exclusion, Placed};
+use crate::{CallFacts, RequestedPause};
 
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
@@ -204,7 +204,7 @@
         info!(self.log, "request placed"; events::ROUTE_PLACED, "request" => &call.id,
             "target" => &target.instance, "domain" => &*target.domain, "cost" => choice.cost,
             "expected_ms" => choice.expected_ms, "try" => attempt, "declared" => placed.declared,
-            "admitted" => call.declared);
+            "admitted" => call.declared, "software" => &*target.software);
     }
 
     /// Counts a send and logs it if it failed.
@@ -270,6 +270,14 @@
             "reason" => reason);
     }
 
+    /// Logs a request with which a caller resumes a stream.
+    pub(crate) fn resumption(&self, facts: &CallFacts) {
+        if let Some(after) = &facts.last_event {
+            info!(self.log, "caller resumes a stream"; events::STREAM_RESUMPTION, "request" => facts.id.as_deref(),
+                "began_as" => facts.resumes.as_deref(), "after" => after);
+        }
+    }
+
     /// Logs a stream that another target continues.
     pub(crate) fn resumed(&self, id: &str, target: &str, after: &str) {
         info!(self.log, "resumed"; events::ROUTE_RESUMED, "request" => id,
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -84,6 +84,7 @@
     if is_quarantined && !is_trial {
         return Err(quarantined_part_refusal());
     }
+    cx.telemetry.resumption(&facts);
     let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
     Ok(Call {
         id: facts.id.unwrap_or_default(),
