Let both declarations bind a request that the newest would not admit

Cause: (1) if the newest declaration lacks the workspace or sends nothing to the service any more, the regions were those of the admission alone, so that a narrowed route was not followed; a workspace without a key was not in the lookup table at all. (2) The workspace was looked up by name only, so that a key that was moved or newly declared composed its old workspace with the new route. Change: the newest declaration decides alone if it would admit the request for the same workspace, by its key, and send it to its service. Otherwise a target must be allowed by the admission as a whole and by what the newest says of the path and the workspace. Workspaces without keys keep their regions.

--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -202,16 +202,40 @@
             list.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s)));
+        let mut workspace_regions = HashMap::new();
+        let keyed = keys.iter().flat_map(HashMap::values);
+        add_regions(&mut workspace_regions, keyed.map(|workspace| &**workspace));
         Self {
             version,
             limits,
             routes: by_host,
             services: services.collect(),
-            workspace_regions: workspace_regions(keys.iter().flat_map(HashMap::values)),
+            workspace_regions,
             keys,
         }
     }
 
+    /// Adds the regions that workspaces allow. A request may be in flight of a workspace that holds no key any more.
+    ///
+    /// ```
+    /// use gateway::{AllowedRegions, CallerLimits, Declared, Workspace};
+    ///
+    /// let south = AllowedRegions::Only(["south".into()].into());
+    /// let mill = Workspace {
+    ///     name: "mill".into(),
+    ///     priority: None,
+    ///     is_isolated: false,
+    ///     allowed_regions: south.clone(),
+    /// };
+    /// let declared = Declared::new(1, CallerLimits::default(), [], [], None).with_workspaces([&mill]);
+    /// assert_eq!(declared.workspace_regions("mill"), Some(&south));
+    /// ```
+    #[must_use]
+    pub fn with_workspaces<'a>(mut self, workspaces: impl IntoIterator<Item = &'a Workspace>) -> Self {
+        add_regions(&mut self.workspace_regions, workspaces);
+        self
+    }
+
     /// Returns the route of a request: among the host's routes, the one with the longest matching path
     /// prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -246,14 +270,13 @@
     }
 }
 
-/// Maps each workspace to the regions that it allows. Of several with one name all rules apply.
-fn workspace_regions<'a>(
-    workspaces: impl Iterator<Item = &'a Arc<Workspace>>,
-) -> HashMap<WorkspaceId, AllowedRegions> {
-    let mut regions: HashMap<WorkspaceId, AllowedRegions> = HashMap::new();
+/// Adds the regions that workspaces allow. Of several with one name all rules apply.
+fn add_regions<'a>(
+    regions: &mut HashMap<WorkspaceId, AllowedRegions>,
+    workspaces: impl IntoIterator<Item = &'a Workspace>,
+) {
     for workspace in workspaces {
         let allowed = regions.entry(workspace.name.clone()).or_default();
         *allowed = allowed.intersect(&workspace.allowed_regions);
     }
-    regions
 }
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -96,6 +96,7 @@
         declared: declared.version,
         route,
         service,
+        key: facts.key,
         workspace,
         prompt: facts.prompt,
         last_event: facts.last_event,
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -49,8 +49,9 @@
 pub struct PlacementRules<'a> {
     /// Region of each failure domain.
     pub regions: &'a Regions,
-    /// Regions that the route allows, and those that the workspace allows.
-    pub allowed: [&'a AllowedRegions; 2],
+    /// Lists of regions that must all allow a target: those of the route and of the workspace, by the newest declaration
+    /// and by that of the admission.
+    pub allowed: [&'a AllowedRegions; 4],
     /// Evacuated failure domains.
     pub evacuated: &'a HashSet<FailureDomainId>,
     /// What targets have said of themselves.
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -36,7 +36,9 @@
     pub route: Arc<Route>,
     /// Service that was chosen from the route's services.
     pub service: ServiceId,
-    /// Workspace of the caller's API key, if it has one.
+    /// The caller's API key, if it gave one.
+    pub key: Option<String>,
+    /// Workspace of the API key, if it has one.
     pub workspace: Option<Arc<Workspace>>,
     /// Shape of the prompt, if there is one.
     pub prompt: Option<PromptShape>,
@@ -62,29 +64,34 @@
         self.prompt.as_ref().map(|prompt| &prompt.model)
     }
 
-    /// Returns the regions that the route allows, and those that the workspace allows. Both come from one declaration: the
-    /// newest if it also sends the request to its service, else the one that admitted the request.
-    pub(crate) fn allowed_regions<'a>(&'a self, declared: Option<&'a Declared>) -> [&'a AllowedRegions; 2] {
-        let newest = declared.and_then(|declared| self.regions_under(declared));
-        newest.unwrap_or_else(|| {
-            let workspace = self.workspace.as_ref();
-            let of_workspace = workspace.map_or(&AllowedRegions::Any, |w| &w.allowed_regions);
-            [&self.route.allowed_regions, of_workspace]
-        })
+    /// Returns lists of regions that must all allow a target. They are those of the route and of the workspace in the newest
+    /// declaration. If that would not admit the request as it was admitted, those in the declaration of the admission are
+    /// added, as no declaration allows what halves of two allow together.
+    pub(crate) fn allowed_regions<'a>(&'a self, newest: Option<&'a Declared>) -> [&'a AllowedRegions; 4] {
+        let any = &AllowedRegions::Any;
+        let route = newest.and_then(|newest| newest.route(&self.route.host, self.target_uri.path()));
+        let workspace = self.workspace.as_deref();
+        let named = workspace.and_then(|w| newest?.workspace_regions(&w.name));
+        let of_route = route.map_or(any, |route| &route.allowed_regions);
+        let of_workspace = named.unwrap_or(any);
+        let is_current = newest
+            .zip(route)
+            .is_some_and(|(newest, route)| self.would_be_admitted(newest, route));
+        if is_current {
+            return [of_route, of_workspace, any, any];
+        }
+        let of_admitted = workspace.map_or(any, |w| &w.allowed_regions);
+        [of_route, of_workspace, &self.route.allowed_regions, of_admitted]
     }
 
-    /// Returns the regions that a declaration allows; `None` if it would not send the request to its service, or lacks the
-    /// workspace.
-    fn regions_under<'a>(&self, declared: &'a Declared) -> Option<[&'a AllowedRegions; 2]> {
-        let route = declared.route(&self.route.host, self.target_uri.path())?;
-        if !route.sends_to(&self.service) {
-            return None;
-        }
-        let of_workspace = match &self.workspace {
-            Some(workspace) => declared.workspace_regions(&workspace.name)?,
-            None => &AllowedRegions::Any,
-        };
-        Some([&route.allowed_regions, of_workspace])
+    /// Whether a declaration, in which the request matches a route, would admit it for its workspace and send it to its
+    /// service.
+    fn would_be_admitted(&self, declared: &Declared, route: &Route) -> bool {
+        let key = self.key.as_deref();
+        let holder = key.and_then(|key| declared.workspace(key)).map(|w| &w.name);
+        let is_same = holder == self.workspace.as_ref().map(|w| &w.name);
+        let needs_key = declared.needs_keys() && !route.is_anonymous;
+        is_same && (holder.is_some() || !needs_key) && route.sends_to(&self.service)
     }
 
     /// Returns the resources and the latency that the request needs.
--- a/components/gateway/tests/exclusion.rs
+++ b/components/gateway/tests/exclusion.rs
@@ -20,7 +20,7 @@
 
 /// Returns the reason for a target in failure domain `a`, which is in the north.
 fn exclusion(
-    allowed: [&AllowedRegions; 2],
+    [route, workspace]: [&AllowedRegions; 2],
     evacuated: &[&str],
     announcements: &Announcements,
 ) -> Option<Exclusion> {
@@ -28,7 +28,7 @@
     let evacuated: HashSet<_> = evacuated.iter().map(|domain| (*domain).into()).collect();
     let rules = PlacementRules {
         regions: &regions,
-        allowed,
+        allowed: [route, workspace, &AllowedRegions::Any, &AllowedRegions::Any],
         evacuated: &evacuated,
         announcements,
         tried: &[],
@@ -55,7 +55,7 @@
     let rules = |allowed| {
         PlacementRules {
             regions: const { &Regions::new() },
-            allowed: [allowed, &any],
+            allowed: [allowed, &any, &any, &any],
             evacuated: &HashSet::new(),
             announcements: &Announcements::default(),
             tried: &[],
