Send to a target only at the address and in the failure domain it was chosen for

What callers saw: a request of the south reached the north, as the entry of a target had moved under the same start time (receiver a, expected b). Cause: the right to send was asked of the newest entry, while idle connections are kept by the run of the target, whatever address they were opened to; a connection that is being opened goes to the address of the placement. Change: an idle connection is used only to the address of the chosen entry, and nothing is sent if the listed entry names another address or failure domain by then.

--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -40,6 +40,11 @@
         format!("{instance}/{born_ms}").into()
     }
 
+    /// Whether another entry has the same address and failure domain.
+    pub(crate) fn is_at_place_of(&self, other: &Self) -> bool {
+        self.address == other.address && self.domain == other.domain
+    }
+
     /// Returns the weight version of a model, if the target serves it.
     pub fn weights_of(&self, model: &str) -> Option<u64> {
         let mut found = self.models.iter().filter(|(name, _)| &**name == model);
--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Body>,
+    /// Address that it was opened to.
+    pub address: SocketAddr,
     /// Time until which it may be used while it is idle, by the last answer; `None` before the first one.
     pub usable_until: Option<Monotonic>,
     /// The last call that was sent on it.
@@ -83,6 +85,7 @@
     });
     Ok(Connection {
         sender,
+        address,
         usable_until: None,
         last_call: None,
         _driver: driver,
--- a/components/gateway/src/traffic/open.rs
+++ b/components/gateway/src/traffic/open.rs
@@ -29,7 +29,7 @@
     let limit = connection_share(cx, call);
     let now = cx.now();
     let (idle, has_room, has_lost_idle) = cx.with_slot(target, |slot| {
-        let idle = slot.take_idle(call.number, now);
+        let idle = slot.take_idle(call.number, target.address, now);
         let has_room = idle.is_none() && slot.reserve(limit);
         (idle, has_room, slot.take_lost_idle())
     });
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use utils::Monotonic;
@@ -49,9 +50,17 @@
 }
 
 impl TargetSlot {
-    /// Takes an idle connection that is still open for a call, but not the one on which the call itself was
-    /// sent last.
-    pub(crate) fn take_idle(&mut self, call: CallNumber, now: Monotonic) -> Option<Connection> {
+    /// Takes an idle connection to the target's address that is still open for a call, but not the one on which the call
+    /// itself was sent last. Closes those to an earlier address.
+    pub(crate) fn take_idle(
+        &mut self,
+        call: CallNumber,
+        address: SocketAddr,
+        now: Monotonic,
+    ) -> Option<Connection> {
+        let before = self.idle.len();
+        self.idle.retain(|idle| idle.conn.address == address);
+        self.open = self.open.saturating_sub(before - self.idle.len());
         let is_other = |idle: &Idle| !idle.conn.has_last_sent(call);
         while let Some(i) = self.idle.iter().rposition(is_other) {
             let idle = self.idle.remove(i);
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -244,15 +244,16 @@
         }
     }
 
-    /// Whether a request may be sent to a target: it is listed, and not excluded. Asked again right before each send, as
-    /// either can change while a connection is opened. The caller checks the target's weights.
+    /// Whether a request may be sent to a target: it is listed at the place where it was chosen, and not excluded. Asked
+    /// again right before each send, as either can change while a connection is opened. The caller checks the target's
+    /// weights.
     pub(crate) fn may_send(&self, call: &Call, target: &Target) -> bool {
         let view = self.view.load();
         let routing = self.routing();
         let rules = self.placement_rules(&view, &routing.announcements, call, &[]);
         let exclusion = |listed: &Arc<Target>| rules.exclusion(listed, OldWeightsPolicy::Allowed);
         view.listed(target)
-            .is_some_and(|listed| exclusion(listed).is_none())
+            .is_some_and(|listed| listed.is_at_place_of(target) && exclusion(listed).is_none())
     }
 
     /// Takes a trial of a quarantined part that a request with these parts could clear, if this host makes the trials of
