Repeat failed look-ups of stream origins within their time

Change: up to three calls, while the request waits; records live for twice the longest timeout without a further cap.

--- a/components/gateway/src/control/origins.rs
+++ b/components/gateway/src/control/origins.rs
@@ -11,7 +11,7 @@
 use crate::jitter::jittered;
 use crate::ports::{FoundOrigin, OriginPage, OriginStore, StoreError};
 use crate::software::{Leftovers, OriginKey, OriginPart, OriginUnknown, OriginWrite, stream_lifetime};
-use crate::traffic::{FindResult, Origins};
+use crate::traffic::{FindQuery, FindResult, Origins};
 
 /// Calls that write records at the same time.
 const WRITERS: usize = 4;
@@ -21,6 +21,10 @@
 const WRITES_PER_SECOND: f64 = 20.0;
 /// Most calls a second that read records.
 const READS_PER_SECOND: f64 = 20.0;
+/// Calls that a look-up makes at most.
+const FIND_ATTEMPTS: usize = 3;
+/// Mean delay before a failed look-up is repeated.
+const FIND_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between checks for a restored store and for expired records.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Mean interval between lists of records that dead hosts may have left.
@@ -145,33 +149,40 @@
 /// Looks up records that other hosts have made.
 async fn answer_finds(cx: Arc<OriginTasks>) {
     while let Some(query) = cx.origins().next_find().await {
-        if query.is_abandoned() {
-            continue;
-        }
-        let result = find(&cx, &query.key).await;
+        let result = find(&cx, &query).await;
         query.answer(result);
     }
 }
 
-async fn find(cx: &OriginTasks, key: &OriginKey) -> FindResult {
-    let is_lost = {
-        let state = cx.control.cached_state();
-        state.is_store_down() && state.store_age(cx.now()) > STORE_LOST_AFTER
-    };
-    if is_lost || cx.reads.try_take(cx.now()).is_err() {
-        return Err(OriginUnknown);
+/// Looks up a record; calls that fail are repeated while the request waits.
+async fn find(cx: &OriginTasks, query: &FindQuery) -> FindResult {
+    for _ in 0..FIND_ATTEMPTS {
+        if query.is_abandoned() || is_store_lost(cx) || cx.reads.try_take(cx.now()).is_err() {
+            break;
+        }
+        match cx.store.find(&query.key).await {
+            Ok(found) => return current_origin(cx, found),
+            Err(e) => cx.control.traffic.telemetry.origins.find_failed(&query.key, &e),
+        }
+        smol::Timer::after(jittered(FIND_RETRY_DELAY, 0.5)).await;
     }
-    let found = cx.store.find(key).await;
-    let FoundOrigin { origin, position } = found.map_err(|e| {
-        cx.control.traffic.telemetry.origins.find_failed(key, &e);
-        OriginUnknown
-    })?;
-    if origin.is_none() && position.era() > cx.control.cached_state().era() {
-        // The restored store may have lost the record, and the host does not know yet that it was restored.
-        cx.record_era(position.era());
-        return Err(OriginUnknown);
+    Err(OriginUnknown)
+}
+
+fn is_store_lost(cx: &OriginTasks) -> bool {
+    let state = cx.control.cached_state();
+    state.is_store_down() && state.store_age(cx.now()) > STORE_LOST_AFTER
+}
+
+/// Returns what was found. A store that was restored may have lost a record, so none means nothing as long as the host
+/// does not know of the restore.
+fn current_origin(cx: &OriginTasks, found: FoundOrigin) -> FindResult {
+    let FoundOrigin { origin, position } = found;
+    cx.record_era(position.era());
+    match origin.is_none() && position.era() > cx.control.cached_state().era() {
+        true => Err(OriginUnknown),
+        false => Ok(origin),
     }
-    Ok(origin)
 }
 
 /// Removes records of this host past their lifetime, and has records written again after the store was restored.
--- a/components/gateway/src/software/origin.rs
+++ b/components/gateway/src/software/origin.rs
@@ -10,8 +10,6 @@
 const PART_COUNT: u8 = 16;
 /// Shortest time after which a stream counts as ended. Callers may wait longer than a short timeout of their route.
 const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
-/// Longest time for which records are kept.
-const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(1_800);
 
 /// Identifies the stream that a request began.
 ///
@@ -127,6 +125,5 @@
 /// ```
 pub fn stream_lifetime(declared: &Declared) -> Option<Duration> {
     let longest = declared.longest_resumable()?;
-    let lifetime = longest.saturating_mul(2);
-    Some(lifetime.clamp(MIN_STREAM_LIFETIME, MAX_STREAM_LIFETIME))
+    Some(longest.saturating_mul(2).max(MIN_STREAM_LIFETIME))
 }
--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -246,7 +246,9 @@
     pub fn expire(&mut self, lifetime: Duration, now: Monotonic) {
         while let Some((added_at, key)) = self.added.front().copied() {
             let is_in_flight = |record: &&OriginRecord| record.state == RecordState::InFlight;
-            if now < added_at + lifetime || self.records.get(&key).filter(is_in_flight).is_some() {
+            if now < added_at.saturating_add(lifetime)
+                || self.records.get(&key).filter(is_in_flight).is_some()
+            {
                 return;
             }
             self.added.pop_front();
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -25,7 +25,7 @@
 
 pub(crate) use crashes::{CrashReceivers, crash_channels};
 pub use exclusion::{Exclusion, PlacementRules};
-pub(crate) use origins::{FindResult, Origins};
+pub(crate) use origins::{FindQuery, FindResult, Origins};
 pub(crate) use pipeline::serve;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
