--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -17,7 +17,7 @@
 /// First backoff after a failed write.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after failed writes.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
+const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Time for which removals are collected.
 const REMOVAL_DELAY: Duration = Duration::from_secs(60);
 /// Mean pause after a failed removal.
