--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use utils::{FailureDomainId, ModelId, ServiceId, TargetId};
+use utils::{FailureDomainId, ModelId, ServiceId, SoftwareVersion, TargetId};
 
 /// A target, as described by its platform entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub born_ms: u64,
     /// Service of the target.
     pub service: ServiceId,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Failure domain of the target.
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -68,6 +68,7 @@
         instance: instance.to_owned(),
         born_ms: 1,
         service: "s".into(),
+        software: "1".into(),
         address: ([127, 0, 0, 1], 1).into(),
         domain: "a".into(),
         slots: 8,
--- a/components/utils/src/ids.rs
+++ b/components/utils/src/ids.rs
@@ -14,6 +14,8 @@
 pub type ModelId = Arc<str>;
 /// Identifier of a plain service.
 pub type ServiceId = Arc<str>;
+/// Version of a target's software; not of its weights.
+pub type SoftwareVersion = Arc<str>;
 /// Version of a model's weights; increases with each release.
 pub type WeightVersion = u32;
 /// Identifier of a caller's request, unique across all hosts.
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -9,6 +9,6 @@
 pub use digest::{Digest, Hasher, ParseDigestError, digest};
 pub use ids::{
     Attempt, Epoch, FailureDomainId, HostId, Incarnation, ModelId, NoteVersion, RegionId, RequestId,
-    ServiceId, TargetId, WeightVersion, WorkspaceId,
+    ServiceId, SoftwareVersion, TargetId, WeightVersion, WorkspaceId,
 };
 pub use rendezvous::{rendezvous_order, rendezvous_score};
