Keep the baseline of each service's software versions

Cause: no host knew at which software version a stream without a record of its own began. Change: a state machine in the cached state applies the rows software/SERVICE, observes which versions are listed alone and since when, and says which rows to create, change or confirm; a task writes them. The view tells whether a stream needs a record.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -420,6 +420,26 @@
         "capacity_enough",
         "The engines of a service have capacity for all requests again; gives how long it was short.",
     );
+    pub const BASELINE_CREATED: Event = event(
+        5096,
+        "baseline_created",
+        "The software version at which the streams of a service began that have no record was written for the first time.",
+    );
+    pub const BASELINE_CHANGED: Event = event(
+        5097,
+        "baseline_changed",
+        "Another software version alone has been listed for a service for the lifetime of a stream, and became its baseline.",
+    );
+    pub const BASELINE_CONFIRMED: Event = event(
+        5098,
+        "baseline_confirmed",
+        "The baseline of a service was written again, as a restored store may have lost a later one.",
+    );
+    pub const BASELINE_NOT_WRITTEN: Event = event(
+        5099,
+        "baseline_not_written",
+        "The store did not answer the write of a service's baseline; it is repeated.",
+    );
 }
 
 /// All events, ordered by number.
@@ -508,6 +528,10 @@
     events::TARGETS_WARM,
     events::CAPACITY_SHORT,
     events::CAPACITY_ENOUGH,
+    events::BASELINE_CREATED,
+    events::BASELINE_CHANGED,
+    events::BASELINE_CONFIRMED,
+    events::BASELINE_NOT_WRITTEN,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -13,6 +13,7 @@
 use crate::lost_rows::{LostRow, LostRows};
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::rows::{Replaced, Rows, TableUpdate};
+use crate::software::{BASELINE_PREFIX, BaselineWrite, Baselines};
 use crate::store_clock::StoreClock;
 use crate::store_link::{StoreLink, UpdateSource};
 use crate::view::{HostEntry, View};
@@ -54,6 +55,8 @@
     unconfirmed: BTreeMap<String, Arc<Target>>,
     /// Runs of targets that have left.
     departed: DepartedTargets,
+    /// The software versions of services.
+    baselines: Baselines,
     /// Registered entry hosts by name.
     hosts: BTreeMap<String, HostEntry>,
     /// Rows on crashes of targets.
@@ -85,6 +88,7 @@
             targets: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             departed: DepartedTargets::default(),
+            baselines: Baselines::default(),
             hosts: BTreeMap::new(),
             crashes: CrashRows::default(),
             lost_rows: LostRows::default(),
@@ -192,7 +196,9 @@
         if replaced.is_restored {
             self.keep_lost_rows(table, &mut replaced, now);
         }
-        self.apply_records(table, replaced.changed, source, now)
+        let unusable = self.apply_records(table, replaced.changed, source, now);
+        self.observe_software(now);
+        unusable
     }
 
     /// Leaves out the removal of rows that apply although the restored store has lost them.
@@ -246,7 +252,9 @@
             self.record_store_time(store_time, now);
         }
         let applied = self.tables.entry(table).or_default().apply(changed, now);
-        self.apply_records(table, applied, source, now)
+        let unusable = self.apply_records(table, applied, source, now);
+        self.observe_software(now);
+        unusable
     }
 
     /// Applies an update received from another host. Returns the rows that can't be decoded.
@@ -300,6 +308,26 @@
         })
     }
 
+    /// Tells the baselines which targets are listed, after a change.
+    fn observe_software(&mut self, now: Monotonic) {
+        if self.is_changed {
+            let era = self.era();
+            let listed = self.targets.values().chain(self.unconfirmed.values());
+            self.baselines
+                .observe(era, self.declared.as_deref(), listed.map(|t| &**t), now);
+        }
+    }
+
+    /// Returns the baselines whose rows should be written.
+    pub fn due_baselines(&self, now: Monotonic) -> Vec<BaselineWrite> {
+        let era = Some(self.era());
+        let is_read = |table| self.complete_position(table).map(Position::era) == era;
+        match is_read(Table::Targets) && is_read(Table::Shared) {
+            true => self.baselines.due(now),
+            false => Vec::new(),
+        }
+    }
+
     /// Returns the keys of crashes past their retention time, which is longer for those that support the
     /// quarantine of a part.
     pub fn expired_crashes(&self, now: Monotonic) -> Vec<String> {
@@ -324,6 +352,13 @@
             self.targets.insert(key, target);
             self.is_changed = true;
         }
+        self.expire_unconfirmed(now);
+        self.observe_software(now);
+        self.is_changed |= self.baselines.refresh(now);
+    }
+
+    /// Removes unconfirmed targets when the grace period ends.
+    fn expire_unconfirmed(&mut self, now: Monotonic) {
         let StoreLink::Up(Some(back_at)) = self.link else {
             return;
         };
@@ -356,6 +391,7 @@
             declared: self.declared.clone(),
             targets,
             weights: self.weights.histories().clone(),
+            software: self.baselines.published().clone(),
             hosts: hosts.collect(),
             evacuated: self.evacuations.domains(),
             quarantined: self.crashes.quarantined(),
@@ -497,6 +533,10 @@
             self.weights.apply_times_row(&model, record.value.as_deref())?;
             self.apply_declared_times(&model, now);
         }
+        if let Some(service) = record.key.strip_prefix(BASELINE_PREFIX) {
+            let (value, era) = (record.value.as_deref(), record.position.era());
+            self.baselines.apply_row(service, value, era, now)?;
+        }
         if is_on_crash(&record.key) {
             self.lost_rows.forget(&record.key);
         }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and other hosts, publishes views of the cached state and orders
 //! weights.
 
+mod baselines;
 mod crashes;
 mod declared_times;
 mod follow;
@@ -86,6 +87,7 @@
             self.ex.spawn(follow::follow(self.clone(), Table::Shared)),
             self.ex.spawn(follow::tick(self.clone())),
             self.ex.spawn(declared_times::record_times(self.clone())),
+            self.ex.spawn(baselines::write_baselines(self.clone())),
             self.ex.spawn(peers::poll_peers(self.clone())),
             self.ex.spawn(relays::follow_relays(self.clone())),
             self.ex.spawn(register::register(self.clone())),
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -209,6 +209,11 @@
         list.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod rows;
 mod sampling;
 mod sessions;
+mod software;
 mod store_clock;
 mod store_link;
 mod suspects;
@@ -84,6 +85,7 @@
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
+pub use software::{Baseline, BaselineChange, BaselineWrite, RecordNeed, ServiceSoftware};
 pub use store_clock::StoreClock;
 pub use store_link::UpdateSource;
 pub use suspects::{
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -1,11 +1,15 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use utils::{FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, rendezvous_order};
+use utils::{
+    FailureDomainId, HostId, ModelId, Monotonic, RegionId, ServiceId, SoftwareVersion, rendezvous_order,
+};
 
 use crate::quarantine::Fingerprint;
+use crate::software::{RecordNeed, ServiceSoftware};
 use crate::suspects::{PartFingerprint, SuspectParts};
 use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{Declared, Target};
@@ -59,6 +63,8 @@
     pub targets: HashMap<ServiceId, Vec<Arc<Target>>>,
     /// Declared weight versions by model.
     pub weights: HashMap<ModelId, WeightsHistory>,
+    /// Software versions of the services with resumable streams.
+    pub software: HashMap<ServiceId, ServiceSoftware>,
     /// Registered entry hosts.
     pub hosts: BTreeMap<HostId, HostEntry>,
     /// Evacuated failure domains, whose targets receive no requests.
@@ -94,6 +100,70 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a stream that begins at a target of a service with a software version needs a record.
+    ///
+    /// ```
+    /// use gateway::{RecordNeed, View};
+    ///
+    /// assert_eq!(View::default().record_need("chat", "2.1"), RecordNeed::Wanted);
+    /// ```
+    pub fn record_need(&self, service: &str, software: &str) -> RecordNeed {
+        let known = self.software.get(service);
+        known.map_or(RecordNeed::Wanted, |known| known.record_need(software))
+    }
+
+    /// Returns the software version at which a stream of a service without a record began, if it is known.
+    ///
+    /// ```
+    /// use std::collections::HashMap;
+    /// use gateway::{ServiceSoftware, View};
+    ///
+    /// let software = ServiceSoftware { baseline: Some("2.1".into()), ..ServiceSoftware::default() };
+    /// let view = View { software: HashMap::from([("chat".into(), software)]), ..View::default() };
+    /// assert_eq!(view.unrecorded_origin("chat").map(|version| &**version), Some("2.1"));
+    /// assert_eq!(view.unrecorded_origin("search"), None);
+    /// ```
+    pub fn unrecorded_origin(&self, service: &str) -> Option<&SoftwareVersion> {
+        self.software.get(service)?.baseline.as_ref()
+    }
+
+    /// Returns whether only the baseline's version of a service has been listed here for the lifetime of a stream, so that
+    /// no other can have begun one that still lives.
+    ///
+    /// ```
+    /// use std::collections::HashMap;
+    /// use std::time::Duration;
+    /// use gateway::{ServiceSoftware, View};
+    ///
+    /// let software = ServiceSoftware {
+    ///     baseline: Some("2.1".into()),
+    ///     is_baseline_listed: true,
+    ///     alone_since: Some(Duration::from_secs(5)),
+    ///     lifetime: Duration::from_secs(30),
+    /// };
+    /// let view = View { software: HashMap::from([("chat".into(), software)]), ..View::default() };
+    /// assert!(!view.has_only_baseline("chat", Duration::from_secs(34)));
+    /// assert!(view.has_only_baseline("chat", Duration::from_secs(35)));
+    /// assert!(!view.has_only_baseline("search", Duration::from_secs(35)));
+    /// ```
+    pub fn has_only_baseline(&self, service: &str, now: Monotonic) -> bool {
+        let known = self.software.get(service);
+        known.is_some_and(|known| known.has_only_baseline(now))
+    }
+
+    /// Returns the longest time for which a stream of a service is taken up after its begin.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let lifetime = gateway::View::default().stream_lifetime("chat");
+    /// assert_eq!(lifetime, Duration::from_secs(30));
+    /// ```
+    pub fn stream_lifetime(&self, service: &str) -> Duration {
+        let known = self.software.get(service);
+        known.map_or_else(|| ServiceSoftware::default().lifetime, |known| known.lifetime)
+    }
+
     /// Returns whether and since when a model's weight version is replaced. Without a model or a version
     /// there is nothing to replace.
     ///
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -10,10 +10,13 @@
 
 use error_stack::Report;
 use gateway::ports::{DeclaredRecord, Decode, Record, Snapshot, UnusableRecord};
-use gateway::{CallerLimits, Declared, DesiredWeights, Position, Target};
+use gateway::{
+    AllowedRegions, CallerLimits, Declared, DesiredWeights, Position, RetrySafety, Route, ServiceShare,
+    Target,
+};
 
-/// Decodes rows of the form `declared N`, `weights MODEL N` and `target SERVICE VERSION [leaving]`, and rows with the key
-/// `evacuate/DOMAIN`.
+/// Decodes rows of the form `declared N [stream SERVICE SECONDS]`, `weights MODEL N` and `target SERVICE VERSION
+/// [software=VERSION] [leaving]`, and rows with the key `evacuate/DOMAIN`.
 pub(crate) struct WordDecode;
 
 impl Decode for WordDecode {
@@ -23,13 +26,14 @@
         }
         let words = words(record)?;
         match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            ["declared", version] => {
+            ["declared", version, ref stream @ ..] => {
                 let version = version.parse().map_err(|_| UnusableRecord)?;
                 let limits = CallerLimits {
                     body_bytes: 1_000,
                     ..CallerLimits::default()
                 };
-                let declared = Declared::new(version, limits, [], [], Some(HashMap::new()));
+                let declared =
+                    Declared::new(version, limits, stream_route(stream)?, [], Some(HashMap::new()));
                 Ok(DeclaredRecord::All(Box::new(declared)))
             }
             ["weights", model, version] => Ok(DeclaredRecord::Weights(DesiredWeights {
@@ -50,11 +54,38 @@
         }
         let mut target = target(&record.key, version.parse().map_err(|_| UnusableRecord)?);
         target.service = service.as_str().into();
-        target.is_leaving = !rest.is_empty();
+        target.is_leaving = rest.iter().any(|word| word == "leaving");
+        if let Some(software) = rest.iter().find_map(|word| word.strip_prefix("software=")) {
+            target.software = software.into();
+        }
         Ok(target)
     }
 }
 
+/// Returns a resumable stream route of a service, for the words `stream SERVICE SECONDS`.
+fn stream_route(words: &[&str]) -> Result<Option<Route>, Report<UnusableRecord>> {
+    let [_, service, seconds] = words else {
+        return Ok(None);
+    };
+    let timeout = Duration::from_secs(seconds.parse().map_err(|_| UnusableRecord)?);
+    Ok(Some(Route {
+        name: "stream".into(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        retry_safety: RetrySafety::Stream { resumable: true },
+        timeout,
+        latency_target: timeout,
+        priority: 0,
+        services: vec![ServiceShare {
+            service: (*service).into(),
+            weight: 1,
+        }],
+        max_targets: 2,
+        is_anonymous: true,
+        allowed_regions: AllowedRegions::default(),
+    }))
+}
+
 fn words(record: &Record) -> Result<Vec<String>, Report<UnusableRecord>> {
     let value = record.value.clone().ok_or(UnusableRecord)?;
     let text = String::from_utf8(value).map_err(|_| UnusableRecord)?;
