--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -425,6 +425,51 @@
         "stream_resumption",
         "A caller resumes a stream; gives the attempt that began it.",
     );
+    pub const ORIGINS_UNWRITTEN: Event = event(
+        5090,
+        "origins_unwritten",
+        "Records of the software versions that began streams are not written yet; the write is repeated.",
+    );
+    pub const ORIGINS_REMOVED: Event = event(
+        5091,
+        "origins_removed",
+        "Records of streams that can not be taken up any more were removed, or could not be.",
+    );
+    pub const ORIGIN_FOUND: Event = event(
+        5092,
+        "origin_found",
+        "The software version that began a stream was looked up; without a version, there is no record.",
+    );
+    pub const ORIGIN_UNKNOWN: Event = event(
+        5093,
+        "origin_unknown",
+        "The software version that began a stream can not be determined; the request is refused.",
+    );
+    pub const ORIGIN_REFUSED: Event = event(
+        5094,
+        "origin_refused",
+        "The origin of a stream is not recorded: too many records, or the stream already has another one.",
+    );
+    pub const BASELINE_CREATED: Event = event(
+        5096,
+        "baseline_created",
+        "The software version at which the streams of a service began that have no record was written for the first time.",
+    );
+    pub const BASELINE_CHANGED: Event = event(
+        5097,
+        "baseline_changed",
+        "Another software version alone has been listed for a service for the lifetime of a stream, and became its baseline.",
+    );
+    pub const BASELINE_CONFIRMED: Event = event(
+        5098,
+        "baseline_confirmed",
+        "The baseline of a service was written again, as a restored store may have lost a later one.",
+    );
+    pub const BASELINE_NOT_WRITTEN: Event = event(
+        5099,
+        "baseline_not_written",
+        "The store did not answer the write of a service's baseline; it is repeated.",
+    );
 }
 
 /// All events, ordered by number.
@@ -514,6 +559,15 @@
     events::CAPACITY_SHORT,
     events::CAPACITY_ENOUGH,
     events::STREAM_RESUMPTION,
+    events::ORIGINS_UNWRITTEN,
+    events::ORIGINS_REMOVED,
+    events::ORIGIN_FOUND,
+    events::ORIGIN_UNKNOWN,
+    events::ORIGIN_REFUSED,
+    events::BASELINE_CREATED,
+    events::BASELINE_CHANGED,
+    events::BASELINE_CONFIRMED,
+    events::BASELINE_NOT_WRITTEN,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
