Let a stream go on only at the software version that began it

Cause: hosts knew of no software versions. Class: state that outlives a request (what began its stream) was held by no one. Change: within one answer the relay holds the version of the first event. A caller's request to resume goes to the version of the stream's record, else to the service's baseline; unknown is refused as not run. A stream that begins off the baseline is recorded before its first event leaves. While records can't be written, such streams begin at the baseline.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -423,7 +423,7 @@
     pub const STREAM_RESUMPTION: Event = event(
         5089,
         "stream_resumption",
-        "A caller resumes a stream; gives the attempt that began it.",
+        "A caller resumes a stream; gives the attempt that began it and the software version that it must go on at, if known.",
     );
     pub const ORIGINS_UNWRITTEN: Event = event(
         5090,
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -277,12 +277,11 @@
             "reason" => reason);
     }
 
-    /// Logs a request with which a caller resumes a stream.
-    pub(crate) fn resumption(&self, facts: &CallFacts) {
-        if let Some(after) = &facts.last_event {
-            info!(self.log, "caller resumes a stream"; events::STREAM_RESUMPTION, "request" => facts.id.as_deref(),
-                "began_as" => facts.resumes.as_deref(), "after" => after);
-        }
+    /// Logs a request with which a caller resumes a stream that began at this software version, if it is known.
+    pub(crate) fn resumption(&self, facts: &CallFacts, software: Option<&str>) {
+        info!(self.log, "caller resumes a stream"; events::STREAM_RESUMPTION, "request" => facts.id.as_deref(),
+            "began_as" => facts.resumes.as_deref(), "after" => facts.last_event.as_deref(),
+            "software" => software);
     }
 
     /// Logs a stream that another target continues.
--- a/components/gateway/src/traffic/accept.rs
+++ b/components/gateway/src/traffic/accept.rs
@@ -11,6 +11,7 @@
 use super::admit::{Admitted, admit};
 use super::refusal::Refusal;
 use super::request::{Call, output_tokens};
+use super::resumption::Resumption;
 use super::state::Traffic;
 use crate::CallFacts;
 use crate::declared::Route;
@@ -84,7 +85,16 @@
     if is_quarantined && !is_trial {
         return Err(quarantined_part_refusal());
     }
-    cx.telemetry.resumption(&facts);
+    let resumption = Resumption {
+        route: &route,
+        workspace: workspace.as_deref(),
+        service: &service,
+    };
+    let required = resumption.required_software(cx, &facts).await?;
+    let (service, software) = match required {
+        Some(required) => (required.service, Some(required.software)),
+        None => (service, None),
+    };
     let malformed = Refusal::not_run(ProblemKind::MalformedRequest, "the path can not be read");
     Ok(Call {
         id: facts.id.unwrap_or_default(),
@@ -100,6 +110,7 @@
         workspace,
         prompt: facts.prompt,
         last_event: facts.last_event,
+        software,
         deadline,
         fingerprint,
         shared_parts,
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -13,6 +13,8 @@
     OutsideAllowedRegions,
     /// Its failure domain is evacuated.
     Evacuated,
+    /// The stream began at another version of the software, or could not be recorded as one of this version.
+    OtherSoftware,
     /// It has said that it is leaving.
     Leaving,
     /// It has asked this host for a pause.
@@ -35,6 +37,7 @@
         match self {
             Self::OutsideAllowedRegions => "outside-allowed-regions",
             Self::Evacuated => "evacuated",
+            Self::OtherSoftware => "other-software",
             Self::Leaving => "leaving",
             Self::Paused => "paused",
             Self::AlreadyTried => "already-tried",
@@ -53,6 +56,8 @@
     pub allowed: [&'a AllowedRegions; 2],
     /// Evacuated failure domains.
     pub evacuated: &'a HashSet<FailureDomainId>,
+    /// The only software version that may serve the request; `None` for any.
+    pub software: Option<&'a str>,
     /// What targets have said of themselves.
     pub announcements: &'a Announcements,
     /// Targets that the request was sent to or that were unreachable.
@@ -85,6 +90,12 @@
         if let Some(reason) = self.domain_exclusion(&target.domain) {
             return Some(reason);
         }
+        if self
+            .software
+            .is_some_and(|software| software != &*target.software)
+        {
+            return Some(Exclusion::OtherSoftware);
+        }
         if self.pause_left(target).is_some() {
             return Some(Exclusion::Paused);
         }
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -9,7 +9,7 @@
 mod exchange;
 mod exclusion;
 mod open;
-#[expect(dead_code, reason = "the request path does not record origins yet")]
+mod origin_record;
 mod origins;
 mod other_hosts;
 mod outgoing;
@@ -19,6 +19,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod resumption;
 mod state;
 mod stream_events;
 mod whole_body;
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -97,7 +97,9 @@
         &mut rand::rng(),
     );
     let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
+    // A stream that goes on has been admitted before.
     if attempts.is_first()
+        && call.software.is_none()
         && let Some(reason) = refusal(cx, call, &demand, &candidates)
     {
         return Err(no_capacity(reason));
--- a/components/gateway/src/traffic/refusal.rs
+++ b/components/gateway/src/traffic/refusal.rs
@@ -66,6 +66,10 @@
                 "every target that may run the request is evacuated",
                 jittered(CONSTRAINT_RETRY_AFTER, 0.3),
             ),
+            Some(Exclusion::OtherSoftware) => (
+                "no target has the software version that began the stream",
+                jittered(CONSTRAINT_RETRY_AFTER, 0.3),
+            ),
             _ => ("no target took the request", NO_TARGET_RETRY_AFTER),
         };
         let refusal = Self::not_run(ProblemKind::NoTarget, detail).with_retry_after(wait);
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -13,6 +13,7 @@
 
 use super::crashes::{BrokenAttempt, may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, Exchange, exchange};
+use super::origin_record::OriginRecord;
 use super::pipeline::{Attempts, OpenRequest, may_have_events, may_resume};
 use super::place::place;
 use super::request::Call;
@@ -42,6 +43,8 @@
     charge: Charge,
     /// The target's answer; `None` once it has ended.
     source: Option<Source>,
+    /// The record of the software version that begins the stream, until an event is passed on.
+    record: Option<OriginRecord>,
     /// Counts the request as in flight until the stream ends.
     _open: OpenRequest,
 }
@@ -100,7 +103,8 @@
         false => call.body = Arc::new(HeldBody::empty(&call.memory)),
     }
     let splitter = EventSplitter::resume_after(call.last_event.clone());
-    let relay = Relay {
+    let target = source.exchange.target.clone();
+    let mut relay = Relay {
         cx,
         charge: call.memory.charge(),
         call,
@@ -108,8 +112,10 @@
         splitter,
         parts: VecDeque::new(),
         source: Some(source),
+        record: None,
         _open: open,
     };
+    relay.begin_record(&target);
     let chunks = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
         Some((item, relay))
@@ -122,6 +128,12 @@
     /// otherwise.
     async fn next(&mut self) -> Option<Result<Bytes, HttpError>> {
         loop {
+            if !self.parts.is_empty() && !self.may_pass_on().await {
+                self.parts.clear();
+                self.source = None;
+                self.log_interrupted("the version that begins the stream could not be recorded");
+                return Some(Err(HttpError::Interrupted));
+            }
             if let Some(part) = self.parts.pop_front() {
                 // The charge only shrinks here.
                 let _ = self.charge_held();
@@ -141,7 +153,7 @@
                         return Some(Err(HttpError::NoMemory));
                     }
                     if !was_answered && self.has_events() {
-                        record_success(&self.cx, &self.call);
+                        self.record_first_event();
                     }
                 }
                 Next::End if !source.is_unproven && self.splitter.is_between_events() => self.end(),
@@ -161,6 +173,32 @@
         }
     }
 
+    /// Records the first event: from now on the stream goes on at targets of the same software version only.
+    fn record_first_event(&mut self) {
+        record_success(&self.cx, &self.call);
+        if let (None, Some(source)) = (&self.call.software, &self.source) {
+            self.call.software = Some(source.exchange.target.software.clone());
+        }
+    }
+
+    /// Starts the record of a stream that begins at this target, if it needs one. The record can't be taken back, so from now
+    /// on the stream goes on at targets of the same software version only, also before its first event.
+    fn begin_record(&mut self, target: &Target) {
+        if self.call.software.is_none() && !self.has_events() {
+            self.record = OriginRecord::begin(&self.cx, &self.call, target);
+            self.call.software = self.record.is_some().then(|| target.software.clone());
+        }
+    }
+
+    /// Waits until the bytes of the first event may be passed on; returns whether they may.
+    async fn may_pass_on(&mut self) -> bool {
+        let Some(record) = self.record.take() else {
+            return true;
+        };
+        let time_left = self.call.deadline.saturating_sub(self.cx.now());
+        record.allows_first_event(time_left).await
+    }
+
     /// Adds bytes for the caller. Large ones are copied, so that each part releases its memory.
     fn add_parts(&mut self, bytes: Bytes) {
         match bytes.len() {
@@ -260,6 +298,7 @@
                         .telemetry
                         .resumed(&self.call.id, &placed.target.instance, event);
                     let (_, source) = Source::new(*answer, after.as_deref());
+                    self.begin_record(&source.exchange.target);
                     self.source = Some(source);
                     return true;
                 }
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -3,7 +3,7 @@
 use http_io::{HeldBody, MemoryHolder};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
-use utils::{ModelId, Monotonic, ServiceId};
+use utils::{ModelId, Monotonic, ServiceId, SoftwareVersion};
 
 use super::connect::CallNumber;
 use crate::declared::{Route, Workspace};
@@ -42,6 +42,9 @@
     pub prompt: Option<PromptShape>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<String>,
+    /// Software version that began the stream, once an event of it has been passed to the caller; the stream goes on at no
+    /// other one.
+    pub software: Option<SoftwareVersion>,
     /// Time after which no answer is awaited any more.
     pub deadline: Monotonic,
     /// Identifies the request in the quarantine.
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,7 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::exclusion::PlacementRules;
+use super::origin_record::unrecordable_rule;
 use super::origins::Origins;
 use super::pool::TargetSlot;
 use super::request::Call;
@@ -242,6 +243,10 @@
             regions: &self.settings.regions,
             allowed: call.allowed_regions(view.declared.as_deref()),
             evacuated: &view.evacuated,
+            software: call
+                .software
+                .as_deref()
+                .or_else(|| unrecordable_rule(self, view, call)),
             announcements,
             tried,
             cold_quota_used: &[],
