--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -243,6 +243,11 @@
         list.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
@@ -253,6 +258,13 @@
         self.services.values()
     }
 
+    /// Returns the longest timeout of a route whose streams can be resumed; `None` if there is no such route.
+    pub(crate) fn longest_resumable(&self) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.retry_safety == RetrySafety::Stream { resumable: true });
+        resumable.map(|route| route.timeout).max()
+    }
+
     /// Returns whether requests need an API key.
     pub fn needs_keys(&self) -> bool {
         self.keys.is_some()
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,8 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::exclusion::PlacementRules;
+use super::origin_record::unrecordable_rule;
+use super::origins::Origins;
 use super::pool::TargetSlot;
 use super::request::Call;
 use crate::cold::ColdTargets;
@@ -96,6 +98,8 @@
     last_call: AtomicU64,
     /// Sends crashes of targets to the control thread, which reports them to other hosts.
     pub crashes: CrashSenders,
+    /// Records of the software versions that began streams.
+    pub origins: Origins,
     /// Connections, budgets, sessions and crashes.
     routing: Mutex<RoutingState>,
     /// Directories of the stores of kept cache.
@@ -115,8 +119,10 @@
         last_answers: Shutdown,
     ) -> Self {
         let resources = Resources::new(&settings);
+        let telemetry = Telemetry::new(log.clone(), &resources.memory);
         Self {
-            telemetry: Telemetry::new(log.clone(), &resources.memory),
+            origins: Origins::new(clock.clone(), telemetry.origins.clone()),
+            telemetry,
             resources,
             routing: Mutex::new(RoutingState::new(&settings)),
             settings,
@@ -237,6 +243,10 @@
             regions: &self.settings.regions,
             allowed: call.allowed_regions(view.declared.as_deref()),
             evacuated: &view.evacuated,
+            software: call
+                .software
+                .as_deref()
+                .or_else(|| unrecordable_rule(self, view, call)),
             announcements,
             tried,
             cold_quota_used: &[],
