Keep a service's software versions until its streams have ended

Cause: a service lost its lifetime and its list of versions at once when its last resumable route was removed, and with them what streams that still live were begun at. Change: it is dropped a lifetime later, like a shorter lifetime applies. Test: the removed route in components/gateway/tests/software.rs; clippy of the workspace and the tests of errors, utils and gateway pass.

--- a/components/gateway/src/software/baselines.rs
+++ b/components/gateway/src/software/baselines.rs
@@ -190,14 +190,18 @@
         self.refresh(now)
     }
 
+    /// Records how long streams live. A service that no resumable route names any more is kept until its streams have
+    /// ended.
     fn record_lifetimes(&mut self, lifetimes: &BTreeMap<ServiceId, Duration>, now: Monotonic) {
-        self.listings.retain(|service, _| lifetimes.contains_key(service));
         for (service, lifetime) in lifetimes {
             let listing = self.listings.entry(service.clone());
-            listing
-                .or_insert_with(|| Listing::new(*lifetime))
-                .set_lifetime(*lifetime, now);
+            listing.or_insert_with(|| Listing::new(*lifetime));
         }
+        for (service, listing) in &mut self.listings {
+            let lifetime = lifetimes.get(service).copied().unwrap_or_default();
+            listing.set_lifetime(lifetime, now);
+        }
+        self.listings.retain(|_, listing| !listing.lifetime.is_zero());
     }
 
     /// Determines what is known of each service; returns whether it has changed.
--- a/components/gateway/tests/software.rs
+++ b/components/gateway/tests/software.rs
@@ -201,6 +201,11 @@
     assert_eq!(host.view.stream_lifetime("s"), ms(LIFETIME_MS));
     host.list("b", "1", 10_000 + LIFETIME_MS);
     assert_eq!(host.view.stream_lifetime("s"), Duration::from_secs(30));
+    // The route is removed.
+    host.change(Table::Declared, "config", Some("declared 3"), 100_000);
+    assert_eq!(host.view.record_need("s", "1"), RecordNeed::None);
+    host.change(Table::Declared, "config", Some("declared 4"), 130_000);
+    assert!(host.view.software.is_empty());
 }
 
 // Guards against a baseline that goes back with the store, and against trust in a row after a restore.
