Place streams that go on before new requests of their service

Of 916 requests to resume, 500 were refused because every target was full: right after the hosts are back all callers come at once, and a stream can go to targets of one version only. Cause: a stream that goes on competed for room at its route's priority. Change: it competes as the most urgent.

--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -104,13 +104,22 @@
             prompt_tokens: prompt.map_or(0, |p| p.tokens_in),
             shared_tokens: prompt.map_or(0, PromptShape::shared_tokens),
             memory: prompt.map_or(0, |p| p.tokens_in + p.tokens_out / 2),
-            priority: self.priority().unwrap_or(0),
+            priority: self.placement_priority(),
             latency_target: self.route.latency_target,
             time_left: self.deadline.saturating_sub(now),
             pace,
         }
     }
 
+    /// Returns the priority in the competition for room. A stream that goes on is the most urgent: it can go to targets of one
+    /// version only, and what the caller has received of it is lost otherwise.
+    fn placement_priority(&self) -> u8 {
+        match self.software {
+            Some(_) => 0,
+            None => self.priority().unwrap_or(0),
+        }
+    }
+
     /// Returns the key of the prompt part that later requests share, within the workspace if it is isolated.
     pub(crate) fn session_key(&self) -> Option<SessionKey> {
         let prompt = self.prompt.as_ref()?;
