Keep stream origins for the longest lifetime that was declared meanwhile

Cause: a shorter timeout applied at once, also to streams that began under the longer one, whose records were then removed. Change: the lifetime does not shrink while the host has records, nor for what other hosts have left; Declared lists its routes.

--- a/components/gateway/src/control/origins.rs
+++ b/components/gateway/src/control/origins.rs
@@ -191,13 +191,17 @@
     loop {
         smol::Timer::after(CHECK_INTERVAL).await;
         cx.record_era(cx.control.cached_state().era());
-        // Records outlast the last route whose streams could be resumed.
-        lifetime = declared_lifetime(&cx).or(lifetime);
-        let Some(lifetime) = lifetime else { continue };
         let now = cx.now();
         let keys = {
             let mut records = cx.origins().records();
-            records.expire(lifetime, now);
+            // A shorter lifetime, or none, does not hold for streams that began before it was declared.
+            lifetime = match records.is_empty() {
+                true => declared_lifetime(&cx),
+                false => lifetime.max(declared_lifetime(&cx)),
+            };
+            if let Some(lifetime) = lifetime {
+                records.expire(lifetime, now);
+            }
             records.take_removals(now)
         };
         if !keys.is_empty() && remove(&cx, &keys).await.is_err() {
@@ -212,6 +216,7 @@
     let mut leftovers = Leftovers::default();
     let mut part = OriginPart::default();
     let mut from = None;
+    let mut longest = Duration::ZERO;
     loop {
         smol::Timer::after(jittered(LIST_INTERVAL, 0.2)).await;
         let view = cx.control.traffic.view.load_full();
@@ -219,6 +224,8 @@
         let Some(lifetime) = declared_lifetime(&cx).filter(|_| is_owner) else {
             continue;
         };
+        // Hosts may have left records when a longer lifetime was declared.
+        longest = longest.max(lifetime);
         if cx.reads.try_take(cx.now()).is_err() {
             continue;
         }
@@ -226,7 +233,7 @@
         let Ok(page) = cx.store.list(part, from.as_deref()).await else {
             continue;
         };
-        remove_listed(&cx, &mut leftovers, &page, lifetime * 2).await;
+        remove_listed(&cx, &mut leftovers, &page, longest.saturating_mul(2)).await;
         if page.next.is_none() {
             part = part.next();
         }
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -219,11 +219,9 @@
         self.services.values()
     }
 
-    /// Returns the longest timeout of a route whose streams can be resumed; `None` if there is no such route.
-    pub(crate) fn longest_resumable(&self) -> Option<Duration> {
-        let routes = self.routes.values().flatten();
-        let resumable = routes.filter(|route| route.retry_safety == RetrySafety::Stream { resumable: true });
-        resumable.map(|route| route.timeout).max()
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
     }
 
     /// Returns whether requests need an API key.
--- a/components/gateway/src/software/origin.rs
+++ b/components/gateway/src/software/origin.rs
@@ -1,10 +1,11 @@
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use utils::{Digest, Hasher, ParseDigestError, ServiceId, SoftwareVersion};
 
-use crate::Declared;
+use crate::{Declared, RetrySafety, Route};
 
 /// Number of parts over which the records are spread.
 const PART_COUNT: u8 = 16;
@@ -124,6 +125,7 @@
 /// assert_eq!(stream_lifetime(&declared), None);
 /// ```
 pub fn stream_lifetime(declared: &Declared) -> Option<Duration> {
-    let longest = declared.longest_resumable()?;
-    Some(longest.saturating_mul(2).max(MIN_STREAM_LIFETIME))
+    let is_resumable = |route: &&Arc<Route>| route.retry_safety == RetrySafety::Stream { resumable: true };
+    let timeouts = declared.routes().filter(is_resumable).map(|route| route.timeout);
+    Some(timeouts.max()?.saturating_mul(2).max(MIN_STREAM_LIFETIME))
 }
--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -154,6 +154,11 @@
         self.records.get(key).map(|record| &record.origin)
     }
 
+    /// Returns whether there is no record that has not expired.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the time at which the next call is due; `None` while no record waits for one.
     pub fn next_write_at(&self) -> Option<Monotonic> {
         let waiting = self.parts.iter().filter(|part| part.is_due(Monotonic::MAX));
