--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -215,7 +215,7 @@
     pub const ROUTE_PLACED: Event = event(
         5001,
         "route_placed",
-        "A target was chosen for a request on a declared route; gives the cost and the expected time.",
+        "A target was chosen for a request on a declared route; gives the cost, the expected time, the versions of the declarations that decided and that admitted the request, and the software version of the target.",
     );
     pub const ROUTE_REFUSED: Event = event(
         5002,
@@ -420,6 +420,11 @@
         "capacity_enough",
         "The engines of a service have capacity for all requests again; gives how long it was short.",
     );
+    pub const STREAM_RESUMPTION: Event = event(
+        5089,
+        "stream_resumption",
+        "A caller resumes a stream; gives the attempt that began it and the software version that it must go on at, if known.",
+    );
     pub const ORIGINS_UNWRITTEN: Event = event(
         5090,
         "origins_unwritten",
@@ -445,6 +450,26 @@
         "origin_refused",
         "The origin of a stream is not recorded: too many records, or the stream already has another one.",
     );
+    pub const BASELINE_CREATED: Event = event(
+        5096,
+        "baseline_created",
+        "The software version at which the streams of a service began that have no record was written for the first time.",
+    );
+    pub const BASELINE_CHANGED: Event = event(
+        5097,
+        "baseline_changed",
+        "Another software version alone has been listed for a service for the lifetime of a stream, and became its baseline.",
+    );
+    pub const BASELINE_CONFIRMED: Event = event(
+        5098,
+        "baseline_confirmed",
+        "The baseline of a service was written again, as a restored store may have lost a later one.",
+    );
+    pub const BASELINE_NOT_WRITTEN: Event = event(
+        5099,
+        "baseline_not_written",
+        "The store did not answer the write of a service's baseline; it is repeated.",
+    );
 }
 
 /// All events, ordered by number.
@@ -533,11 +558,16 @@
     events::TARGETS_WARM,
     events::CAPACITY_SHORT,
     events::CAPACITY_ENOUGH,
+    events::STREAM_RESUMPTION,
     events::ORIGINS_UNWRITTEN,
     events::ORIGINS_REMOVED,
     events::ORIGIN_FOUND,
     events::ORIGIN_UNKNOWN,
     events::ORIGIN_REFUSED,
+    events::BASELINE_CREATED,
+    events::BASELINE_CHANGED,
+    events::BASELINE_CONFIRMED,
+    events::BASELINE_NOT_WRITTEN,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/control/origins.rs
+++ b/components/gateway/src/control/origins.rs
@@ -20,7 +20,7 @@
 /// Most calls a second that write or remove records.
 const WRITES_PER_SECOND: f64 = 20.0;
 /// Most calls a second that read records.
-const READS_PER_SECOND: f64 = 20.0;
+const READS_PER_SECOND: f64 = 60.0;
 /// Calls that a look-up makes at most.
 const FIND_ATTEMPTS: usize = 3;
 /// Mean delay before a failed look-up is repeated.
@@ -157,7 +157,11 @@
 /// Looks up a record; calls that fail are repeated while the request waits.
 async fn find(cx: &OriginTasks, query: &FindQuery) -> FindResult {
     for _ in 0..FIND_ATTEMPTS {
-        if query.is_abandoned() || is_store_lost(cx) || cx.reads.try_take(cx.now()).is_err() {
+        // Many callers take their streams up together after hosts have failed. They wait for their turn.
+        while let (false, Err(wait)) = (query.is_abandoned(), cx.reads.try_take(cx.now())) {
+            smol::Timer::after(wait).await;
+        }
+        if query.is_abandoned() || is_store_lost(cx) {
             break;
         }
         match cx.store.find(&query.key).await {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -86,8 +86,8 @@
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
 pub use software::{
-    Leftovers, OriginKey, OriginPart, OriginRecords, OriginUnknown, OriginWrite, StreamOrigin,
-    stream_lifetime,
+    Baseline, BaselineChange, BaselineWrite, Leftovers, OriginKey, OriginPart, OriginRecords, OriginUnknown,
+    OriginWrite, RecordNeed, ServiceSoftware, StreamOrigin, stream_lifetime,
 };
 pub use store_clock::StoreClock;
 pub use store_link::UpdateSource;
--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -165,6 +165,11 @@
         waiting.map(|part| part.retry_at).min()
     }
 
+    /// Returns whether the last write of any part failed.
+    pub fn is_failing(&self) -> bool {
+        self.parts.iter().any(|part| !part.backoff.is_zero())
+    }
+
     /// Takes the records of a part that are due. [`Self::finish_write`] must follow.
     pub fn take_write(&mut self, now: Monotonic) -> Option<OriginWrite> {
         for _ in OriginPart::all() {
--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use utils::{FailureDomainId, ModelId, ServiceId, TargetId};
+use utils::{FailureDomainId, ModelId, ServiceId, SoftwareVersion, TargetId};
 
 /// A target, as described by its platform entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub born_ms: u64,
     /// Service of the target.
     pub service: ServiceId,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Failure domain of the target.
@@ -40,6 +42,11 @@
         format!("{instance}/{born_ms}").into()
     }
 
+    /// Whether another entry has the same address and failure domain.
+    pub(crate) fn is_at_place_of(&self, other: &Self) -> bool {
+        self.address == other.address && self.domain == other.domain
+    }
+
     /// Returns the weight version of a model, if the target serves it.
     pub fn weights_of(&self, model: &str) -> Option<u64> {
         let mut found = self.models.iter().filter(|(name, _)| &**name == model);
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -15,10 +15,9 @@
 
 pub(crate) use origins::OriginTelemetry;
 
-use crate::RequestedPause;
 use crate::admission::PressureChange;
-use crate::placement::Choice;
-use crate::traffic::Exclusion;
+use crate::traffic::{Call, Exclusion, Placed};
+use crate::{CallFacts, RequestedPause};
 
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
@@ -206,10 +205,13 @@
         self.evacuated.record(values.evacuated as u64, &[]);
     }
 
-    /// Logs the target chosen for a request, with its cost.
-    pub(crate) fn placed(&self, id: &str, target: &str, choice: &Choice, attempt: u32) {
-        info!(self.log, "request placed"; events::ROUTE_PLACED, "request" => id, "target" => target,
-            "cost" => choice.cost, "expected_ms" => choice.expected_ms, "try" => attempt);
+    /// Logs the target chosen for a request, with its cost and the declarations that decided.
+    pub(crate) fn placed(&self, call: &Call, placed: &Placed, attempt: u32) {
+        let Placed { target, choice, .. } = placed;
+        info!(self.log, "request placed"; events::ROUTE_PLACED, "request" => &call.id,
+            "target" => &target.instance, "domain" => &*target.domain, "cost" => choice.cost,
+            "expected_ms" => choice.expected_ms, "try" => attempt, "declared" => placed.declared,
+            "admitted" => call.declared, "software" => &*target.software);
     }
 
     /// Counts a send and logs it if it failed.
@@ -275,6 +277,13 @@
             "reason" => reason);
     }
 
+    /// Logs a request with which a caller resumes a stream that began at this software version, if it is known.
+    pub(crate) fn resumption(&self, facts: &CallFacts, software: Option<&str>) {
+        info!(self.log, "caller resumes a stream"; events::STREAM_RESUMPTION, "request" => facts.id.as_deref(),
+            "began_as" => facts.resumes.as_deref(), "after" => facts.last_event.as_deref(),
+            "software" => software);
+    }
+
     /// Logs a stream that another target continues.
     pub(crate) fn resumed(&self, id: &str, target: &str, after: &str) {
         info!(self.log, "resumed"; events::ROUTE_RESUMED, "request" => id,
--- a/components/gateway/src/traffic/origins.rs
+++ b/components/gateway/src/traffic/origins.rs
@@ -9,7 +9,7 @@
 use crate::telemetry::OriginTelemetry;
 
 /// Capacity of the queue of look-ups.
-const FIND_QUEUE_CAPACITY: usize = 64;
+const FIND_QUEUE_CAPACITY: usize = 256;
 /// Longest time that a look-up takes.
 const FIND_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns whether records can't be written at this moment.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.records().is_failing()
+    }
+
     /// Looks up the origin of a stream: in the records of this host, then in the store. `None` means that there is no
     /// record.
     ///
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -36,6 +36,8 @@
     pub weights: Option<u64>,
     /// Index and estimates of the chosen candidate.
     pub choice: Choice,
+    /// Version of the declarations that decided.
+    pub declared: u64,
     /// Estimated resources that the request uses at the target.
     pub work: Work,
     /// Parts that the request fetches from stores and saves to them.
@@ -95,7 +97,9 @@
         &mut rand::rng(),
     );
     let no_capacity = |reason| PlacementError::NoCapacity(reason, overload_wait(cx, call, &demand));
+    // A stream that goes on has been admitted before.
     if attempts.is_first()
+        && call.software.is_none()
         && let Some(reason) = refusal(cx, call, &demand, &candidates)
     {
         return Err(no_capacity(reason));
@@ -118,6 +122,7 @@
         weights,
         target,
         choice,
+        declared: view.declared.as_ref().map_or(0, |declared| declared.version),
         work: Work {
             memory: demand.memory.into(),
             prefill_tokens: (f64::from(demand.prompt_tokens) - held).max(0.0) as u64,
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,7 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::exclusion::PlacementRules;
+use super::origin_record::unrecordable_rule;
 use super::origins::Origins;
 use super::pool::TargetSlot;
 use super::request::Call;
@@ -242,6 +243,10 @@
             regions: &self.settings.regions,
             allowed: call.allowed_regions(view.declared.as_deref()),
             evacuated: &view.evacuated,
+            software: call
+                .software
+                .as_deref()
+                .or_else(|| unrecordable_rule(self, view, call)),
             announcements,
             tried,
             cold_quota_used: &[],
@@ -249,15 +254,16 @@
         }
     }
 
-    /// Whether a request may be sent to a target: it is listed, and not excluded. Asked again right before each send, as
-    /// either can change while a connection is opened. The caller checks the target's weights.
+    /// Whether a request may be sent to a target: it is listed at the place where it was chosen, and not excluded. Asked
+    /// again right before each send, as either can change while a connection is opened. The caller checks the target's
+    /// weights.
     pub(crate) fn may_send(&self, call: &Call, target: &Target) -> bool {
         let view = self.view.load();
         let routing = self.routing();
         let rules = self.placement_rules(&view, &routing.announcements, call, &[]);
         let exclusion = |listed: &Arc<Target>| rules.exclusion(listed, OldWeightsPolicy::Allowed);
         view.listed(target)
-            .is_some_and(|listed| exclusion(listed).is_none())
+            .is_some_and(|listed| listed.is_at_place_of(target) && exclusion(listed).is_none())
     }
 
     /// Takes a trial of a quarantined part that a request with these parts could clear, if this host makes the trials of
