Try records again once those of an outage have expired

Cause: after an outage longer than a stream's lifetime the last failed record of a part expired, nothing was written there any more, and is_failing stayed true: with targets of the baseline listed, no stream was placed at another version again. Change: a part fails only while records wait in it. Result: writes_no_longer_fail_once_the_records_of_an_outage_have_expired (gateway, origin_records) failed before, passes now.

--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -165,9 +165,9 @@
         waiting.map(|part| part.retry_at).min()
     }
 
-    /// Returns whether the last write of any part failed.
+    /// Returns whether records wait whose last write failed.
     pub fn is_failing(&self) -> bool {
-        self.parts.iter().any(|part| !part.backoff.is_zero())
+        self.parts.iter().any(PartQueue::is_failing)
     }
 
     /// Takes the records of a part that are due. [`Self::finish_write`] must follow.
@@ -297,6 +297,11 @@
 }
 
 impl PartQueue {
+    /// Whether the last call failed and is repeated.
+    fn is_failing(&self) -> bool {
+        !self.backoff.is_zero() && (self.is_writing || !self.keys.is_empty())
+    }
+
     /// Whether a call may write records of the part.
     fn is_due(&self, now: Monotonic) -> bool {
         !self.is_writing && !self.keys.is_empty() && now >= self.retry_at
--- a/components/gateway/tests/origin_records.rs
+++ b/components/gateway/tests/origin_records.rs
@@ -64,6 +64,23 @@
     assert_eq!(records.next_write_at(), None);
 }
 
+// Guards against streams that are never again placed at a version because its last record expired in an outage.
+#[test]
+fn writes_no_longer_fail_once_the_records_of_an_outage_have_expired() {
+    let mut records = OriginRecords::default();
+    add(&mut records, origin("r1", "2"), S);
+    let write = records.take_write(S).unwrap();
+    fail(&mut records, write, S);
+    assert!(records.is_failing());
+    let now = S + LIFETIME;
+    records.expire(LIFETIME, now);
+    assert!(records.take_write(now).is_none());
+    assert!(
+        !records.is_failing(),
+        "no record will show that the store is back"
+    );
+}
+
 // Guards against one call for each record, and against a record that waits although its part is free.
 #[test]
 fn records_that_arrive_during_a_call_share_the_next_one() {
