--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -154,15 +154,20 @@
         self.records.get(key).map(|record| &record.origin)
     }
 
+    /// Returns whether there is no record that has not expired.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the time at which the next call is due; `None` while no record waits for one.
     pub fn next_write_at(&self) -> Option<Monotonic> {
         let waiting = self.parts.iter().filter(|part| part.is_due(Monotonic::MAX));
         waiting.map(|part| part.retry_at).min()
     }
 
-    /// Returns whether the last write of any part failed.
+    /// Returns whether records wait whose last write failed.
     pub fn is_failing(&self) -> bool {
-        self.parts.iter().any(|part| !part.backoff.is_zero())
+        self.parts.iter().any(PartQueue::is_failing)
     }
 
     /// Takes the records of a part that are due. [`Self::finish_write`] must follow.
@@ -292,6 +297,11 @@
 }
 
 impl PartQueue {
+    /// Whether the last call failed and is repeated.
+    fn is_failing(&self) -> bool {
+        !self.backoff.is_zero() && (self.is_writing || !self.keys.is_empty())
+    }
+
     /// Whether a call may write records of the part.
     fn is_due(&self, now: Monotonic) -> bool {
         !self.is_writing && !self.keys.is_empty() && now >= self.retry_at
