Remove expired records part by part

The settings of deployments say that transactions over several parts are not available; the removal of expired records relied on one.

--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -18,7 +18,7 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after failed writes.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Time for which removals are collected.
+/// Time for which removals are collected, so that few calls remove them part by part.
 const REMOVAL_DELAY: Duration = Duration::from_secs(60);
 /// Mean pause after a failed removal.
 const REMOVAL_RETRY_DELAY: Duration = Duration::from_secs(10);
@@ -271,7 +271,8 @@
         }
     }
 
-    /// Takes the keys of records to remove with one call, if there are enough or they have waited.
+    /// Takes the keys of records of one part to remove with one call, if there are enough or they have waited. A store need
+    /// not allow transactions over several parts.
     pub fn take_removals(&mut self, now: Monotonic) -> Vec<OriginKey> {
         let first = self.removals.front();
         let has_waited = first.is_some_and(|(since, _)| now >= *since + REMOVAL_DELAY);
@@ -279,8 +280,18 @@
         if !is_due || now < self.removal_retry_at {
             return Vec::new();
         }
-        let count = self.removals.len().min(MAX_RECORDS_PER_CALL);
-        self.removals.drain(..count).map(|(_, key)| key).collect()
+        let Some(part) = self.removals.front().map(|(_, key)| key.part()) else {
+            return Vec::new();
+        };
+        let mut keys = Vec::new();
+        self.removals.retain(|(_, key)| {
+            let is_taken = key.part() == part && keys.len() < MAX_RECORDS_PER_CALL;
+            if is_taken {
+                keys.push(*key);
+            }
+            !is_taken
+        });
+        keys
     }
 
     /// Returns keys whose removal has failed; they are removed later.
