Confirm a baseline only once this host's records are in the restored store

A missing record means the baseline as soon as that is confirmed, so a host that confirms it must have written its own lost records again. has_written_again had no caller. Read in the code, not seen in a play; the tests of restored stores pass.

--- a/components/gateway/src/control/baselines.rs
+++ b/components/gateway/src/control/baselines.rs
@@ -31,7 +31,7 @@
             continue;
         }
         let mut due = control.cached_state().due_baselines(now);
-        due.retain(|write| is_writer(&control, write, now));
+        due.retain(|write| is_writer(&control, write, now) && has_written_records(&control, write));
         if due.is_empty() {
             continue;
         }
@@ -49,6 +49,12 @@
     confirmed_age.is_some_and(|age| age <= MAX_LIST_AGE) || relays::is_relayed(control)
 }
 
+/// Whether the restored store has this host's records again. Once a baseline is confirmed, a missing record counts as none.
+fn has_written_records(control: &Control, write: &BaselineWrite) -> bool {
+    let origins = &control.traffic.origins;
+    write.change != BaselineChange::Confirmed || origins.records().has_written_again(write.baseline.era)
+}
+
 /// Whether this host writes a row: its owner first, then more and more hosts.
 fn is_writer(control: &Control, write: &BaselineWrite, now: Monotonic) -> bool {
     let delays = now.saturating_sub(write.due_since).as_secs() / TAKEOVER_DELAY.as_secs();
