Test answers that never end, from engines, stores and targets

Answers to requests with bodies, header lines, chunk extensions and trailers without end were cut before (502).

--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -161,3 +161,19 @@
         assert!(splitter.held_bytes() < 1_000, "{} bytes", splitter.held_bytes());
     }
 }
+
+// Guards against work that grows with the square of an event's length and holds up all other requests of the thread.
+#[test]
+fn an_event_without_end_in_pieces_of_one_byte_is_split_at_its_bound() {
+    let mut splitter = EventSplitter::default();
+    let passed = (0..(1 << 20) + 1).find_map(|_| Some(splitter.push(b"x")).filter(|part| !part.is_empty()));
+    assert_eq!(passed.map(|part| part.len()), Some((1 << 20) - 1));
+    let ends = [
+        splitter.push(b"\r"),
+        splitter.push(b"\n"),
+        splitter.push(b"\r"),
+        splitter.push(b"\n"),
+    ];
+    assert_eq!(ends.concat(), b"xx\r\n\r\n");
+    assert!(splitter.is_between_events());
+}
--- a/components/http/tests/events.rs
+++ b/components/http/tests/events.rs
@@ -72,3 +72,13 @@
         Err(HttpError::TooLarge { .. })
     ));
 }
+
+// Guards against an event without end in lines that are each within the limit.
+#[test]
+fn an_event_over_the_limit_is_an_error() {
+    let line = Bytes::from(format!("data: {}\n", "a".repeat(60_000)));
+    assert!(matches!(
+        read_all(vec![line; 20]),
+        Err(HttpError::TooLarge { .. })
+    ));
+}
--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -50,11 +50,23 @@
     pub(crate) fn start_with_target(
         limits: Limits,
         answer: impl Fn(&ReceivedRequest) -> String + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with_stores(limits, &[], answer)
+    }
+
+    /// Starts a host before a target and stores of kept cache at these addresses.
+    pub(crate) fn start_with_stores(
+        limits: Limits,
+        stores: &[SocketAddr],
+        answer: impl Fn(&ReceivedRequest) -> String + Send + Sync + 'static,
     ) -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let target = Backend::start(move |req| vec![Action::Write(answer(req))]);
         let store = WireStore::start();
-        store.put("op", "config", &config(limits.max_body));
+        let mut config = config(limits.max_body);
+        let services = config["services"].as_array_mut().unwrap();
+        services.extend(stores.iter().enumerate().map(kept_store));
+        store.put("op", "config", &config);
         store.put("servers", "i-0", &target.entry("s"));
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 90, high, low);
@@ -199,3 +211,9 @@
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": max_body, "header_timeout_ms": 60_000,
             "idle_timeout_ms": 60_000}})
 }
+
+/// Returns the service of a store of kept cache.
+fn kept_store((i, address): (usize, &SocketAddr)) -> Value {
+    json!({"name": format!("kv-{i}"), "kv_store_address": address.to_string(), "zone": "a",
+        "kv_cache_tokens": 100_000, "max_concurrency": 8})
+}
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -8,8 +8,10 @@
 mod host;
 
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
 
-use common::answer_ok;
+use common::{Action, Backend, ReceivedRequest, answer_ok};
 use crowd::{Member, connect, drive, head, post};
 use host::{Host, Limits};
 
@@ -29,6 +31,10 @@
 const SHORT_OF_END: usize = 10;
 /// Members of a crowd of large bodies. One in [`COMPLETE_SHARE`] of them sends its end.
 const MEMBERS: usize = 60;
+/// Faulty stores of kept cache beside a host.
+const STORES: usize = 12;
+/// Interval between checks whether all stores have been called.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// One member in this many completes its request.
 const COMPLETE_SHARE: usize = 10;
 
@@ -155,6 +161,30 @@
     host.check("streams without event ends", open);
 }
 
+/// Guards against answers to the host's own calls that are buffered without a common bound.
+#[test]
+fn lists_without_end_stay_within_the_memory() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let faulty = || {
+        let script = move |_: &ReceivedRequest| {
+            let chunks = "1\r\nx\r\n".repeat(700);
+            vec![
+                Action::Write(head.to_owned()),
+                Action::WriteWithoutEnd(chunks, Arc::default()),
+            ]
+        };
+        Backend::start(script)
+    };
+    let stores: Vec<Backend> = (0..STORES).map(|_| faulty()).collect();
+    let addresses: Vec<_> = stores.iter().map(|store| store.address).collect();
+    let host = Host::start_with_stores(SMALL, &addresses, |_| answer_ok("fine"));
+    let is_called = || stores.iter().all(|store| !store.received().is_empty());
+    while !is_called() {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    host.check("lists without end", Vec::new());
+}
+
 /// Guards against messages on the port between hosts that are buffered without a common bound.
 #[test]
 fn messages_from_hosts_stay_within_the_memory() {
