Search only new bytes for the end of an event

Cause: the splitter searched everything that it held back for each piece that arrived, so the work for a line without end grew with the square of its length: 1 MiB in pieces of one byte was not split after 60 s. The thread of all requests does this work. Test: an_event_without_end_in_pieces_of_one_byte_is_split_at_its_bound (gateway, streams) ends now, with the run of all of them.

--- a/components/gateway/src/traffic/stream_events.rs
+++ b/components/gateway/src/traffic/stream_events.rs
@@ -54,8 +54,11 @@
 
     /// Adds bytes and returns all events that are now whole.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        // The bytes that are held back contain no event's end, at most the start of one.
+        let searched = self.buf.len().saturating_sub(MAX_PARTIAL_END);
         self.buf.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buf) else {
+        let found = last_event_end(&self.buf[searched..]);
+        let Some(end) = found.map(|end| searched + end) else {
             return self.split_long_event();
         };
         let whole = self.split_off(end);
