Limit the length of an event, not only of its lines

Cause: the reader of events for the product's own interface bounded a line (1 MiB), but joined any number of lines to one event. Change: an event with all its lines has at most 1 MiB; a longer one is an error, as a longer line is. Test: an_event_over_the_limit_is_an_error (http_io, events) failed before and passes.

--- a/components/http/src/sse.rs
+++ b/components/http/src/sse.rs
@@ -6,6 +6,8 @@
 
 /// Maximum length of a line in an event stream, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 20;
+/// Maximum length of an event with all its lines, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A server-sent event.
 ///
@@ -59,10 +61,11 @@
     ///
     /// # Errors
     /// [`HttpError::Interrupted`] if the body ends within an event or fails, [`HttpError::TooLarge`] if a
-    /// line exceeds the maximum length.
+    /// line or an event exceeds the maximum length.
     pub async fn next(&mut self) -> Result<Option<SseEvent>, Report<HttpError>> {
         let mut event = SseEvent::default();
         let mut has_fields = false;
+        let mut event_bytes = 0;
         loop {
             let Some(line) = self.read_line().await? else {
                 return if has_fields {
@@ -77,6 +80,12 @@
                 }
                 continue;
             }
+            event_bytes += line.len();
+            if event_bytes > MAX_EVENT_BYTES {
+                return Err(Report::new(HttpError::TooLarge {
+                    limit: MAX_EVENT_BYTES,
+                }));
+            }
             has_fields |= store_field(&mut event, &line);
         }
     }
