Bound and charge what a host reads from others in one place

Cause: calls of the adapter read up to 16 MiB of any answer, without a charge, and collected chunks of one byte with the read buffers that they were cut from; heads had up to 417 kB; interim heads were read without a bound on the thread of all requests. Change: http_io::OutgoingConnection opens each HTTP connection to another process: heads of 32 KiB, at most 256 KiB up to the head of an answer, and other tasks run after 16 reads in succession. Bodies are copied into blocks and charged (PooledBody::read_whole, read_answer), for calls to an account of their own, a quarter of the budget for callers. Idle connections to addresses that are no longer called go.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -390,6 +390,11 @@
         "head_too_large",
         "Requests were refused whose head is larger than the operator's limits allow.",
     );
+    pub const ANSWER_TOO_LARGE: Event = event(
+        5046,
+        "answer_too_large",
+        "Answers of targets, stores or other hosts were larger than their kind may be; gives their number. Their connections were closed.",
+    );
     pub const EVACUATION_BEGAN: Event = event(
         5050,
         "evacuation_began",
@@ -502,6 +507,7 @@
     events::ANSWER_UNREAD,
     events::HEAD_LATE,
     events::HEAD_TOO_LARGE,
+    events::ANSWER_TOO_LARGE,
     events::EVACUATION_BEGAN,
     events::EVACUATION_ENDED,
     events::TARGETS_COLD,
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -140,7 +140,7 @@
             Vec::new()
         });
         control.traffic.remove_stale();
-        control.traffic.resources.log_shortages(&control.traffic.log, now);
+        control.log_shortages(now);
         let view = control.traffic.view.load();
         control.traffic.telemetry.record_gauges(&GaugeValues {
             store_age: control.cached_state().store_age(now),
--- a/components/gateway/src/control/kept_updates.rs
+++ b/components/gateway/src/control/kept_updates.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_io::{Client, ClientConfig};
+use http_io::Client;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use utils::{Incarnation, RegionId};
@@ -144,11 +144,7 @@
 
 /// Polls other hosts for changes of the stores that this host does not follow itself.
 pub(crate) async fn poll_watchers(control: Arc<Control>) {
-    let cfg = ClientConfig {
-        idle_per_address: 1,
-        ..ClientConfig::default()
-    };
-    let client = Client::new(control.ex.clone(), cfg);
+    let client = control.host_client();
     let mut sources: BTreeMap<RegionId, Source> = BTreeMap::new();
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.1)).await;
--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_io::{Client, ClientConfig};
 use serde::{Deserialize, Serialize};
 use utils::{HostId, RegionId, TargetId};
 
@@ -89,11 +88,7 @@
 
 /// Queries the hosts that poll engines for the load reports.
 pub(crate) async fn poll_reporters(control: Arc<Control>) {
-    let cfg = ClientConfig {
-        idle_per_address: 1,
-        ..ClientConfig::default()
-    };
-    let client = Arc::new(Client::new(control.ex.clone(), cfg));
+    let client = control.host_client();
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use errors::events;
-use http_io::{Executor, Shutdown};
+use http_io::{Client, ClientConfig, Executor, MemoryAccount, Shutdown};
 use slog::{info, warn};
 use utils::{Incarnation, Monotonic, TargetId};
 
@@ -26,6 +26,7 @@
 use crate::daemon::PlatformPorts;
 use crate::load::ReportedLoad;
 use crate::ports::{EngineControl, KeptStores, RecordStore, Table, UnusableRecord};
+use crate::resources::ShortageLog;
 use crate::traffic::{CrashReceivers, Traffic};
 use crate::view::View;
 
@@ -42,6 +43,10 @@
     pub engines: Arc<dyn EngineControl>,
     /// Client of the stores of kept cache.
     pub stores: Arc<dyn KeptStores>,
+    /// Account of the answers to the calls of this thread.
+    pub memory: Arc<MemoryAccount>,
+    /// Refusals of that account that have been logged.
+    shortages: ShortageLog,
     /// Incarnation of this process.
     pub incarnation: Incarnation,
     /// Executor of the control thread's tasks.
@@ -63,12 +68,15 @@
         incarnation: Incarnation,
         ex: Executor,
     ) -> Self {
+        traffic.telemetry.register_calls(&ports.memory);
         let cached_state = CachedState::new(ports.decode, traffic.settings.bounds.return_grace);
         Self {
             traffic,
             store: ports.store,
             engines: ports.engines,
             stores: ports.stores,
+            shortages: ShortageLog::new(ports.memory.clone()),
+            memory: ports.memory,
             incarnation,
             ex,
             cached_state: Mutex::new(cached_state),
@@ -110,6 +118,23 @@
         register::deregister(&self).await;
     }
 
+    /// Logs what has been refused since the last lines, to callers and of the answers to this thread's calls.
+    pub(crate) fn log_shortages(&self, now: Monotonic) {
+        let log = &self.traffic.log;
+        self.traffic.resources.log_shortages(log, now);
+        self.shortages.log_new(log, now);
+    }
+
+    /// Returns a client for other hosts that keeps one idle connection to each.
+    pub(crate) fn host_client(&self) -> Client {
+        let cfg = ClientConfig {
+            response_timeout: peers::ANSWER_TIMEOUT,
+            idle_per_address: 1,
+            ..ClientConfig::default()
+        };
+        Client::with_memory(self.ex.clone(), cfg, self.memory.clone())
+    }
+
     /// Locks the host's cached state.
     pub(crate) fn cached_state(&self) -> MutexGuard<'_, CachedState> {
         self.cached_state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -5,8 +5,8 @@
 use errors::events;
 use futures_lite::FutureExt;
 use http_io::{
-    Body, Client, ClientConfig, Handler, HandlerFuture, HeldBody, HttpError, MemoryHolder, Server, Shutdown,
-    empty_body, full_body, read_limited, read_request,
+    Body, Client, Handler, HandlerFuture, HeldBody, HttpError, MemoryHolder, Server, Shutdown, empty_body,
+    full_body, read_request,
 };
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, RETRY_AFTER};
@@ -164,12 +164,7 @@
 
 /// Queries other hosts for changes while the store does not answer, or until this host can serve requests.
 pub(crate) async fn poll_peers(control: Arc<Control>) {
-    let cfg = ClientConfig {
-        response_timeout: ANSWER_TIMEOUT,
-        idle_per_address: 1,
-        ..ClientConfig::default()
-    };
-    let client = Client::new(control.ex.clone(), cfg);
+    let client = control.host_client();
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.2)).await;
         let lacks_state = !control.traffic.view.load().can_serve();
@@ -238,7 +233,8 @@
         .ok()?;
     let answer = async {
         let res = client.send(peer, req).await.ok()?;
-        let bytes = read_limited(res.into_body(), MAX_MESSAGE_BYTES).await.ok()?;
+        let held = res.into_body().read_whole(MAX_MESSAGE_BYTES).await.ok()?;
+        let (bytes, _charge) = held.join().ok()?;
         postcard::from_bytes(&bytes).ok()
     };
     let late = async {
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_io::{Client, ClientConfig};
+use http_io::Client;
 use rand::seq::IndexedRandom;
 use utils::HostId;
 
 use super::Control;
-use super::peers::{self, ANSWER_TIMEOUT};
+use super::peers;
 use crate::View;
 use crate::jitter::jittered;
 
@@ -24,12 +24,7 @@
 
 /// Queries the relays of this host's region, unless the region is small or the host is a relay itself.
 pub(crate) async fn follow_relays(control: Arc<Control>) {
-    let cfg = ClientConfig {
-        response_timeout: ANSWER_TIMEOUT,
-        idle_per_address: 1,
-        ..ClientConfig::default()
-    };
-    let client = Client::new(control.ex.clone(), cfg);
+    let client = control.host_client();
     loop {
         let is_updated = poll_relay(&control, &client).await;
         let pause = match is_updated {
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -7,8 +7,8 @@
 use error_stack::{Report, ResultExt};
 use errors::events;
 use http_io::{
-    Body, Executor, Handler, HandlerFuture, HttpError, Server, Shutdown, empty_body, full_body,
-    shutdown_channel,
+    Body, Executor, Handler, HandlerFuture, HttpError, MemoryAccount, Server, Shutdown, empty_body,
+    full_body, shutdown_channel,
 };
 use hyper::{Response, StatusCode};
 use slog::{Logger, info};
@@ -43,6 +43,8 @@
     pub decode: Arc<dyn Decode>,
     /// Reads and writes the heads of requests and answers.
     pub heads: Arc<dyn Heads>,
+    /// Account of the answers that the store, the engines and the stores of kept cache send.
+    pub memory: Arc<MemoryAccount>,
 }
 
 /// A running entry host on a platform, with one thread for control state and one for traffic.
--- a/components/gateway/src/resources.rs
+++ b/components/gateway/src/resources.rs
@@ -69,6 +69,13 @@
     pub limits: Arc<ConnectionLimits>,
     /// Connections that each listener may have open.
     shares: ConnectionShares,
+    /// Refusals of the account that have been logged.
+    shortages: ShortageLog,
+}
+
+/// Logs the refusals of an account.
+pub(crate) struct ShortageLog {
+    memory: Arc<MemoryAccount>,
     /// What has been logged.
     logged: Mutex<Logged>,
 }
@@ -85,15 +92,16 @@
 impl Resources {
     pub(crate) fn new(settings: &HostSettings) -> Self {
         let limits = CallerLimits::default();
+        let memory = MemoryAccount::new(MemoryBudget::for_machine(settings.memory));
         Self {
-            memory: MemoryAccount::new(MemoryBudget::for_machine(settings.memory)),
+            shortages: ShortageLog::new(memory.clone()),
+            memory,
             limits: Arc::new(ConnectionLimits::new(
                 limits.head_bytes,
                 limits.header_time,
                 limits.idle_time,
             )),
             shares: ConnectionShares::of(settings.sockets),
-            logged: Mutex::default(),
         }
     }
 
@@ -103,22 +111,9 @@
             .set(limits.head_bytes, limits.header_time, limits.idle_time);
     }
 
-    /// Logs one line for each kind of refusal that has happened since the last lines, at most once in each interval.
+    /// Logs the refusals since the last lines.
     pub(crate) fn log_shortages(&self, log: &Logger, now: Monotonic) {
-        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
-        if now.saturating_sub(logged.at) < LOG_INTERVAL {
-            return;
-        }
-        logged.at = now;
-        for (kind, logged) in Shortage::ALL.into_iter().zip(logged.counts.iter_mut()) {
-            let count = self.memory.count(kind);
-            let new = count.saturating_sub(std::mem::replace(logged, count));
-            if let Some(event) = event_of(kind).filter(|_| new > 0) {
-                warn!(log, "{}", message_of(kind); event,
-                    "kind" => kind.as_str(), "count" => new, "used" => self.memory.used(),
-                    "budget" => self.memory.capacity(), "connections" => self.memory.connections());
-            }
-        }
+        self.shortages.log_new(log, now);
     }
 
     /// Returns the settings of the callers' listener.
@@ -168,6 +163,33 @@
     }
 }
 
+impl ShortageLog {
+    pub(crate) fn new(memory: Arc<MemoryAccount>) -> Self {
+        Self {
+            memory,
+            logged: Mutex::default(),
+        }
+    }
+
+    /// Logs one line for each kind of refusal that has happened since the last lines, at most once in each interval.
+    pub(crate) fn log_new(&self, log: &Logger, now: Monotonic) {
+        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.saturating_sub(logged.at) < LOG_INTERVAL {
+            return;
+        }
+        logged.at = now;
+        for (kind, logged) in Shortage::ALL.into_iter().zip(logged.counts.iter_mut()) {
+            let count = self.memory.count(kind);
+            let new = count.saturating_sub(std::mem::replace(logged, count));
+            if let Some(event) = event_of(kind).filter(|_| new > 0) {
+                warn!(log, "{}", message_of(kind); event,
+                    "kind" => kind.as_str(), "count" => new, "used" => self.memory.used(),
+                    "budget" => self.memory.capacity(), "connections" => self.memory.connections());
+            }
+        }
+    }
+}
+
 /// Returns the message that a kind of refusal is logged with.
 fn message_of(kind: Shortage) -> &'static str {
     match kind {
@@ -181,6 +203,7 @@
         Shortage::IdleExpired => "closed idle connections at their time limit",
         Shortage::HeadLate => "closed connections whose heads did not arrive in time",
         Shortage::HeadTooLarge => "refused requests with heads over the limit",
+        Shortage::AnswerTooLarge => "closed connections whose answers were larger than their bound",
     }
 }
 
@@ -193,6 +216,7 @@
         Shortage::AnswerUnread => events::ANSWER_UNREAD,
         Shortage::HeadLate => events::HEAD_LATE,
         Shortage::HeadTooLarge => events::HEAD_TOO_LARGE,
+        Shortage::AnswerTooLarge => events::ANSWER_TOO_LARGE,
         // Ordinary callers end like this, so it is counted only.
         Shortage::IdleExpired => return None,
     };
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -16,14 +16,17 @@
 use crate::placement::Choice;
 use crate::traffic::Exclusion;
 
+/// Name of the meter of all metrics.
+const METER: &str = "laburnumtally";
+
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
     /// The log.
     log: Logger,
     /// Collects the values of the instruments.
     registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    /// Keeps the instruments alive and creates those of the control thread.
+    provider: SdkMeterProvider,
     /// Requests by outcome and reason.
     requests: Counter<u64>,
     /// Refused requests for which no target was a candidate, by the reason.
@@ -123,7 +126,7 @@
             }
         }
         let provider = provider.build();
-        let meter = provider.meter("laburnumtally");
+        let meter = provider.meter(METER);
         memory.register(&meter);
         let first_byte = meter.f64_histogram("laburnumtally.route.first_byte");
         let replaced_weights_age = meter.f64_histogram("laburnumtally.route.replaced_weights_age");
@@ -149,10 +152,15 @@
             lease: meter.u64_gauge("laburnumtally.lease.held").build(),
             log,
             registry,
-            _provider: provider,
+            provider,
         }
     }
 
+    /// Registers the metrics of the account for answers to this host's own calls.
+    pub(crate) fn register_calls(&self, memory: &Arc<MemoryAccount>) {
+        memory.register_as(&self.provider.meter(METER), "laburnumtally.calls");
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -4,10 +4,11 @@
 
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
-use http_io::{Body, Executor, HttpError, MemoryAccount, MemoryHolder};
-use hyper::client::conn::http1::{self, SendRequest};
+use http_io::{Body, Executor, HttpError, MemoryAccount, OutgoingConnection};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::{Request, Response};
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 use utils::Monotonic;
 
@@ -20,27 +21,38 @@
 /// Unanswered probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
-/// Largest buffers of a connection, in bytes; also the largest head of an answer.
-const MAX_BUFFER_BYTES: usize = 32 << 10;
-
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
 
 /// An open connection to a target; dropping it closes the socket.
 pub(crate) struct Connection {
-    /// Sends requests.
-    pub sender: SendRequest<Body>,
+    /// The connection, charged to the account of callers and targets.
+    inner: OutgoingConnection,
     /// Time until which it may be used while it is idle, by the last answer; `None` before the first one.
     pub usable_until: Option<Monotonic>,
     /// The last call that was sent on it.
     last_call: Option<CallNumber>,
-    /// Reads and writes the socket.
-    _driver: smol::Task<()>,
-    /// Memory of its buffers.
-    _memory: MemoryHolder,
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.inner.send(req).await
+    }
+
+    /// Whether a request can be sent now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.inner.is_ready()
+    }
+
+    /// Whether the connection has ended.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.inner.is_closed()
+    }
+
     /// Records a call that is sent now; returns whether it is the first.
     pub(crate) fn record_call(&mut self, call: CallNumber) -> bool {
         self.last_call.replace(call).is_none()
@@ -66,27 +78,16 @@
             .await
             .change_context(HttpError::Connect)?;
         configure_socket(&stream).change_context(HttpError::Connect)?;
-        http1::Builder::new()
-            .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream))
-            .await
-            .change_context(HttpError::Connect)
+        OutgoingConnection::start(ex, stream, memory).await
     };
     let timeout = async {
         smol::Timer::after(CONNECT_TIMEOUT).await;
         Err(Report::new(HttpError::Connect))
     };
-    let (sender, conn) = open.or(timeout).await?;
-    let driver = ex.spawn(async move {
-        // Errors reach the exchange through its sender or body.
-        let _ = conn.await;
-    });
     Ok(Connection {
-        sender,
+        inner: open.or(timeout).await?,
         usable_until: None,
         last_call: None,
-        _driver: driver,
-        _memory: memory,
     })
 }
 
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -14,7 +14,7 @@
 use super::place::Placed;
 use super::request::Call;
 use super::state::Traffic;
-use super::whole_body::read_whole;
+use super::whole_body::read_refusal;
 use crate::Target;
 use crate::call::{AnswerFacts, RequestedPause};
 use crate::first_token::TimeParts;
@@ -278,7 +278,7 @@
         return AttemptResult::NotSent;
     };
     exchange.is_fresh = conn.record_call(call.number);
-    let answer = async { Ok(conn.sender.try_send_request(req).await) };
+    let answer = async { Ok(conn.send(req).await) };
     let timeout = async {
         smol::Timer::after(begin_by.saturating_sub(cx.now())).await;
         match begin_by < call.deadline {
@@ -352,7 +352,7 @@
     exchange.record_announcements(call, &facts);
     if facts.is_not_run || facts.is_misdirected {
         let time_left = call.deadline.saturating_sub(cx.now());
-        let rest = read_whole(call, body, time_left.min(REFUSAL_TIMEOUT)).await;
+        let rest = read_refusal(call, body, time_left.min(REFUSAL_TIMEOUT)).await;
         if rest.is_ok() {
             exchange.finish(&facts);
         }
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -29,7 +29,7 @@
 
     /// Whether the target has closed it so soon that it has probably restarted.
     fn is_lost(&self, now: Monotonic) -> bool {
-        self.conn.sender.is_closed() && now < self.kept_until
+        self.conn.is_closed() && now < self.kept_until
     }
 }
 
@@ -55,7 +55,7 @@
         let is_other = |idle: &Idle| !idle.conn.has_last_sent(call);
         while let Some(i) = self.idle.iter().rposition(is_other) {
             let idle = self.idle.remove(i);
-            if idle.is_usable(now) && idle.conn.sender.is_ready() {
+            if idle.is_usable(now) && idle.conn.is_ready() {
                 return Some(idle.conn);
             }
             self.has_lost_idle |= idle.is_lost(now);
@@ -72,7 +72,7 @@
     /// Whether an idle connection can be used.
     pub(crate) fn is_connected(&self, now: Monotonic) -> bool {
         let newest = self.idle.last();
-        newest.is_some_and(|idle| idle.is_usable(now) && !idle.conn.sender.is_closed())
+        newest.is_some_and(|idle| idle.is_usable(now) && !idle.conn.is_closed())
     }
 
     /// Reserves a new connection if the limit allows one more; returns whether it does.
@@ -94,7 +94,7 @@
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIME, |keep_alive| {
             keep_alive.saturating_sub(CLOSE_MARGIN)
         });
-        if conn.sender.is_closed() || idle_time.is_zero() {
+        if conn.is_closed() || idle_time.is_zero() {
             self.release();
             return;
         }
@@ -108,7 +108,7 @@
 
     /// Keeps a connection on which nothing was sent. It was used so long ago that its end proves nothing.
     pub(crate) fn put_back(&mut self, mut conn: Connection, now: Monotonic) {
-        if conn.sender.is_closed() {
+        if conn.is_closed() {
             self.release();
             return;
         }
@@ -133,7 +133,7 @@
         let before = self.idle.len();
         self.has_lost_idle |= self.idle.iter().any(|idle| idle.is_lost(now));
         self.idle
-            .retain(|idle| idle.is_usable(now) && !idle.conn.sender.is_closed());
+            .retain(|idle| idle.is_usable(now) && !idle.conn.is_closed());
         self.open = self.open.saturating_sub(before - self.idle.len());
     }
 }
--- a/components/http/src/account.rs
+++ b/components/http/src/account.rs
@@ -36,11 +36,13 @@
     HeadLate,
     /// The head of a request was larger than allowed.
     HeadTooLarge,
+    /// An answer to this process was larger than its kind may be, and its connection was closed.
+    AnswerTooLarge,
 }
 
 impl Shortage {
     /// All kinds.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::BodyEvicted,
         Self::NoRoom,
         Self::ConnectionClosed,
@@ -49,6 +51,7 @@
         Self::IdleExpired,
         Self::HeadLate,
         Self::HeadTooLarge,
+        Self::AnswerTooLarge,
     ];
 
     /// Returns the name used in metrics and logs.
@@ -62,6 +65,7 @@
             Self::IdleExpired => "idle-expired",
             Self::HeadLate => "head-late",
             Self::HeadTooLarge => "head-too-large",
+            Self::AnswerTooLarge => "answer-too-large",
         }
     }
 }
@@ -111,6 +115,11 @@
         Self::new(MemoryBudget::new(usize::MAX / 2))
     }
 
+    /// Creates the account of the answers to a process's own calls on a machine with `memory` bytes.
+    pub fn for_calls(memory: usize) -> Arc<Self> {
+        Self::new(MemoryBudget::for_calls(memory))
+    }
+
     /// Returns the bytes that may be held.
     pub fn capacity(&self) -> usize {
         self.budget.capacity()
@@ -180,6 +189,14 @@
         Ok(holder)
     }
 
+    /// Adds a connection for calls of this process. Only what it reads is charged: its own buffers are of fixed size, and
+    /// their number follows from the addresses that are called. It is never evicted.
+    pub(crate) fn open_for_calls(self: &Arc<Self>) -> Result<MemoryHolder, OutOfMemory> {
+        let holder = self.add_holder(true)?;
+        holder.set_phase(HolderPhase::Running);
+        Ok(holder)
+    }
+
     /// Charges bytes to a holder whose arriving body has, or is known to need, `body` bytes.
     fn charge(&self, holder: &HolderState, bytes: usize, body: usize) -> Result<(), OutOfMemory> {
         let used = self
@@ -358,6 +375,11 @@
         WeakHolder(Arc::downgrade(&self.0))
     }
 
+    /// Counts a refusal in the account.
+    pub(crate) fn record(&self, kind: Shortage) {
+        self.0.account.record(kind);
+    }
+
     /// Returns an empty charge.
     pub fn charge(&self) -> Charge {
         Charge {
--- a/components/http/src/body.rs
+++ b/components/http/src/body.rs
@@ -2,12 +2,13 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::{Stream, StreamExt};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::HttpError;
+use crate::held::read_held;
+use crate::{HttpError, MemoryHolder};
 
 /// Body of a request or response that this crate sends.
 pub type Body = UnsyncBoxBody<Bytes, HttpError>;
@@ -48,7 +49,7 @@
     BodyExt::boxed_unsync(StreamBody::new(frames))
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes without a charge.
 ///
 /// # Errors
 /// [`HttpError::TooLarge`] if the body exceeds the limit, [`HttpError::Interrupted`] if it ends early.
@@ -57,11 +58,8 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Report::new(HttpError::TooLarge { limit })),
-        Err(_) => Err(Report::new(HttpError::Interrupted)),
-    }
+    let held = read_held(std::pin::pin!(body), limit, &MemoryHolder::unlimited()).await?;
+    Ok(held.join()?.0)
 }
 
 /// Reads a JSON body of at most `limit` bytes.
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -8,17 +8,17 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
-use hyper::client::conn::http1;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
-use smol_hyper::rt::FuturesIo;
 
-use crate::body::{json_body, read_json};
-use crate::pool::{Connection, Pool};
-use crate::{Body, Executor, HttpError, empty_body};
+use crate::body::json_body;
+use crate::pool::Pool;
+use crate::{
+    Body, Executor, HeldBody, HttpError, MemoryAccount, OutgoingConnection, empty_body, read_answer,
+};
 
 /// Timeouts and limits of a [`Client`].
 #[derive(Debug, Clone)]
@@ -56,6 +56,8 @@
     cfg: Arc<ClientConfig>,
     /// Pool of idle connections.
     pool: Arc<Pool>,
+    /// Account that answers are charged to.
+    memory: Arc<MemoryAccount>,
 }
 
 /// Response body that returns its connection to the pool after the last frame.
@@ -63,17 +65,45 @@
     /// Body as hyper reads it.
     inner: Incoming,
     /// Connection with its pool and address; `None` after the end of the body or an error.
-    pooled: Option<(Arc<Pool>, SocketAddr, Connection)>,
+    pooled: Option<(Arc<Pool>, SocketAddr, OutgoingConnection)>,
+}
+
+impl PooledBody {
+    /// Reads the whole body, at most `limit` bytes, and charges it to the client's account. The connection of a body that
+    /// is longer is closed.
+    ///
+    /// # Errors
+    /// As [`read_answer`].
+    pub async fn read_whole(self, limit: usize) -> Result<HeldBody, Report<HttpError>> {
+        let holder = self.pooled.as_ref().map(|(_, _, conn)| conn.memory().clone());
+        let holder = holder.ok_or(HttpError::Interrupted)?;
+        read_answer(self, limit, &holder).await
+    }
 }
 
 impl Client {
-    /// Builds a client whose connections run on `ex`.
+    /// Builds a client whose connections run on `ex`, for a process without a budget.
     pub fn new(ex: Executor, cfg: ClientConfig) -> Self {
+        Self::with_memory(ex, cfg, MemoryAccount::unlimited())
+    }
+
+    /// Builds a client whose connections run on `ex`. Answers that [`PooledBody::read_whole`] reads are charged to
+    /// `memory`.
+    ///
+    /// ```
+    /// use http_io::{Client, ClientConfig, Executor, MemoryAccount};
+    ///
+    /// let memory = MemoryAccount::for_calls(110 << 20);
+    /// let client = Client::with_memory(Executor::default(), ClientConfig::default(), memory.clone());
+    /// assert_eq!(memory.connections(), 0);
+    /// ```
+    pub fn with_memory(ex: Executor, cfg: ClientConfig, memory: Arc<MemoryAccount>) -> Self {
         let pool = Arc::new(Pool::new(cfg.idle_per_address, cfg.max_idle));
         Self {
             ex,
             cfg: Arc::new(cfg),
             pool,
+            memory,
         }
     }
 
@@ -121,7 +151,7 @@
     /// Sends a JSON request and reads a JSON response with a success status.
     ///
     /// # Errors
-    /// As [`Client::send`] and [`read_json`], and [`HttpError::Status`] for any other status.
+    /// As [`Client::send`] and [`crate::read_json`], and [`HttpError::Status`] for any other status.
     pub async fn call<T: DeserializeOwned>(
         &self,
         addr: SocketAddr,
@@ -134,49 +164,41 @@
         if !res.status().is_success() {
             return Err(Report::new(HttpError::Status(res.status().as_u16())));
         }
-        let read = read_json(res.into_body(), self.cfg.max_json_bytes);
+        let read = async {
+            let held = res.into_body().read_whole(self.cfg.max_json_bytes).await?;
+            let (bytes, _charge) = held.join()?;
+            serde_json::from_slice(&bytes).change_context(HttpError::Malformed)
+        };
         read.or(timeout(self.cfg.response_timeout)).await
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Report<HttpError>> {
+    async fn connect(&self, addr: SocketAddr) -> Result<OutgoingConnection, Report<HttpError>> {
+        let memory = self.memory.open_for_calls().change_context(HttpError::NoMemory)?;
         let open = async {
             let stream = TcpStream::connect(addr)
                 .await
                 .change_context(HttpError::Connect)?;
             stream.set_nodelay(true).change_context(HttpError::Connect)?;
-            http1::handshake(FuturesIo::new(stream))
-                .await
-                .change_context(HttpError::Connect)
+            OutgoingConnection::start(&self.ex, stream, memory).await
         };
         let timed_out = async {
             smol::Timer::after(self.cfg.connect_timeout).await;
             Err(Report::new(HttpError::Connect))
         };
-        let (sender, conn) = open.or(timed_out).await?;
-        let driver = self.ex.spawn(async move {
-            // The exchange receives errors of the connection through its sender or body.
-            let _ = conn.await;
-        });
-        Ok(Connection {
-            sender,
-            _driver: driver,
-        })
+        open.or(timed_out).await
     }
 
     async fn exchange(
         &self,
         addr: SocketAddr,
-        mut conn: Connection,
+        mut conn: OutgoingConnection,
         req: Request<Body>,
     ) -> Result<Response<PooledBody>, (HttpError, Option<Request<Body>>)> {
         let answer = async {
-            conn.sender
-                .try_send_request(req)
-                .await
-                .map_err(|mut e| match e.take_message() {
-                    Some(req) => (HttpError::NotSent, Some(req)),
-                    None => (HttpError::Interrupted, None),
-                })
+            conn.send(req).await.map_err(|mut e| match e.take_message() {
+                Some(req) => (HttpError::NotSent, Some(req)),
+                None => (HttpError::Interrupted, None),
+            })
         };
         let timed_out = async {
             smol::Timer::after(self.cfg.response_timeout).await;
--- a/components/http/src/held.rs
+++ b/components/http/src/held.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
 
-use crate::account::{Charge, MemoryHolder};
+use crate::account::{Charge, MemoryHolder, Shortage};
 use crate::{Body, HttpError};
 
 /// Size of the blocks that a body is collected in. Blocks of one size leave no gaps in the heap when bodies of
@@ -282,6 +282,27 @@
     Ok(collector.finish())
 }
 
+/// Reads the whole body of an answer as [`read_held`] does, and counts one that is too large. A body that is not read to
+/// its end has to be dropped with its connection.
+///
+/// # Errors
+/// As [`read_held`].
+pub async fn read_answer<B>(
+    body: B,
+    limit: usize,
+    holder: &MemoryHolder,
+) -> Result<HeldBody, Report<HttpError>>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let read = read_held(body, limit, holder).await;
+    read.inspect_err(|e| {
+        if matches!(e.current_context(), HttpError::TooLarge { .. }) {
+            holder.record(Shortage::AnswerTooLarge);
+        }
+    })
+}
+
 /// Reads the body of a request as [`read_held`] does. From its end on the request is not evicted.
 ///
 /// # Errors
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod held;
 mod metered;
+mod outgoing;
 mod pool;
 mod server;
 mod sse;
@@ -22,7 +23,8 @@
 pub use client::{Client, ClientConfig, PooledBody};
 pub use connection_limits::ConnectionLimits;
 pub use error::HttpError;
-pub use held::{HeldBody, read_held, read_request};
+pub use held::{HeldBody, read_answer, read_held, read_request};
+pub use outgoing::OutgoingConnection;
 pub use server::{
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
 };
--- /dev/null
+++ b/components/http/src/outgoing.rs
@@ -0,0 +1,175 @@
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use error_stack::{Report, ResultExt};
+use futures_lite::{AsyncRead, AsyncWrite};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::account::{MemoryHolder, Shortage};
+use crate::{Body, Executor, HttpError};
+
+/// Largest buffers of a connection, in bytes; also the largest head of an answer.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Most bytes that may arrive from a request to the head of its answer. Heads of interim answers are not kept and have no
+/// bound of their own; the first bytes of the body can arrive with the head.
+const MAX_BYTES_TO_HEAD: usize = 8 * MAX_BUFFER_BYTES;
+/// Reads in succession after which the connection lets other tasks of its thread run.
+const MAX_READS_IN_A_ROW: u32 = 16;
+/// Stands for no bound, while no head is awaited.
+const UNBOUNDED: usize = usize::MAX;
+
+/// A connection that this process has opened. Dropping it closes the socket. What arrives from the peer is bounded up to
+/// the head of an answer; the reader of the body bounds the rest.
+pub struct OutgoingConnection {
+    /// Sends requests.
+    sender: SendRequest<Body>,
+    /// Bytes that may still arrive before the head of the awaited answer.
+    head_allowance: Arc<AtomicUsize>,
+    /// What answers are charged to.
+    memory: MemoryHolder,
+    /// Reads and writes the socket.
+    _driver: smol::Task<()>,
+}
+
+impl OutgoingConnection {
+    /// Begins HTTP/1.1 on an open socket. The connection runs on `ex`; `memory` is what its answers are charged to.
+    ///
+    /// # Errors
+    /// [`HttpError::Connect`] if the handshake fails.
+    pub async fn start(
+        ex: &Executor,
+        stream: TcpStream,
+        memory: MemoryHolder,
+    ) -> std::result::Result<Self, Report<HttpError>> {
+        let head_allowance = Arc::new(AtomicUsize::new(UNBOUNDED));
+        let socket = AnswerSocket {
+            inner: stream,
+            head_allowance: head_allowance.clone(),
+            memory: memory.clone(),
+            reads: 0,
+        };
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(socket))
+            .await
+            .change_context(HttpError::Connect)?;
+        let driver = ex.spawn(async move {
+            // Errors reach the exchange through its sender or body.
+            let _ = conn.await;
+        });
+        Ok(Self {
+            sender,
+            head_allowance,
+            memory,
+            _driver: driver,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// The error holds the request if no byte of it was sent.
+    pub async fn send(
+        &mut self,
+        req: Request<Body>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.head_allowance.store(MAX_BYTES_TO_HEAD, Ordering::Relaxed);
+        let answer = self.sender.try_send_request(req).await;
+        self.head_allowance.store(UNBOUNDED, Ordering::Relaxed);
+        answer.inspect_err(|e| {
+            if e.error().is_parse_too_large() {
+                self.memory.record(Shortage::AnswerTooLarge);
+            }
+        })
+    }
+
+    /// Whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Returns the holder that answers are charged to.
+    pub fn memory(&self) -> &MemoryHolder {
+        &self.memory
+    }
+}
+
+/// The socket of a connection that this process has opened. It ends when too much arrives in place of a head, and a peer
+/// that always has bytes ready does not keep the thread to itself.
+struct AnswerSocket {
+    inner: TcpStream,
+    /// As in [`OutgoingConnection`].
+    head_allowance: Arc<AtomicUsize>,
+    memory: MemoryHolder,
+    /// Reads since the socket last had no bytes.
+    reads: u32,
+}
+
+impl AnswerSocket {
+    /// Records received bytes. Fails if they are too many for the head of an answer.
+    fn record_received(&self, count: usize) -> Result<()> {
+        let allowance = self.head_allowance.load(Ordering::Relaxed);
+        if allowance == UNBOUNDED {
+            return Ok(());
+        }
+        let Some(left) = allowance.checked_sub(count) else {
+            self.memory.record(Shortage::AnswerTooLarge);
+            return Err(Error::from(ErrorKind::InvalidData));
+        };
+        self.head_allowance.store(left, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+impl AsyncRead for AnswerSocket {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<Result<usize>> {
+        if self.reads >= MAX_READS_IN_A_ROW {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        self.reads += 1;
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if polled.is_pending() {
+            self.reads = 0;
+        }
+        let count = ready!(polled)?;
+        self.record_received(count)?;
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for AnswerSocket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -3,22 +3,12 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use hyper::client::conn::http1::SendRequest;
-
-use crate::Body;
-
-/// An open connection; dropping it closes the socket.
-pub(crate) struct Connection {
-    /// Handle that sends requests on the connection.
-    pub sender: SendRequest<Body>,
-    /// Task that reads and writes the socket; it ends with the connection.
-    pub _driver: smol::Task<()>,
-}
+use crate::OutgoingConnection;
 
 /// An idle connection.
 struct Idle {
     /// The connection.
-    conn: Connection,
+    conn: OutgoingConnection,
     /// Time at which the last exchange ended.
     since: Instant,
 }
@@ -44,11 +34,11 @@
 
     /// Removes and returns the most recently used connection that is still open and has not exceeded the
     /// maximum idle time.
-    pub(crate) fn take(&self, addr: SocketAddr) -> Option<Connection> {
+    pub(crate) fn take(&self, addr: SocketAddr) -> Option<OutgoingConnection> {
         let mut idle = self.lock();
         let list = idle.get_mut(&addr)?;
         while let Some(idle) = list.pop() {
-            if idle.since.elapsed() < self.max_idle && idle.conn.sender.is_ready() {
+            if idle.since.elapsed() < self.max_idle && idle.conn.is_ready() {
                 return Some(idle.conn);
             }
         }
@@ -57,11 +47,16 @@
 
     /// Stores a connection for the next request to the address, and drops the least recently used one if the
     /// pool is full.
-    pub(crate) fn put(&self, addr: SocketAddr, conn: Connection) {
-        if conn.sender.is_closed() || self.per_address == 0 {
+    pub(crate) fn put(&self, addr: SocketAddr, conn: OutgoingConnection) {
+        if conn.is_closed() || self.per_address == 0 {
             return;
         }
         let mut idle = self.lock();
+        // Connections to addresses that are not used any more would stay charged.
+        idle.retain(|_, list| {
+            list.retain(|idle| idle.since.elapsed() < self.max_idle && !idle.conn.is_closed());
+            !list.is_empty()
+        });
         let list = idle.entry(addr).or_default();
         if list.len() >= self.per_address {
             list.remove(0);
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -6,10 +6,10 @@
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_io::{
-    ConnectionLimits, Executor, Handler, HttpError, MemoryAccount, MemoryHolder, Server, ServerConfig,
-    Shortage, full_body, read_held, read_request, shutdown_channel,
+    Client, ClientConfig, ConnectionLimits, Executor, Handler, HttpError, MemoryAccount, MemoryHolder,
+    Server, ServerConfig, Shortage, empty_body, full_body, read_held, read_request, shutdown_channel,
 };
-use hyper::Response;
+use hyper::{Request, Response};
 use policy::MemoryBudget;
 use smol::net::TcpStream;
 
@@ -270,3 +270,32 @@
         assert!(receive(&mut stream).await.starts_with("HTTP/1.1 431"));
     });
 }
+
+/// Guards against answers to a process's own calls that no budget or limit bounds, and against charges that stay.
+#[test]
+fn an_answer_to_a_call_is_charged_and_cut() {
+    let ex: Executor = Arc::new(smol::Executor::new());
+    let handler: Handler = Arc::new(|_| Box::pin(async { Response::new(full_body(vec![b'x'; 500_000])) }));
+    let server = Server::bind(([127, 0, 0, 1], 0).into(), ServerConfig::default()).unwrap();
+    let addr = server.local_addr().unwrap();
+    let (_stop, stopped) = shutdown_channel();
+    let _serving = ex.spawn(server.run_or_abort(ex.clone(), handler, stopped.clone(), stopped));
+    let memory = MemoryAccount::new(MemoryBudget::new(700_000));
+    let client = Client::with_memory(ex.clone(), ClientConfig::default(), memory.clone());
+    let read = async |limit| {
+        let answer = client.send(addr, Request::new(empty_body())).await.unwrap();
+        answer.into_body().read_whole(limit).await
+    };
+    smol::block_on(ex.run(async {
+        let first = read(500_000).await.unwrap();
+        assert!((500_000..550_000).contains(&memory.used()));
+        let second = read(500_000).await.err().unwrap();
+        assert_eq!(*second.current_context(), HttpError::NoMemory);
+        drop(first);
+        assert_eq!(memory.used(), 0);
+        let third = read(499_999).await.err().unwrap();
+        assert_eq!(*third.current_context(), HttpError::TooLarge { limit: 499_999 });
+        let counts = [Shortage::NoRoom, Shortage::AnswerTooLarge].map(|kind| memory.count(kind));
+        assert_eq!(counts, [1, 1]);
+    }));
+}
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -7,6 +7,8 @@
 const PROCESS_BYTES: usize = 28 << 20;
 /// Part of the remaining memory that is given out. The allocator and the kernel need the rest.
 const USABLE_SHARE: usize = 2;
+/// Part of that for the answers to the process's own calls, beside the budget for callers and targets.
+const CALLS_SHARE: usize = 4;
 /// Smallest budget, for a machine without room beside the process.
 const MIN_BUDGET: usize = 4 << 20;
 /// Part of the budget that large bodies do not use, so that ordinary requests and answers pass a crowd of them.
@@ -125,6 +127,13 @@
         Self::new(capacity.max(MIN_BUDGET))
     }
 
+    /// Derives the budget for the answers to the process's own calls from the memory of the machine, in bytes. It is a
+    /// budget of its own, so that callers and calls do not take each other's memory.
+    pub fn for_calls(memory: usize) -> Self {
+        let capacity = Self::for_machine(memory).capacity / CALLS_SHARE;
+        Self::new(capacity.max(MIN_BUDGET))
+    }
+
     /// Returns the bytes that may be held.
     pub fn capacity(self) -> usize {
         self.capacity
