Read the table when its changes exceed the bound of an answer

Cause: with a bound of 8 MiB on rows, a host would ask for the same changes again and again if they exceed it, as after a time without the store; their size is not stated, and that of a page is. Change: an answer that is too large, or finds no memory, is followed by a read of the table in pages, after the usual backoff. Test: changes_over_their_bound_are_read_with_the_table (platform, endless) failed without the change (the new target was never used) and passes.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -4,6 +4,7 @@
 
 use error_stack::Report;
 use errors::events;
+use http_io::HttpError;
 use slog::warn;
 use utils::Monotonic;
 
@@ -73,6 +74,8 @@
                 ) {
                     log_ignored(&control, table, e.current_context());
                 }
+                // Changes that are too many for one answer come in pages when the table is read.
+                needs_full_read |= is_too_large(&e);
                 smol::Timer::after(jittered(backoff, 0.5)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
                 continue;
@@ -82,6 +85,12 @@
     }
 }
 
+/// Whether an answer of the store had more bytes than the host reads.
+fn is_too_large(error: &Report<StoreError>) -> bool {
+    let cause = error.downcast_ref::<HttpError>();
+    matches!(cause, Some(HttpError::TooLarge { .. } | HttpError::NoMemory))
+}
+
 /// Applies changed rows; returns the pause before the next call.
 fn apply_changes(control: &Control, table: Table, changed: Snapshot, now: Monotonic) -> Duration {
     let names = changed.records.iter().map(|record| record.key.clone());
