--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -19,14 +19,17 @@
 use crate::traffic::{Call, Exclusion, Placed};
 use crate::{CallFacts, RequestedPause};
 
+/// Name of the meter of all metrics.
+const METER: &str = "laburnumtally";
+
 /// Log and metric instruments of the traffic thread.
 pub(crate) struct Telemetry {
     /// The log.
     log: Logger,
     /// Collects the values of the instruments.
     registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    /// Keeps the instruments alive and creates those of the control thread.
+    provider: SdkMeterProvider,
     /// Requests by outcome and reason.
     requests: Counter<u64>,
     /// Refused requests for which no target was a candidate, by the reason.
@@ -128,7 +131,7 @@
             }
         }
         let provider = provider.build();
-        let meter = provider.meter("laburnumtally");
+        let meter = provider.meter(METER);
         memory.register(&meter);
         let first_byte = meter.f64_histogram("laburnumtally.route.first_byte");
         let replaced_weights_age = meter.f64_histogram("laburnumtally.route.replaced_weights_age");
@@ -155,10 +158,15 @@
             origins: OriginTelemetry::new(log.clone(), &meter),
             log,
             registry,
-            _provider: provider,
+            provider,
         }
     }
 
+    /// Registers the metrics of the account for answers to this host's own calls.
+    pub(crate) fn register_calls(&self, memory: &Arc<MemoryAccount>) {
+        memory.register_as(&self.provider.meter(METER), "laburnumtally.calls");
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut buf = Vec::new();
