Let only a current list of targets decide the version of a stream

What a caller could see: a host that is cut off from the store lists one version and has done so for long. It sent a stream that another host began at a second version to the first one, without asking for the record. Cause: the shortcut for services with one version asked how long the list has shown it, not how old the list is. Change: the list counts as current for 4 s after the store or a relay has confirmed it.

--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -159,6 +159,7 @@
         confirmed_at.insert(table, now);
         match table {
             Table::Declared => self.traffic.kept().record_declared(now),
+            Table::Targets => self.traffic.confirm_targets(now),
             Table::Shared => self.traffic.confirm_slot_hosts(now),
             _ => {}
         }
@@ -182,6 +183,7 @@
     /// Records a relay's answer to a query sent at `sent_at`, with the state of the store at `confirmed_at`.
     pub(crate) fn record_relayed(&self, confirmed_at: Monotonic, sent_at: Monotonic) {
         self.traffic.kept().record_declared(confirmed_at);
+        self.traffic.confirm_targets(confirmed_at);
         // A relay gives the age of its state only while the store answers it.
         self.cached_state().store_answered(sent_at);
         *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
--- a/components/gateway/src/traffic/resumption.rs
+++ b/components/gateway/src/traffic/resumption.rs
@@ -52,11 +52,12 @@
 
     async fn find(&self, cx: &Traffic, facts: &CallFacts) -> Option<RequiredSoftware> {
         let view = cx.view.load_full();
-        if view.has_only_baseline(self.service, cx.now()) {
+        // A host that is cut off from the store does not see that another version has begun streams.
+        if cx.has_current_targets() && view.has_only_baseline(self.service, cx.now()) {
             return self.unrecorded(&view);
         }
         let Some(began_as) = &facts.resumes else {
-            return self.unnamed(&view);
+            return self.unnamed(&view).filter(|_| cx.has_current_targets());
         };
         let workspace = self.workspace.map_or("", |workspace| &workspace.name);
         match cx.origins.find(&OriginKey::of(workspace, began_as)).await {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -29,6 +29,9 @@
     Sessions, Target, View,
 };
 
+/// Age up to which the list of targets counts as current: the longest wait for a change, and its answer.
+const MAX_LIST_AGE: Duration = Duration::from_secs(4);
+
 /// Mutable routing state of the traffic thread.
 pub(crate) struct RoutingState {
     /// Connections, load and health by run of a target.
@@ -106,6 +109,8 @@
     kept: Mutex<KeptCache>,
     /// Admission of prompts by service.
     admissions: Mutex<HashMap<ServiceId, Admission>>,
+    /// Time at which the list of targets was last known to be that of the store.
+    targets_confirmed_at: Mutex<Option<Monotonic>>,
 }
 
 impl Traffic {
@@ -138,6 +143,7 @@
             crashes,
             kept: Mutex::default(),
             admissions: Mutex::default(),
+            targets_confirmed_at: Mutex::default(),
         }
     }
 
@@ -213,6 +219,20 @@
         self.admissions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the list of targets was that of the store at time `at`.
+    pub(crate) fn confirm_targets(&self, at: Monotonic) {
+        let confirmed_at = self.targets_confirmed_at.lock();
+        let mut confirmed_at = confirmed_at.unwrap_or_else(PoisonError::into_inner);
+        *confirmed_at = (*confirmed_at).max(Some(at));
+    }
+
+    /// Returns whether the list of targets shows a new software version soon after its first target is listed.
+    pub(crate) fn has_current_targets(&self) -> bool {
+        let confirmed_at = self.targets_confirmed_at.lock();
+        let confirmed_at = *confirmed_at.unwrap_or_else(PoisonError::into_inner);
+        confirmed_at.is_some_and(|at| self.now().saturating_sub(at) <= MAX_LIST_AGE)
+    }
+
     /// Calls `f` with the state of a target.
     pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
         f(self.routing().slots.entry(target.run.clone()).or_default())
