--- a/components/gateway/src/software/origin.rs
+++ b/components/gateway/src/software/origin.rs
@@ -14,7 +14,7 @@
 
 /// Identifies the stream that a request began.
 ///
-/// It is a digest of workspace and request id, so no caller can name a stream of another workspace, and ids of any
+/// A digest of workspace and request id, so no caller can name a stream of another workspace, and ids of any
 /// length fit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct OriginKey(Digest);
--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -26,11 +26,11 @@
 /// How far a record has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RecordState {
-    /// It waits for a call.
+    /// Waiting for a call.
     Queued,
-    /// A call is writing it.
+    /// Being written by a call.
     InFlight,
-    /// The store acknowledged it in this era.
+    /// Acknowledged by the store in this era.
     Written(u64),
 }
 
