Create the first baseline of a service with one version at once in any era

Cause: an era above 0 was taken for a restored store, which may have lost a baseline, so the first one was written only after a stream's lifetime, and every stream until then was recorded. Change: with one version listed there is nothing to mistake; only several versions wait. Result: the new test failed before (nothing written) and passes, with the ten others.

--- a/components/gateway/src/software/baselines.rs
+++ b/components/gateway/src/software/baselines.rs
@@ -242,13 +242,13 @@
         writes.filter(|write| write.due_since <= now).collect()
     }
 
-    /// A service without a row. Once the store has been restored, a row may have been lost.
+    /// A service without a row. Once the store has been restored, a row may have been lost, which matters if several
+    /// versions are listed.
     fn creation(&self, service: &ServiceId, listing: &Listing) -> Option<BaselineWrite> {
-        let due_since = match self.era.number {
-            0 => listing.first_at?,
-            _ => listing
-                .first_at?
-                .max(self.era.seen_at.saturating_add(listing.lifetime)),
+        let first_at = listing.first_at?;
+        let due_since = match self.era.number == 0 || listing.counts.len() == 1 {
+            true => first_at,
+            false => first_at.max(self.era.seen_at.saturating_add(listing.lifetime)),
         };
         let software = listing.most_common()?;
         Some(self.write(service, software, 0, BaselineChange::Created, due_since))
--- a/components/gateway/tests/software.rs
+++ b/components/gateway/tests/software.rs
@@ -275,6 +275,15 @@
     }
 }
 
+// Guards against a platform that counts its eras from 1, on which all streams of a new service would be recorded for the
+// lifetime of a stream.
+#[test]
+fn a_service_with_one_version_gets_its_first_baseline_at_once_in_any_era() {
+    let mut host = Host::start(1, &[("a", "1"), ("b", "1")], &[], 1_000);
+    assert_eq!(host.write(1_000), Some(BaselineChange::Created));
+    assert_eq!(host.view.record_need("s", "1"), RecordNeed::None);
+}
+
 // Guards against a row that is written before the tables of the new era have been read.
 #[test]
 fn nothing_is_written_from_tables_of_an_earlier_era() {
