Log by which declarations a request is refused, and how long ago these were confirmed

Control and traffic thread keep the times of confirmations in one type.

The bounds on declarations and leaving targets are read from the settings, unused so far.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -220,7 +220,7 @@
     pub const ROUTE_REFUSED: Event = event(
         5002,
         "route_refused",
-        "A request on a declared route was refused; states whether it ran.",
+        "A request on a declared route was refused; states whether it ran, by which version of the declarations that was decided, and how long ago these were last known to be current.",
     );
     pub const ROUTE_ANSWERED: Event = event(
         5003,
@@ -268,7 +268,7 @@
     pub const STATE_CHANGED: Event = event(
         5013,
         "beliefs_changed",
-        "The host's cached state of declarations, targets or hosts changed.",
+        "The host's cached state of declarations, targets or hosts changed; gives the time since the declarations were last known to be current.",
     );
     pub const PEER_READ: Event = event(
         5014,
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -9,24 +9,18 @@
 use utils::Monotonic;
 
 use super::{Control, TICK_INTERVAL, relays};
-use crate::UpdateSource;
 use crate::follow_pause::pause_after;
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::GaugeValues;
+use crate::{FollowPace, PAUSE_JITTER, UpdateSource};
 
-/// Longest wait of the store for a change; bounds the time until a silent connection is noticed.
-const FOLLOW_WAIT: Duration = Duration::from_millis(3_000);
 /// Longest wait for changes of the shared table, which no host needs within seconds.
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
-/// Longest wait of a relay, whose state ages meanwhile for the hosts that follow it.
-const RELAY_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval between checks whether a relay still answers.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// First backoff after a failed call.
-const FIRST_BACKOFF: Duration = Duration::from_millis(150);
-/// Longest backoff after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(900);
+/// Pause after a read that was older than the cached table.
+const STALE_READ_PAUSE: Duration = Duration::from_millis(150);
 
 /// Result of a call to the store.
 enum Fetched {
@@ -40,14 +34,14 @@
 
 /// Keeps the host's replica of a table up to date.
 pub(crate) async fn follow(control: Arc<Control>, table: Table) {
-    let mut backoff = FIRST_BACKOFF;
+    let mut pace = control.pace(table);
     let mut needs_full_read = false;
     loop {
         if relays::is_relayed(&control) {
             smol::Timer::after(RELAY_CHECK_INTERVAL).await;
             continue;
         }
-        let fetched = fetch(&control, table, needs_full_read).await;
+        let fetched = fetch(&control, table, &pace, needs_full_read).await;
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
         match fetched {
@@ -58,7 +52,7 @@
                 if needs_full_read {
                     // A stale read. Another one at once would be as old.
                     log_ignored(&control, table, &"the table is older than the cached one");
-                    smol::Timer::after(jittered(FIRST_BACKOFF, 0.5)).await;
+                    smol::Timer::after(jittered(STALE_READ_PAUSE, 0.5)).await;
                 } else {
                     control.record_confirmed(table, now);
                 }
@@ -76,12 +70,11 @@
                 }
                 // Changes that are too many for one answer come in pages when the table is read.
                 needs_full_read |= is_too_large(&e);
-                smol::Timer::after(jittered(backoff, 0.5)).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+                smol::Timer::after(jittered(pace.failed(), PAUSE_JITTER)).await;
                 continue;
             }
         }
-        backoff = FIRST_BACKOFF;
+        pace.answered();
     }
 }
 
@@ -119,16 +112,16 @@
 async fn fetch(
     control: &Control,
     table: Table,
+    pace: &FollowPace,
     needs_full_read: bool,
 ) -> Result<Fetched, Report<StoreError>> {
     let complete_position = control.cached_state().complete_position(table);
+    // A call that reaches the store in an outage may never be answered. With a wait for changes it would be noticed long
+    // after the store is back.
+    let is_store_down = control.cached_state().is_store_down();
     let wait = match table {
-        // A call that reaches the store in an outage may never be answered. With a wait for changes it would
-        // be noticed long after the store is back.
-        _ if control.cached_state().is_store_down() => Duration::ZERO,
-        Table::Shared => FOLLOW_SHARED_WAIT,
-        _ if relays::is_relay(control) => RELAY_WAIT,
-        _ => FOLLOW_WAIT,
+        Table::Shared if !is_store_down => FOLLOW_SHARED_WAIT,
+        _ => pace.wait(is_store_down, relays::is_relay(control)),
     };
     let Some(after) = complete_position.filter(|_| !needs_full_read) else {
         return Ok(Fetched::Whole(control.store.read(table).await?));
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -24,13 +24,15 @@
 use slog::{info, warn};
 use utils::{Incarnation, Monotonic, TargetId};
 
-use crate::CachedState;
+use self::relays::RelayAnswer;
+use crate::confirmations::Confirmations;
 use crate::daemon::PlatformPorts;
 use crate::load::ReportedLoad;
 use crate::ports::{EngineControl, KeptStores, OriginStore, RecordStore, Table, UnusableRecord};
 use crate::resources::ShortageLog;
 use crate::traffic::{CrashReceivers, Traffic};
 use crate::view::View;
+use crate::{CachedState, FollowPace};
 
 /// Interval of time-driven updates.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -59,10 +61,10 @@
     cached_state: Mutex<CachedState>,
     /// Last report of each engine that this host polls, with its time.
     reports: Mutex<HashMap<TargetId, (ReportedLoad, Monotonic)>>,
-    /// Time of the store's last answer with each table.
-    confirmed_at: Mutex<HashMap<Table, Monotonic>>,
-    /// Time of the last usable answer of a relay.
-    relayed_at: Mutex<Option<Monotonic>>,
+    /// Confirmations of each table by the store itself.
+    confirmed: Confirmations,
+    /// The last usable answer of a relay.
+    last_relay_answer: Mutex<Option<RelayAnswer>>,
 }
 
 impl Control {
@@ -86,8 +88,8 @@
             ex,
             cached_state: Mutex::new(cached_state),
             reports: Mutex::default(),
-            confirmed_at: Mutex::default(),
-            relayed_at: Mutex::default(),
+            confirmed: Confirmations::default(),
+            last_relay_answer: Mutex::default(),
         }
     }
 
@@ -155,43 +157,55 @@
 
     /// Records that the store itself has answered with the current state of a table, which has been applied.
     pub(crate) fn record_confirmed(&self, table: Table, now: Monotonic) {
-        let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        confirmed_at.insert(table, now);
+        self.confirmed.record(table, now);
+        self.traffic.confirmed.record(table, now);
         match table {
             Table::Declared => self.traffic.kept().record_declared(now),
-            Table::Targets => self.traffic.confirm_targets(now),
             Table::Shared => self.traffic.confirm_slot_hosts(now),
-            _ => {}
+            Table::Targets | Table::Orders => {}
         }
     }
 
     /// Returns the time since the store itself confirmed both the declarations and the targets.
     pub(crate) fn confirmed_age(&self, now: Monotonic) -> Option<Duration> {
-        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        let oldest = confirmed_at
-            .get(&Table::Declared)?
-            .min(confirmed_at.get(&Table::Targets)?);
-        Some(now.saturating_sub(*oldest))
+        let declared = self.confirmed.age(Table::Declared, now)?;
+        Some(declared.max(self.confirmed.age(Table::Targets, now)?))
     }
 
     /// Returns the time since the store itself confirmed the shared table.
     pub(crate) fn shared_age(&self, now: Monotonic) -> Option<Duration> {
-        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        Some(now.saturating_sub(*confirmed_at.get(&Table::Shared)?))
+        self.confirmed.age(Table::Shared, now)
     }
 
-    /// Records a relay's answer to a query sent at `sent_at`, with the state of the store at `confirmed_at`.
-    pub(crate) fn record_relayed(&self, confirmed_at: Monotonic, sent_at: Monotonic) {
+    /// Returns the pace of the calls that follow a table.
+    pub(crate) fn pace(&self, table: Table) -> FollowPace {
+        let bounds = &self.traffic.settings.bounds;
+        FollowPace::new(match table {
+            Table::Targets => bounds.leaving_within,
+            Table::Declared | Table::Shared | Table::Orders => bounds.declared_within,
+        })
+    }
+
+    /// Records a usable answer of a relay.
+    pub(crate) fn record_relayed(&self, answer: RelayAnswer) {
+        let RelayAnswer {
+            sent_at,
+            confirmed_at,
+        } = answer;
         self.traffic.kept().record_declared(confirmed_at);
-        self.traffic.confirm_targets(confirmed_at);
+        for table in [Table::Declared, Table::Targets] {
+            self.traffic.confirmed.record(table, confirmed_at);
+        }
         // A relay gives the age of its state only while the store answers it.
         self.cached_state().store_answered(sent_at);
-        *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+        let last = self.last_relay_answer.lock();
+        *last.unwrap_or_else(PoisonError::into_inner) = Some(answer);
     }
 
-    /// Returns the time at which the last query was sent that a relay answered.
-    pub(crate) fn relayed_at(&self) -> Option<Monotonic> {
-        *self.relayed_at.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the last usable answer of a relay.
+    pub(crate) fn last_relay_answer(&self) -> Option<RelayAnswer> {
+        let last = self.last_relay_answer.lock();
+        *last.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Applies a change to the cached state, logs unusable rows and publishes the new view. Returns whether the view
@@ -217,6 +231,7 @@
         let Some(view) = state.publish() else { return false };
         info!(self.traffic.log, "cached state changed"; events::STATE_CHANGED,
             "declared" => view.declared.as_ref().map_or(0, |d| d.version),
+            "declared_age_ms" => self.traffic.declared_age_ms(),
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
             "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -6,21 +6,27 @@
 
 use http_io::Client;
 use rand::seq::IndexedRandom;
-use utils::HostId;
+use utils::{HostId, Monotonic};
 
 use super::Control;
 use super::peers;
 use crate::View;
 use crate::jitter::jittered;
+use crate::ports::Table;
 
 /// Interval between queries to a relay. Well below the time within which a declaration must be in force.
 const POLL_INTERVAL: Duration = Duration::from_millis(700);
 /// Pause after a query without a usable answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Age up to which a relay's state is used. Covers its wait for changes and its pause after them.
-const MAX_RELAY_AGE: Duration = Duration::from_millis(2_500);
-/// Time after the last usable answer from which the host follows the store itself.
-const MAX_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// The last usable answer of a relay.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RelayAnswer {
+    /// Time at which the query was sent.
+    pub sent_at: Monotonic,
+    /// Time at which the relay's state was that of the store.
+    pub confirmed_at: Monotonic,
+}
 
 /// Queries the relays of this host's region, unless the region is small or the host is a relay itself.
 pub(crate) async fn follow_relays(control: Arc<Control>) {
@@ -38,7 +44,9 @@
 /// Whether a relay has sent the store's state recently, so that this host does not need to follow the store.
 pub(super) fn is_relayed(control: &Control) -> bool {
     let now = control.traffic.now();
-    control.relayed_at().is_some_and(|at| now < at + MAX_SILENCE)
+    let pace = control.pace(Table::Declared);
+    let is_relayed = |answer: RelayAnswer| pace.is_relayed(answer.sent_at, answer.confirmed_at, now);
+    control.last_relay_answer().is_some_and(is_relayed)
 }
 
 /// Whether this host follows the store for others.
@@ -58,11 +66,15 @@
     let Some(answer) = peers::query_changes(control, client, peer).await else {
         return Some(false);
     };
-    let Some(age) = answer.changes.store_age.filter(|age| *age <= MAX_RELAY_AGE) else {
+    let max_age = control.pace(Table::Declared).max_relay_age();
+    let Some(age) = answer.changes.store_age.filter(|age| *age <= max_age) else {
         return Some(false);
     };
     peers::apply_answer(control, peer, answer, sent_at);
-    control.record_relayed(sent_at.saturating_sub(age), sent_at);
+    control.record_relayed(RelayAnswer {
+        sent_at,
+        confirmed_at: sent_at.saturating_sub(age),
+    });
     Some(true)
 }
 
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -23,6 +23,10 @@
     pub weights_deadline: Duration,
     /// Whether targets refuse orders with an outdated fencing token.
     pub is_fenced: bool,
+    /// Time after its acknowledgement within which a declaration must be in force.
+    pub declared_within: Duration,
+    /// Time after its acknowledgement within which a leaving target must get no more requests.
+    pub leaving_within: Duration,
     /// How long an entry that is missing after an outage of the store stays listed.
     pub return_grace: Duration,
     /// Bound on the requests that arrive at a cold target, if the deployment has one.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -16,7 +16,7 @@
 pub(crate) use origins::OriginTelemetry;
 
 use crate::admission::PressureChange;
-use crate::traffic::{Call, Exclusion, Placed};
+use crate::traffic::{Call, Exclusion, Placed, Refusal};
 use crate::{CallFacts, RequestedPause};
 
 /// Name of the meter of all metrics.
@@ -105,6 +105,15 @@
     Answered,
 }
 
+/// The declarations that a refusal was decided by.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DeclaredState {
+    /// Their version; `None` if the host has none yet.
+    pub version: Option<u64>,
+    /// Time since they were last known to be current, in milliseconds; `None` if they never were.
+    pub age_ms: Option<u64>,
+}
+
 impl SendResult {
     fn as_str(self) -> &'static str {
         match self {
@@ -260,22 +269,17 @@
             "status" => status, "events" => events, "tries" => attempts);
     }
 
-    /// Counts and logs a request that the host answers in place of a target. `exclusion` says why no target was a
-    /// candidate, if that is the cause.
-    pub(crate) fn refused(
-        &self,
-        id: &str,
-        outcome: Outcome,
-        reason: &'static str,
-        exclusion: Option<Exclusion>,
-    ) {
+    /// Counts and logs a request that the host answers in place of a target.
+    pub(crate) fn refused(&self, id: &str, refusal: &Refusal, declared: DeclaredState) {
+        let (outcome, reason) = (refusal.outcome, refusal.detail);
         self.count(outcome, reason);
-        let exclusion = exclusion.map(Exclusion::as_str);
+        let exclusion = refusal.exclusion.map(Exclusion::as_str);
         if let Some(exclusion) = exclusion {
             self.exclusions.add(1, &[KeyValue::new("reason", exclusion)]);
         }
         warn!(self.log, "request refused"; events::ROUTE_REFUSED, "request" => id,
-            "outcome" => outcome.as_str(), "reason" => reason, "exclusion" => exclusion);
+            "outcome" => outcome.as_str(), "reason" => reason, "exclusion" => exclusion,
+            "declared" => declared.version, "declared_age_ms" => declared.age_ms);
     }
 
     /// Counts and logs a stream that ended early.
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) use origins::{FindQuery, FindResult, Origins};
 pub(crate) use pipeline::serve;
 pub(crate) use place::Placed;
+pub(crate) use refusal::Refusal;
 pub(crate) use request::Call;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -23,6 +23,7 @@
 use crate::declared::RetrySafety;
 use crate::jitter::jittered;
 use crate::suspects::AnswerStage;
+use crate::telemetry::DeclaredState;
 
 /// Most sends of one request, including those that targets rejected.
 const MAX_SENDS: u32 = 4;
@@ -333,8 +334,11 @@
 }
 
 fn log_refusal(cx: &Traffic, id: &str, refusal: &Refusal) {
-    cx.telemetry
-        .refused(id, refusal.outcome, refusal.detail, refusal.exclusion);
+    let declared = DeclaredState {
+        version: cx.view.load().declared.as_ref().map(|declared| declared.version),
+        age_ms: cx.declared_age_ms(),
+    };
+    cx.telemetry.refused(id, refusal, declared);
 }
 
 /// Whether another target may continue a broken stream.
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -17,9 +17,10 @@
 use super::pool::TargetSlot;
 use super::request::Call;
 use crate::cold::ColdTargets;
+use crate::confirmations::Confirmations;
 use crate::kept::KeptCache;
 use crate::load::ReportedLoad;
-use crate::ports::Heads;
+use crate::ports::{Heads, Table};
 use crate::quarantine::Crashes;
 use crate::resources::Resources;
 use crate::suspects::{PartFingerprint, PartSuccesses, PartTrials};
@@ -109,8 +110,8 @@
     kept: Mutex<KeptCache>,
     /// Admission of prompts by service.
     admissions: Mutex<HashMap<ServiceId, Admission>>,
-    /// Time at which the list of targets was last known to be that of the store.
-    targets_confirmed_at: Mutex<Option<Monotonic>>,
+    /// Confirmations of the declarations and the targets, by the store or a relay.
+    pub confirmed: Confirmations,
 }
 
 impl Traffic {
@@ -143,7 +144,7 @@
             crashes,
             kept: Mutex::default(),
             admissions: Mutex::default(),
-            targets_confirmed_at: Mutex::default(),
+            confirmed: Confirmations::default(),
         }
     }
 
@@ -219,18 +220,16 @@
         self.admissions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the list of targets was that of the store at time `at`.
-    pub(crate) fn confirm_targets(&self, at: Monotonic) {
-        let confirmed_at = self.targets_confirmed_at.lock();
-        let mut confirmed_at = confirmed_at.unwrap_or_else(PoisonError::into_inner);
-        *confirmed_at = (*confirmed_at).max(Some(at));
+    /// Returns the time since the declarations were last known to be current, in milliseconds, for log lines.
+    pub(crate) fn declared_age_ms(&self) -> Option<u64> {
+        let age = self.confirmed.age(Table::Declared, self.now())?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Returns whether the list of targets shows a new software version soon after its first target is listed.
     pub(crate) fn has_current_targets(&self) -> bool {
-        let confirmed_at = self.targets_confirmed_at.lock();
-        let confirmed_at = *confirmed_at.unwrap_or_else(PoisonError::into_inner);
-        confirmed_at.is_some_and(|at| self.now().saturating_sub(at) <= MAX_LIST_AGE)
+        let age = self.confirmed.age(Table::Targets, self.now());
+        age.is_some_and(|age| age <= MAX_LIST_AGE)
     }
 
     /// Calls `f` with the state of a target.
