Give a host its share of the retry slack only once nothing of it can be spent already

Cause: a host divided the slack of all hosts by the number of hosts in its list. One that had just started took the whole slack until it had read the list; one that had started again spent its part a second time; hosts that ended, or entries that a restored store had lost, made the parts of the rest larger while theirs were spent. Beside it, hosts that spend the ratio of a whole window at once and then end leave their callers to others, which count the next requests.

Change: the share is one part of the hosts that are listed or were within 36 s (SlotHosts, as for cold targets), and zero until a host has been listed for a window. The budget holds in each half of the window, too.

--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -22,8 +22,11 @@
 /// This host's share of a service's retry budget.
 ///
 /// The budget is a ratio of the requests of a sliding window, plus a slack for all hosts together. Each host
-/// spends the ratio of its own requests and an equal part of the slack. All hosts together stay within the
-/// budget without a shared counter.
+/// spends the ratio of its own requests and its share of the slack ([`crate::SlotHosts::slack_share`]). All hosts together
+/// stay within the budget without a shared counter.
+///
+/// It also holds in each half of the window: a host that spends the ratio of a whole window's requests at once and then
+/// ends leaves its callers to other hosts, which count their next requests.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     /// Retries allowed per request.
@@ -45,7 +48,7 @@
     ///
     /// let mut budget = RetryBudget::new(0.2, 10.0, Duration::from_secs(10));
     /// let now = Duration::from_secs(100);
-    /// let taken = (0..20).filter(|_| budget.try_take(2, now)).count();
+    /// let taken = (0..20).filter(|_| budget.try_take(0.5, now)).count();
     /// assert_eq!(taken, 4);
     /// ```
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Self {
@@ -62,15 +65,18 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Takes a retry and returns true if this host's share of the budget allows another retry. The slack is
-    /// divided among `hosts` hosts.
-    pub fn try_take(&mut self, hosts: usize, now: Monotonic) -> bool {
-        self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
-        let slack = self.slack / hosts.max(1) as f64;
-        let allowed = USABLE_SHARE * (self.ratio * f64::from(requests) + slack);
-        let has_room = f64::from(retries + 1) <= allowed;
+    /// Takes a retry and returns true if this host's part of the budget, with this share of the slack, allows another
+    /// retry.
+    pub fn try_take(&mut self, slack_share: f64, now: Monotonic) -> bool {
+        let current = self.current_bucket(now).index;
+        let slack = self.slack * slack_share;
+        let has_room = [BUCKET_COUNT, BUCKET_COUNT / 2].into_iter().all(|count| {
+            let first = current.saturating_sub(u64::from(count));
+            let window = || self.buckets.iter().filter(|bucket| bucket.index >= first);
+            let requests: u32 = window().map(|bucket| bucket.requests).sum();
+            let retries: u32 = window().map(|bucket| bucket.retries).sum();
+            f64::from(retries + 1) <= USABLE_SHARE * (self.ratio * f64::from(requests) + slack)
+        });
         if has_room {
             self.current_bucket(now).retries += 1;
         }
--- a/components/gateway/src/cold/hosts.rs
+++ b/components/gateway/src/cold/hosts.rs
@@ -99,7 +99,36 @@
     /// Whether this host may use its slots: it has been listed for a while, and its list is recent.
     pub fn may_use_slots(&self, now: Monotonic) -> bool {
         let is_member = self.listed_since.is_some_and(|since| now >= since + JOIN_DELAY);
-        is_member && self.confirmed_at.is_some_and(|at| now < at + LIST_VALIDITY)
+        is_member && self.has_recent_list(now)
+    }
+
+    /// Returns this host's share of a budget that all hosts spend together in each `window`: one part of those that are
+    /// listed or were a short time ago. It is zero until the host has been listed for a window, as a process before it may
+    /// have spent the share already, and without a recent list.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use gateway::SlotHosts;
+    ///
+    /// let (window, at) = (Duration::from_secs(10), Duration::from_secs);
+    /// let mut hosts = SlotHosts::new("h1".into());
+    /// hosts.update(["h1".into(), "h2".into()].iter(), at(0));
+    /// hosts.confirm(at(10));
+    /// assert_eq!(hosts.slack_share(window, at(9)), 0.0);
+    /// // A host that has left may have spent its share.
+    /// hosts.update(["h1".into()].iter(), at(10));
+    /// assert_eq!(hosts.slack_share(window, at(10)), 0.5);
+    /// ```
+    pub fn slack_share(&self, window: Duration, now: Monotonic) -> f64 {
+        let has_own_window = self.listed_since.is_some_and(|since| now >= since + window);
+        match has_own_window && self.has_recent_list(now) {
+            true => 1.0 / self.members.len() as f64,
+            false => 0.0,
+        }
+    }
+
+    fn has_recent_list(&self, now: Monotonic) -> bool {
+        self.confirmed_at.is_some_and(|at| now < at + LIST_VALIDITY)
     }
 
     /// Returns the number of changes of the members.
--- a/components/gateway/src/cold/targets.rs
+++ b/components/gateway/src/cold/targets.rs
@@ -278,7 +278,6 @@
 
     /// Forgets targets that have not been listed for long.
     pub fn remove_stale(&mut self, listed: &HashSet<&str>, now: Monotonic) {
-        self.hosts.expire(now);
         self.targets
             .retain(|name, state| listed.contains(&**name) || now < state.touched_at + RETENTION);
     }
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -312,8 +312,9 @@
     /// Takes a retry from a service's budget; returns whether one was left.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.now();
-        let hosts = self.view.load().host_count();
-        let is_allowed = self.with_budget(service, |budget| budget.try_take(hosts, now));
+        let window = self.settings.bounds.retry_window;
+        let share = self.routing().cold.hosts.slack_share(window, now);
+        let is_allowed = self.with_budget(service, |budget| budget.try_take(share, now));
         self.telemetry.retry(is_allowed);
         is_allowed
     }
@@ -331,6 +332,7 @@
             .slots
             .retain(|id, slot| listed.contains(id) || slot.load.own_requests() > 0);
         routing.announcements.remove_stale(&listed, now);
+        routing.cold.hosts.expire(now);
         for slot in routing.slots.values_mut() {
             slot.close_expired(now);
         }
