Keep the limits that targets name, over all hosts and without messages

Cause: no host read the limit that a target in need names in its answers; it got as much as its neighbours. Class: a statement of a target that nobody carries to the decision about the next request, as with announcements before.

An answer without a limit to a request that was sent after the last answer with one ends it. Limited engines are asked for load reports every 2 s. Events 5032 and 5033, two metrics.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -360,6 +360,13 @@
         "pause_requested",
         "A target refused a request and wants no others from this host for the given time.",
     );
+    pub const TARGET_LIMITED: Event = event(
+        5032,
+        "target_limited",
+        "A target has named the requests per second that it takes from all hosts together; without a number, the value can not be used.",
+    );
+    pub const TARGET_UNLIMITED: Event =
+        event(5033, "target_unlimited", "A target has stopped naming a limit.");
     pub const BODY_EVICTED: Event = event(
         5040,
         "body_evicted",
@@ -551,6 +558,8 @@
     events::LOST_ROW_WRITTEN,
     events::TARGET_LEAVING,
     events::PAUSE_REQUESTED,
+    events::TARGET_LIMITED,
+    events::TARGET_UNLIMITED,
     events::BODY_EVICTED,
     events::NO_MEMORY,
     events::CONNECTIONS_CLOSED,
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -2,6 +2,7 @@
 
 use utils::{ModelId, WorkspaceId};
 
+use crate::NamedLimit;
 use crate::kept::CachePlan;
 
 /// One part of a prompt.
@@ -109,7 +110,7 @@
 }
 
 /// Metadata of a target's answer, read from its status and headers.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct AnswerFacts {
     /// Identifier of the answered request.
     pub id: Option<String>,
@@ -129,4 +130,6 @@
     pub is_leaving: bool,
     /// Pause in requests that the target asks for with a refusal.
     pub pause: Option<RequestedPause>,
+    /// Limit that the target names.
+    pub limit: Option<NamedLimit>,
 }
--- a/components/gateway/src/cold/limit.rs
+++ b/components/gateway/src/cold/limit.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::SlotSchedule;
+use crate::SlotSchedule;
 
 /// How the targets of a service behave while they are cold.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -51,7 +51,7 @@
     pub fn new(limit: ColdLimit, bound: &ColdBound) -> Self {
         Self {
             limit,
-            schedule: SlotSchedule::new(&limit, bound),
+            schedule: SlotSchedule::for_cold_targets(&limit, bound),
         }
     }
 }
--- a/components/gateway/src/cold/targets.rs
+++ b/components/gateway/src/cold/targets.rs
@@ -3,8 +3,8 @@
 
 use utils::{Monotonic, ServiceId, TargetId};
 
-use super::{ColdLimit, ColdRules, SlotHosts, SlotQuota};
-use crate::{StoreClock, Target};
+use super::{ColdLimit, ColdRules};
+use crate::{SlotHosts, SlotQuota, SlotSchedule, StoreClock, Target};
 
 /// Time after a failure in which an entry may arrive that was written before it: the pause of a relay, the interval
 /// between queries to it and the age of a relay's state.
@@ -180,6 +180,11 @@
         self.store_clock = clock;
     }
 
+    /// Returns the time on the store's clock; `None` until it is known.
+    pub(crate) fn store_time(&self, now: Monotonic) -> Option<Duration> {
+        self.store_clock.time(now)
+    }
+
     /// Records an entry of a target.
     pub fn record_entry(&mut self, entry: &ColdEntry, now: Monotonic) {
         self.state(&entry.instance, now).apply_entry(entry, now);
@@ -311,5 +316,4 @@
 }
 
 /// Looks up or takes a slot.
-type SlotOperation =
-    fn(&mut SlotQuota, &str, &super::SlotSchedule, &SlotHosts, Duration, Monotonic) -> Option<u64>;
+type SlotOperation = fn(&mut SlotQuota, &str, &SlotSchedule, &SlotHosts, Duration, Monotonic) -> Option<u64>;
--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use utils::{HostId, RegionId, TargetId};
+use utils::{HostId, Monotonic, RegionId, TargetId};
 
 use super::Control;
 use super::peers::send_query;
@@ -20,6 +20,8 @@
 const REPORTERS_PER_REGION: usize = 3;
 /// Interval between polls of an engine, which renews its report every few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// The same for an engine that has named a limit.
+const LIMITED_REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between queries to the hosts that poll engines.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -55,10 +57,11 @@
     loop {
         smol::Timer::after(jittered(REPORT_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
-        let assigned = assigned_engines(&control, &view);
+        let mut assigned = assigned_engines(&control, &view);
         control
             .reports()
             .retain(|run, _| assigned.iter().any(|target| target.run == *run));
+        assigned.retain(|target| !is_spared(&control, target));
         let calls = assigned.into_iter().map(|target| {
             let control = control.clone();
             control
@@ -72,6 +75,17 @@
     }
 }
 
+/// Returns whether an engine that has named a limit was polled a short time ago.
+fn is_spared(control: &Control, target: &Target) -> bool {
+    let now = control.traffic.now();
+    let is_recent = |at: Monotonic| now < at + LIMITED_REPORT_INTERVAL;
+    control.traffic.is_limited(&target.run)
+        && control
+            .reports()
+            .get(&target.run)
+            .is_some_and(|(_, at)| is_recent(*at))
+}
+
 async fn poll_engine(control: &Control, target: &Target) {
     let Ok(report) = control.engines.report(target.address).await else {
         return;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -40,11 +40,13 @@
 mod rows;
 mod sampling;
 mod sessions;
+mod slots;
 mod software;
 mod store_clock;
 mod store_link;
 mod suspects;
 mod target;
+mod target_limits;
 mod telemetry;
 mod traffic;
 mod view;
@@ -57,10 +59,7 @@
 pub use budget::RetryBudget;
 pub use cached_state::CachedState;
 pub use call::{AnswerFacts, CallFacts, PromptPart, PromptShape, RequestedPause, ResponseLoad, SendFacts};
-pub use cold::{
-    ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets, SlotHosts, SlotQuota,
-    SlotSchedule,
-};
+pub use cold::{ColdBound, ColdChanges, ColdEntry, ColdLimit, ColdPermit, ColdRules, ColdTargets};
 pub use crash_reports::{CrashReports, CrashRowValue, FurtherCrash, SoundRowValue};
 pub use daemon::{Daemon, PlatformPorts};
 pub use declared::{
@@ -88,6 +87,7 @@
 pub use rows::TableUpdate;
 pub use sampling::{decide_from, sample};
 pub use sessions::{SessionKey, Sessions};
+pub use slots::{SlotHosts, SlotQuota, SlotSchedule};
 pub use software::{
     Baseline, BaselineChange, BaselineWrite, Leftovers, OriginKey, OriginPart, OriginRecords, OriginUnknown,
     OriginWrite, RecordNeed, ServiceSoftware, StreamOrigin, stream_lifetime,
@@ -99,6 +99,7 @@
     PartTrials, SoundRecord, SuspectPart, SuspectParts, find_suspect_parts,
 };
 pub use target::Target;
+pub use target_limits::{LimitChange, LimitPermit, NamedLimit, SlotTime, TargetLimits};
 pub use traffic::{EventSplitter, Exclusion, PlacementRules, Progress};
 pub use view::{HostEntry, Regions, View, is_sole_owner};
 pub use weights::{Rollout, RolloutAction, RolloutInput, is_overdue};
--- a/components/gateway/src/cold/quota.rs
+++ b/components/gateway/src/slots/quota.rs
@@ -12,10 +12,9 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use gateway::{ColdBound, ColdLimit, SlotHosts, SlotQuota, SlotSchedule};
+/// use gateway::{SlotHosts, SlotQuota, SlotSchedule};
 ///
-/// let limit = ColdLimit { duration: Duration::from_secs(8), per_second: 1.0 };
-/// let schedule = SlotSchedule::new(&limit, &ColdBound { overrun: 1.0, slack: 4.0 }).unwrap();
+/// let schedule = SlotSchedule::for_limit(2.0).unwrap();
 /// let now = Duration::from_secs(100);
 /// let mut quota = SlotQuota::default();
 /// // A host that is not listed has no slots.
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -17,7 +17,7 @@
 
 use crate::admission::PressureChange;
 use crate::traffic::{Call, Exclusion, Placed, Refusal};
-use crate::{CallFacts, RequestedPause};
+use crate::{CallFacts, LimitChange, NamedLimit, RequestedPause};
 
 /// Name of the meter of all metrics.
 const METER: &str = "laburnumtally";
@@ -50,6 +50,10 @@
     cold_sends: Counter<u64>,
     /// Cold targets.
     cold_targets: Gauge<u64>,
+    /// Sends to targets with a limit, by result.
+    limited_sends: Counter<u64>,
+    /// Number of targets with a limit.
+    limited_targets: Gauge<u64>,
     /// How short the capacity of each service is, from 0 if it is not.
     pressure: Gauge<f64>,
     /// Calls to the platform's store by result.
@@ -155,6 +159,8 @@
             leavings: meter.u64_counter("laburnumtally.targets.leaving").build(),
             cold_sends: meter.u64_counter("laburnumtally.cold.sends").build(),
             cold_targets: meter.u64_gauge("laburnumtally.cold.targets").build(),
+            limited_sends: meter.u64_counter("laburnumtally.limited.sends").build(),
+            limited_targets: meter.u64_gauge("laburnumtally.limited.targets").build(),
             pressure: meter.f64_gauge("laburnumtally.capacity.pressure").build(),
             store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
             store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
@@ -196,6 +202,42 @@
         self.cold_sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a send to a target with a limit that a slot allowed, or that was given up right before it.
+    pub(crate) fn limited_send(&self, is_allowed: bool) {
+        let result = if is_allowed { "allowed" } else { "refused" };
+        self.limited_sends.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Records the number of targets with a limit.
+    pub(crate) fn record_limited_targets(&self, count: usize) {
+        self.limited_targets.record(count as u64, &[]);
+    }
+
+    /// Logs a limit that a target has named, or that has ended.
+    pub(crate) fn limit(
+        &self,
+        id: &str,
+        target: &str,
+        named: Option<NamedLimit>,
+        change: Option<LimitChange>,
+    ) {
+        match change {
+            Some(LimitChange::Named(per_second)) => {
+                info!(self.log, "target named a limit"; events::TARGET_LIMITED, "request" => id,
+                    "target" => target, "per_second" => per_second);
+            }
+            Some(LimitChange::Ended) => {
+                info!(self.log, "limit of a target ended"; events::TARGET_UNLIMITED, "request" => id,
+                    "target" => target);
+            }
+            None if named == Some(NamedLimit::Unusable) => {
+                warn!(self.log, "limit can not be used"; events::TARGET_LIMITED, "request" => id,
+                    "target" => target);
+            }
+            None => {}
+        }
+    }
+
     /// Records the number of cold targets.
     pub(crate) fn record_cold_targets(&self, count: usize) {
         self.cold_targets.record(count as u64, &[]);
--- a/components/gateway/src/traffic/cold.rs
+++ b/components/gateway/src/traffic/cold.rs
@@ -82,12 +82,13 @@
 
     /// Records what rows of the store say of the coldness of targets, and the difference between the clocks.
     pub(crate) fn record_cold_reports(&self, reports: &[ColdReport], store_clock: StoreClock) {
-        if self.settings.bounds.cold.is_none() {
-            return;
-        }
         let now = self.now();
         let cold = &mut self.routing().cold;
+        // The slots under limits that targets name hang on it as well.
         cold.set_store_clock(store_clock);
+        if self.settings.bounds.cold.is_none() {
+            return;
+        }
         for report in reports {
             cold.record(report, now);
         }
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -37,7 +37,7 @@
 pub(crate) enum AttemptResult {
     /// No byte of the request reached the target.
     NotSent,
-    /// The target is cold, and this host may not send to it any more. No byte of the request reached it.
+    /// The target is cold or has named a limit, and this host may not send to it any more. No byte of the request reached it.
     NoPermit,
     /// The host has no memory for a connection to the target. No byte of the request reached it.
     NoMemory,
@@ -148,6 +148,8 @@
         if is_new {
             self.cx.telemetry.leaving(&call.id, &self.target.instance);
         }
+        self.cx
+            .record_limit(&call.id, &self.target, facts.limit, self.sent_at);
         let Some(pause) = facts.pause else { return };
         self.cx
             .telemetry
@@ -270,7 +272,7 @@
     let Some(req) = request(cx, call, placed, time_left, resume_after) else {
         return AttemptResult::NotSent;
     };
-    if !cx.may_use_permit(placed) {
+    if !cx.may_use_permit(placed) || !cx.may_use_limit_permit(placed) {
         exchange.put_back();
         return AttemptResult::NoPermit;
     }
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -25,6 +25,8 @@
     OldWeights,
     /// It is cold, and this host may not send to it at this moment.
     ColdQuotaUsed,
+    /// It has named a limit, and this host may not send to it at this moment.
+    LimitUsed,
 }
 
 impl Exclusion {
@@ -43,6 +45,7 @@
             Self::AlreadyTried => "already-tried",
             Self::OldWeights => "old-weights",
             Self::ColdQuotaUsed => "cold-quota-used",
+            Self::LimitUsed => "limit-used",
         }
     }
 }
@@ -65,6 +68,8 @@
     pub tried: &'a [TargetId],
     /// Cold targets to which this host may not send at this moment, sorted.
     pub cold_quota_used: &'a [TargetId],
+    /// Targets with a limit to which this host may not send at this moment, sorted.
+    pub limit_used: &'a [TargetId],
     /// Time of the decision.
     pub now: Monotonic,
 }
@@ -109,7 +114,10 @@
         if old_weights == OldWeightsPolicy::Forbidden {
             return Some(Exclusion::OldWeights);
         }
-        let is_used = self.cold_quota_used.binary_search(run).is_ok();
-        is_used.then_some(Exclusion::ColdQuotaUsed)
+        if self.cold_quota_used.binary_search(run).is_ok() {
+            return Some(Exclusion::ColdQuotaUsed);
+        }
+        let is_used = self.limit_used.binary_search(run).is_ok();
+        is_used.then_some(Exclusion::LimitUsed)
     }
 }
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod exchange;
 mod exclusion;
+mod limits;
 mod open;
 mod origin_record;
 mod origins;
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -95,7 +95,7 @@
     pub possible_runs: u32,
     /// Unreachable targets.
     unreachable: u32,
-    /// Sends that were given up because the target was cold and this host's quota used.
+    /// Sends that were given up because the target was cold or has a limit, and this host's quota was used.
     without_permit: u32,
     /// Whether the host had no memory for a connection to a target.
     lacks_memory: bool,
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -6,6 +6,7 @@
 
 use super::capacity::{overload_wait, refusal};
 use super::exclusion::{Exclusion, PlacementRules};
+use super::limits::{limit_used, take_limit_permit};
 use super::other_hosts::OtherHostsLoad;
 use super::pipeline::Attempts;
 use super::request::Call;
@@ -20,7 +21,7 @@
 use crate::sampling::{decide_from, sample};
 use crate::sessions::SessionKey;
 use crate::view::View;
-use crate::{PromptShape, Target};
+use crate::{LimitPermit, PromptShape, Target};
 
 /// Value of a part that a store of the region holds, relative to one in the target's own cache; used as a
 /// cache hit probability.
@@ -42,8 +43,10 @@
     pub work: Work,
     /// Parts that the request fetches from stores and saves to them.
     pub cache: CachePlan,
-    /// Permission to send to the target.
+    /// Permission to send to the target, as far as it is cold.
     pub permit: ColdPermit,
+    /// Permission to send to the target, as far as it has named a limit.
+    pub limit_permit: LimitPermit,
 }
 
 /// Why no target was chosen.
@@ -63,8 +66,10 @@
     let mut routing = cx.routing();
     let now = cx.now();
     let cold_quota_used = cx.cold_quota_used(&view, &mut routing, &call.service, now);
+    let limit_used = limit_used(&view, &mut routing, &call.service, now);
     let rules = PlacementRules {
         cold_quota_used: &cold_quota_used,
+        limit_used: &limit_used,
         now,
         ..cx.placement_rules(&view, &routing.announcements, call, &attempts.tried_targets)
     };
@@ -116,9 +121,11 @@
     let weights = context.weights_at(&target);
     let cache = context.cache_plan(&target, weights, owner, fetch_limit(&demand, &choice));
     let permit = cx.take_cold_permit(&view, &mut routing, &target, now);
+    let limit_permit = take_limit_permit(&mut routing, &target, now);
     Ok(Placed {
         cache,
         permit: permit.ok_or(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed)))?,
+        limit_permit: limit_permit.ok_or(PlacementError::NoTarget(Some(Exclusion::LimitUsed)))?,
         weights,
         target,
         choice,
--- a/components/gateway/src/traffic/refusal.rs
+++ b/components/gateway/src/traffic/refusal.rs
@@ -18,6 +18,9 @@
 /// reason.
 const COLD_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
+/// `Retry-After` of a request for which only targets with a limit are left; a slot of this or another host opens meanwhile.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A response that the host gives in place of a target's answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Refusal {
@@ -58,6 +61,7 @@
     pub(crate) fn no_target(exclusion: Option<Exclusion>) -> Self {
         let (detail, wait) = match exclusion {
             Some(Exclusion::ColdQuotaUsed) => return Self::cold_quota_used(),
+            Some(Exclusion::LimitUsed) => return Self::limit_used(),
             Some(Exclusion::OutsideAllowedRegions) => (
                 "no target is in a region that the route and the workspace allow",
                 jittered(CONSTRAINT_RETRY_AFTER, 0.3),
@@ -84,6 +88,14 @@
         refusal.with_exclusion(Some(Exclusion::ColdQuotaUsed))
     }
 
+    /// Refuses a request for which only targets with a limit are left, none of which this host may send to at this moment.
+    fn limit_used() -> Self {
+        let detail = "the remaining targets have named a limit and take no more requests now";
+        let refusal = Self::not_run(ProblemKind::Overloaded, detail);
+        let refusal = refusal.with_retry_after(jittered(LIMIT_RETRY_AFTER, 0.5));
+        refusal.with_exclusion(Some(Exclusion::LimitUsed))
+    }
+
     pub(crate) const fn with_exclusion(mut self, exclusion: Option<Exclusion>) -> Self {
         self.exclusion = exclusion;
         self
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -27,7 +27,7 @@
 use crate::telemetry::Telemetry;
 use crate::{
     Admission, Announcements, DrainSchedule, HostSettings, OldWeightsPolicy, Pace, RetryBudget, RunTimes,
-    Sessions, Target, View,
+    Sessions, Target, TargetLimits, View,
 };
 
 /// Age up to which the list of targets counts as current: the longest wait for a change, and its answer.
@@ -51,6 +51,8 @@
     pub announcements: Announcements,
     /// Which targets are cold, and this host's quota of sends to them.
     pub cold: ColdTargets,
+    /// Limits that targets have named, and this host's share of them.
+    pub limits: TargetLimits,
     /// Learned times to the first token by service.
     pub paces: HashMap<ServiceId, Pace>,
     /// Recent times of complete answers by service.
@@ -68,6 +70,7 @@
             part_trials: PartTrials::default(),
             announcements: Announcements::default(),
             cold: ColdTargets::new(settings.name.clone()),
+            limits: TargetLimits::default(),
             paces: HashMap::new(),
             run_times: HashMap::new(),
         }
@@ -275,6 +278,7 @@
             announcements,
             tried,
             cold_quota_used: &[],
+            limit_used: &[],
             now: self.now(),
         }
     }
@@ -332,6 +336,8 @@
             .slots
             .retain(|id, slot| listed.contains(id) || slot.load.own_requests() > 0);
         routing.announcements.remove_stale(&listed, now);
+        routing.limits.remove_stale(&listed);
+        self.telemetry.record_limited_targets(routing.limits.len());
         routing.cold.hosts.expire(now);
         for slot in routing.slots.values_mut() {
             slot.close_expired(now);
--- a/components/gateway/tests/exclusion.rs
+++ b/components/gateway/tests/exclusion.rs
@@ -34,6 +34,7 @@
         announcements,
         tried: &[],
         cold_quota_used: &[],
+        limit_used: &[],
         now: NOW,
     };
     rules.exclusion(&target("t1", 1), OldWeightsPolicy::Allowed)
@@ -62,6 +63,7 @@
             announcements: &Announcements::default(),
             tried: &[],
             cold_quota_used: &[],
+            limit_used: &[],
             now: NOW,
         }
         .exclusion(&unknown, OldWeightsPolicy::Allowed)
