Confirm the list of targets after a caller's request to resume a stream has arrived

Cause: a host took the service's only known version without a look-up while its list had been confirmed within 4 s. A version can join, begin streams and lose them in less than that, while this host is cut off or stands still; its list then proves nothing.

Change: the short cut, and a take-up that does not name its attempt, need a list that was read after the request had arrived. The control thread reads the changes once for all requests that wait at that moment; without an answer the request is looked up or refused as before. A call more for each burst of take-ups, instead of none.

Evidence: the test that failed before passes (200 with events of v1 before, 503 and not run now), with the other 11 of its kind.

--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod kept_updates;
 mod limits;
+mod list_checks;
 mod loads;
 mod lost_rows;
 mod orders;
@@ -116,6 +117,7 @@
             self.ex.spawn(stores::follow_stores(self.clone())),
             self.ex.spawn(kept_updates::poll_watchers(self.clone())),
             self.ex.spawn(limits::record_limits(self.clone())),
+            self.ex.spawn(list_checks::answer_list_checks(self.clone())),
             self.ex.spawn(loads::poll_engines(self.clone())),
             self.ex.spawn(loads::poll_reporters(self.clone())),
         ];
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod exclusion;
 mod limits;
+mod list_checks;
 mod open;
 mod origin_record;
 mod origins;
--- a/components/gateway/src/traffic/resumption.rs
+++ b/components/gateway/src/traffic/resumption.rs
@@ -51,13 +51,15 @@
     }
 
     async fn find(&self, cx: &Traffic, facts: &CallFacts) -> Option<RequiredSoftware> {
-        let view = cx.view.load_full();
-        // A host that is cut off from the store does not see that another version has begun streams.
-        if cx.has_current_targets() && view.has_only_baseline(self.service, cx.now()) {
-            return self.unrecorded(&view);
+        let has_only_baseline = || cx.view.load().has_only_baseline(self.service, cx.now());
+        // A host that is cut off from the store, or was suspended, does not see that another version has begun streams. So
+        // its list must be one from after the request's arrival.
+        if has_only_baseline() && cx.list_checks.is_confirmed().await && has_only_baseline() {
+            return self.unrecorded(&cx.view.load());
         }
         let Some(began_as) = &facts.resumes else {
-            return self.unnamed(&view).filter(|_| cx.has_current_targets());
+            let is_confirmed = cx.list_checks.is_confirmed().await;
+            return self.unnamed(&cx.view.load()).filter(|_| is_confirmed);
         };
         let workspace = self.workspace.map_or("", |workspace| &workspace.name);
         match cx.origins.find(&OriginKey::of(workspace, began_as)).await {
--- a/components/gateway/src/traffic/state.rs
+++ b/components/gateway/src/traffic/state.rs
@@ -12,6 +12,7 @@
 use super::connect::CallNumber;
 use super::crashes::CrashSenders;
 use super::exclusion::PlacementRules;
+use super::list_checks::ListChecks;
 use super::origin_record::unrecordable_rule;
 use super::origins::Origins;
 use super::pool::TargetSlot;
@@ -30,9 +31,6 @@
     Sessions, Target, TargetLimits, View,
 };
 
-/// Age up to which the list of targets counts as current: the longest wait for a change, and its answer.
-const MAX_LIST_AGE: Duration = Duration::from_secs(4);
-
 /// Mutable routing state of the traffic thread.
 pub(crate) struct RoutingState {
     /// Connections, load and health by run of a target.
@@ -113,8 +111,10 @@
     kept: Mutex<KeptCache>,
     /// Admission of prompts by service.
     admissions: Mutex<HashMap<ServiceId, Admission>>,
-    /// Confirmations of the declarations and the targets, by the store or a relay.
+    /// Confirmations of tables by the store, a relay or another host.
     pub confirmed: Confirmations,
+    /// Checks of the list of targets.
+    pub list_checks: ListChecks,
 }
 
 impl Traffic {
@@ -148,6 +148,7 @@
             kept: Mutex::default(),
             admissions: Mutex::default(),
             confirmed: Confirmations::default(),
+            list_checks: ListChecks::new(),
         }
     }
 
@@ -235,12 +236,6 @@
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
-    /// Returns whether the list of targets shows a new software version soon after its first target is listed.
-    pub(crate) fn has_current_targets(&self) -> bool {
-        let age = self.confirmed.age(Table::Targets, self.now());
-        age.is_some_and(|age| age <= MAX_LIST_AGE)
-    }
-
     /// Calls `f` with the state of a target.
     pub(crate) fn with_slot<T>(&self, target: &Target, f: impl FnOnce(&mut TargetSlot) -> T) -> T {
         f(self.routing().slots.entry(target.run.clone()).or_default())
