Let an answer end a limit only if its request is later than what the host last learned of it

Each host now keeps the time at which it last learned of the limit, from an answer or a record. The test of answers that overtake each other covers records.

--- a/components/gateway/src/target_limits.rs
+++ b/components/gateway/src/target_limits.rs
@@ -59,13 +59,22 @@
     Ended,
 }
 
+/// Times of the answers that named a number to this host.
+#[derive(Debug, Clone, Copy)]
+struct OwnAnswers {
+    first: Monotonic,
+    last: Monotonic,
+}
+
 /// The limit of one run of a target.
 #[derive(Debug, Clone)]
 struct TargetLimit {
     /// Requests per second.
     per_second: f64,
-    /// Time of the first and of the last answer to this host that named this number; `None` if other hosts have recorded it.
-    named: Option<(Monotonic, Monotonic)>,
+    /// Time at which this host last learned of it, from an answer or a record.
+    known_at: Monotonic,
+    /// Answers to this host that named this number; `None` if only other hosts were told.
+    answers: Option<OwnAnswers>,
     /// Slots under the limit.
     schedule: Option<SlotSchedule>,
     /// This host's slots.
@@ -75,20 +84,21 @@
 impl TargetLimit {
     /// Creates a limit that other hosts have recorded. Its slots begin from now on: the ones before may belong to an earlier
     /// division.
-    fn new(per_second: f64, store_time: Option<Duration>) -> Self {
+    fn new(per_second: f64, time: SlotTime) -> Self {
         let schedule = SlotSchedule::for_limit(per_second.max(MIN_PER_SECOND));
-        let from = store_time.unwrap_or_default();
+        let from = time.store.unwrap_or_default();
         Self {
             per_second,
-            named: None,
+            known_at: time.now,
+            answers: None,
             schedule: schedule.map(|schedule| schedule.starting_at(from)),
             quota: SlotQuota::default(),
         }
     }
 
     fn has_own_answer(&self, now: Monotonic) -> bool {
-        self.named
-            .is_some_and(|(_, last)| now < last + OWN_ANSWER_VALIDITY)
+        self.answers
+            .is_some_and(|answers| now < answers.last + OWN_ANSWER_VALIDITY)
     }
 
     fn is_same(&self, per_second: f64) -> bool {
@@ -133,7 +143,7 @@
 impl TargetLimits {
     /// Records what an answer to a request that was sent at `sent_at` names; returns what has changed.
     ///
-    /// An answer without a limit ends it only if its request was sent after the last answer with one had arrived:
+    /// An answer without a limit ends it only if its request was sent after this host had last learned of the limit:
     /// answers may overtake each other.
     pub fn record_answer(
         &mut self,
@@ -148,8 +158,8 @@
                 self.record_named(run, per_second, time)
             }
             Some(NamedLimit::PerSecond(_)) | None => {
-                let limit = self.runs.get(run)?;
-                if limit.named.is_some_and(|(_, last)| sent_at <= last) {
+                let known_at = self.runs.get(run)?.known_at;
+                if sent_at <= known_at {
                     return None;
                 }
                 self.runs.remove(run);
@@ -163,13 +173,20 @@
         self.ended.remove(run);
         let known = self.runs.get_mut(run);
         if let Some(limit) = known.filter(|limit| limit.is_same(per_second)) {
-            let first = limit.named.map_or(time.now, |(first, _)| first);
-            limit.named = Some((first, time.now));
+            let first = limit.answers.map_or(time.now, |answers| answers.first);
+            limit.known_at = time.now;
+            limit.answers = Some(OwnAnswers {
+                first,
+                last: time.now,
+            });
             return None;
         }
         let limit = TargetLimit {
-            named: Some((time.now, time.now)),
-            ..TargetLimit::new(per_second, time.store)
+            answers: Some(OwnAnswers {
+                first: time.now,
+                last: time.now,
+            }),
+            ..TargetLimit::new(per_second, time)
         };
         self.runs.insert(run.clone(), limit);
         Some(LimitChange::Named(per_second))
@@ -198,10 +215,11 @@
         if has_own_answer || has_ended {
             return;
         }
-        let known = self.runs.get(run);
-        if known.is_none_or(|limit| !limit.is_same(per_second)) {
-            let limit = TargetLimit::new(per_second, time.store);
-            self.runs.insert(run.clone(), limit);
+        match self.runs.get_mut(run) {
+            Some(limit) if limit.is_same(per_second) => limit.known_at = time.now,
+            _ => {
+                self.runs.insert(run.clone(), TargetLimit::new(per_second, time));
+            }
         }
     }
 
@@ -215,7 +233,7 @@
     ) -> Vec<LimitRecord> {
         let is_lasting = |first: Monotonic| now >= first + RECORD_DELAY;
         let puts = self.runs.iter().filter_map(|(run, limit)| {
-            let (first, _) = limit.named.filter(|_| limit.has_own_answer(now))?;
+            let first = limit.answers.filter(|_| limit.has_own_answer(now))?.first;
             let is_due = match self.recorded.get(run) {
                 // A lower number is urgent. A higher one may only be passing.
                 Some(recorded) => {
--- a/components/gateway/tests/target_limits.rs
+++ b/components/gateway/tests/target_limits.rs
@@ -356,4 +356,10 @@
     assert_eq!(permit, Some(LimitPermit::Unlimited));
     limits.record_answer(&run(), None, ms(250), time(450));
     assert!(!limits.is_limited(&run()));
+    // The same with a limit that only other hosts were told of.
+    limits.record_shared(&run(), Some(2.0), time(3_000));
+    limits.record_answer(&run(), None, ms(2_900), time(3_100));
+    assert!(limits.is_limited(&run()));
+    limits.record_answer(&run(), None, ms(3_050), time(3_200));
+    assert!(!limits.is_limited(&run()));
 }
