Compare limits with their records only where a limit is known

Each host built the set of all listed runs three times a second, also without any limit: work that grows with the targets (3,000 at the size to build towards) and serves nobody. No behaviour changes; found in review.

--- a/components/gateway/src/target_limits.rs
+++ b/components/gateway/src/target_limits.rs
@@ -267,6 +267,11 @@
         self.runs.is_empty()
     }
 
+    /// Returns whether no limit is known or recorded.
+    pub fn is_unused(&self) -> bool {
+        self.runs.is_empty() && self.recorded.is_empty()
+    }
+
     /// Whether a request can be sent to a target now: it has no limit, or a slot is free.
     pub fn has_quota(&mut self, run: &TargetId, instance: &str, hosts: &SlotHosts, time: SlotTime) -> bool {
         let Some(limit) = self.runs.get_mut(run) else {
--- a/components/gateway/src/traffic/limits.rs
+++ b/components/gateway/src/traffic/limits.rs
@@ -98,6 +98,9 @@
 
     /// Returns the changes of the records of limits that follow from the answers to this host.
     pub(crate) fn limit_record_changes(&self) -> Vec<LimitRecord> {
+        if self.routing().limits.is_unused() {
+            return Vec::new();
+        }
         let (now, view) = (self.now(), self.view.load());
         let listed = view.targets.values().flatten();
         let listed: HashSet<&TargetId> = listed.map(|target| &target.run).collect();
