--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -25,7 +25,7 @@
 /// spends the ratio of its own requests and its share of the slack ([`crate::SlotHosts::slack_share`]). All hosts together
 /// stay within the budget without a shared counter.
 ///
-/// It also holds in each half of the window: a host that spends the ratio of a whole window's requests at once and then
+/// The budget also holds in each half of the window: a host that spends the ratio of a whole window's requests at once and then
 /// ends leaves its callers to other hosts, which count their next requests.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -112,7 +112,7 @@
 /// The declarations that a refusal was decided by.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DeclaredState {
-    /// Their version; `None` if the host has none yet.
+    /// Version of the declarations; `None` if the host has none yet.
     pub version: Option<u64>,
     /// Time since they were last known to be current, in milliseconds; `None` if they never were.
     pub age_ms: Option<u64>,
--- a/components/gateway/tests/retry_fleet.rs
+++ b/components/gateway/tests/retry_fleet.rs
@@ -69,9 +69,9 @@
 /// What happens to a share of the hosts.
 #[derive(Debug, Clone, Copy)]
 enum Trouble {
-    /// They are killed together at these times.
+    /// The hosts are killed together at these times.
     Kill(&'static [u64]),
-    /// They end in turn from this time on, one each 200 ms, and leave the list.
+    /// The hosts end in turn from this time on, one each 200 ms, and leave the list.
     Roll(u64),
     /// The store lists only one host from this time on, as it was restored from an older copy.
     Unlisted(u64),
