--- a/components/gateway/src/target_limits.rs
+++ b/components/gateway/src/target_limits.rs
@@ -73,7 +73,7 @@
     per_second: f64,
     /// Time at which this host last learned of it, from an answer or a record.
     known_at: Monotonic,
-    /// Answers to this host that named this number; `None` if only other hosts were told.
+    /// Answers to this host that named this number; `None` if the limit is known only from its record.
     answers: Option<OwnAnswers>,
     /// Slots under the limit.
     schedule: Option<SlotSchedule>,
--- a/components/gateway/src/traffic/exclusion.rs
+++ b/components/gateway/src/traffic/exclusion.rs
@@ -25,7 +25,7 @@
     OldWeights,
     /// It is cold, and this host may not send to it at this moment.
     ColdQuotaUsed,
-    /// It has named a limit, and this host may not send to it at this moment.
+    /// The target has named a limit, and this host may not send a request there at this moment.
     LimitUsed,
 }
 
--- a/components/gateway/tests/target_limits.rs
+++ b/components/gateway/tests/target_limits.rs
@@ -58,8 +58,8 @@
     seen_changes: usize,
     /// Times at which answers arrive, with the times of their requests and what they name.
     answers: Vec<(u64, u64, Option<f64>)>,
-    /// Time at which the host was told of the limit.
-    told_at: Option<u64>,
+    /// Time of the first answer to the host that named the limit.
+    informed_at: Option<u64>,
 }
 
 impl Host {
@@ -79,7 +79,7 @@
             record_delay: rng.random_range(20..MAX_RECORD_DELAY_MS),
             seen_changes: 0,
             answers: Vec::new(),
-            told_at: None,
+            informed_at: None,
         }
     }
 
@@ -88,7 +88,7 @@
         self.slots = SlotHosts::new(self.name.clone());
         self.limits = TargetLimits::default();
         self.answers.clear();
-        self.told_at = None;
+        self.informed_at = None;
         self.seen_changes = 0;
     }
 
@@ -106,7 +106,7 @@
             let named = named.map(NamedLimit::PerSecond);
             self.limits.record_answer(&run(), named, ms(sent_at), time);
             if named.is_some() {
-                self.told_at = self.told_at.or(Some(at));
+                self.informed_at = self.informed_at.or(Some(at));
             }
         }
     }
@@ -148,7 +148,7 @@
     "t1/1".into()
 }
 
-/// An arrival at the target, from a host that was told of the limit half a second ago or longer, or not.
+/// An arrival at the target, and whether its host received the limit in an answer at least half a second before.
 struct Arrival {
     at: u64,
     is_counted: bool,
@@ -199,7 +199,7 @@
                 let arrival = at + rng.random_range(0..=MAX_TRANSIT_MS);
                 let due = arrival + rng.random_range(STEP_MS..=MAX_ANSWER_MS);
                 host.answers.push((due, at, limit(arrival)));
-                let is_counted = host.told_at.is_some_and(|told| told + 500 <= arrival);
+                let is_counted = host.informed_at.is_some_and(|since| since + 500 <= arrival);
                 arrivals.push(Arrival {
                     at: arrival,
                     is_counted,
@@ -281,7 +281,7 @@
     }
 }
 
-// Guards against hosts that go on with a higher number which they were told long ago.
+// Guards against hosts that keep using a higher number from an earlier answer.
 #[test]
 fn a_limit_that_falls_is_kept_by_all_hosts() {
     let falling: Limit = |at| (at >= NAMED_MS).then_some(if at < 40_000 { 8.0 } else { 2.0 });
@@ -356,7 +356,7 @@
     assert_eq!(permit, Some(LimitPermit::Unlimited));
     limits.record_answer(&run(), None, ms(250), time(450));
     assert!(!limits.is_limited(&run()));
-    // The same with a limit that only other hosts were told of.
+    // The same with a limit that is known from its record alone.
     limits.record_shared(&run(), Some(2.0), time(3_000));
     limits.record_answer(&run(), None, ms(2_900), time(3_100));
     assert!(limits.is_limited(&run()));
