--- a/review/standins-2/hosts.rs
+++ b/review/standins-2/hosts.rs
@@ -54,8 +54,14 @@
 
 /// Starts `count` hosts, spread over the zones, and waits until all are ready.
 pub fn start_hosts(count: usize, store: SocketAddr, dir: &Path) -> Option<Vec<Host>> {
+    start_hosts_at(&vec![store; count], dir)
+}
+
+/// Starts a host for each of these addresses of the store.
+pub fn start_hosts_at(stores: &[SocketAddr], dir: &Path) -> Option<Vec<Host>> {
+    let count = stores.len();
     let peers: Vec<SocketAddr> = (0..count).map(|_| free_addr()).collect();
-    let hosts: Vec<Host> = (0..count).map(|i| Host::new(i, &peers, store, dir)).collect();
+    let hosts: Vec<Host> = (0..count).map(|i| Host::new(i, &peers, stores[i], dir)).collect();
     hosts.iter().for_each(Host::start);
     let until = Instant::now() + START_TIME;
     while !hosts.iter().all(Host::is_ready) {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform's store, servers and clients, and the cases that a `run.sh` plays with them.
 
 mod drill;
+mod ghost;
 mod hosts;
 mod http;
 mod json;
@@ -57,6 +58,7 @@
         "same-id" => same_id::run(&dir, &record, has_trouble),
         "part" => part::run(&dir, &record, has_trouble),
         "take-up" => take_up::run(&dir, &record, has_trouble),
+        "ghost" => ghost::run(&dir, &record, has_trouble),
         "limit" => limit::run(&dir, &record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -64,12 +65,25 @@
             started: Instant::now(),
             addr: listener.local_addr().expect("address of the store"),
         });
-        let handler = store.clone();
-        let handler = Arc::new(move |req: &Message, stream: &mut TcpStream| handler.answer(req, stream));
-        http::serve(listener, handler, Arc::new(|_| true));
+        store.serve(listener, Arc::default());
         store
     }
 
+    /// Returns another address of the store, for a machine whose path to it can be cut.
+    pub fn path(self: &Arc<Self>) -> (SocketAddr, Arc<AtomicBool>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("listener of the store");
+        let addr = listener.local_addr().expect("address of the store");
+        let is_cut: Arc<AtomicBool> = Arc::default();
+        self.serve(listener, is_cut.clone());
+        (addr, is_cut)
+    }
+
+    fn serve(self: &Arc<Self>, listener: TcpListener, is_cut: Arc<AtomicBool>) {
+        let store = self.clone();
+        let handler = move |req: &Message, stream: &mut TcpStream| store.answer(req, stream, &is_cut);
+        http::serve(listener, Arc::new(handler), Arc::new(|_| true));
+    }
+
     /// Writes a row as the operator or a server does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let key = (table.to_owned(), String::new(), key.to_owned());
@@ -131,7 +145,8 @@
         version
     }
 
-    fn answer(&self, req: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
+    fn answer(&self, req: &Message, stream: &mut TcpStream, is_cut: &AtomicBool) -> std::io::Result<()> {
+        let was_cut = is_cut.load(Ordering::SeqCst);
         let departures = {
             let state = self.state.lock().expect("state");
             state.departures - u64::from(state.is_away)
@@ -139,11 +154,19 @@
         std::thread::sleep(CALL_TIME);
         let (_, path, _) = req.target();
         let answer = match path {
+            "/v1/rows-tx" if was_cut => ("503 Service Unavailable", "{}".to_owned()),
             "/v1/rows-tx" => self.transact(&req.body),
             "/v1/rows-get" => self.read(req),
             "/v1/rows-feed" => self.feed(req),
             _ => ("404 Not Found", "{}".to_owned()),
         };
+        if was_cut || is_cut.load(Ordering::SeqCst) {
+            // Neither the call nor its answer passes the cut. The connection ends when the cut has healed.
+            while is_cut.load(Ordering::SeqCst) {
+                std::thread::sleep(CALL_TIME);
+            }
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         let mut state = self.state.lock().expect("state");
         if state.departures != departures {
             // Nothing was answered; the connection delivers nothing further.
--- a/review/standins-2/streams.rs
+++ b/review/standins-2/streams.rs
@@ -67,6 +67,8 @@
     pub is_over: AtomicBool,
     /// Returns further headers of a stream by its number.
     pub headers: fn(usize) -> String,
+    /// Whether the route's streams may be taken up.
+    pub may_take_up: bool,
 }
 
 impl Clients {
@@ -79,6 +81,7 @@
             limits: Mutex::default(),
             is_over: AtomicBool::new(false),
             headers,
+            may_take_up: true,
         })
     }
 
@@ -139,6 +142,7 @@
             }
             match result {
                 Attempt::Whole | Attempt::Final => break,
+                Attempt::Broken if had < received.last && !self.may_take_up => break,
                 Attempt::Refused(wait) => std::thread::sleep(wait.min(left / 3)),
                 Attempt::Broken => {}
             }
