End all processes of a case also when it is cut short

Cause: killing run.sh or its driver left the driver and nine hosts running (shown with TERM and with KILL).

--- a/review/standins-2/hosts.rs
+++ b/review/standins-2/hosts.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -22,8 +23,34 @@
 const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
 
+/// Asks for a signal at the death of the parent.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
+/// Lets the calling process be killed when its parent ends.
+fn die_with_parent() {
+    // SAFETY: a system call on numbers alone, which may be made between fork and exec.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+}
+
+trait DieWithParent {
+    fn die_with_parent(&mut self) -> &mut Self;
+}
+
+impl DieWithParent for Command {
+    fn die_with_parent(&mut self) -> &mut Self {
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe {
+            self.pre_exec(|| {
+                die_with_parent();
+                Ok(())
+            })
+        }
+    }
 }
 
 /// A machine of the system.
@@ -126,6 +153,8 @@
         let process = Command::new(PROGRAM)
             .args(ARGUMENTS)
             .env(SETTINGS_VARIABLE, &self.settings)
+            // The process ends with this one, however that ends. It is started by the main thread, which lives as long.
+            .die_with_parent()
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("log file"))
             .stderr(log)
