Take a missing record for no version after a restore while one may be lost

Cause: the store had come back from a copy that lacked the records of the last seconds, and the host that had written them was without power. Another host confirmed the service's baseline 2.3 s later, after it had written its own records again; from then on no record meant the baseline's version.

Change: absence is no statement of a host that did not write the row. A host confirms a baseline soon after a restore only if it has followed the list of targets without a gap and no other version was listed within 15 s before; otherwise once no stream lives that began before. What absence no longer says, presence does: hosts hold the origins of their streams beside several versions, copy them to one other host, and both write them after a restore. 5089 names what a version is concluded from, 5100 says when a baseline becomes unknown.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -440,7 +440,7 @@
     pub const STREAM_RESUMPTION: Event = event(
         5089,
         "stream_resumption",
-        "A caller resumes a stream; gives the attempt that began it and the software version that it must go on at, if known.",
+        "A caller resumes a stream; gives the attempt that began it, the software version that it must go on at, if known, and what that is concluded from.",
     );
     pub const ORIGINS_UNWRITTEN: Event = event(
         5090,
@@ -467,6 +467,11 @@
         "origin_refused",
         "The origin of a stream is not recorded: too many records, or the stream already has another one.",
     );
+    pub const ORIGINS_NOT_COPIED: Event = event(
+        5095,
+        "origins_not_copied",
+        "Another host did not take the copies of the software versions that began streams; the next one is asked.",
+    );
     pub const BASELINE_CREATED: Event = event(
         5096,
         "baseline_created",
@@ -487,6 +492,11 @@
         "baseline_not_written",
         "The store did not answer the write of a service's baseline; it is repeated.",
     );
+    pub const BASELINE_UNKNOWN: Event = event(
+        5100,
+        "baseline_unknown",
+        "A stream of a service without a record can be of any software version from now on, and is refused if a caller resumes it.",
+    );
 }
 
 /// All events, ordered by number.
@@ -585,10 +595,12 @@
     events::ORIGIN_FOUND,
     events::ORIGIN_UNKNOWN,
     events::ORIGIN_REFUSED,
+    events::ORIGINS_NOT_COPIED,
     events::BASELINE_CREATED,
     events::BASELINE_CHANGED,
     events::BASELINE_CONFIRMED,
     events::BASELINE_NOT_WRITTEN,
+    events::BASELINE_UNKNOWN,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -330,18 +330,29 @@
     /// Tells the baselines which targets are listed, after a change.
     fn observe_software(&mut self, now: Monotonic) {
         if self.is_changed {
-            let era = self.era();
+            let (era, is_read) = (self.era(), self.has_read_era());
             let listed = self.targets.values().chain(self.unconfirmed.values());
+            let listed = listed.map(|target| &**target);
             self.baselines
-                .observe(era, self.declared.as_deref(), listed.map(|t| &**t), now);
+                .observe(era, is_read, self.declared.as_deref(), listed, now);
         }
     }
 
+    /// Whether the targets and the shared table have been read in the newest era of the store.
+    fn has_read_era(&self) -> bool {
+        let era = Some(self.era());
+        let tables = [Table::Targets, Table::Shared];
+        tables.map(|table| self.complete_position(table).map(Position::era)) == [era; 2]
+    }
+
+    /// Records that this host has not followed the list of targets without a gap up to now.
+    pub(crate) fn record_list_gap(&mut self, now: Monotonic) {
+        self.baselines.record_gap(now);
+    }
+
     /// Returns the baselines whose rows should be written.
     pub fn due_baselines(&self, now: Monotonic) -> Vec<BaselineWrite> {
-        let era = Some(self.era());
-        let is_read = |table| self.complete_position(table).map(Position::era) == era;
-        match is_read(Table::Targets) && is_read(Table::Shared) {
+        match self.has_read_era() {
             true => self.baselines.due(now),
             false => Vec::new(),
         }
--- a/components/gateway/src/control/baselines.rs
+++ b/components/gateway/src/control/baselines.rs
@@ -14,6 +14,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which twice as many hosts write a row that its owners have not written.
 const TAKEOVER_DELAY: Duration = Duration::from_secs(4);
+/// The same for a row that is confirmed: its owner may know less than others, and callers wait for it.
+const CONFIRM_TAKEOVER_DELAY: Duration = Duration::from_secs(1);
 /// Pause after writes, until the rows can be expected back from the store.
 const WRITE_PAUSE: Duration = Duration::from_secs(4);
 /// Longest pause after failed writes.
@@ -44,7 +46,7 @@
 }
 
 /// Whether the list of targets is as the store has it. An older one may lack a version that has returned.
-fn has_current_list(control: &Control, now: Monotonic) -> bool {
+pub(super) fn has_current_list(control: &Control, now: Monotonic) -> bool {
     let confirmed_age = control.confirmed_age(now);
     confirmed_age.is_some_and(|age| age <= MAX_LIST_AGE) || relays::is_relayed(control)
 }
@@ -57,7 +59,11 @@
 
 /// Whether this host writes a row: its owner first, then more and more hosts.
 fn is_writer(control: &Control, write: &BaselineWrite, now: Monotonic) -> bool {
-    let delays = now.saturating_sub(write.due_since).as_secs() / TAKEOVER_DELAY.as_secs();
+    let takeover_delay = match write.change {
+        BaselineChange::Confirmed => CONFIRM_TAKEOVER_DELAY,
+        BaselineChange::Created | BaselineChange::Changed => TAKEOVER_DELAY,
+    };
+    let delays = now.saturating_sub(write.due_since).as_secs() / takeover_delay.as_secs();
     let owners = 1 << delays.min(16);
     let view = control.traffic.view.load();
     view.owns(write.key().as_bytes(), &control.traffic.settings.name, owners)
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -8,6 +8,7 @@
 use slog::warn;
 use utils::Monotonic;
 
+use super::baselines::has_current_list;
 use super::{Control, TICK_INTERVAL, relays};
 use crate::follow_pause::pause_after;
 use crate::jitter::jittered;
@@ -19,6 +20,8 @@
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
 /// Pause after a read that was older than the cached table.
 const STALE_READ_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two ticks from which on the process was suspended.
+const MAX_TICK_GAP: Duration = Duration::from_secs(2);
 
 /// Result of a call to the store.
 enum Fetched {
@@ -133,9 +136,15 @@
 
 /// Runs time-driven updates: expires cached entries, cleans the traffic state and records gauges.
 pub(crate) async fn tick(control: Arc<Control>) {
+    let mut last = control.traffic.now();
     loop {
         smol::Timer::after(TICK_INTERVAL).await;
         let now = control.traffic.now();
+        let was_suspended = now.saturating_sub(last) > MAX_TICK_GAP;
+        last = now;
+        if was_suspended || !has_current_list(&control, now) {
+            control.cached_state().record_list_gap(now);
+        }
         control.update(|state| {
             state.tick(now);
             Vec::new()
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod loads;
 mod lost_rows;
 mod orders;
+mod origin_copies;
 mod origins;
 mod peers;
 mod register;
@@ -117,6 +118,7 @@
             self.ex.spawn(stores::follow_stores(self.clone())),
             self.ex.spawn(kept_updates::poll_watchers(self.clone())),
             self.ex.spawn(limits::record_limits(self.clone())),
+            self.ex.spawn(origin_copies::copy_origins(self.clone())),
             self.ex.spawn(list_checks::answer_list_checks(self.clone())),
             self.ex.spawn(loads::poll_engines(self.clone())),
             self.ex.spawn(loads::poll_reporters(self.clone())),
@@ -239,6 +241,7 @@
         self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.set_slot_hosts(&view);
         self.log_evacuations(&self.traffic.view.load(), &view);
+        self.log_unknown_baselines(&self.traffic.view.load(), &view);
         if let Some(declared) = &view.declared {
             self.traffic.resources.apply(&declared.limits);
         }
@@ -257,6 +260,19 @@
         }
     }
 
+    /// Logs the services whose baseline is no longer known.
+    fn log_unknown_baselines(&self, before: &View, after: &View) {
+        let known = before.software.iter().filter_map(|(service, known)| {
+            let baseline = known.baseline.as_ref()?;
+            Some((service, baseline))
+        });
+        for (service, baseline) in known.filter(|(service, _)| after.unrecorded_origin(service).is_none()) {
+            let has_others = after.software.get(service).is_some_and(|known| known.has_others);
+            warn!(self.traffic.log, "baseline of a service unknown"; events::BASELINE_UNKNOWN,
+                "service" => &**service, "software" => &**baseline, "has_others" => has_others);
+        }
+    }
+
     /// Logs the prompt parts that enter or leave the quarantine.
     fn log_quarantine(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -17,7 +17,7 @@
 use slog::{info, warn};
 use utils::Monotonic;
 
-use super::{Control, kept_updates, loads, relays};
+use super::{Control, kept_updates, loads, origin_copies, relays};
 use crate::jitter::jittered;
 use crate::ports::Table;
 use crate::{Position, TableUpdate};
@@ -110,6 +110,10 @@
             control,
             &postcard::from_bytes(&bytes).ok()?,
         )),
+        origin_copies::PATH => pack(&origin_copies::answer(
+            control,
+            postcard::from_bytes(&bytes).ok()?,
+        )),
         loads::PATH => pack(&loads::answer(control, &postcard::from_bytes(&bytes).ok()?)),
         _ => None,
     });
--- a/components/gateway/src/software/baselines.rs
+++ b/components/gateway/src/software/baselines.rs
@@ -15,6 +15,9 @@
 /// Time within which a change of a baseline arrives that another host has written on the basis of an older list of
 /// targets.
 const CHANGE_MARGIN: Duration = Duration::from_secs(10);
+/// Longest time before a restore from which the store may lack records: the age of the copy, and the time after which
+/// no host has an older list of targets.
+const RECORD_LOSS_WINDOW: Duration = Duration::from_secs(15);
 
 /// A baseline that this host has read.
 #[derive(Debug)]
@@ -36,6 +39,10 @@
     first_at: Option<Monotonic>,
     /// The version that alone is listed, or was before none was, and since when.
     alone: Option<(SoftwareVersion, Monotonic)>,
+    /// Whether a version is listed whose streams need records.
+    has_others: bool,
+    /// Latest time at which such a version may have been listed, as far as this host knows; `None` if none ever was.
+    others_until: Option<Monotonic>,
     /// Time until which another host may be changing the baseline although its version is listed again.
     unsettled_until: Monotonic,
     /// Longest time for which a stream is taken up after its begin.
@@ -45,11 +52,13 @@
 }
 
 impl Listing {
-    fn new(lifetime: Duration) -> Self {
+    fn new(lifetime: Duration, now: Monotonic) -> Self {
         Self {
             counts: BTreeMap::new(),
             first_at: None,
             alone: None,
+            has_others: false,
+            others_until: Some(now),
             unsettled_until: Monotonic::ZERO,
             lifetime,
             shortened_at: None,
@@ -87,6 +96,27 @@
         self.alone = is_alone.then(|| (first.clone(), now));
     }
 
+    /// Records whether other versions than the baseline's are listed. `is_new` says that the service has never had a
+    /// baseline, so that no stream began before this host listed its targets.
+    fn record_others(&mut self, baseline: Option<&Baseline>, is_new: bool, now: Monotonic) {
+        let had_others = self.has_others;
+        self.has_others = match baseline {
+            Some(baseline) => self.counts.keys().any(|version| *version != baseline.software),
+            None => self.counts.len() > 1,
+        };
+        if self.has_others || had_others {
+            self.others_until = Some(now);
+        } else if is_new {
+            self.others_until = None;
+        }
+    }
+
+    /// Whether a store that was restored at a time may lack records of streams that began at other versions.
+    fn may_lack_records(&self, restored_at: Monotonic) -> bool {
+        let is_within = |until: Monotonic| until.saturating_add(RECORD_LOSS_WINDOW) >= restored_at;
+        self.has_others || self.others_until.is_some_and(is_within)
+    }
+
     /// Returns the version with most targets.
     fn most_common(&self) -> Option<&SoftwareVersion> {
         let versions = self.counts.iter();
@@ -155,10 +185,12 @@
         row.map(|_| ())
     }
 
-    /// Records the era of the store, the declarations and the listed targets. Returns whether what is known has changed.
+    /// Records the era of the store, the declarations and the listed targets. `is_read` says that the tables have been read
+    /// in that era. Returns whether what is known has changed.
     pub(crate) fn observe<'a>(
         &mut self,
         era: u64,
+        is_read: bool,
         declared: Option<&Declared>,
         targets: impl Iterator<Item = &'a Target>,
         now: Monotonic,
@@ -184,18 +216,27 @@
             }
         }
         for (service, listing) in &mut self.listings {
-            let known = self.known.get(service);
-            listing.record_counts(known.map(|known| &known.baseline), now);
+            let baseline = self.known.get(service).map(|known| &known.baseline);
+            listing.record_counts(baseline, now);
+            listing.record_others(baseline, is_read && baseline.is_none(), now);
         }
         self.refresh(now)
     }
 
+    /// Records that this host has not followed the list of targets without a gap up to now: other versions may have come
+    /// and gone unseen.
+    pub(crate) fn record_gap(&mut self, now: Monotonic) {
+        for listing in self.listings.values_mut() {
+            listing.others_until = Some(now);
+        }
+    }
+
     /// Records how long streams live. A service that no resumable route names any more is kept until its streams have
     /// ended.
     fn record_lifetimes(&mut self, lifetimes: &BTreeMap<ServiceId, Duration>, now: Monotonic) {
         for (service, lifetime) in lifetimes {
             let listing = self.listings.entry(service.clone());
-            listing.or_insert_with(|| Listing::new(*lifetime));
+            listing.or_insert_with(|| Listing::new(*lifetime, now));
         }
         for (service, listing) in &mut self.listings {
             let lifetime = lifetimes.get(service).copied().unwrap_or_default();
@@ -223,6 +264,7 @@
         ServiceSoftware {
             baseline: known.map(|known| known.software.clone()),
             is_baseline_listed: listing.counts.keys().any(is_baseline),
+            has_others: listing.has_others,
             alone_since: alone.map(|(_, since)| *since),
             lifetime: listing.lifetime,
         }
@@ -254,10 +296,13 @@
         Some(self.write(service, software, 0, BaselineChange::Created, due_since))
     }
 
-    /// A row that the store has lost, or that may be older than one that it has lost. A host that knew the baseline before
-    /// the restore knows the latest; any other waits until no stream lives that began before.
+    /// A row that the store has lost, or that may be older than one that it has lost. From then on a missing record means
+    /// the baseline, so any host waits until no stream lives that began before the restore, unless it knew the baseline
+    /// before and no record of another version can be lost.
     fn confirmation(&self, service: &ServiceId, listing: &Listing, known: &Known) -> BaselineWrite {
-        let delay = match known.is_original {
+        let is_restored = known.baseline.era < self.era.number;
+        let is_doubtful = is_restored && listing.may_lack_records(self.era.seen_at);
+        let delay = match known.is_original && !is_doubtful {
             true => CONFIRM_DELAY,
             false => listing.lifetime,
         };
--- a/components/gateway/src/software/origin.rs
+++ b/components/gateway/src/software/origin.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use utils::{Digest, Hasher, ParseDigestError, ServiceId, SoftwareVersion};
 
 use crate::{Declared, RetrySafety, Route};
@@ -17,6 +18,7 @@
 /// A digest of workspace and request id, so no caller can name a stream of another workspace, and ids of any
 /// length fit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct OriginKey(Digest);
 
 impl OriginKey {
@@ -100,6 +102,7 @@
 
 /// The service and the software version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// Identifies the stream.
     pub key: OriginKey,
--- a/components/gateway/src/software/origin_records.rs
+++ b/components/gateway/src/software/origin_records.rs
@@ -12,6 +12,10 @@
 const MAX_RECORDS_PER_CALL: usize = 100;
 /// Most records that are kept, and most removals that wait.
 const MAX_RECORDS: usize = 20_000;
+/// Most records up to which origins are held that need none.
+const MAX_HELD: usize = MAX_RECORDS / 2;
+/// Most origins that wait to be copied to another host, and most that one call copies.
+const MAX_COPIES: usize = 1_000;
 /// Longest names of a service and a version together, in bytes, so that all records of a call fit into it.
 const MAX_NAME_BYTES: usize = 1_000;
 /// First backoff after a failed write.
@@ -26,6 +30,8 @@
 /// How far a record has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RecordState {
+    /// Not needed in the store, unless it is restored.
+    Held,
     /// Waiting for a call.
     Queued,
     /// Being written by a call.
@@ -112,6 +118,8 @@
     removals: VecDeque<(Monotonic, OriginKey)>,
     /// Time before which no removal is made after a failed one.
     removal_retry_at: Monotonic,
+    /// Origins of this host's streams that no other host has a copy of, oldest first.
+    uncopied: VecDeque<OriginKey>,
     /// Newest known era of the store.
     era: u64,
 }
@@ -125,30 +133,97 @@
             let is_same = record.origin == origin;
             if is_same {
                 record.waiting.push(waiting);
-                if let RecordState::Written(era) = record.state {
-                    record.set_written(era);
+                match record.state {
+                    RecordState::Written(era) => record.set_written(era),
+                    RecordState::Held => self.enqueue(origin.key),
+                    RecordState::Queued | RecordState::InFlight => {}
                 }
             }
             return is_same;
         }
+        let key = origin.key;
+        let is_taken = self.insert(origin, vec![waiting], MAX_RECORDS, now);
+        if is_taken {
+            self.enqueue(key);
+            self.queue_copy(key);
+        }
+        is_taken
+    }
+
+    /// Holds the origin of a stream that began at this host and needs no record now. Once the store has been restored, it is
+    /// written like a record.
+    pub fn hold(&mut self, origin: StreamOrigin, now: Monotonic) {
+        let key = origin.key;
+        if self.hold_copy(origin, now) {
+            self.queue_copy(key);
+        }
+    }
+
+    /// Holds the origin of a stream that began at another host, which may be gone when the store is restored; returns
+    /// whether it is new.
+    pub fn hold_copy(&mut self, origin: StreamOrigin, now: Monotonic) -> bool {
+        !self.records.contains_key(&origin.key) && self.insert(origin, Vec::new(), MAX_HELD, now)
+    }
+
+    /// Returns whether origins wait to be copied to another host.
+    pub fn has_uncopied(&self) -> bool {
+        !self.uncopied.is_empty()
+    }
+
+    /// Takes the origins that no other host has a copy of.
+    pub fn take_uncopied(&mut self) -> Vec<StreamOrigin> {
+        let keys = std::mem::take(&mut self.uncopied);
+        let records = keys.iter().filter_map(|key| self.records.get(key));
+        records.map(|record| record.origin.clone()).collect()
+    }
+
+    /// Returns origins whose copy has failed; they are copied again.
+    pub fn put_back_uncopied(&mut self, origins: &[StreamOrigin]) {
+        for origin in origins {
+            self.queue_copy(origin.key);
+        }
+    }
+
+    fn queue_copy(&mut self, key: OriginKey) {
+        self.uncopied.push_back(key);
+        if self.uncopied.len() > MAX_COPIES {
+            self.uncopied.pop_front();
+        }
+    }
+
+    /// Adds a record that is held; returns whether it was taken.
+    fn insert(
+        &mut self,
+        origin: StreamOrigin,
+        waiting: Vec<Sender<()>>,
+        max_records: usize,
+        now: Monotonic,
+    ) -> bool {
         let is_long = origin.service.len() + origin.software.len() > MAX_NAME_BYTES;
-        if is_long || self.records.len() >= MAX_RECORDS {
+        if is_long || self.records.len() >= max_records {
             return false;
         }
         let key = origin.key;
         let record = OriginRecord {
             origin,
-            state: RecordState::Queued,
+            state: RecordState::Held,
             may_be_stored: false,
             was_written: false,
-            waiting: vec![waiting],
+            waiting,
         };
         self.records.insert(key, record);
         self.added.push_back((now, key));
-        self.queue(key.part()).keys.push_back(key);
         true
     }
 
+    /// Has a record written that is held.
+    fn enqueue(&mut self, key: OriginKey) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.state = RecordState::Queued;
+            self.queue(key.part()).keys.push_back(key);
+        }
+    }
+
     /// Returns the origin of a stream that began at this host, whether its record is written or not.
     pub fn get(&self, key: &OriginKey) -> Option<&StreamOrigin> {
         self.records.get(key).map(|record| &record.origin)
@@ -229,7 +304,7 @@
     }
 
     /// Records an era of the store. If it is newer, all records are written again, as the restored store may have lost
-    /// them. Returns whether it is.
+    /// them, and so are origins that are held: for a while a missing record proves nothing. Returns whether it is.
     pub fn record_era(&mut self, era: u64) -> bool {
         if era <= self.era {
             return false;
@@ -237,8 +312,10 @@
         self.era = era;
         for (_, key) in &self.added {
             let record = self.records.get_mut(key);
-            let is_written = |record: &&mut OriginRecord| matches!(record.state, RecordState::Written(_));
-            if let Some(record) = record.filter(is_written) {
+            let is_idle = |record: &&mut OriginRecord| {
+                matches!(record.state, RecordState::Held | RecordState::Written(_))
+            };
+            if let Some(record) = record.filter(is_idle) {
                 record.state = RecordState::Queued;
                 self.parts[key.part().index()].keys.push_back(*key);
             }
--- a/components/gateway/src/software/service.rs
+++ b/components/gateway/src/software/service.rs
@@ -36,6 +36,8 @@
     pub baseline: Option<SoftwareVersion>,
     /// Whether a target of that version is listed.
     pub is_baseline_listed: bool,
+    /// Whether a target of another version is listed.
+    pub has_others: bool,
     /// Time since which no target of another version has been listed at this host.
     pub alone_since: Option<Monotonic>,
     /// Longest time for which a stream is taken up after its begin.
@@ -48,6 +50,7 @@
         Self {
             baseline: None,
             is_baseline_listed: false,
+            has_others: false,
             alone_since: None,
             lifetime: MIN_STREAM_LIFETIME,
         }
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -16,7 +16,7 @@
 pub(crate) use origins::OriginTelemetry;
 
 use crate::admission::PressureChange;
-use crate::traffic::{Call, Exclusion, Placed, Refusal};
+use crate::traffic::{Call, Exclusion, OriginBasis, Placed, Refusal};
 use crate::{CallFacts, LimitChange, NamedLimit, RequestedPause};
 
 /// Name of the meter of all metrics.
@@ -332,10 +332,10 @@
     }
 
     /// Logs a request with which a caller resumes a stream that began at this software version, if it is known.
-    pub(crate) fn resumption(&self, facts: &CallFacts, software: Option<&str>) {
+    pub(crate) fn resumption(&self, facts: &CallFacts, software: Option<&str>, basis: OriginBasis) {
         info!(self.log, "caller resumes a stream"; events::STREAM_RESUMPTION, "request" => facts.id.as_deref(),
             "began_as" => facts.resumes.as_deref(), "after" => facts.last_event.as_deref(),
-            "software" => software);
+            "software" => software, "basis" => basis.as_str());
     }
 
     /// Logs a stream that another target continues.
--- a/components/gateway/src/traffic/mod.rs
+++ b/components/gateway/src/traffic/mod.rs
@@ -33,5 +33,6 @@
 pub(crate) use place::Placed;
 pub(crate) use refusal::Refusal;
 pub(crate) use request::Call;
+pub(crate) use resumption::OriginBasis;
 pub(crate) use state::Traffic;
 pub use stream_events::{EventSplitter, Progress};
--- a/components/gateway/src/traffic/origin_record.rs
+++ b/components/gateway/src/traffic/origin_record.rs
@@ -31,14 +31,8 @@
         if need == RecordNeed::None {
             return None;
         }
-        let workspace = call.workspace.as_ref().map_or("", |workspace| &workspace.name);
-        let origin = StreamOrigin {
-            key: OriginKey::of(workspace, &call.id),
-            service: call.service.clone(),
-            software: target.software.clone(),
-        };
         Some(Self {
-            recording: cx.origins.record(origin),
+            recording: cx.origins.record(origin_of(call, target)),
             need,
         })
     }
@@ -54,6 +48,28 @@
     }
 }
 
+/// Holds the origin of a stream whose first event arrives from a target and that needs no record, while other versions are
+/// listed: should the store be restored, a missing record says nothing.
+pub(super) fn hold_origin(cx: &Traffic, call: &Call, target: &Target) {
+    let view = cx.view.load();
+    let has_others = view
+        .software
+        .get(&call.service)
+        .is_some_and(|known| known.has_others);
+    if has_others && call.begins_resumable_stream() {
+        cx.origins.hold(origin_of(call, target));
+    }
+}
+
+fn origin_of(call: &Call, target: &Target) -> StreamOrigin {
+    let workspace = call.workspace.as_ref().map_or("", |workspace| &workspace.name);
+    StreamOrigin {
+        key: OriginKey::of(workspace, &call.id),
+        service: call.service.clone(),
+        software: target.software.clone(),
+    }
+}
+
 /// Returns the version that a new stream must begin at while no record can be written: that of streams without one, while
 /// its targets are listed.
 pub(super) fn unrecordable_rule<'a>(cx: &Traffic, view: &'a View, call: &Call) -> Option<&'a str> {
--- a/components/gateway/src/traffic/origins.rs
+++ b/components/gateway/src/traffic/origins.rs
@@ -25,6 +25,8 @@
     records: Mutex<OriginRecords>,
     /// Wakes a task that writes records.
     wake: (Sender<()>, Receiver<()>),
+    /// Wakes the task that copies origins to another host.
+    copy_wake: (Sender<()>, Receiver<()>),
     /// Look-ups that wait for the control thread.
     finds: (Sender<FindQuery>, Receiver<FindQuery>),
 }
@@ -78,6 +80,7 @@
             telemetry,
             records: Mutex::default(),
             wake: async_channel::bounded(1),
+            copy_wake: async_channel::bounded(1),
             finds: async_channel::bounded(FIND_QUEUE_CAPACITY),
         }
     }
@@ -89,6 +92,7 @@
         let is_running = !self.wake.0.is_closed();
         if is_running && self.records().add(origin.clone(), tx, self.clock.now()) {
             self.wake();
+            self.wake_copies();
         } else {
             self.telemetry.refused(&origin);
         }
@@ -98,6 +102,21 @@
         }
     }
 
+    /// Holds the origin of a stream that needs no record, in case the store is restored.
+    pub(crate) fn hold(&self, origin: StreamOrigin) {
+        self.records().hold(origin, self.clock.now());
+        self.wake_copies();
+    }
+
+    /// Holds origins of streams that began at another host.
+    pub(crate) fn hold_copies(&self, origins: Vec<StreamOrigin>) {
+        let now = self.clock.now();
+        let mut records = self.records();
+        for origin in origins {
+            records.hold_copy(origin, now);
+        }
+    }
+
     /// Returns whether records can't be written at this moment.
     pub(crate) fn is_failing(&self) -> bool {
         self.records().is_failing()
@@ -149,6 +168,17 @@
         let _ = self.wake.1.recv().await;
     }
 
+    fn wake_copies(&self) {
+        // If the queue is full, the task is about to wake.
+        let _ = self.copy_wake.0.try_send(());
+    }
+
+    /// Waits until origins have come that no other host has a copy of.
+    pub(crate) async fn copies_due(&self) {
+        // Fails only after the tasks were cancelled.
+        let _ = self.copy_wake.1.recv().await;
+    }
+
     /// Waits for the next look-up; `None` once the control thread stops.
     pub(crate) async fn next_find(&self) -> Option<FindQuery> {
         self.finds.1.recv().await.ok()
@@ -157,6 +187,7 @@
     /// Refuses records and look-ups from now on; to be called when the control thread stops.
     pub(crate) fn close(&self) {
         self.wake.0.close();
+        self.copy_wake.0.close();
         self.finds.0.close();
     }
 }
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -13,7 +13,7 @@
 
 use super::crashes::{BrokenAttempt, may_send_again, record_crash, record_success};
 use super::exchange::{Answer, AttemptResult, Exchange, exchange};
-use super::origin_record::OriginRecord;
+use super::origin_record::{OriginRecord, hold_origin};
 use super::pipeline::{Attempts, OpenRequest, may_have_events, may_resume};
 use super::place::place;
 use super::request::Call;
@@ -177,6 +177,7 @@
     fn record_first_event(&mut self) {
         record_success(&self.cx, &self.call);
         if let (None, Some(source)) = (&self.call.software, &self.source) {
+            hold_origin(&self.cx, &self.call, &source.exchange.target);
             self.call.software = Some(source.exchange.target.software.clone());
         }
     }
--- a/components/gateway/src/traffic/resumption.rs
+++ b/components/gateway/src/traffic/resumption.rs
@@ -31,6 +31,33 @@
     pub service: ServiceId,
     /// The software version that began it.
     pub software: SoftwareVersion,
+    /// What that is concluded from.
+    basis: OriginBasis,
+}
+
+/// What the software version that began a stream is concluded from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginBasis {
+    /// A record of the stream.
+    Record,
+    /// There is no record, so it is the service's baseline.
+    NoRecord,
+    /// The only version in service.
+    OnlyVersion,
+    /// Nothing; the version is not known.
+    Unknown,
+}
+
+impl OriginBasis {
+    /// Returns the name in log lines.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::NoRecord => "no-record",
+            Self::OnlyVersion => "only-version",
+            Self::Unknown => "unknown",
+        }
+    }
 }
 
 impl Resumption<'_> {
@@ -46,7 +73,8 @@
         }
         let found = self.find(cx, facts).await;
         let software = found.as_ref().map(|found| &*found.software);
-        cx.telemetry.resumption(facts, software);
+        let basis = found.as_ref().map_or(OriginBasis::Unknown, |found| found.basis);
+        cx.telemetry.resumption(facts, software, basis);
         found.map(Some).ok_or_else(unknown_origin_refusal)
     }
 
@@ -55,7 +83,7 @@
         // A host that is cut off from the store, or was suspended, does not see that another version has begun streams. So
         // its list must be one from after the request's arrival.
         if has_only_baseline() && cx.list_checks.is_confirmed().await && has_only_baseline() {
-            return self.unrecorded(&cx.view.load());
+            return self.unrecorded(&cx.view.load(), OriginBasis::OnlyVersion);
         }
         let Some(began_as) = &facts.resumes else {
             let is_confirmed = cx.list_checks.is_confirmed().await;
@@ -66,16 +94,17 @@
             Ok(Some(origin)) => Some(RequiredSoftware {
                 service: self.service_of(origin.service),
                 software: origin.software,
+                basis: OriginBasis::Record,
             }),
-            Ok(None) => self.unrecorded(&cx.view.load()),
+            Ok(None) => self.unrecorded(&cx.view.load(), OriginBasis::NoRecord),
             Err(_) => None,
         }
     }
 
     /// Returns where a stream without a record goes on.
-    fn unrecorded(&self, view: &View) -> Option<RequiredSoftware> {
+    fn unrecorded(&self, view: &View, basis: OriginBasis) -> Option<RequiredSoftware> {
         let software = view.unrecorded_origin(self.service)?;
-        Some(self.at(software))
+        Some(self.at(software, basis))
     }
 
     /// Returns where a stream goes on whose first attempt the caller does not name, so that its record can't be found: at the
@@ -85,13 +114,15 @@
         let only = &targets.first().filter(|_| view.has_read_hosts)?.software;
         let baseline = view.unrecorded_origin(self.service);
         let is_only = targets.iter().all(|target| target.software == *only);
-        (is_only && baseline.is_none_or(|baseline| baseline == only)).then(|| self.at(only))
+        (is_only && baseline.is_none_or(|baseline| baseline == only))
+            .then(|| self.at(only, OriginBasis::OnlyVersion))
     }
 
-    fn at(&self, software: &SoftwareVersion) -> RequiredSoftware {
+    fn at(&self, software: &SoftwareVersion, basis: OriginBasis) -> RequiredSoftware {
         RequiredSoftware {
             service: self.service.clone(),
             software: software.clone(),
+            basis,
         }
     }
 
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -138,6 +138,7 @@
     /// let software = ServiceSoftware {
     ///     baseline: Some("2.1".into()),
     ///     is_baseline_listed: true,
+    ///     has_others: false,
     ///     alone_since: Some(Duration::from_secs(5)),
     ///     lifetime: Duration::from_secs(30),
     /// };
--- a/components/gateway/tests/origin_records.rs
+++ b/components/gateway/tests/origin_records.rs
@@ -125,6 +125,41 @@
     assert!(records.has_written_again(2) && !rx.is_empty());
 }
 
+// Guards against a stream that is refused after a restore because its host, or the one that has a copy, has not said at which
+// version it began.
+#[test]
+fn origins_that_are_held_are_written_only_once_the_store_is_restored() {
+    let mut records = OriginRecords::default();
+    records.record_era(1);
+    let (own, copied) = (origin("r1", "1"), origin("r2", "2"));
+    records.hold(own.clone(), S);
+    assert!(records.hold_copy(copied.clone(), S));
+    assert!(
+        !records.hold_copy(origin("r2", "1"), S),
+        "the first origin is final"
+    );
+    assert!(records.take_write(S).is_none());
+    // Copies are not passed on.
+    assert_eq!(records.take_uncopied(), std::slice::from_ref(&own));
+    records.put_back_uncopied(std::slice::from_ref(&own));
+    assert_eq!(records.take_uncopied(), std::slice::from_ref(&own));
+    assert!(!records.has_uncopied());
+    records.record_era(2);
+    let mut written = write_all(&mut records, 2, S);
+    written.sort_by_key(|origin| origin.key);
+    let mut expected = [own.clone(), copied];
+    expected.sort_by_key(|origin| origin.key);
+    assert_eq!(written, expected);
+    // A stream of which a record is needed after all.
+    records.hold(origin("r3", "1"), S);
+    let (is_taken, rx) = add(&mut records, origin("r3", "1"), S);
+    assert!(is_taken);
+    assert_eq!(write_all(&mut records, 2, S), [origin("r3", "1")]);
+    assert_eq!(rx.try_recv(), Ok(()));
+    records.expire(LIFETIME, S + LIFETIME);
+    assert!(records.is_empty());
+}
+
 // Guards against two records of one stream, of which the first one's write may be performed last.
 #[test]
 fn the_first_record_of_a_stream_is_final() {
