Give the whole table to a host that is behind a read of the whole table

Cause: a host that was cut from the store asked others that had just started. They had read the table as a whole and knew of no removals, yet answered with their newer rows and their position. The host took the position over and followed the store from there, past the removal. A later read of the whole table has the same gap for rows that came and went between two of them.

Change: a read of the whole table sets the position up to which removals may be unknown; who asks from before it gets the whole table.

--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -256,9 +256,11 @@
         shared_age,
     } = answer;
     let rows: usize = answer.changes.iter().map(|(_, update)| update.row_count()).sum();
+    let whole = answer.changes.iter().filter(|(_, update)| update.is_whole());
+    let whole: Vec<Table> = whole.map(|(table, _)| *table).collect();
     if rows > 0 {
         info!(control.traffic.log, "received changes from another host"; events::PEER_READ,
-            "peer" => %peer, "rows" => rows);
+            "peer" => %peer, "rows" => rows, "whole" => format!("{whole:?}"));
     }
     if let Some(store_time) = answer.store_time {
         control.cached_state().record_store_time(store_time, now);
--- a/components/gateway/src/rows.rs
+++ b/components/gateway/src/rows.rs
@@ -22,6 +22,11 @@
 }
 
 impl TableUpdate {
+    /// Whether this is the whole table.
+    pub(crate) fn is_whole(&self) -> bool {
+        matches!(self, Self::All(_))
+    }
+
     /// Returns the number of rows.
     pub(crate) fn row_count(&self) -> usize {
         let (Self::Newer(snapshot) | Self::All(snapshot)) = self;
@@ -49,9 +54,9 @@
     tombstones: BTreeMap<String, (Record, Monotonic)>,
     /// Newest position received.
     position: Position,
-    /// Position up to which removals are unknown: that of the newest purged tombstone, or of the first read of a
-    /// restored store.
-    purged: Position,
+    /// Position up to which removals may be unknown: that of the newest purged tombstone, or of the last read of the whole
+    /// table, which shows neither what was removed before it nor what came and went since the read before.
+    unknown_until: Position,
     /// Whether the table has been read in full.
     is_complete: bool,
 }
@@ -79,7 +84,7 @@
             store_time: None,
         };
         let is_earlier_era = position != Position::default() && position.era() < self.position.era();
-        if position < self.purged || is_earlier_era {
+        if position < self.unknown_until || is_earlier_era {
             return Some(TableUpdate::All(snapshot(&mut self.live.values())));
         }
         let rows = self
@@ -113,7 +118,9 @@
         let is_restored = self.is_complete && snapshot.position.era() > self.position.era();
         if is_restored {
             self.tombstones.clear();
-            self.purged = snapshot.position;
+        }
+        if snapshot.position > self.position || !self.is_complete {
+            self.unknown_until = snapshot.position;
         }
         let listed: HashSet<&str> = snapshot.records.iter().map(|r| r.key.as_str()).collect();
         let missing = self.live.values().filter(|row| !listed.contains(&*row.key));
@@ -138,11 +145,11 @@
 
     /// Purges expired tombstones.
     pub(crate) fn purge_tombstones(&mut self, now: Monotonic) {
-        let purged = &mut self.purged;
+        let unknown_until = &mut self.unknown_until;
         self.tombstones.retain(|_, (row, at)| {
             let is_expired = now >= *at + TOMBSTONE_RETENTION;
             if is_expired {
-                *purged = row.position.max(*purged);
+                *unknown_until = row.position.max(*unknown_until);
             }
             !is_expired
         });
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -127,13 +127,20 @@
 
 #[test]
 fn an_update_has_only_rows_newer_than_the_requested_version() {
-    let state = state();
-    let Some(TableUpdate::Newer(update)) = state.changes_since(Table::Targets, at(5)) else {
+    let mut state = state();
+    let added = snapshot(7, [row("t3", "target s 1", 7)]);
+    state.apply(Table::Targets, added, UpdateSource::Store, ms(10));
+    let Some(TableUpdate::Newer(update)) = state.changes_since(Table::Targets, at(6)) else {
         panic!("the other host lacks one row");
     };
     let keys: Vec<_> = update.records.iter().map(|r| r.key.as_str()).collect();
-    assert_eq!(keys, ["t2"]);
-    assert_eq!(update.position, at(6));
+    assert_eq!(keys, ["t3"]);
+    assert_eq!(update.position, at(7));
+    // What was removed before the table was read is not known.
+    let Some(TableUpdate::All(update)) = state.changes_since(Table::Targets, at(5)) else {
+        panic!("the other host may have rows that were removed");
+    };
+    assert_eq!((update.records.len(), update.position), (3, at(7)));
 }
 
 #[test]
