Send nothing to a target whose address one that started later has taken over

What callers saw: not known.

Cause: an address is used again 2 s after a target is gone, while its entry stays listed for some heartbeats. A request that is placed at the old entry, in an allowed region, arrives at the address's new owner, which may be in any region.

Change: of the entries with one address only those with the latest start get requests. 5062 names a target that is superseded.

Test that failed before: no_request_reaches_a_target_that_has_taken_over_the_address_of_one_in_another_region (requests for one region went on to the address of a target in the other).

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -427,6 +427,11 @@
         "targets_warm",
         "Targets are no longer cold; this host sends to them without a quota.",
     );
+    pub const ADDRESS_TAKEN_OVER: Event = event(
+        5062,
+        "address_taken_over",
+        "The address of a listed target is also listed for one that started later; the earlier one gets no more requests.",
+    );
     pub const CAPACITY_SHORT: Event = event(
         5070,
         "capacity_short",
@@ -587,6 +592,7 @@
     events::EVACUATION_ENDED,
     events::TARGETS_COLD,
     events::TARGETS_WARM,
+    events::ADDRESS_TAKEN_OVER,
     events::CAPACITY_SHORT,
     events::CAPACITY_ENOUGH,
     events::STREAM_RESUMPTION,
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,6 +77,10 @@
     lost_rows: LostRows,
     /// What entries said of the coldness of targets since it was last taken.
     cold_reports: Vec<ColdReport>,
+    /// Listed targets whose address another one has taken over, as published last.
+    superseded: BTreeSet<TargetId>,
+    /// Those of them that have not been reported yet.
+    superseded_reports: Vec<TargetId>,
     /// Recorded limits of targets that have changed since they were last taken; `None` for a removed record.
     limit_reports: Vec<(TargetId, Option<f64>)>,
     /// Whether the declared table was read in full before the current update. Only versions received after
@@ -106,6 +111,8 @@
             crashes: CrashRows::default(),
             lost_rows: LostRows::default(),
             cold_reports: Vec::new(),
+            superseded: BTreeSet::new(),
+            superseded_reports: Vec::new(),
             limit_reports: Vec::new(),
             was_declared_read: false,
             is_changed: false,
@@ -407,9 +414,10 @@
         if !std::mem::take(&mut self.is_changed) {
             return None;
         }
+        self.find_superseded();
         let mut targets: HashMap<_, Vec<_>> = HashMap::new();
         for target in self.targets.values().chain(self.unconfirmed.values()) {
-            if !target.is_leaving {
+            if !target.is_leaving && !self.superseded.contains(&target.run) {
                 targets
                     .entry(target.service.clone())
                     .or_default()
@@ -431,6 +439,27 @@
         })
     }
 
+    /// Finds the targets whose address is listed for one that started later. They are gone although their entries are still
+    /// there, and what is sent to the address reaches the other one, perhaps in another region.
+    fn find_superseded(&mut self) {
+        let listed = || self.targets.values().chain(self.unconfirmed.values());
+        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        for target in listed() {
+            let born = latest.entry(target.address).or_default();
+            *born = target.born_ms.max(*born);
+        }
+        let superseded = listed().filter(|target| latest.get(&target.address) > Some(&target.born_ms));
+        let superseded: BTreeSet<_> = superseded.map(|target| target.run.clone()).collect();
+        let new = superseded.difference(&self.superseded);
+        self.superseded_reports.extend(new.cloned());
+        self.superseded = superseded;
+    }
+
+    /// Returns the targets whose address another one has taken over since the last call.
+    pub(crate) fn take_superseded(&mut self) -> Vec<TargetId> {
+        std::mem::take(&mut self.superseded_reports)
+    }
+
     fn apply_records(
         &mut self,
         table: Table,
