Take an answer with an undefined status for no answer

Cause: the status was tested for its class only; the parser takes all three-digit numbers from 100 on. 101 ends no request, as nothing asks for another protocol.

Change: a status outside 200 to 599 is treated like bytes that are no answer: the connection is dropped, the attempt may have run. A call that may be repeated goes to another target, any other one gets 502.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -346,7 +347,7 @@
     let named = call.model().and_then(|model| view.weights.get(model));
     let has_old_weights = named.is_some_and(|named| placed.weights < Some(named.newest()));
     let facts = cx.heads.read_answer(parts.status.as_u16(), &parts.headers);
-    if !is_answer_to(call, &facts, exchange.is_fresh) {
+    if !is_final(parts.status) || !is_answer_to(call, &facts, exchange.is_fresh) {
         // The answer to this request can not be identified any more.
         return AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead).on_open_connection());
     }
@@ -375,6 +376,12 @@
     }))
 }
 
+/// Whether a status can end a request: it is of a class that HTTP defines, and none of an interim answer or of a change of
+/// protocol, which no request asks for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether an answer is the answer to the call. Targets repeat the id of a request, so an answer without one on a kept
 /// connection can be bytes that the target sent after an earlier answer.
 fn is_answer_to(call: &Call, facts: &AnswerFacts, is_fresh: bool) -> bool {
