Take an answer without a length for broken off if its request was not written

Cause: only the end of the connection ends such an answer, and an end in order counted, whatever had become of the request.

Change: a connection knows whether its request has been written, and an unframed answer that ends before counts as broken off. The kernel takes at most 16 KB that it can't send yet; without that bound it took an upload of 0.3 MB at once and the test failed still. Whole answers with a length or in chunks count as before.

Tests: an_unframed_answer_that_ends_before_its_request_was_written_does_not_look_complete failed before (a complete 200 on the first path); a_framed_answer_is_whole_although_its_request_was_not_written holds the other edge.

--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -20,6 +20,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
+/// Most bytes that the kernel takes before it can send them. More would count as written although the target gets no more.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
 
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
@@ -45,6 +47,11 @@
         self.inner.send(req).await
     }
 
+    /// Whether the last request has been written to its end.
+    pub(crate) fn has_written_request(&self) -> bool {
+        self.inner.has_written_request()
+    }
+
     /// Whether a request can be sent now.
     pub(crate) fn is_ready(&self) -> bool {
         self.inner.is_ready()
@@ -102,5 +109,6 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_UNANSWERED_PROBES);
     socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -167,6 +167,12 @@
         Some(AnswerTimes { first_byte, rest })
     }
 
+    /// Whether an answer has ended before its request was written, so that the end of the connection does not prove that it is
+    /// whole.
+    pub(crate) fn ended_early(&self) -> bool {
+        self.conn.as_ref().is_some_and(|conn| !conn.has_written_request())
+    }
+
     /// Returns the connection to the pool after the body was read to its end, unless the target closes it.
     pub(crate) fn finish(mut self, facts: &AnswerFacts) {
         let now = self.cx.now();
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -270,10 +270,16 @@
         parts,
         facts,
         body,
+        is_unframed,
         exchange,
-        ..
     } = answer;
-    let whole = match read_whole(call, body, call.deadline.saturating_sub(cx.now())).await {
+    let read = read_whole(call, body, call.deadline.saturating_sub(cx.now())).await;
+    let is_cut = is_unframed && exchange.ended_early();
+    let read = read.and_then(|whole| match is_cut {
+        true => Err(WholeBodyError::Broken),
+        false => Ok(whole),
+    });
+    let whole = match read {
         Ok(whole) => whole,
         Err(WholeBodyError::NoMemory) => {
             let detail = "this host has no memory for the answer";
--- a/components/gateway/src/traffic/relay.rs
+++ b/components/gateway/src/traffic/relay.rs
@@ -60,6 +60,8 @@
     /// Whether an end at this point proves nothing: no byte has arrived of an unframed stream that begins with the
     /// first event.
     is_unproven: bool,
+    /// Whether only the end of the connection ends the answer.
+    is_unframed: bool,
 }
 
 impl Source {
@@ -70,9 +72,16 @@
             facts: answer.facts,
             exchange: answer.exchange,
             is_unproven: answer.is_unframed && after.is_none(),
+            is_unframed: answer.is_unframed,
         };
         (answer.parts, source)
     }
+
+    /// Whether the end of the body is that of the answer.
+    fn is_whole(&self) -> bool {
+        let is_cut = self.is_unframed && self.exchange.ended_early();
+        !(self.is_unproven || is_cut)
+    }
 }
 
 /// The next item read from the target.
@@ -156,13 +165,14 @@
                         self.record_first_event();
                     }
                 }
-                Next::End if !source.is_unproven && self.splitter.is_between_events() => self.end(),
+                Next::End if source.is_whole() && self.splitter.is_between_events() => self.end(),
                 Next::TimedOut => {
                     self.source = None;
                     self.log_interrupted("the route's time is up");
                     return Some(Err(HttpError::TimedOut));
                 }
-                // A stream that ends inside an event, or unframed without a byte, has been broken off.
+                // A stream that ends inside an event, or unframed without a byte or before its request was written, has been
+                // broken off.
                 Next::End | Next::Broken => {
                     if !self.resume_if_allowed().await {
                         self.log_interrupted("the target broke off");
--- a/components/http/src/outgoing.rs
+++ b/components/http/src/outgoing.rs
@@ -1,12 +1,14 @@
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
+use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use futures_lite::{AsyncRead, AsyncWrite};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -33,6 +35,8 @@
     sender: SendRequest<Body>,
     /// Bytes that may still arrive before the head of the awaited answer.
     head_allowance: Arc<AtomicUsize>,
+    /// How far the last request has been written.
+    progress: Arc<WriteProgress>,
     /// What answers are charged to.
     memory: MemoryHolder,
     /// Reads and writes the socket.
@@ -50,9 +54,11 @@
         memory: MemoryHolder,
     ) -> std::result::Result<Self, Report<HttpError>> {
         let head_allowance = Arc::new(AtomicUsize::new(UNBOUNDED));
+        let progress = Arc::new(WriteProgress::default());
         let socket = AnswerSocket {
             inner: stream,
             head_allowance: head_allowance.clone(),
+            progress: progress.clone(),
             memory: memory.clone(),
             reads: 0,
         };
@@ -68,6 +74,7 @@
         Ok(Self {
             sender,
             head_allowance,
+            progress,
             memory,
             _driver: driver,
         })
@@ -82,6 +89,7 @@
         req: Request<Body>,
     ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Body>>> {
         self.head_allowance.store(MAX_BYTES_TO_HEAD, Ordering::Relaxed);
+        let req = req.map(|body| OutgoingBody::new(body, &self.progress).boxed_unsync());
         let answer = self.sender.try_send_request(req).await;
         self.head_allowance.store(UNBOUNDED, Ordering::Relaxed);
         answer.inspect_err(|e| {
@@ -91,6 +99,13 @@
         })
     }
 
+    /// Whether the last request has been written to its end. Unless it has, an answer that only the end of the connection
+    /// ends may be broken off.
+    pub fn has_written_request(&self) -> bool {
+        self.progress.is_body_taken.load(Ordering::Relaxed)
+            && !self.progress.is_blocked.load(Ordering::Relaxed)
+    }
+
     /// Whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -107,12 +122,71 @@
     }
 }
 
+/// How far a request has been written.
+#[derive(Debug, Default)]
+struct WriteProgress {
+    /// Whether the connection has taken the body to its end.
+    is_body_taken: AtomicBool,
+    /// Whether the socket has not accepted the last bytes that it was given.
+    is_blocked: AtomicBool,
+}
+
+impl WriteProgress {
+    fn record_write(&self, polled: &Poll<Result<usize>>) {
+        self.is_blocked
+            .store(!matches!(polled, Poll::Ready(Ok(_))), Ordering::Relaxed);
+    }
+}
+
+/// The body of a request, which records when it has been taken to its end.
+struct OutgoingBody {
+    inner: Body,
+    progress: Arc<WriteProgress>,
+}
+
+impl OutgoingBody {
+    fn new(inner: Body, progress: &Arc<WriteProgress>) -> Self {
+        progress
+            .is_body_taken
+            .store(inner.is_end_stream(), Ordering::Relaxed);
+        Self {
+            inner,
+            progress: progress.clone(),
+        }
+    }
+}
+
+impl hyper::body::Body for OutgoingBody {
+    type Data = Bytes;
+    type Error = HttpError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, HttpError>>> {
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        if frame.is_none() || self.inner.is_end_stream() {
+            self.progress.is_body_taken.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// The socket of a connection that this process has opened. It ends when too much arrives in place of a head, and a peer
 /// that always has bytes ready does not keep the thread to itself.
 struct AnswerSocket {
     inner: TcpStream,
     /// As in [`OutgoingConnection`].
     head_allowance: Arc<AtomicUsize>,
+    progress: Arc<WriteProgress>,
     memory: MemoryHolder,
     /// Reads since the socket last had no bytes.
     reads: u32,
@@ -154,7 +228,9 @@
 
 impl AsyncWrite for AnswerSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.progress.record_write(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -162,7 +238,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.progress.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
