Count the changes that other hosts give as following the list of targets

Change: while the store does not answer, a host that gets changes from other hosts follows the list; only a suspended host, or one that reaches neither the store nor another host, has a gap.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -22,6 +22,8 @@
 const STALE_READ_PAUSE: Duration = Duration::from_millis(150);
 /// Time between two ticks from which on the process was suspended.
 const MAX_TICK_GAP: Duration = Duration::from_secs(2);
+/// Age up to which the answer of another host shows which targets are listed. Some hosts may not answer.
+const MAX_PEER_ANSWER_AGE: Duration = Duration::from_secs(3);
 
 /// Result of a call to the store.
 enum Fetched {
@@ -134,6 +136,12 @@
     })
 }
 
+/// Whether this host has followed the list of targets, at the store or, while the store does not answer, at other hosts.
+fn has_followed_list(control: &Control, now: Monotonic) -> bool {
+    let peer_age = control.peer_answer_age(now);
+    has_current_list(control, now) || peer_age.is_some_and(|age| age <= MAX_PEER_ANSWER_AGE)
+}
+
 /// Runs time-driven updates: expires cached entries, cleans the traffic state and records gauges.
 pub(crate) async fn tick(control: Arc<Control>) {
     let mut last = control.traffic.now();
@@ -142,7 +150,7 @@
         let now = control.traffic.now();
         let was_suspended = now.saturating_sub(last) > MAX_TICK_GAP;
         last = now;
-        if was_suspended || !has_current_list(&control, now) {
+        if was_suspended || !has_followed_list(&control, now) {
             control.cached_state().record_list_gap(now);
         }
         control.update(|state| {
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -67,6 +67,8 @@
     confirmed: Confirmations,
     /// Latest time for which a relay has shown the state of the store.
     relayed_confirmed_at: Mutex<Option<Monotonic>>,
+    /// Time at which another host was last asked for changes that it gave.
+    peer_asked_at: Mutex<Option<Monotonic>>,
 }
 
 impl Control {
@@ -92,6 +94,7 @@
             reports: Mutex::default(),
             confirmed: Confirmations::default(),
             relayed_confirmed_at: Mutex::default(),
+            peer_asked_at: Mutex::default(),
         }
     }
 
@@ -210,6 +213,19 @@
         *latest.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records an answer of another host with its changes, which was asked at `sent_at`.
+    pub(crate) fn record_peer_answer(&self, sent_at: Monotonic) {
+        let latest = self.peer_asked_at.lock();
+        *latest.unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+    }
+
+    /// Returns the time since another host was asked for changes that it gave; `None` if none was.
+    pub(crate) fn peer_answer_age(&self, now: Monotonic) -> Option<Duration> {
+        let latest = self.peer_asked_at.lock();
+        let latest = *latest.unwrap_or_else(PoisonError::into_inner);
+        latest.map(|asked_at| now.saturating_sub(asked_at))
+    }
+
     /// Applies a change to the cached state, logs unusable rows and publishes the new view. Returns whether the view
     /// has changed.
     pub(crate) fn update(
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -182,6 +182,7 @@
         let sent_at = control.traffic.now();
         if let Some(answer) = query_changes(&control, &client, peer).await {
             apply_answer(&control, peer, answer, sent_at);
+            control.record_peer_answer(sent_at);
         }
     }
 }
