Move superseded targets out of the cached state into a module of their own

Change: SupersededTargets holds what was found and what is not reported yet. No change of behaviour.

Measured: the tests beliefs, restored, regions and replicas pass.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -1,5 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 use crate::software::{BASELINE_PREFIX, BaselineWrite, Baselines};
 use crate::store_clock::StoreClock;
 use crate::store_link::{StoreLink, UpdateSource};
+use crate::superseded::SupersededTargets;
 use crate::view::{HostEntry, View};
 use crate::weights_history::{DeclaredAge, DeclaredTimes};
 use crate::{Declared, Position, Target};
@@ -77,10 +77,8 @@
     lost_rows: LostRows,
     /// What entries said of the coldness of targets since it was last taken.
     cold_reports: Vec<ColdReport>,
-    /// Listed targets whose address another one has taken over, as published last.
-    superseded: BTreeSet<TargetId>,
-    /// Those of them that have not been reported yet.
-    superseded_reports: Vec<TargetId>,
+    /// Listed targets whose address another one has taken over.
+    superseded: SupersededTargets,
     /// Recorded limits of targets that have changed since they were last taken; `None` for a removed record.
     limit_reports: Vec<(TargetId, Option<f64>)>,
     /// Whether the declared table was read in full before the current update. Only versions received after
@@ -111,8 +109,7 @@
             crashes: CrashRows::default(),
             lost_rows: LostRows::default(),
             cold_reports: Vec::new(),
-            superseded: BTreeSet::new(),
-            superseded_reports: Vec::new(),
+            superseded: SupersededTargets::default(),
             limit_reports: Vec::new(),
             was_declared_read: false,
             is_changed: false,
@@ -414,9 +411,10 @@
         if !std::mem::take(&mut self.is_changed) {
             return None;
         }
-        self.find_superseded();
+        let listed = self.targets.values().chain(self.unconfirmed.values());
+        self.superseded.update(listed.clone().map(|target| &**target));
         let mut targets: HashMap<_, Vec<_>> = HashMap::new();
-        for target in self.targets.values().chain(self.unconfirmed.values()) {
+        for target in listed {
             if !target.is_leaving && !self.superseded.contains(&target.run) {
                 targets
                     .entry(target.service.clone())
@@ -439,25 +437,9 @@
         })
     }
 
-    /// Finds the targets whose address is listed for one that started later. They are gone although their entries are still
-    /// there, and what is sent to the address reaches the other one, perhaps in another region.
-    fn find_superseded(&mut self) {
-        let listed = || self.targets.values().chain(self.unconfirmed.values());
-        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
-        for target in listed() {
-            let born = latest.entry(target.address).or_default();
-            *born = target.born_ms.max(*born);
-        }
-        let superseded = listed().filter(|target| latest.get(&target.address) > Some(&target.born_ms));
-        let superseded: BTreeSet<_> = superseded.map(|target| target.run.clone()).collect();
-        let new = superseded.difference(&self.superseded);
-        self.superseded_reports.extend(new.cloned());
-        self.superseded = superseded;
-    }
-
     /// Returns the targets whose address another one has taken over since the last call.
     pub(crate) fn take_superseded(&mut self) -> Vec<TargetId> {
-        std::mem::take(&mut self.superseded_reports)
+        self.superseded.take_new()
     }
 
     fn apply_records(
--- a/components/gateway/src/control/origin_copies.rs
+++ b/components/gateway/src/control/origin_copies.rs
@@ -20,7 +20,6 @@
 pub(super) const PATH: &str = "/origins/1";
 /// Time for which origins are collected, so that one call copies them.
 const COLLECT_TIME: Duration = Duration::from_millis(200);
-
 /// Pause while no other host is known.
 const NO_KEEPER_PAUSE: Duration = Duration::from_millis(500);
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod software;
 mod store_clock;
 mod store_link;
+mod superseded;
 mod suspects;
 mod target;
 mod target_limits;
