Give up calls that wait for changes of a table once the store is known to be restored

Callers saw streams without a record refused for up to 15 s longer than needed after a restore of the store: the baselines are confirmed only by hosts that have read the shared table in the new era.

Cause: a call for changes of the shared table waits 15 s. One that the store lost, or that was sent with the version of the era before (versions are given out again), was waited for although other tables had shown the new era. It made an_outage_of_the_store_before_its_restore_does_not_delay_the_confirmation, listed as known red, fail; the cause suspected there, gaps noted after a restore, was wrong.

Change: a position of an earlier era than the newest known one is not followed, the table is read whole. A waiting call is given up as soon as the host learns of a later era, from any source. A whole read of an earlier era confirms nothing. The same holds for declarations and targets.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -4,6 +4,7 @@
 
 use error_stack::Report;
 use errors::events;
+use futures_lite::future;
 use http_io::HttpError;
 use slog::warn;
 use utils::Monotonic;
@@ -14,7 +15,7 @@
 use crate::jitter::jittered;
 use crate::ports::{Changes, Snapshot, StoreError, Table};
 use crate::telemetry::GaugeValues;
-use crate::{FollowPace, PAUSE_JITTER, UpdateSource};
+use crate::{CachedState, FollowPace, PAUSE_JITTER, Position, UpdateSource};
 
 /// Longest wait for changes of the shared table, which no host needs within seconds.
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
@@ -33,6 +34,8 @@
     Changed(Snapshot),
     /// No rows; the table must be read in full.
     Compacted,
+    /// Nothing; the store was restored while the call waited.
+    Restored,
 }
 
 /// Keeps the host's replica of a table up to date.
@@ -46,13 +49,16 @@
             continue;
         }
         let fetched = fetch(&control, table, &pace, needs_full_read).await;
+        if matches!(fetched, Ok(Fetched::Restored)) {
+            continue;
+        }
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
                 let position = snapshot.position;
                 control.update(|state| state.replace(table, snapshot, UpdateSource::Store, now));
-                needs_full_read = control.cached_state().complete_position(table) > Some(position);
+                needs_full_read = is_stale(&control.cached_state(), table, position);
                 if needs_full_read {
                     // A stale read. Another one at once would be as old.
                     log_ignored(&control, table, &"the table is older than the cached one");
@@ -64,7 +70,7 @@
             Ok(Fetched::Changed(changed)) => {
                 smol::Timer::after(apply_changes(&control, table, changed, now)).await;
             }
-            Ok(Fetched::Compacted) => needs_full_read = true,
+            Ok(Fetched::Compacted | Fetched::Restored) => needs_full_read = true,
             Err(e) => {
                 if !matches!(
                     e.current_context(),
@@ -82,6 +88,11 @@
     }
 }
 
+/// Whether a table was read as of a position that is older than what the host has.
+fn is_stale(state: &CachedState, table: Table, position: Position) -> bool {
+    state.complete_position(table) > Some(position) || state.era() > position.era()
+}
+
 /// Whether an answer of the store had more bytes than the host reads.
 fn is_too_large(error: &Report<StoreError>) -> bool {
     let cause = error.downcast_ref::<HttpError>();
@@ -119,7 +130,6 @@
     pace: &FollowPace,
     needs_full_read: bool,
 ) -> Result<Fetched, Report<StoreError>> {
-    let complete_position = control.cached_state().complete_position(table);
     // A call that reaches the store in an outage may never be answered. With a wait for changes it would be noticed long
     // after the store is back.
     let is_store_down = control.cached_state().is_store_down();
@@ -127,15 +137,30 @@
         Table::Shared if !is_store_down => FOLLOW_SHARED_WAIT,
         _ => pace.wait(is_store_down, relays::is_relay(control)),
     };
-    let Some(after) = complete_position.filter(|_| !needs_full_read) else {
+    let followed = followed_position(&control.cached_state(), table);
+    let Some(after) = followed.filter(|_| !needs_full_read) else {
         return Ok(Fetched::Whole(control.store.read(table).await?));
     };
-    Ok(match control.store.follow(table, after, wait).await? {
-        Changes::Delta(changed) => Fetched::Changed(changed),
-        Changes::Compacted => Fetched::Compacted,
+    let call = async { Some(control.store.follow(table, after, wait).await) };
+    // The store may have lost a call that it had before its restore, and gives out versions again.
+    let restored = async {
+        control.wait_for_era_after(after.era()).await;
+        None
+    };
+    Ok(match future::or(call, restored).await.transpose()? {
+        Some(Changes::Delta(changed)) => Fetched::Changed(changed),
+        Some(Changes::Compacted) => Fetched::Compacted,
+        None => Fetched::Restored,
     })
 }
 
+/// Returns the position after which changes of a table can be asked for. One of an earlier era of the store says nothing of
+/// what it has now.
+fn followed_position(state: &CachedState, table: Table) -> Option<Position> {
+    let position = state.complete_position(table)?;
+    (position.era() >= state.era()).then_some(position)
+}
+
 /// Whether this host has followed the list of targets, at the store or, while the store does not answer, at other hosts.
 fn has_followed_list(control: &Control, now: Monotonic) -> bool {
     let peer_age = control.peer_answer_age(now);
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use errors::events;
+use event_listener::Event;
 use http_io::{Client, ClientConfig, Executor, MemoryAccount, Shutdown};
 use slog::{info, warn};
 use utils::{Incarnation, Monotonic, TargetId};
@@ -61,6 +62,8 @@
     pub ex: Executor,
     /// The host's cached state.
     cached_state: Mutex<CachedState>,
+    /// Notified when the newest era of the store that the host knows has risen.
+    era_risen: Event,
     /// Last report of each engine that this host polls, with its time.
     reports: Mutex<HashMap<TargetId, (ReportedLoad, Monotonic)>>,
     /// Confirmations of each table by the store itself.
@@ -91,6 +94,7 @@
             incarnation,
             ex,
             cached_state: Mutex::new(cached_state),
+            era_risen: Event::new(),
             reports: Mutex::default(),
             confirmed: Confirmations::default(),
             relayed_confirmed_at: Mutex::default(),
@@ -238,6 +242,9 @@
             warn!(self.traffic.log, "row can not be used"; events::RECORD_UNUSABLE,
                 "error" => format!("{unusable:?}"));
         }
+        if state.era() > era {
+            self.era_risen.notify(usize::MAX);
+        }
         // The first read of the store is no restore.
         if state.era() > era && self.traffic.view.load().can_serve() {
             warn!(self.traffic.log, "the store was restored from an older copy"; events::STORE_RESTORED,
@@ -268,6 +275,17 @@
         true
     }
 
+    /// Waits until the host knows a later era of the store.
+    pub(crate) async fn wait_for_era_after(&self, era: u64) {
+        loop {
+            let risen = self.era_risen.listen();
+            if self.cached_state().era() > era {
+                return;
+            }
+            risen.await;
+        }
+    }
+
     /// Logs the evacuations that begin or end.
     fn log_evacuations(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
