Do not take an early unframed answer for whole on the product's own interface

What a caller would see: half an answer of a service as a complete one, if the service answers a long upload at once without a length and ends its side of the connection while the upload is still being written.

Cause: the client that calls services, engines and hosts took the end of the connection for the end of the answer, whatever had become of the request.

Change: its body ends with an error if only the end of the connection ends it and the request was not written. The bound on what the kernel takes unsent (16 KB) is set where an outgoing connection begins, so that both paths have it.

Test that failed before: an_unframed_answer_that_ends_before_its_request_was_written_is_not_whole (the half came as whole). It also holds that a framed answer and one to a request that was written count.

--- a/components/gateway/src/traffic/connect.rs
+++ b/components/gateway/src/traffic/connect.rs
@@ -20,8 +20,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
-/// Most bytes that the kernel takes before it can send them. More would count as written although the target gets no more.
-const MAX_UNSENT_BYTES: u32 = 16 << 10;
 
 /// Number of a caller's request at this host.
 pub(crate) type CallNumber = u64;
@@ -109,6 +107,5 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_UNANSWERED_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use http_io::is_unframed;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use utils::Monotonic;
 
@@ -370,8 +370,7 @@
     if parts.status.is_success() {
         log_replaced_weights(cx, call, &exchange, facts.weights.or(placed.weights));
     }
-    let is_unframed =
-        !parts.headers.contains_key(CONTENT_LENGTH) && !parts.headers.contains_key(TRANSFER_ENCODING);
+    let is_unframed = is_unframed(&parts.headers);
     strip_connection_headers(&mut parts.headers);
     AttemptResult::Answered(Box::new(Answer {
         parts,
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -8,7 +8,7 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
-use hyper::header::HeaderValue;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -64,6 +64,8 @@
 pub struct PooledBody {
     /// Body as hyper reads it.
     inner: Incoming,
+    /// Whether only the end of the connection ends the body.
+    is_unframed: bool,
     /// Connection with its pool and address; `None` after the end of the body or an error.
     pooled: Option<(Arc<Pool>, SocketAddr, OutgoingConnection)>,
 }
@@ -205,8 +207,12 @@
             Err((HttpError::TimedOut, None))
         };
         let (parts, inner) = answer.or(timed_out).await?.into_parts();
-        let pooled = Some((self.pool.clone(), addr, conn));
-        Ok(Response::from_parts(parts, PooledBody { inner, pooled }))
+        let body = PooledBody {
+            inner,
+            is_unframed: is_unframed(&parts.headers),
+            pooled: Some((self.pool.clone(), addr, conn)),
+        };
+        Ok(Response::from_parts(parts, body))
     }
 }
 
@@ -222,9 +228,13 @@
         let polled = Pin::new(&mut this.inner).poll_frame(cx);
         match polled {
             Poll::Ready(None) => {
-                if let Some((pool, addr, conn)) = this.pooled.take() {
-                    pool.put(addr, conn);
+                let Some((pool, addr, conn)) = this.pooled.take() else {
+                    return Poll::Ready(None);
+                };
+                if this.is_unframed && !conn.has_written_request() {
+                    return Poll::Ready(Some(Err(HttpError::Interrupted)));
                 }
+                pool.put(addr, conn);
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(_))) => {
@@ -245,6 +255,20 @@
     }
 }
 
+/// Whether only the end of the connection ends the body of an answer with these headers.
+///
+/// ```
+/// use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
+///
+/// let mut headers = HeaderMap::new();
+/// assert!(http_io::is_unframed(&headers));
+/// headers.insert(CONTENT_LENGTH, HeaderValue::from(4));
+/// assert!(!http_io::is_unframed(&headers));
+/// ```
+pub fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 async fn timeout<T>(after: Duration) -> Result<T, Report<HttpError>> {
     smol::Timer::after(after).await;
     Err(Report::new(HttpError::TimedOut))
--- a/components/http/src/outgoing.rs
+++ b/components/http/src/outgoing.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 
 use crate::account::{MemoryHolder, Shortage};
 use crate::{Body, Executor, HttpError};
@@ -23,6 +24,8 @@
 /// Most bytes that may arrive from a request to the head of its answer. Heads of interim answers are not kept and have no
 /// bound of their own; the first bytes of the body can arrive with the head.
 const MAX_BYTES_TO_HEAD: usize = 8 * MAX_BUFFER_BYTES;
+/// Most bytes that the kernel takes before it can send them. More would count as written although the peer gets no more.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
 /// Reads in succession after which the connection lets other tasks of its thread run.
 const MAX_READS_IN_A_ROW: u32 = 16;
 /// Stands for no bound, while no head is awaited.
@@ -47,12 +50,15 @@
     /// Begins HTTP/1.1 on an open socket. The connection runs on `ex`; `memory` is what its answers are charged to.
     ///
     /// # Errors
-    /// [`HttpError::Connect`] if the handshake fails.
+    /// [`HttpError::Connect`] if the socket or the handshake fails.
     pub async fn start(
         ex: &Executor,
         stream: TcpStream,
         memory: MemoryHolder,
     ) -> std::result::Result<Self, Report<HttpError>> {
+        SockRef::from(&stream)
+            .set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+            .change_context(HttpError::Connect)?;
         let head_allowance = Arc::new(AtomicUsize::new(UNBOUNDED));
         let progress = Arc::new(WriteProgress::default());
         let socket = AnswerSocket {
--- a/components/http/tests/exchange.rs
+++ b/components/http/tests/exchange.rs
@@ -1,9 +1,10 @@
 //! Exchanges between client and server, and between the client and peers that close connections early.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bytes::Bytes;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_io::{
     Body, Client, ClientConfig, Executor, Handler, HttpError, Server, ServerConfig, empty_body, full_body,
@@ -12,6 +13,9 @@
 use hyper::{Method, Request, Response};
 use smol::net::TcpListener;
 
+/// Size of an upload that the kernels of both ends together do not take.
+const UPLOAD_BYTES: usize = 16 << 20;
+
 fn loopback() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
@@ -95,6 +99,54 @@
     });
 }
 
+/// Runs a peer that reads the first bytes of a request, answers with this text and ends its side of the connection.
+async fn answer_early(listener: TcpListener, answer: &'static str) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buf = [0; 512];
+    let _ = stream.read(&mut buf).await;
+    stream.write_all(answer.as_bytes()).await.unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    std::future::pending().await
+}
+
+/// Sends a request to a peer that answers early; returns the body or the error.
+async fn exchange_early(ex: Executor, answer: &'static str, req: Request<Body>) -> Result<Bytes, HttpError> {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let peer = ex.spawn(answer_early(listener, answer));
+    let client = Client::new(ex.clone(), ClientConfig::default());
+    let read = async {
+        let res = client.send(addr, req).await?;
+        read_limited(res.into_body(), 1_000).await
+    };
+    let read = read.await.map_err(|e| *e.current_context());
+    peer.cancel().await;
+    read
+}
+
+fn upload(bytes: usize) -> Request<Body> {
+    let req = Request::builder()
+        .method(Method::POST)
+        .uri("/")
+        .header("host", "test");
+    req.body(full_body(vec![b'x'; bytes])).unwrap()
+}
+
+// Guards against half an answer that looks whole as its server ended in order before it had read the request.
+#[test]
+fn an_unframed_answer_that_ends_before_its_request_was_written_is_not_whole() {
+    run(async |ex| {
+        let early = "HTTP/1.1 200 OK\r\n\r\nhalf";
+        let read = exchange_early(ex.clone(), early, upload(UPLOAD_BYTES)).await;
+        assert_eq!(read, Err(HttpError::Interrupted));
+        let read = exchange_early(ex.clone(), early, upload(10)).await;
+        assert_eq!(read.unwrap(), "half");
+        let framed = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhalf";
+        let read = exchange_early(ex, framed, upload(UPLOAD_BYTES)).await;
+        assert_eq!(read.unwrap(), "half");
+    });
+}
+
 #[test]
 fn requests_in_progress_are_finished_before_the_server_ends() {
     run(async |ex| {
