Take an answer with an undefined status for none on the product's own interface

What a caller would see: the answer of a service in trouble with a status that ends no request.

Change: the client refuses an answer with a status outside 200 to 599 as unreadable and drops the connection; a call to a service may then have run. The test of a status is one for both paths.

Test that failed before: an_answer_with_an_undefined_status_is_an_error (101 was passed on; the test stops at the first).

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -2,8 +2,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use http_io::is_unframed;
-use hyper::StatusCode;
+use http_io::{is_final, is_unframed};
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use utils::Monotonic;
@@ -381,12 +380,6 @@
     }))
 }
 
-/// Whether a status can end a request: it is of a class that HTTP defines, and none of an interim answer or of a change of
-/// protocol, which no request asks for.
-fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// Whether an answer is the answer to the call. Targets repeat the id of a request, so an answer without one on a kept
 /// connection can be bytes that the target sent after an earlier answer.
 fn is_answer_to(call: &Call, facts: &AnswerFacts, is_fresh: bool) -> bool {
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
@@ -207,6 +207,9 @@
             Err((HttpError::TimedOut, None))
         };
         let (parts, inner) = answer.or(timed_out).await?.into_parts();
+        if !is_final(parts.status) {
+            return Err((HttpError::Malformed, None));
+        }
         let body = PooledBody {
             inner,
             is_unframed: is_unframed(&parts.headers),
@@ -255,6 +258,19 @@
     }
 }
 
+/// Whether a status can end a request: it is of a class that HTTP defines, and none of an interim answer or of a change of
+/// protocol, which no request asks for.
+///
+/// ```
+/// use hyper::StatusCode;
+///
+/// assert!(http_io::is_final(StatusCode::NOT_FOUND));
+/// assert!(!http_io::is_final(StatusCode::SWITCHING_PROTOCOLS));
+/// ```
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether only the end of the connection ends the body of an answer with these headers.
 ///
 /// ```
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -20,7 +20,7 @@
 pub use body::{
     Body, BodySender, channel_body, empty_body, full_body, json_body, read_json, read_limited, stream_body,
 };
-pub use client::{Client, ClientConfig, PooledBody, is_unframed};
+pub use client::{Client, ClientConfig, PooledBody, is_final, is_unframed};
 pub use connection_limits::ConnectionLimits;
 pub use error::HttpError;
 pub use held::{HeldBody, read_answer, read_held, read_request};
--- a/components/http/tests/exchange.rs
+++ b/components/http/tests/exchange.rs
@@ -100,7 +100,7 @@
 }
 
 /// Runs a peer that reads the first bytes of a request, answers with this text and ends its side of the connection.
-async fn answer_early(listener: TcpListener, answer: &'static str) {
+async fn answer_early(listener: TcpListener, answer: String) {
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut buf = [0; 512];
     let _ = stream.read(&mut buf).await;
@@ -113,7 +113,7 @@
 async fn exchange_early(ex: Executor, answer: &'static str, req: Request<Body>) -> Result<Bytes, HttpError> {
     let listener = TcpListener::bind(loopback()).await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let peer = ex.spawn(answer_early(listener, answer));
+    let peer = ex.spawn(answer_early(listener, answer.to_owned()));
     let client = Client::new(ex.clone(), ClientConfig::default());
     let read = async {
         let res = client.send(addr, req).await?;
@@ -147,6 +147,27 @@
     });
 }
 
+// Guards against an answer of a server in trouble that is passed on with a status that HTTP does not define.
+#[test]
+fn an_answer_with_an_undefined_status_is_an_error() {
+    for status in ["000", "101", "600", "999"] {
+        run(async |ex| {
+            let listener = TcpListener::bind(loopback()).await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let answer = format!("HTTP/1.1 {status} Text\r\ncontent-length: 4\r\n\r\ntext");
+            let peer = ex.spawn(answer_early(listener, answer));
+            let client = Client::new(ex.clone(), ClientConfig::default());
+            let error = client.send(addr, get("/")).await.err();
+            let kind = error.map(|e| *e.current_context());
+            assert!(
+                matches!(kind, Some(HttpError::Interrupted | HttpError::Malformed)),
+                "{status}: {kind:?}"
+            );
+            peer.cancel().await;
+        });
+    }
+}
+
 #[test]
 fn requests_in_progress_are_finished_before_the_server_ends() {
     run(async |ex| {
