Take an early answer that has no body for whole

Cause: an answer without a length and without chunks was taken for one that the end of the connection ends. 204 and 304 have no body and no need of a length.

Change: the test of the framing asks for the status too, once for both paths.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -369,7 +369,7 @@
     if parts.status.is_success() {
         log_replaced_weights(cx, call, &exchange, facts.weights.or(placed.weights));
     }
-    let is_unframed = is_unframed(&parts.headers);
+    let is_unframed = is_unframed(parts.status, &parts.headers);
     strip_connection_headers(&mut parts.headers);
     AttemptResult::Answered(Box::new(Answer {
         parts,
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -212,7 +212,7 @@
         }
         let body = PooledBody {
             inner,
-            is_unframed: is_unframed(&parts.headers),
+            is_unframed: is_unframed(parts.status, &parts.headers),
             pooled: Some((self.pool.clone(), addr, conn)),
         };
         Ok(Response::from_parts(parts, body))
@@ -271,18 +271,21 @@
     (200..600).contains(&status.as_u16())
 }
 
-/// Whether only the end of the connection ends the body of an answer with these headers.
+/// Whether only the end of the connection ends the body of an answer with this head. Some statuses never have a body.
 ///
 /// ```
 /// use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
+/// use hyper::StatusCode;
 ///
 /// let mut headers = HeaderMap::new();
-/// assert!(http_io::is_unframed(&headers));
+/// assert!(http_io::is_unframed(StatusCode::OK, &headers));
+/// assert!(!http_io::is_unframed(StatusCode::NO_CONTENT, &headers));
 /// headers.insert(CONTENT_LENGTH, HeaderValue::from(4));
-/// assert!(!http_io::is_unframed(&headers));
+/// assert!(!http_io::is_unframed(StatusCode::OK, &headers));
 /// ```
-pub fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+pub fn is_unframed(status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_body = status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
+    has_body && !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
 async fn timeout<T>(after: Duration) -> Result<T, Report<HttpError>> {
