Add a case of the third review: what a tenant left before it became isolated (WALL)

Cause: the salt of kept cache depends on the caller's scope alone. Parts that a tenant left under the common salt stay there for all others after a configuration has made it isolated.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,7 +3,9 @@
 //! held, and 2 if the case could not run.
 
 mod deployment;
+mod engine;
 mod http;
+mod isolation;
 mod json;
 mod own_refusal;
 mod plain;
@@ -34,6 +36,7 @@
     record.add(format!("{case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "own-refusal" => own_refusal::run(&work, &record, has_trouble),
+        "isolation" => isolation::run(&work, &record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
     // The logs of the hosts are of use only if someone looks for the cause.
