Add a case of the third review: a Keep-Alive time that ends hosts (Fault)

Cause: the time that a server states in Keep-Alive is added to the clock without a bound. The largest number overflows, which panics and aborts the process with all of its requests.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod isolation;
 mod json;
+mod keep_alive;
 mod own_refusal;
 mod plain;
 mod store;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "own-refusal" => own_refusal::run(&work, &record, has_trouble),
         "isolation" => isolation::run(&work, &record, has_trouble),
+        "keep-alive" => keep_alive::run(&work, &record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
     // The logs of the hosts are of use only if someone looks for the cause.
