--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -8,6 +8,7 @@
 mod isolation;
 mod json;
 mod keep_alive;
+mod other_writer;
 mod own_refusal;
 mod plain;
 mod store;
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "own-refusal" => own_refusal::run(&work, &record, has_trouble),
         "isolation" => isolation::run(&work, &record, has_trouble),
+        "other-writer" => other_writer::run(&work, &record, has_trouble),
         "keep-alive" => keep_alive::run(&work, &record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
