--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 mod own_refusal;
 mod plain;
 mod store;
+mod two_models;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -38,6 +39,7 @@
     record.add(format!("{case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "own-refusal" => own_refusal::run(&work, &record, has_trouble),
+        "two-models" => two_models::run(&work, &record, has_trouble),
         "isolation" => isolation::run(&work, &record, has_trouble),
         "other-writer" => other_writer::run(&work, &record, has_trouble),
         "keep-alive" => keep_alive::run(&work, &record, has_trouble),
