End the hosts of a review script with the script, and keep the stand-ins of a popular read

Cause: a script that was killed left its hosts running. The stand-ins of a popular read that is refused everywhere after one crash (Starved) stay without a case.

--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,6 +17,14 @@
 /// Program of the deploy file.
 const PROGRAM: &str = "target/release/laburnumtally";
 
+/// A process with this option ends with the thread that started it, also if a script is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, arg2: u64, arg3: u64, arg4: u64, arg5: u64) -> i32;
+}
+
 /// What was sent, answered and run, in the order of events.
 pub struct Record {
     file: Mutex<BufWriter<File>>,
@@ -67,7 +76,15 @@
         let log = log.expect("the log can not be written");
         let kept = ["PATH", "HOME", "LANG"].into_iter();
         let kept = kept.filter_map(|name| Some((name, std::env::var(name).ok()?)));
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        // SAFETY: `prctl` is safe to call between fork and exec, and touches no memory.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
+        let child = command
             .args(["serve", "--platform"])
             .env_clear()
             .envs(kept)
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -143,12 +143,13 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = handler.clone();
-            std::thread::spawn(move || serve_connection(stream, &handler));
+            std::thread::spawn(move || serve_one(stream, &handler));
         }
     });
 }
 
-fn serve_connection(stream: TcpStream, handler: &Handler) {
+/// Serves one connection until it ends.
+pub fn serve_one(stream: TcpStream, handler: &Handler) {
     // Idle connections are closed after the time that `Keep-Alive` states.
     let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
     let _ = stream.set_nodelay(true);
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod engine;
+mod hot_request;
 mod http;
 mod isolation;
 mod json;
@@ -42,6 +43,7 @@
         "two-models" => two_models::run(&work, &record, has_trouble),
         "isolation" => isolation::run(&work, &record, has_trouble),
         "other-writer" => other_writer::run(&work, &record, has_trouble),
+        "hot-request" => hot_request::run(&work, &record, has_trouble),
         "keep-alive" => keep_alive::run(&work, &record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -52,6 +52,15 @@
         self.changed.notify_all();
     }
 
+    /// Removes a row as the store does with the entry of a silent server.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let row = (None, state.version);
+        state.rows.insert((table.into(), String::new(), key.into()), row);
+        self.changed.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> Action {
         let mut action = match request.path() {
             "/v1/rows-get" => self.get(request),
