--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 mod other_writer;
 mod own_refusal;
 mod plain;
+mod same_address;
 mod store;
 mod two_models;
 
@@ -44,6 +45,7 @@
         "isolation" => isolation::run(&work, &record, has_trouble),
         "other-writer" => other_writer::run(&work, &record, has_trouble),
         "hot-request" => hot_request::run(&work, &record, has_trouble),
+        "same-address" => same_address::run(&work, &record, has_trouble),
         "keep-alive" => keep_alive::run(&work, &record, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
--- a/review/standins-3/plain.rs
+++ b/review/standins-3/plain.rs
@@ -1,6 +1,6 @@
 //! A plain service: servers that run a request for some milliseconds and answer it.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 pub type Choose = Arc<dyn Fn(&Message) -> Fault + Send + Sync>;
 
 pub struct Server {
+    pub address: SocketAddr,
     /// Ids of the requests that it has run.
     pub ran: Arc<Mutex<Vec<String>>>,
 }
@@ -43,7 +44,7 @@
         &instance,
         &server_entry("ledger", address, zone, 6, ""),
     );
-    Server { ran }
+    Server { address, ran }
 }
 
 fn answer(
