Give the hosts of the third review's scripts addresses of their own, and let model servers refuse during an order

Cause: in a clean clone, beside four other scripts, review/12 ended once with 2 (could not run); its record was not kept. The hosts' ports were drawn and released before a host listened, so that another process could take one; not proved to be the cause.

--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufWriter, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -52,10 +52,13 @@
     }
 }
 
-/// Returns a loopback address with a port that is free now.
+/// Returns a loopback address that nothing listens at. No other process uses its IP address, and no connection begins there,
+/// so the port stays free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
-    listener.local_addr().expect("no address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+    let [_, top, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 192 + (top & 0x3f), high, low);
+    (ip, NEXT_PORT.fetch_add(1, Ordering::SeqCst)).into()
 }
 
 /// An entry host as on the platform: it is started again after it has ended by itself.
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -31,8 +31,10 @@
 #[derive(Default)]
 struct State {
     versions: BTreeMap<String, u64>,
-    is_busy: bool,
+    /// Model whose order is in progress.
+    loading: Option<String>,
     orders: u64,
+    running: u32,
     /// Tenant whose request made a part, by salt, model and part.
     cache: HashMap<(String, String, String), String>,
     runs: Vec<Run>,
@@ -103,6 +105,8 @@
     /// Writes the entry in the list.
     fn enter(&self) {
         let entry = server_entry("drafts", self.address, self.zone, SLOTS, &self.models());
+        let orders = self.state.lock().unwrap().orders;
+        let entry = entry.replace("\"sequence_number\":0", &format!("\"sequence_number\":{orders}"));
         self.store.put("servers", &self.instance, &entry);
     }
 
@@ -120,10 +124,11 @@
                     200,
                     format!(
                         "{{\"stage\":\"both\",\"models\":{models},\"busy\":{},\"sequence_number\":{},\
-                         \"waiting_requests\":0,\"running_requests\":0,\"kv_cache_used\":0,\"kv_cache_total\":165785,\
+                         \"waiting_requests\":0,\"running_requests\":{},\"kv_cache_used\":0,\"kv_cache_total\":165785,\
                          \"handles\":0,\"born\":{}}}",
-                        state.is_busy,
+                        state.loading.is_some(),
                         state.orders,
+                        state.running,
                         crate::deployment::born()
                     ),
                 )
@@ -147,16 +152,24 @@
             order.get("model").text().to_owned(),
             order.get("version").number() as u64,
         );
+        let named = self.store.get_text("op", &format!("version/{model}"));
+        let named = named.and_then(|named| Json::parse(&named));
+        let is_named = named.is_some_and(|named| version <= named.get("version").number() as u64);
+        let has_holder = !order.get("holder").text().is_empty() && *order.get("fencing_token") != Json::Null;
+        if !is_named || !has_holder {
+            return Action::json(400, "{}");
+        }
         {
             let mut state = self.state.lock().unwrap();
             if state.versions.get(&model) == Some(&version) {
                 return Action::json(200, "{}");
             }
             let expected = order.get("expected_revision");
-            if state.is_busy || *expected != Json::Null && expected.number() as u64 != state.orders {
+            if state.loading.is_some() || *expected != Json::Null && expected.number() as u64 != state.orders
+            {
                 return Action::json(409, "{}");
             }
-            state.is_busy = true;
+            state.loading = Some(model.clone());
             state.orders += 1;
         }
         self.record.add(format!(
@@ -170,7 +183,7 @@
                 state.versions.insert(model.clone(), version);
                 // The order discards what the server has stored of the model.
                 state.cache.retain(|(_, of, _), _| *of != model);
-                state.is_busy = false;
+                state.loading = None;
             }
             // The list shows it with the next heartbeat.
             std::thread::sleep(HEARTBEAT / 2);
@@ -192,7 +205,6 @@
         let mut headers = vec![
             answer("Request-Id", &id),
             answer("Instance-Id", &self.instance),
-            answer("Server-Load", &format!("1,0,{SLOTS}")),
             answer("Keep-Alive", "timeout=5"),
             answer("Weight-Versions", &version.to_string()),
         ];
@@ -211,7 +223,17 @@
             headers.push(answer("Not-Executed", "1"));
             return Action::Answer(421, headers, Vec::new());
         }
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.loading.as_ref() == Some(&model) {
+                headers.push(answer("Not-Executed", "1"));
+                return Action::Answer(503, headers, Vec::new());
+            }
+            state.running += 1;
+            headers.push(answer("Server-Load", &format!("{},0,{SLOTS}", state.running)));
+        }
         std::thread::sleep(RUN);
+        self.state.lock().unwrap().running -= 1;
         let prefix = header("prompt-prefix");
         let parts = prefix
             .split(',')
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -52,6 +52,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns the content of a row.
+    pub fn get_text(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let (value, _) = state.rows.get(&(table.into(), String::new(), key.into()))?;
+        String::from_utf8(value.clone()?).ok()
+    }
+
     /// Removes a row as the store does with the entry of a silent server.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
