Pass no refusal on in which a target does not state that it has not run (REFUSED)

Cause: the host takes a refusal for one only by Not-Executed or 421, the caller takes the status for it, and nothing compared the two where the answer is handed over. Evidence: over new connections and with the request's own id, calls and streams got the target's signed 408, 429 and 503; so neither a refusal of the host's own nor one of another request.

Change: AnswerFacts says whether the status is a promise (the adapter decides) and whether the target states it. An answer that promises without stating is a failure after which the request may have run: a request that may be repeated goes elsewhere (before, a 429 or 408 went to the caller at once), what remains gets 502 without the target's signature and Retry-After, so that neither MIXED nor REFUSED is broken. Event 5035 and a counter by status.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -372,6 +372,11 @@
         "limit_recorded",
         "The record that tells other hosts of a target's limit was written, or removed if it has no number; gives the result.",
     );
+    pub const REFUSAL_UNPROVEN: Event = event(
+        5035,
+        "refusal_unproven",
+        "A target answered with a status that promises that the request has not run, without stating that; the status does not reach the caller.",
+    );
     pub const BODY_EVICTED: Event = event(
         5040,
         "body_evicted",
@@ -581,6 +586,7 @@
     events::TARGET_LIMITED,
     events::TARGET_UNLIMITED,
     events::LIMIT_RECORDED,
+    events::REFUSAL_UNPROVEN,
     events::BODY_EVICTED,
     events::NO_MEMORY,
     events::CONNECTIONS_CLOSED,
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -116,6 +116,8 @@
     pub id: Option<String>,
     /// Whether the target states that it has not run the request.
     pub is_not_run: bool,
+    /// Whether callers take the status as a promise that the request has not run and never will.
+    pub promises_not_run: bool,
     /// Whether another instance or weight version now has the address.
     pub is_misdirected: bool,
     /// Load of the target.
@@ -133,3 +135,19 @@
     /// Limit that the target names.
     pub limit: Option<NamedLimit>,
 }
+
+impl AnswerFacts {
+    /// Returns whether the status promises that the request has not run although the target does not state that.
+    ///
+    /// ```
+    /// use gateway::AnswerFacts;
+    ///
+    /// let full = AnswerFacts { promises_not_run: true, is_not_run: true, ..AnswerFacts::default() };
+    /// assert!(!full.is_unproven_refusal());
+    /// let failed = AnswerFacts { is_not_run: false, ..full };
+    /// assert!(failed.is_unproven_refusal());
+    /// ```
+    pub fn is_unproven_refusal(&self) -> bool {
+        self.promises_not_run && !self.is_not_run
+    }
+}
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -46,6 +46,8 @@
     pauses: Counter<u64>,
     /// Targets that have said that they are leaving.
     leavings: Counter<u64>,
+    /// Refusals of targets that do not state that the request has not run, by status.
+    unproven_refusals: Counter<u64>,
     /// Sends to cold targets by whether the quota allowed them.
     cold_sends: Counter<u64>,
     /// Cold targets.
@@ -157,6 +159,9 @@
             retries: meter.u64_counter("laburnumtally.route.repeats").build(),
             pauses: meter.u64_counter("laburnumtally.targets.pauses").build(),
             leavings: meter.u64_counter("laburnumtally.targets.leaving").build(),
+            unproven_refusals: meter
+                .u64_counter("laburnumtally.targets.unproven_refusals")
+                .build(),
             cold_sends: meter.u64_counter("laburnumtally.cold.sends").build(),
             cold_targets: meter.u64_gauge("laburnumtally.cold.targets").build(),
             limited_sends: meter.u64_counter("laburnumtally.limited.sends").build(),
@@ -350,6 +355,14 @@
         info!(self.log, "target is leaving"; events::TARGET_LEAVING, "request" => id, "target" => target);
     }
 
+    /// Counts and logs an answer whose status promises that the request has not run, from a target that does not state it.
+    pub(crate) fn unproven_refusal(&self, id: &str, target: &str, status: u16) {
+        self.unproven_refusals
+            .add(1, &[KeyValue::new("status", i64::from(status))]);
+        warn!(self.log, "refusal without proof"; events::REFUSAL_UNPROVEN, "request" => id, "target" => target,
+            "status" => status);
+    }
+
     /// Logs that a target has asked for a pause.
     pub(crate) fn pause_requested(&self, id: &str, target: &str, pause: RequestedPause) {
         self.pauses.add(1, &[]);
--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -122,6 +122,7 @@
             let outcome = match status {
                 _ if facts.is_not_run && has_old_weights => SendOutcome::LoadingWeights,
                 _ if facts.is_not_run => SendOutcome::Rejected,
+                _ if facts.promises_not_run => SendOutcome::Failed,
                 500.. => SendOutcome::Failed,
                 _ => SendOutcome::Answered(elapsed),
             };
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -99,6 +99,8 @@
     without_permit: u32,
     /// Whether the host had no memory for a connection to a target.
     lacks_memory: bool,
+    /// Whether a target answered with a status that promises that the request has not run, without stating that.
+    has_unproven_refusal: bool,
     /// Why the last placement failed.
     placement_error: Option<PlacementError>,
     /// A server error that a target answered; it goes to the caller if no later attempt succeeds.
@@ -160,10 +162,11 @@
 
     fn refusal(&self, cx: &Traffic, call: &Call) -> Refusal {
         if self.possible_runs > 0 {
-            return Refusal::may_have_run(
-                ProblemKind::OutcomeUnknown,
-                "a target took the request and did not answer",
-            );
+            let detail = match self.has_unproven_refusal {
+                true => "a target refused the request without stating that it has not run",
+                false => "a target took the request and did not answer",
+            };
+            return Refusal::may_have_run(ProblemKind::OutcomeUnknown, detail);
         }
         if self.lacks_memory {
             return no_memory_refusal();
@@ -250,7 +253,7 @@
     Stream(Box<Answer>),
     /// The whole response goes to the caller.
     Whole(Response<Body>),
-    /// The answer is a server error or incomplete; another attempt may follow.
+    /// The answer is a server error, a refusal without proof or incomplete; another attempt may follow.
     Retry,
 }
 
@@ -301,6 +304,13 @@
         }
     };
     let times = exchange.answer_times();
+    if facts.is_unproven_refusal() {
+        cx.telemetry
+            .unproven_refusal(&call.id, &exchange.target.instance, parts.status.as_u16());
+        exchange.finish(&facts);
+        attempts.has_unproven_refusal = true;
+        return AnswerAction::Retry;
+    }
     exchange.finish(&facts);
     if parts.status.is_server_error() && call.route.retry_safety.is_idempotent() {
         attempts.failure = Some((parts, whole));
