Let only entries of named services show that an address was taken over (Fault)

Cause: who may speak in the list of targets was decided by each reader. Requests ask for the targets of a service; the comparison of addresses (SupersededTargets) took every entry that could be decoded.

Change: NamedServices decides which services' entries name a target: those of the newest declaration, and of earlier ones for a minute, so that requests in flight end as they began; no store of kept cache, none before a declaration is read. 5062 names the successor and its service.

The decoder of the gateway's tests declares its service `s`.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -435,7 +435,7 @@
     pub const ADDRESS_TAKEN_OVER: Event = event(
         5062,
         "address_taken_over",
-        "The address of a listed target is also listed for one that started later; the earlier one gets no more requests.",
+        "The address of a listed target is also listed for one that started later, whose run and service it gives; the earlier one gets no more requests.",
     );
     pub const CAPACITY_SHORT: Event = event(
         5070,
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -12,12 +12,13 @@
 use crate::departed::{DepartedTargets, Departure};
 use crate::evacuations::Evacuations;
 use crate::lost_rows::{LostRow, LostRows};
+use crate::named_services::NamedServices;
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::rows::{Replaced, Rows, TableUpdate};
 use crate::software::{BASELINE_PREFIX, BaselineWrite, Baselines};
 use crate::store_clock::StoreClock;
 use crate::store_link::{StoreLink, UpdateSource};
-use crate::superseded::SupersededTargets;
+use crate::superseded::{SupersededTargets, TakeOver};
 use crate::view::{HostEntry, View};
 use crate::weights_history::{DeclaredAge, DeclaredTimes};
 use crate::{Declared, Position, Target};
@@ -55,6 +56,8 @@
     answered_at: Monotonic,
     /// Latest declared configuration; `None` before the first one is read.
     declared: Option<Arc<Declared>>,
+    /// Services whose targets may be used.
+    services: NamedServices,
     /// Weight versions declared for each model.
     weights: DeclaredWeights,
     /// Evacuated failure domains.
@@ -98,6 +101,7 @@
             link: StoreLink::Up(None),
             answered_at: Monotonic::ZERO,
             declared: None,
+            services: NamedServices::default(),
             weights: DeclaredWeights::default(),
             evacuations: Evacuations::default(),
             store_clock: StoreClock::default(),
@@ -382,6 +386,7 @@
         self.expire_lost_rows(now);
         self.is_changed |= self.crashes.forget_bystanders(now);
         self.is_changed |= self.evacuations.expire(now);
+        self.is_changed |= self.services.expire(now);
         for (key, target) in self.departed.expire(now) {
             self.targets.insert(key, target);
             self.is_changed = true;
@@ -412,7 +417,10 @@
             return None;
         }
         let listed = self.targets.values().chain(self.unconfirmed.values());
-        self.superseded.update(listed.clone().map(|target| &**target));
+        let named = listed
+            .clone()
+            .filter(|target| self.services.contains(&target.service));
+        self.superseded.update(named.map(|target| &**target));
         let mut targets: HashMap<_, Vec<_>> = HashMap::new();
         for target in listed {
             if !target.is_leaving && !self.superseded.contains(&target.run) {
@@ -438,7 +446,7 @@
     }
 
     /// Returns the targets whose address another one has taken over since the last call.
-    pub(crate) fn take_superseded(&mut self) -> Vec<TargetId> {
+    pub(crate) fn take_superseded(&mut self) -> Vec<TakeOver> {
         self.superseded.take_new()
     }
 
@@ -486,6 +494,7 @@
             DeclaredRecord::All(declared) => {
                 let current_version = self.declared.as_ref().map_or(0, |current| current.version);
                 if declared.version > current_version {
+                    self.services.declare(&declared, now);
                     self.declared = Some(Arc::from(declared));
                 }
             }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -256,8 +256,9 @@
         let limits = state.take_limit_reports();
         self.traffic.record_shared_limits(&limits);
         let Some(view) = state.publish() else { return false };
-        for run in state.take_superseded() {
-            warn!(self.traffic.log, "address of a target taken over"; events::ADDRESS_TAKEN_OVER, "target" => &*run);
+        for found in state.take_superseded() {
+            warn!(self.traffic.log, "address of a target taken over"; events::ADDRESS_TAKEN_OVER,
+                "target" => &*found.run, "successor" => &*found.successor, "service" => &*found.service);
         }
         info!(self.traffic.log, "cached state changed"; events::STATE_CHANGED,
             "declared" => view.declared.as_ref().map_or(0, |d| d.version),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod kept;
 mod load;
 mod lost_rows;
+mod named_services;
 mod placement;
 pub mod ports;
 mod position;
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -11,12 +11,13 @@
 use error_stack::Report;
 use gateway::ports::{DeclaredRecord, Decode, Record, Snapshot, UnusableRecord};
 use gateway::{
-    AllowedRegions, CallerLimits, Declared, DesiredWeights, Position, RetrySafety, Route, ServiceShare,
-    Target,
+    AllowedRegions, CallerLimits, Declared, DesiredWeights, Position, RetrySafety, Route, Service,
+    ServiceShare, Target,
 };
 
-/// Decodes rows of the form `declared N [stream SERVICE SECONDS]`, `weights MODEL N` and `target SERVICE VERSION
-/// [software=VERSION] [leaving]`, and rows with the key `evacuate/DOMAIN`.
+/// Decodes rows of the form `declared N [stream SERVICE SECONDS]`, which declares the service `s`, `declared N services
+/// SERVICE...`, `weights MODEL N` and `target SERVICE VERSION [software=VERSION] [born=N] [leaving]`, and rows with the key
+/// `evacuate/DOMAIN`.
 pub(crate) struct WordDecode;
 
 impl Decode for WordDecode {
@@ -26,14 +27,23 @@
         }
         let words = words(record)?;
         match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            ["declared", version, ref stream @ ..] => {
+            ["declared", version, ref rest @ ..] => {
                 let version = version.parse().map_err(|_| UnusableRecord)?;
                 let limits = CallerLimits {
                     body_bytes: 1_000,
                     ..CallerLimits::default()
                 };
-                let declared =
-                    Declared::new(version, limits, stream_route(stream)?, [], Some(HashMap::new()));
+                let (names, stream): (&[&str], _) = match rest {
+                    ["services", names @ ..] => (names, &[][..]),
+                    stream => (&["s"], stream),
+                };
+                let declared = Declared::new(
+                    version,
+                    limits,
+                    stream_route(stream)?,
+                    names.iter().map(|name| service(name)),
+                    Some(HashMap::new()),
+                );
                 Ok(DeclaredRecord::All(Box::new(declared)))
             }
             ["weights", model, version] => Ok(DeclaredRecord::Weights(DesiredWeights {
@@ -58,10 +68,25 @@
         if let Some(software) = rest.iter().find_map(|word| word.strip_prefix("software=")) {
             target.software = software.into();
         }
+        if let Some(born) = rest.iter().find_map(|word| word.strip_prefix("born=")) {
+            target.born_ms = born.parse().map_err(|_| UnusableRecord)?;
+            target.run = Target::run_of(&target.instance, target.born_ms);
+        }
         Ok(target)
     }
 }
 
+/// Returns a declared service with targets.
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        connection_limit: 100,
+        engine: None,
+        store: None,
+        cold: None,
+    }
+}
+
 /// Returns a resumable stream route of a service, for the words `stream SERVICE SECONDS`.
 fn stream_route(words: &[&str]) -> Result<Option<Route>, Report<UnusableRecord>> {
     let [_, service, seconds] = words else {
