--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -268,7 +268,7 @@
     pub const STATE_CHANGED: Event = event(
         5013,
         "beliefs_changed",
-        "The host's cached state of declarations, targets or hosts changed; gives the time since the declarations were last known to be current.",
+        "The host's cached state of declarations, targets or hosts changed; gives the time since the declarations were last known to be current, and the number of entries whose service is not declared, which are not used.",
     );
     pub const PEER_READ: Event = event(
         5014,
--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -141,6 +141,14 @@
         self.unconfirmed.len()
     }
 
+    /// Returns the number of listed entries whose service is not declared, so that they name no target to use.
+    pub(crate) fn unnamed_count(&self) -> usize {
+        let listed = self.targets.values().chain(self.unconfirmed.values());
+        listed
+            .filter(|target| !self.services.contains(&target.service))
+            .count()
+    }
+
     /// Returns the number of evacuations in force whose rows a restored store has lost.
     pub(crate) fn lost_evacuation_count(&self) -> usize {
         self.evacuations.lost_count()
@@ -417,12 +425,10 @@
             return None;
         }
         let listed = self.targets.values().chain(self.unconfirmed.values());
-        let named = listed
-            .clone()
-            .filter(|target| self.services.contains(&target.service));
-        self.superseded.update(named.map(|target| &**target));
+        let named = listed.filter(|target| self.services.contains(&target.service));
+        self.superseded.update(named.clone().map(|target| &**target));
         let mut targets: HashMap<_, Vec<_>> = HashMap::new();
-        for target in listed {
+        for target in named {
             if !target.is_leaving && !self.superseded.contains(&target.run) {
                 targets
                     .entry(target.service.clone())
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -264,7 +264,7 @@
             "declared" => view.declared.as_ref().map_or(0, |d| d.version),
             "declared_age_ms" => self.traffic.declared_age_ms(),
             "targets" => view.targets.values().map(Vec::len).sum::<usize>(),
-            "hosts" => view.hosts.len());
+            "unnamed" => state.unnamed_count(), "hosts" => view.hosts.len());
         self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.set_slot_hosts(&view);
         self.log_evacuations(&self.traffic.view.load(), &view);
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -59,7 +59,7 @@
 pub struct View {
     /// Declared configuration; `None` until one is read.
     pub declared: Option<Arc<Declared>>,
-    /// Targets by service, without those that are leaving.
+    /// Targets of the services that the operator names, by service, without those that are leaving.
     pub targets: HashMap<ServiceId, Vec<Arc<Target>>>,
     /// Declared weight versions by model.
     pub weights: HashMap<ModelId, WeightsHistory>,
--- a/components/gateway/tests/unnamed_services.rs
+++ b/components/gateway/tests/unnamed_services.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use gateway::ports::Table;
-use gateway::{CachedState, UpdateSource, View};
+use gateway::{CachedState, Rollout, RolloutAction, UpdateSource, View};
 use support::{decode, ms, removed, row, snapshot};
 
 /// How long an entry that is missing after an outage stays listed.
@@ -69,3 +69,38 @@
     state.apply(Table::Declared, gone, UpdateSource::Store, ms(2_000));
     assert_eq!(names(&state.publish().unwrap(), "s"), ["t1"]);
 }
+
+// Guards against new weights that no engine gets because entries of another writer, which never answer, hold the load slots.
+#[test]
+fn an_entry_of_an_undeclared_service_gets_no_load_slot() {
+    let mut state = CachedState::new(decode(), GRACE);
+    let engines = (0..9).map(|n| row(&format!("t{n}"), "target s 1", 5));
+    let others = (0..4).map(|n| row(&format!("agent{n}"), "target agents 0", 5));
+    let entries: Vec<_> = engines.chain(others).collect();
+    state.replace(Table::Targets, snapshot(6, entries), UpdateSource::Store, ms(0));
+    declare(&mut state, "declared 3", 7, ms(0));
+    let weights = snapshot(8, [row("version/m", "weights m 2", 8)]);
+    state.apply(Table::Declared, weights, UpdateSource::Store, ms(0));
+    let view = state.publish().unwrap();
+    let actions = Rollout::default().next(&view, &[], ms(0));
+    let started: Vec<_> = actions
+        .iter()
+        .map(|action| match action {
+            RolloutAction::Start(slot) => &*slot.target,
+            _ => panic!("{action:?}"),
+        })
+        .collect();
+    // A third of the nine engines.
+    assert_eq!(started, ["t0/1", "t1/1", "t2/1"]);
+}
+
+// Guards against a host that gives orders to what its list holds before it knows which services there are.
+#[test]
+fn no_entry_names_a_target_before_a_declaration_is_read() {
+    let mut state = CachedState::new(decode(), GRACE);
+    let entries = [row("t1", "target s 1", 5)];
+    state.replace(Table::Targets, snapshot(6, entries), UpdateSource::Store, ms(0));
+    assert!(state.publish().unwrap().targets.is_empty());
+    declare(&mut state, "declared 3", 7, ms(0));
+    assert_eq!(names(&state.publish().unwrap(), "s"), ["t1"]);
+}
