--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -377,6 +377,16 @@
         "refusal_unproven",
         "A target answered with a status that promises that the request has not run, without stating that; the status does not reach the caller.",
     );
+    pub const LOAD_SLOT_RESERVED: Event = event(
+        5036,
+        "load_slot_reserved",
+        "The holder of the lease reserves one of the slots for loading weights for an engine; gives the slots in use.",
+    );
+    pub const LOAD_SLOT_GIVEN_UP: Event = event(
+        5037,
+        "load_slot_given_up",
+        "An engine with a slot for loading weights has not answered for so long that no order to it can have an effect any more; others get the slot.",
+    );
     pub const BODY_EVICTED: Event = event(
         5040,
         "body_evicted",
@@ -587,6 +597,8 @@
     events::TARGET_UNLIMITED,
     events::LIMIT_RECORDED,
     events::REFUSAL_UNPROVEN,
+    events::LOAD_SLOT_RESERVED,
+    events::LOAD_SLOT_GIVEN_UP,
     events::BODY_EVICTED,
     events::NO_MEMORY,
     events::CONNECTIONS_CLOSED,
--- a/components/gateway/src/control/orders.rs
+++ b/components/gateway/src/control/orders.rs
@@ -4,7 +4,9 @@
 
 use error_stack::Report;
 use errors::events;
-use membership::{Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, OrderLease, WriteOutcome};
+use membership::{
+    Identity, LeaseEffect, LeaseInput, LeaseRow, LeaseRules, LoadSlot, OrderLease, WriteOutcome,
+};
 use metadata::Expect;
 use slog::{info, warn};
 use utils::Epoch;
@@ -46,6 +48,8 @@
     lease: Mutex<OrderLease>,
     /// Progress of the rollout.
     rollout: Mutex<Rollout>,
+    /// Load slots in the lease's row at the last step.
+    known_slots: Mutex<Vec<LoadSlot>>,
     /// Era of the store in which the lease's row was read.
     era: AtomicU64,
 }
@@ -91,7 +95,8 @@
     let orders = Arc::new(Orders {
         control,
         lease: Mutex::new(OrderLease::new(own, rules)),
-        rollout: Mutex::default(),
+        rollout: Mutex::new(Rollout::new(rules.max_order_latency)),
+        known_slots: Mutex::default(),
         era: AtomicU64::new(0),
     });
     loop {
@@ -154,6 +159,7 @@
         let is_holder = self.is_holder();
         self.control.traffic.telemetry.lease(is_holder);
         if is_holder && !was_holder {
+            self.rollout().restart();
             info!(self.control.traffic.log, "lease taken"; events::LEASE_TAKEN);
         }
         if is_holder {
@@ -230,6 +236,7 @@
         let now = self.control.traffic.now();
         let view = self.control.traffic.view.load_full();
         let loads = self.lease().loads().to_vec();
+        self.log_new_slots(&loads);
         let orders = self.rollout().next(&view, &loads, now);
         let mut calls = Vec::new();
         for order in orders {
@@ -240,6 +247,11 @@
                 RolloutAction::End(target) => {
                     self.lease().step(LeaseInput::End(target), now);
                 }
+                RolloutAction::GiveUp(target) => {
+                    warn!(self.control.traffic.log, "load slot given up"; events::LOAD_SLOT_GIVEN_UP,
+                        "target" => &*target);
+                    self.lease().step(LeaseInput::End(target), now);
+                }
                 RolloutAction::Query(target) => {
                     let orders = self.clone();
                     calls.push(self.control.ex.spawn(async move { orders.query(&target).await }));
@@ -260,6 +272,17 @@
         }
     }
 
+    /// Logs the load slots that the lease's row has since the last step.
+    fn log_new_slots(&self, loads: &[LoadSlot]) {
+        let mut known = self.known_slots.lock().unwrap_or_else(PoisonError::into_inner);
+        for slot in loads.iter().filter(|slot| !known.contains(slot)) {
+            info!(self.control.traffic.log, "load slot reserved"; events::LOAD_SLOT_RESERVED,
+                "target" => &*slot.target, "model" => &*slot.model, "version" => slot.version,
+                "reserved" => loads.len());
+        }
+        loads.clone_into(&mut known);
+    }
+
     async fn query(&self, target: &Target) {
         let report = self.control.engines.report(target.address).await;
         let input = match report {
@@ -297,7 +320,7 @@
         };
         let answer = self.control.engines.order(target.address, order).await;
         info!(self.control.traffic.log, "weights ordered"; events::WEIGHTS_ORDERED,
-            "target" => &target.instance, "version" => weights.version, "epoch" => epoch,
+            "target" => &target.instance, "model" => &*weights.model, "version" => weights.version, "epoch" => epoch,
             "revision" => revision, "answer" => format!("{:?}", answer.as_ref().ok()));
         self.rollout().handle(target, RolloutInput::Ordered(answer.ok()));
     }
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use membership::LoadSlot;
+use membership::{LeaseRules, LoadSlot};
 use utils::{Monotonic, TargetId, WeightVersion};
 
 use crate::ports::{EngineReport, OrderAnswer};
@@ -14,6 +14,10 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
 /// Time after which an order without a visible effect is sent again.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time without an answer after which an engine no longer counts as loading.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which an engine whose load slot was given up for its silence is tried again, if no other one waits.
+const SILENT_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// One in this many engines, but at least one, loads weights at a time; the others keep serving.
 const LOADING_DIVISOR: usize = 3;
 /// Most engines with a reserved load slot, relative to those that may load at a time. Engines that have not
@@ -27,6 +31,8 @@
     Start(LoadSlot),
     /// Release the load slot.
     End(TargetId),
+    /// Release the load slot of an engine that has not answered for a long time.
+    GiveUp(TargetId),
     /// Query the engine's state.
     Query(Arc<Target>),
     /// Order the engine to load weights.
@@ -62,25 +68,37 @@
     ordered_at: Option<Monotonic>,
     /// Whether the last order has got no answer. The engine may carry it out many seconds later.
     is_unanswered: bool,
+    /// Time of the first query since the last answer; `None` if none is open.
+    silent_since: Option<Monotonic>,
 }
 
 impl Progress {
     /// Whether the engine may be loading. An engine that is not busy after an order without an answer serves as
-    /// before.
-    fn may_be_loading(&self) -> bool {
+    /// before, and one that does not answer serves nothing.
+    fn may_be_loading(&self, now: Monotonic) -> bool {
         let is_idle = self.report.as_ref().is_some_and(|report| !report.is_busy);
-        !(self.is_unanswered && is_idle)
+        !(self.is_unanswered && is_idle || self.is_silent_for(SILENCE_TIMEOUT, now))
+    }
+
+    /// Whether the engine has answered neither a query nor an order for this time.
+    fn is_silent_for(&self, time: Duration, now: Monotonic) -> bool {
+        let since = self.silent_since.max(self.ordered_at);
+        self.silent_since.is_some() && since.is_some_and(|since| now >= since.saturating_add(time))
     }
 }
 
 /// Rolls out the declared weights to the engines, a limited number at a time, not counting engines that go on
-/// serving after an order without an answer. A state machine without I/O: it compares the engines' reports with
+/// serving after an order without an answer, nor those that do not answer. A state machine without I/O: it compares the engines' reports with
 /// the declared weights and repeats orders. A lost or late order is harmless, because each order carries the
 /// number of orders that the engine must have accepted before it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Rollout {
+    /// Longest time from an order to its effect.
+    max_order_latency: Duration,
     /// Engines with a load in progress.
     progress: BTreeMap<TargetId, Progress>,
+    /// Engines whose load slots were given up for their silence, with the time of that.
+    silent: BTreeMap<TargetId, Monotonic>,
     /// Versions that engines have reported as loaded before their entries show them.
     loaded: BTreeMap<TargetId, u64>,
 }
@@ -105,15 +123,44 @@
     })
 }
 
+impl Default for Rollout {
+    fn default() -> Self {
+        Self::new(LeaseRules::default().max_order_latency)
+    }
+}
+
 impl Rollout {
+    /// Creates a rollout without loads in progress. An order has its effect within `max_order_latency`, or none.
+    pub fn new(max_order_latency: Duration) -> Self {
+        Self {
+            max_order_latency,
+            progress: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            loaded: BTreeMap::new(),
+        }
+    }
+
+    /// Forgets the loads that this host followed while it held the lease before: another holder may have given orders since.
+    pub fn restart(&mut self) {
+        self.progress.clear();
+        self.silent.clear();
+    }
+
     /// Records the result of a call to an engine.
     pub fn handle(&mut self, target: &Target, input: RolloutInput) {
         let progress = self.progress.entry(target.run.clone()).or_default();
         match input {
-            RolloutInput::Reported(report) => progress.report = Some(report),
+            RolloutInput::Reported(report) => {
+                progress.report = Some(report);
+                progress.silent_since = None;
+                self.silent.remove(&target.run);
+            }
             RolloutInput::Ordered(answer) => {
                 progress.report = None;
                 progress.is_unanswered = answer.is_none();
+                if answer.is_some() {
+                    progress.silent_since = None;
+                }
                 if matches!(answer, Some(OrderAnswer::Conflict | OrderAnswer::Rejected(_))) {
                     progress.ordered_at = None;
                 }
@@ -142,12 +189,21 @@
                 None => actions.push(RolloutAction::End(slot.target.clone())),
             }
         }
-        let loading = loads.iter().filter(|slot| self.may_be_loading(&slot.target));
+        self.silent
+            .retain(|id, _| outdated.iter().any(|(target, _)| target.run == *id));
+        let loading = loads.iter().filter(|slot| self.may_be_loading(&slot.target, now));
         let reservable = (MAX_RESERVED_RATIO * limit).saturating_sub(loads.len());
         let free_slots = limit.saturating_sub(loading.count()).min(reservable);
         let waiting = outdated
             .iter()
             .filter(|(target, _)| !loads.iter().any(|slot| slot.target == target.run));
+        // Engines that did not answer come last.
+        let (silent, answering): (Vec<_>, Vec<_>) =
+            waiting.partition(|(target, _)| self.silent.contains_key(&target.run));
+        let silent = silent
+            .into_iter()
+            .filter(|(target, _)| self.may_be_tried_again(&target.run, now));
+        let waiting = answering.into_iter().chain(silent);
         actions.extend(waiting.take(free_slots).map(|(target, weights)| {
             RolloutAction::Start(LoadSlot {
                 target: target.run.clone(),
@@ -160,8 +216,14 @@
 
     /// Whether an engine with a load slot may be loading. An engine without progress was ordered by the lease
     /// holder before this one.
-    fn may_be_loading(&self, target: &TargetId) -> bool {
-        self.progress.get(target).is_none_or(Progress::may_be_loading)
+    fn may_be_loading(&self, target: &TargetId, now: Monotonic) -> bool {
+        let progress = self.progress.get(target);
+        progress.is_none_or(|progress| progress.may_be_loading(now))
+    }
+
+    fn may_be_tried_again(&self, target: &TargetId, now: Monotonic) -> bool {
+        let given_up_at = self.silent.get(target);
+        given_up_at.is_none_or(|at| now >= at.saturating_add(SILENT_RETRY_INTERVAL))
     }
 
     fn step(
@@ -171,6 +233,15 @@
         now: Monotonic,
     ) -> Option<RolloutAction> {
         let progress = self.progress.entry(target.run.clone()).or_default();
+        // No order of this host or of an earlier holder can have an effect any more.
+        if progress.is_silent_for(self.max_order_latency.max(SILENCE_TIMEOUT), now) {
+            let run = target.run.clone();
+            return Some(match self.silent.insert(run.clone(), now) {
+                None => RolloutAction::GiveUp(run),
+                // The lease's row still has the slot, or the engine was silent the last time as well.
+                Some(_) => RolloutAction::End(run),
+            });
+        }
         if let Some(report) = &progress.report {
             let loaded = report
                 .models
@@ -196,6 +267,7 @@
         let is_query_due = progress.queried_at.is_none_or(|at| now >= at + MAX_REPORT_AGE);
         is_query_due.then(|| {
             progress.queried_at = Some(now);
+            progress.silent_since.get_or_insert(now);
             RolloutAction::Query(target.clone())
         })
     }
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -219,3 +219,67 @@
     rollout.handle(&engines[0], report(1, 1, true));
     assert_eq!(started(rollout.next(&view, &reserved, ms(800))), 1);
 }
+
+/// Longest time from an order to its effect.
+const ORDER_LATENCY_MS: u64 = 3_000;
+
+fn started(actions: &[RolloutAction]) -> Vec<&str> {
+    let slots = actions.iter().filter_map(|action| match action {
+        RolloutAction::Start(slot) => Some(&*slot.target),
+        _ => None,
+    });
+    slots.collect()
+}
+
+// Guards against new weights that no engine gets because one that the lease holder does not reach holds the load slot.
+#[test]
+fn an_engine_that_never_answers_does_not_keep_the_others_from_loading() {
+    let engines: Vec<_> = (0..3).map(|i| target(&format!("e{i}"), 1)).collect();
+    let view = view(&engines);
+    let mut rollout = Rollout::new(ms(ORDER_LATENCY_MS));
+    let reserved = [slot("e0")];
+    assert!(started(&rollout.next(&view, &reserved, ms(0))).is_empty());
+    rollout.handle(&engines[0], RolloutInput::NoReport);
+    assert!(started(&rollout.next(&view, &reserved, ms(1_499))).is_empty());
+    assert_eq!(started(&rollout.next(&view, &reserved, ms(1_500))), ["e1/1"]);
+    let is_given_up = |actions: &[RolloutAction]| {
+        actions
+            .iter()
+            .any(|action| matches!(action, RolloutAction::GiveUp(run) if **run == *"e0/1"))
+    };
+    assert!(!is_given_up(&rollout.next(&view, &reserved, ms(2_999))));
+    assert!(is_given_up(&rollout.next(&view, &reserved, ms(3_000))));
+    // It waits behind the others, and is tried again once it is the only one left.
+    assert_eq!(started(&rollout.next(&view, &[], ms(3_100))), ["e1/1"]);
+    let left = [target("e0", 1), target("e1", 2), target("e2", 2)];
+    let left = self::view(&left);
+    assert!(started(&rollout.next(&left, &[], ms(4_999))).is_empty());
+    assert_eq!(started(&rollout.next(&left, &[], ms(5_000))), ["e0/1"]);
+}
+
+// Guards against two holders that order one engine within the time in which an order without an answer may have its effect.
+#[test]
+fn a_load_slot_is_not_given_up_while_an_order_may_have_an_effect() {
+    let engine = target("e", 1);
+    let view = view(std::slice::from_ref(&engine));
+    let mut rollout = Rollout::new(ms(ORDER_LATENCY_MS));
+    let reserved = [slot("e")];
+    rollout.next(&view, &reserved, ms(0));
+    rollout.handle(&engine, report(1, 0, false));
+    let ordered = rollout.next(&view, &reserved, ms(1_000));
+    assert!(matches!(ordered[..], [RolloutAction::Load { .. }]));
+    rollout.handle(&engine, RolloutInput::Ordered(None));
+    for now in (1_100..1_000 + 100 + ORDER_LATENCY_MS).step_by(100) {
+        let actions = rollout.next(&view, &reserved, ms(now));
+        assert!(
+            !actions.iter().any(|a| matches!(a, RolloutAction::GiveUp(_))),
+            "{now}"
+        );
+    }
+    let actions = rollout.next(&view, &reserved, ms(1_100 + ORDER_LATENCY_MS));
+    assert!(matches!(actions[..], [RolloutAction::GiveUp(_)]));
+    // A host that takes the lease again starts from nothing: another holder may have given orders meanwhile.
+    rollout.restart();
+    let actions = rollout.next(&view, &reserved, ms(1_200 + ORDER_LATENCY_MS));
+    assert!(matches!(actions[..], [RolloutAction::Query(_)]));
+}
