--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -1,9 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use membership::{LeaseRules, LoadSlot};
-use utils::{Monotonic, TargetId, WeightVersion};
+use utils::{ModelId, Monotonic, TargetId, WeightVersion};
 
 use crate::ports::{EngineReport, OrderAnswer};
 use crate::view::View;
@@ -18,12 +18,15 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an engine whose load slot was given up for its silence is tried again, if no other one waits.
 const SILENT_RETRY_INTERVAL: Duration = Duration::from_secs(2);
-/// One in this many engines, but at least one, loads weights at a time; the others keep serving.
+/// One in this many engines, but at least one, loads weights of a model at a time; the others keep serving it.
 const LOADING_DIVISOR: usize = 3;
 /// Most engines with a reserved load slot, relative to those that may load at a time. Engines that have not
 /// answered an order may carry it out all at once.
 const MAX_RESERVED_RATIO: usize = 2;
 
+/// A model that an engine has.
+type EngineModel = (TargetId, ModelId);
+
 /// An action for the holder of the lease.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RolloutAction {
@@ -88,9 +91,9 @@
 }
 
 /// Rolls out the declared weights to the engines, a limited number at a time, not counting engines that go on
-/// serving after an order without an answer, nor those that do not answer. A state machine without I/O: it compares the engines' reports with
-/// the declared weights and repeats orders. A lost or late order is harmless, because each order carries the
-/// number of orders that the engine must have accepted before it.
+/// serving after an order without an answer, nor those that do not answer. A state machine without I/O: it compares the
+/// engines' reports with the declared weights and repeats orders. A lost or late order is harmless, because each order
+/// carries the number of orders that the engine must have accepted before it.
 #[derive(Debug)]
 pub struct Rollout {
     /// Longest time from an order to its effect.
@@ -100,7 +103,80 @@
     /// Engines whose load slots were given up for their silence, with the time of that.
     silent: BTreeMap<TargetId, Monotonic>,
     /// Versions that engines have reported as loaded before their entries show them.
-    loaded: BTreeMap<TargetId, u64>,
+    loaded: BTreeMap<EngineModel, u64>,
+}
+
+/// Weights that an engine lacks.
+#[derive(Debug, Clone)]
+struct Outdated {
+    /// The engine.
+    target: Arc<Target>,
+    /// Model and version to load.
+    weights: DesiredWeights,
+    /// Time for which the engine's version has been replaced.
+    replaced_for: Duration,
+}
+
+impl Outdated {
+    fn engine_model(&self) -> EngineModel {
+        (self.target.run.clone(), self.weights.model.clone())
+    }
+
+    fn is_of(&self, slot: &LoadSlot) -> bool {
+        self.target.run == slot.target && self.weights.model == slot.model
+    }
+}
+
+/// Loads in progress against the number that may be.
+#[derive(Debug, Clone, Copy, Default)]
+struct LoadCount {
+    /// Engines that have the model, for one model; engines and their models, for all.
+    engines: usize,
+    /// Engines that may be loading.
+    loading: usize,
+    /// Engines with a load slot.
+    reserved: usize,
+}
+
+impl LoadCount {
+    fn add(&mut self, is_loading: bool) {
+        self.loading += usize::from(is_loading);
+        self.reserved += 1;
+    }
+
+    fn has_room(&self) -> bool {
+        let limit = (self.engines / LOADING_DIVISOR).max(1);
+        self.loading < limit && self.reserved < MAX_RESERVED_RATIO * limit
+    }
+}
+
+/// Loads in progress of each model and of all models.
+#[derive(Debug, Default)]
+struct LoadCounts {
+    by_model: BTreeMap<ModelId, LoadCount>,
+    total: LoadCount,
+}
+
+impl LoadCounts {
+    fn new(view: &View) -> Self {
+        let mut counts = Self::default();
+        let models = view.targets.values().flatten().flat_map(|target| &target.models);
+        for (model, _) in models {
+            counts.by_model.entry(model.clone()).or_default().engines += 1;
+            counts.total.engines += 1;
+        }
+        counts
+    }
+
+    fn add(&mut self, model: &ModelId, is_loading: bool) {
+        self.by_model.entry(model.clone()).or_default().add(is_loading);
+        self.total.add(is_loading);
+    }
+
+    fn has_room(&self, model: &ModelId) -> bool {
+        let of_model = self.by_model.get(model);
+        of_model.is_none_or(LoadCount::has_room) && self.total.has_room()
+    }
 }
 
 /// Time after a declaration at which weights that no host has ordered count as overdue, so that every host
@@ -116,8 +192,8 @@
 /// assert!(!is_overdue(&View::default(), std::time::Duration::ZERO));
 /// ```
 pub fn is_overdue(view: &View, now: Monotonic) -> bool {
-    outdated_engines(view, now).iter().any(|(_, weights)| {
-        let history = view.weights.get(&weights.model);
+    outdated_engines(view, now).iter().any(|outdated| {
+        let history = view.weights.get(&outdated.weights.model);
         let age = history.and_then(|history| history.newest_age(now));
         age.is_some_and(|age| age >= OVERDUE_AFTER)
     })
@@ -171,47 +247,69 @@
 
     /// Returns the next actions, given the loads reserved in the lease's row.
     pub fn next(&mut self, view: &View, loads: &[LoadSlot], now: Monotonic) -> Vec<RolloutAction> {
-        let mut actions = Vec::new();
-        let mut outdated = outdated_engines(view, now);
-        self.loaded
-            .retain(|id, _| outdated.iter().any(|(target, _)| target.run == *id));
-        outdated.retain(|(target, weights)| {
-            let loaded = self.loaded.get(&target.run);
-            loaded.is_none_or(|version| *version < weights.version)
-        });
-        let limit = (engine_count(view) / LOADING_DIVISOR).max(1);
+        let outdated = self.not_loaded(outdated_engines(view, now));
         self.progress
             .retain(|id, _| loads.iter().any(|slot| slot.target == *id));
+        self.silent
+            .retain(|id, _| outdated.iter().any(|outdated| outdated.target.run == *id));
+        let steps =
+            loads.iter().filter_map(
+                |slot| match outdated.iter().find(|outdated| outdated.is_of(slot)) {
+                    Some(outdated) => self.step(outdated, now),
+                    None => Some(RolloutAction::End(slot.target.clone())),
+                },
+            );
+        let mut actions: Vec<_> = steps.collect();
+        actions.extend(self.starts(view, outdated, loads, now));
+        actions
+    }
+
+    /// Returns the outdated engines without those that have reported the weights.
+    fn not_loaded(&mut self, mut outdated: Vec<Outdated>) -> Vec<Outdated> {
+        let listed: BTreeSet<_> = outdated.iter().map(Outdated::engine_model).collect();
+        self.loaded.retain(|loaded, _| listed.contains(loaded));
+        outdated.retain(|outdated| {
+            let loaded = self.loaded.get(&outdated.engine_model());
+            loaded.is_none_or(|version| *version < outdated.weights.version)
+        });
+        outdated
+    }
+
+    /// Returns the loads to reserve a slot for. An engine carries out one order at a time.
+    fn starts(
+        &self,
+        view: &View,
+        outdated: Vec<Outdated>,
+        loads: &[LoadSlot],
+        now: Monotonic,
+    ) -> Vec<RolloutAction> {
+        if outdated.is_empty() {
+            return Vec::new();
+        }
+        let mut counts = LoadCounts::new(view);
         for slot in loads {
-            let found = outdated.iter().find(|(target, _)| target.run == slot.target);
-            match found {
-                Some((target, weights)) => actions.extend(self.step(target, weights, now)),
-                None => actions.push(RolloutAction::End(slot.target.clone())),
-            }
+            counts.add(&slot.model, self.may_be_loading(&slot.target, now));
         }
-        self.silent
-            .retain(|id, _| outdated.iter().any(|(target, _)| target.run == *id));
-        let loading = loads.iter().filter(|slot| self.may_be_loading(&slot.target, now));
-        let reservable = (MAX_RESERVED_RATIO * limit).saturating_sub(loads.len());
-        let free_slots = limit.saturating_sub(loading.count()).min(reservable);
-        let waiting = outdated
-            .iter()
-            .filter(|(target, _)| !loads.iter().any(|slot| slot.target == target.run));
+        let mut reserved: BTreeSet<_> = loads.iter().map(|slot| slot.target.clone()).collect();
         // Engines that did not answer come last.
-        let (silent, answering): (Vec<_>, Vec<_>) =
-            waiting.partition(|(target, _)| self.silent.contains_key(&target.run));
+        let is_silent = |outdated: &Outdated| self.silent.contains_key(&outdated.target.run);
+        let (silent, answering): (Vec<_>, Vec<_>) = outdated.into_iter().partition(is_silent);
         let silent = silent
             .into_iter()
-            .filter(|(target, _)| self.may_be_tried_again(&target.run, now));
-        let waiting = answering.into_iter().chain(silent);
-        actions.extend(waiting.take(free_slots).map(|(target, weights)| {
-            RolloutAction::Start(LoadSlot {
+            .filter(|outdated| self.may_be_tried_again(&outdated.target.run, now));
+        let mut starts = Vec::new();
+        for Outdated { target, weights, .. } in answering.into_iter().chain(silent) {
+            if !counts.has_room(&weights.model) || !reserved.insert(target.run.clone()) {
+                continue;
+            }
+            counts.add(&weights.model, true);
+            starts.push(RolloutAction::Start(LoadSlot {
                 target: target.run.clone(),
-                model: weights.model.clone(),
+                model: weights.model,
                 version: weights.version as WeightVersion,
-            })
-        }));
-        actions
+            }));
+        }
+        starts
     }
 
     /// Whether an engine with a load slot may be loading. An engine without progress was ordered by the lease
@@ -226,12 +324,8 @@
         given_up_at.is_none_or(|at| now >= at.saturating_add(SILENT_RETRY_INTERVAL))
     }
 
-    fn step(
-        &mut self,
-        target: &Arc<Target>,
-        weights: &DesiredWeights,
-        now: Monotonic,
-    ) -> Option<RolloutAction> {
+    fn step(&mut self, outdated: &Outdated, now: Monotonic) -> Option<RolloutAction> {
+        let Outdated { target, weights, .. } = outdated;
         let progress = self.progress.entry(target.run.clone()).or_default();
         // No order of this host or of an earlier holder can have an effect any more.
         if progress.is_silent_for(self.max_order_latency.max(SILENCE_TIMEOUT), now) {
@@ -248,7 +342,7 @@
                 .iter()
                 .any(|(model, version)| *model == weights.model && *version >= weights.version);
             if loaded {
-                self.loaded.insert(target.run.clone(), weights.version);
+                self.loaded.insert(outdated.engine_model(), weights.version);
                 return Some(RolloutAction::End(target.run.clone()));
             }
             let is_order_due = progress
@@ -273,34 +367,32 @@
     }
 }
 
-/// Returns the engines whose entry shows older weights than declared, with the weights to load. Engines whose
-/// weights have been replaced for the longest time come first.
-fn outdated_engines(view: &View, now: Monotonic) -> Vec<(Arc<Target>, DesiredWeights)> {
-    let mut found = Vec::new();
-    for target in view.targets.values().flatten() {
-        let outdated = target.models.iter().find_map(|(model, version)| {
-            let history = view.weights.get(model)?;
-            let weights = DesiredWeights {
-                model: model.clone(),
-                version: history.newest(),
-            };
-            let replaced_for = match history.replacement(*version, now) {
-                Replacement::Current => return None,
-                Replacement::Since(age) => age,
-                Replacement::SinceUnknown => Duration::MAX,
-            };
-            Some((replaced_for, weights))
-        });
-        found.extend(outdated.map(|(replaced_for, weights)| (replaced_for, target.clone(), weights)));
-    }
-    found.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
-    found
-        .into_iter()
-        .map(|(_, target, weights)| (target, weights))
-        .collect()
-}
-
-fn engine_count(view: &View) -> usize {
-    let all = view.targets.values().flatten();
-    all.filter(|target| !target.models.is_empty()).count()
+/// Returns the engines whose entry shows older weights of a model than declared, once for each such model. Weights that
+/// have been replaced for the longest time come first.
+fn outdated_engines(view: &View, now: Monotonic) -> Vec<Outdated> {
+    let engines = view.targets.values().flatten();
+    let models = engines.flat_map(|target| target.models.iter().map(move |loaded| (target, loaded)));
+    let outdated = models.filter_map(|(target, (model, version))| {
+        let history = view.weights.get(model)?;
+        let replaced_for = match history.replacement(*version, now) {
+            Replacement::Current => return None,
+            Replacement::Since(age) => age,
+            Replacement::SinceUnknown => Duration::MAX,
+        };
+        let weights = DesiredWeights {
+            model: model.clone(),
+            version: history.newest(),
+        };
+        Some(Outdated {
+            target: target.clone(),
+            weights,
+            replaced_for,
+        })
+    });
+    let mut outdated: Vec<_> = outdated.collect();
+    outdated.sort_by(|a, b| {
+        let by_age = b.replaced_for.cmp(&a.replaced_for);
+        by_age.then_with(|| a.target.instance.cmp(&b.target.instance))
+    });
+    outdated
 }
--- a/components/gateway/tests/weights.rs
+++ b/components/gateway/tests/weights.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use gateway::ports::EngineReport;
+use gateway::ports::{EngineReport, OrderAnswer};
 use gateway::{
     DeclaredAge, OldWeightsPolicy, Rollout, RolloutAction, RolloutInput, Target, View, WeightsHistory,
     is_overdue, old_weights_policy,
@@ -283,3 +284,117 @@
     let actions = rollout.next(&view, &reserved, ms(1_200 + ORDER_LATENCY_MS));
     assert!(matches!(actions[..], [RolloutAction::Query(_)]));
 }
+
+/// Returns an engine with weights of the models `m` and `n`.
+fn two_model_engine(instance: &str, m: u64, n: u64) -> Target {
+    let mut engine = target(instance, m);
+    engine.models.push(("n".into(), n));
+    engine
+}
+
+/// Returns a view of engines with two models, of which `n` was named a second after `m`.
+fn two_model_view(engines: &[Target]) -> View {
+    let mut view = view(engines);
+    view.weights.insert(
+        "n".into(),
+        WeightsHistory::new(2, Some(DeclaredAge::new(ms(0), ms(1_000)))),
+    );
+    view
+}
+
+fn two_model_report(m: u64, n: u64, revision: u64) -> RolloutInput {
+    RolloutInput::Reported(EngineReport {
+        born_ms: 1,
+        models: vec![("m".into(), m), ("n".into(), n)],
+        is_busy: false,
+        revision,
+        load: Default::default(),
+    })
+}
+
+/// Plays a rollout at engines that carry out each order within a step, and whose entries never show it. Returns the loads
+/// in order, and the most engines that loaded one model at a time.
+fn play(engines: &[Target], steps: u64) -> (Vec<(String, String)>, usize) {
+    let view = two_model_view(engines);
+    let mut rollout = Rollout::default();
+    let (mut loads, mut orders, mut most) = (Vec::<LoadSlot>::new(), Vec::new(), 0);
+    let mut versions: BTreeMap<String, [u64; 2]> = engines
+        .iter()
+        .map(|engine| (engine.run.to_string(), [1, 1]))
+        .collect();
+    for step in 0..steps {
+        let mut next = loads.clone();
+        for action in rollout.next(&view, &loads, ms(1_000 + 400 * step)) {
+            match action {
+                RolloutAction::Start(slot) => next.push(slot),
+                RolloutAction::End(run) | RolloutAction::GiveUp(run) => {
+                    next.retain(|slot| slot.target != run)
+                }
+                RolloutAction::Query(engine) => {
+                    let [m, n] = versions[&*engine.run];
+                    rollout.handle(&engine, two_model_report(m, n, m + n - 2));
+                }
+                RolloutAction::Load {
+                    target,
+                    weights,
+                    revision,
+                } => {
+                    let loaded = versions.get_mut(&*target.run).unwrap();
+                    assert_eq!(revision, loaded.iter().sum::<u64>() - 2);
+                    loaded[usize::from(&*weights.model == "n")] = weights.version;
+                    orders.push((target.instance.clone(), weights.model.to_string()));
+                    rollout.handle(&target, RolloutInput::Ordered(Some(OrderAnswer::Accepted)));
+                }
+            }
+        }
+        let slots = |model: &str| next.iter().filter(|slot| &*slot.model == model).count();
+        most = most.max(slots("m")).max(slots("n"));
+        loads = next;
+    }
+    assert!(loads.is_empty(), "{loads:?}");
+    (orders, most)
+}
+
+// Guards against new weights of a model that no engine gets because the same engines have just loaded those of another one.
+#[test]
+fn an_engine_loads_the_new_weights_of_each_of_its_models() {
+    for count in [1, 3, 6] {
+        let engines: Vec<_> = (0..count)
+            .map(|i| two_model_engine(&format!("e{i}"), 1, 1))
+            .collect();
+        let (mut orders, most) = play(&engines, 60);
+        assert_eq!(most, (count / 3).max(1), "{count}");
+        orders.sort();
+        let expected: Vec<_> = (0..count)
+            .flat_map(|i| ["m", "n"].map(|model| (format!("e{i}"), model.to_owned())))
+            .collect();
+        assert_eq!(orders, expected);
+    }
+}
+
+// Guards against new weights that a model's engines get one after the other because another model's are loaded elsewhere.
+#[test]
+fn loads_of_two_models_do_not_wait_for_each_other_at_engines_that_have_both() {
+    let engines: Vec<_> = (0..3).map(|i| two_model_engine(&format!("e{i}"), 1, 1)).collect();
+    let actions = Rollout::default().next(&two_model_view(&engines), &[], ms(2_000));
+    let slots: Vec<_> = actions
+        .iter()
+        .map(|action| match action {
+            RolloutAction::Start(slot) => (&*slot.target, &*slot.model),
+            _ => panic!("{action:?}"),
+        })
+        .collect();
+    assert_eq!(slots, [("e0/1", "m"), ("e1/1", "n")]);
+}
+
+// Guards against a new lease holder that takes an engine for loaded because the slot of its predecessor is for another model.
+#[test]
+fn a_new_holder_ends_the_slot_of_a_model_that_is_loaded_and_loads_the_other() {
+    let engines = [two_model_engine("e", 2, 1)];
+    let view = two_model_view(&engines);
+    let mut rollout = Rollout::default();
+    let actions = rollout.next(&view, &[slot("e")], ms(2_000));
+    assert!(matches!(&actions[..], [RolloutAction::End(run)] if **run == *"e/1"));
+    let actions = rollout.next(&view, &[], ms(2_100));
+    assert!(matches!(&actions[..], [RolloutAction::Start(slot)] if *slot.model == *"n"));
+}
