Keep the weight versions seen in answers by model (VERSION, the same cause on requests)

Cause: TargetSlot::observed_weights was one number for a target, whatever model the answer was for, and placement took it as the version of any model.

Change: it is kept for each model, and an answer counts for the model of its request.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -101,7 +101,7 @@
 
 impl Exchange {
     /// Records the first byte of the answer in the target's load and health.
-    fn record_first_byte(&mut self, facts: &AnswerFacts, status: u16, has_old_weights: bool) {
+    fn record_first_byte(&mut self, call: &Call, facts: &AnswerFacts, status: u16, has_old_weights: bool) {
         let now = self.cx.now();
         let prefill_tokens = std::mem::take(&mut self.work.prefill_tokens);
         let elapsed = now.saturating_sub(self.sent_at);
@@ -118,7 +118,9 @@
             if let Some(load) = facts.load {
                 slot.load.record_answer_load(load, now);
             }
-            slot.observed_weights = slot.observed_weights.max(facts.weights);
+            if let (Some(model), Some(version)) = (call.model(), facts.weights) {
+                slot.observe_weights(model, version);
+            }
             let outcome = match status {
                 _ if facts.is_not_run && has_old_weights => SendOutcome::LoadingWeights,
                 _ if facts.is_not_run => SendOutcome::Rejected,
@@ -357,7 +359,7 @@
         // The answer to this request can not be identified any more.
         return AttemptResult::Unknown(exchange.broken(AnswerStage::NoHead).on_open_connection());
     }
-    exchange.record_first_byte(&facts, parts.status.as_u16(), has_old_weights);
+    exchange.record_first_byte(call, &facts, parts.status.as_u16(), has_old_weights);
     exchange.record_announcements(call, &facts);
     if facts.is_not_run || facts.is_misdirected {
         let time_left = call.deadline.saturating_sub(cx.now());
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -273,9 +273,10 @@
 
     /// Returns the weight version of a target: the one in its record, or a newer one seen in its answers.
     fn weights_at(&self, target: &Target) -> Option<u64> {
-        let listed = target.weights_of(self.call.model()?);
+        let model = self.call.model()?;
         let slot = self.routing.slots.get(&target.run);
-        listed.max(slot.and_then(|slot| slot.observed_weights))
+        let observed = slot.and_then(|slot| slot.observed_weights(model));
+        target.weights_of(model).max(observed)
     }
 
     /// Returns how a target with these weights may be used when newer ones have been declared.
--- a/components/gateway/src/traffic/pool.rs
+++ b/components/gateway/src/traffic/pool.rs
@@ -1,7 +1,8 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use utils::Monotonic;
+use utils::{ModelId, Monotonic};
 
 use super::connect::{CallNumber, Connection};
 use crate::LoadEstimate;
@@ -39,8 +40,8 @@
 pub(crate) struct TargetSlot {
     /// Estimated load and health.
     pub load: LoadEstimate,
-    /// Newest weight version that the target's answers have reported.
-    pub observed_weights: Option<u64>,
+    /// Newest weight version of each model that the target's answers have reported.
+    observed_weights: BTreeMap<ModelId, u64>,
     /// Open connections, idle and reserved ones included.
     open: usize,
     /// Idle connections, the most recently used one last.
@@ -73,6 +74,21 @@
         None
     }
 
+    /// Records the weight version of a model that an answer has reported.
+    pub(crate) fn observe_weights(&mut self, model: &ModelId, version: u64) {
+        match self.observed_weights.get_mut(model) {
+            Some(observed) => *observed = version.max(*observed),
+            None => {
+                self.observed_weights.insert(model.clone(), version);
+            }
+        }
+    }
+
+    /// Returns the newest weight version of a model that the target's answers have reported.
+    pub(crate) fn observed_weights(&self, model: &ModelId) -> Option<u64> {
+        self.observed_weights.get(model).copied()
+    }
+
     /// Returns whether the target has lost an idle connection since the last call.
     pub(crate) fn take_lost_idle(&mut self) -> bool {
         std::mem::take(&mut self.has_lost_idle)
