--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -278,7 +278,7 @@
     pub const KEPT_CACHE_DROPPED: Event = event(
         5015,
         "kept_dropped",
-        "A store of kept cache was ordered to drop parts of replaced weights.",
+        "A store of kept cache was ordered to drop parts that no request uses: of replaced weights, or shared by other workspaces than now.",
     );
     pub const HOST_UNREACHABLE: Event = event(
         5016,
@@ -432,6 +432,11 @@
         "evacuation_ended",
         "The evacuation of a failure domain ended; its targets receive requests again.",
     );
+    pub const CACHE_SCOPE_CHANGED: Event = event(
+        5052,
+        "cache_scope_changed",
+        "The operator isolated a workspace or ended that; the other workspaces share cache in another scope from now on.",
+    );
     pub const TARGETS_COLD: Event = event(
         5060,
         "targets_cold",
@@ -608,6 +613,7 @@
     events::ANSWER_TOO_LARGE,
     events::EVACUATION_BEGAN,
     events::EVACUATION_ENDED,
+    events::CACHE_SCOPE_CHANGED,
     events::TARGETS_COLD,
     events::TARGETS_WARM,
     events::ADDRESS_TAKEN_OVER,
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -268,6 +268,7 @@
         self.log_quarantine(&self.traffic.view.load(), &view);
         self.traffic.set_slot_hosts(&view);
         self.log_evacuations(&self.traffic.view.load(), &view);
+        self.log_shared_scope(&self.traffic.view.load(), &view);
         self.log_unknown_baselines(&self.traffic.view.load(), &view);
         if let Some(declared) = &view.declared {
             self.traffic.resources.apply(&declared.limits);
@@ -298,6 +299,19 @@
         }
     }
 
+    /// Logs a change of the scope of the cache that workspaces share.
+    fn log_shared_scope(&self, before: &View, after: &View) {
+        let scope = |view: &View| {
+            let declared = view.declared.as_ref()?;
+            Some(declared.isolated().scope_of(None).text())
+        };
+        let (before, scope) = (scope(before), scope(after));
+        if before.is_some() && before != scope {
+            info!(self.traffic.log, "scope of shared cache changed"; events::CACHE_SCOPE_CHANGED,
+                "before" => before, "scope" => scope);
+        }
+    }
+
     /// Logs the services whose baseline is no longer known.
     fn log_unknown_baselines(&self, before: &View, after: &View) {
         let known = before.software.iter().filter_map(|(service, known)| {
--- a/components/gateway/src/control/stores.rs
+++ b/components/gateway/src/control/stores.rs
@@ -7,7 +7,7 @@
 use utils::{HostId, RegionId};
 
 use super::Control;
-use crate::kept::{OLD_WEIGHTS_DROP_DELAY, PartKey, weights_of_salt};
+use crate::kept::{AbandonedScopes, OLD_WEIGHTS_DROP_DELAY, PartKey, weights_of_salt};
 use crate::weights_history::{Replacement, WeightsHistory};
 use crate::{StoreSpec, View, is_sole_owner};
 
@@ -75,6 +75,7 @@
 
 async fn watch(control: Arc<Control>, store: StoreSpec) {
     let mut run = None;
+    let mut abandoned = AbandonedScopes::default();
     loop {
         let is_answered = poll(&control, &store).await;
         let current = is_answered
@@ -86,7 +87,7 @@
             smol::Timer::after(FAILURE_PAUSE).await;
             continue;
         }
-        drop_outdated(&control, &store).await;
+        drop_outdated(&control, &store, &mut abandoned).await;
         smol::Timer::after(POLL_PAUSE).await;
     }
 }
@@ -144,9 +145,9 @@
     true
 }
 
-/// Drops parts made by replaced weights from a store once no host fetches them any more. Only one of the
-/// hosts that follow the store does so.
-async fn drop_outdated(control: &Control, store: &StoreSpec) {
+/// Drops parts made by replaced weights, or in scopes that no request uses, from a store once no host fetches them any
+/// more. Only one of the hosts that follow the store does so.
+async fn drop_outdated(control: &Control, store: &StoreSpec, abandoned: &mut AbandonedScopes) {
     let view = control.traffic.view.load_full();
     let watchers = watchers(control, &view, store);
     if !is_sole_owner(
@@ -156,7 +157,7 @@
     ) {
         return;
     }
-    let outdated = outdated_parts(control, &view, store);
+    let outdated = outdated_parts(control, &view, store, abandoned);
     let Some((epoch, outdated)) = outdated.filter(|(_, outdated)| !outdated.is_empty()) else {
         return;
     };
@@ -166,7 +167,7 @@
         .await
         .is_ok()
     {
-        info!(control.traffic.log, "dropped kept cache of replaced weights"; events::KEPT_CACHE_DROPPED,
+        info!(control.traffic.log, "dropped kept cache that no request uses"; events::KEPT_CACHE_DROPPED,
             "store" => &*store.address, "parts" => outdated.len());
         control
             .traffic
@@ -176,13 +177,21 @@
     }
 }
 
-/// Returns the parts made by weights that were replaced long enough ago for every host, with the run of the
-/// store.
-fn outdated_parts(control: &Control, view: &View, store: &StoreSpec) -> Option<(u64, Vec<PartKey>)> {
+/// Returns the parts made by weights that were replaced, or in scopes that were abandoned, long enough ago for every host,
+/// with the run of the store.
+fn outdated_parts(
+    control: &Control,
+    view: &View,
+    store: &StoreSpec,
+    abandoned: &mut AbandonedScopes,
+) -> Option<(u64, Vec<PartKey>)> {
     let now = control.traffic.now();
     let mut kept = control.traffic.kept();
+    let declared_at = kept.declared_confirmed_at();
     let cached = kept.store(&store.address);
     let since = cached.run_since()?;
+    let salts = cached.parts().map(|part| &*part.salt);
+    abandoned.update(salts, view.declared.as_ref()?.isolated(), declared_at, now);
     let is_settled = |history: &WeightsHistory, weights: u64| match history.replacement(weights, now) {
         Replacement::Current => false,
         Replacement::Since(age) => age >= OLD_WEIGHTS_DROP_DELAY,
@@ -190,12 +199,13 @@
         // store successfully.
         Replacement::SinceUnknown => now >= since + OLD_WEIGHTS_DROP_DELAY,
     };
-    let is_outdated = |key: &&PartKey| {
+    let has_old_weights = |key: &PartKey| {
         view.weights.iter().any(|(model, history)| {
             let weights = weights_of_salt(&key.salt, model);
             weights.is_some_and(|weights| is_settled(history, weights))
         })
     };
+    let is_outdated = |key: &&PartKey| has_old_weights(key) || abandoned.may_drop(&key.salt, now);
     let outdated = cached
         .parts()
         .filter(is_outdated)
--- a/components/gateway/src/declared.rs
+++ b/components/gateway/src/declared.rs
@@ -6,6 +6,7 @@
 
 use crate::AllowedRegions;
 use crate::cold::ColdLimit;
+use crate::kept::IsolatedWorkspaces;
 
 /// Whether requests of a route can be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -180,6 +181,8 @@
     keys: Option<HashMap<String, Arc<Workspace>>>,
     /// Regions that each workspace allows.
     workspace_regions: HashMap<WorkspaceId, AllowedRegions>,
+    /// Workspaces that share no cache with others.
+    isolated: IsolatedWorkspaces,
 }
 
 impl Declared {
@@ -203,19 +206,26 @@
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s)));
         let mut workspace_regions = HashMap::new();
-        let keyed = keys.iter().flat_map(HashMap::values);
-        add_regions(&mut workspace_regions, keyed.map(|workspace| &**workspace));
+        let keyed = || {
+            keys.iter()
+                .flat_map(HashMap::values)
+                .map(|workspace| &**workspace)
+        };
+        add_regions(&mut workspace_regions, keyed());
+        let isolated = isolated_names(keyed()).collect();
         Self {
             version,
             limits,
             routes: by_host,
             services: services.collect(),
             workspace_regions,
+            isolated,
             keys,
         }
     }
 
-    /// Adds the regions that workspaces allow. A request may be in flight of a workspace that holds no key any more.
+    /// Sets all workspaces, those without a key included. A request may be in flight of a workspace that holds no key any
+    /// more.
     ///
     /// ```
     /// use gateway::{AllowedRegions, CallerLimits, Declared, Workspace};
@@ -231,8 +241,12 @@
     /// assert_eq!(declared.workspace_regions("mill"), Some(&south));
     /// ```
     #[must_use]
-    pub fn with_workspaces<'a>(mut self, workspaces: impl IntoIterator<Item = &'a Workspace>) -> Self {
-        add_regions(&mut self.workspace_regions, workspaces);
+    pub fn with_workspaces<'a>(
+        mut self,
+        workspaces: impl IntoIterator<Item = &'a Workspace> + Clone,
+    ) -> Self {
+        add_regions(&mut self.workspace_regions, workspaces.clone());
+        self.isolated = isolated_names(workspaces).collect();
         self
     }
 
@@ -268,6 +282,11 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// Returns the workspaces that share no cache with others.
+    pub fn isolated(&self) -> &IsolatedWorkspaces {
+        &self.isolated
+    }
+
     /// Returns the regions that a workspace allows, which keeps its name when its keys change; `None` if it is not
     /// declared.
     pub fn workspace_regions(&self, name: &str) -> Option<&AllowedRegions> {
@@ -285,3 +304,11 @@
         *allowed = allowed.intersect(&workspace.allowed_regions);
     }
 }
+
+/// Returns the names of isolated workspaces. One of several with the same name is enough to isolate all of them.
+fn isolated_names<'a>(
+    workspaces: impl IntoIterator<Item = &'a Workspace>,
+) -> impl Iterator<Item = WorkspaceId> {
+    let isolated = workspaces.into_iter().filter(|workspace| workspace.is_isolated);
+    isolated.map(|workspace| workspace.name.clone())
+}
--- a/components/gateway/src/kept.rs
+++ b/components/gateway/src/kept.rs
@@ -4,12 +4,16 @@
 //! Stores serve prompts that return after an engine has evicted them: fetching a part costs a fraction of
 //! computing it again.
 
+mod abandoned;
 mod directory;
+mod isolated;
 mod plan;
 mod salt;
 
+pub use abandoned::AbandonedScopes;
 pub use directory::{KeptEvent, PartKey, StoreChanges, StoreDirectory, StoreList, StoreUpdate};
+pub use isolated::IsolatedWorkspaces;
 pub(crate) use plan::OLD_WEIGHTS_DROP_DELAY;
 pub(crate) use plan::region_stores;
 pub use plan::{CachePlan, KeptCache, PlanRequest, RegionStore};
-pub use salt::{CacheScope, salt_of, weights_of_salt};
+pub use salt::{CacheScope, salt_of, scope_of_salt, weights_of_salt};
--- a/components/gateway/src/kept/plan.rs
+++ b/components/gateway/src/kept/plan.rs
@@ -15,7 +15,7 @@
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Age up to which the declarations are used for fetches. Covers the longest wait of the platform's store for
 /// a change.
-const MAX_DECLARED_AGE: Duration = Duration::from_millis(4_000);
+pub(super) const MAX_DECLARED_AGE: Duration = Duration::from_millis(4_000);
 /// Time after the declaration of new weights from which no host fetches the cache of replaced ones: hosts
 /// that have received the declaration do not, nor do hosts whose declarations are too old.
 pub(crate) const OLD_WEIGHTS_DROP_DELAY: Duration = Duration::from_millis(700)
@@ -88,6 +88,11 @@
         self.declared_confirmed_at = self.declared_confirmed_at.max(Some(at));
     }
 
+    /// Returns the last time at which this host's declarations were those of the platform's store.
+    pub(crate) fn declared_confirmed_at(&self) -> Option<Monotonic> {
+        self.declared_confirmed_at
+    }
+
     /// Returns the servers' clock at `now`; `None` before it was first received.
     pub fn clock_ms(&self, now: Monotonic) -> Option<u64> {
         let offset = self.clock_offset_ms?;
--- a/components/gateway/src/kept/salt.rs
+++ b/components/gateway/src/kept/salt.rs
@@ -1,8 +1,7 @@
 use std::fmt::Write;
 
-use crate::Workspace;
-
-/// First field of the salts of all workspaces that share their cache.
+/// First field of the salts of all workspaces that share their cache. The digest of those that do not is the second, if
+/// there are any.
 const SHARED: &str = "all";
 /// First field of the salts of an isolated workspace, whose name is the second.
 const ISOLATED: &str = "one";
@@ -10,31 +9,29 @@
 /// Workspaces that share cache with each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CacheScope<'a> {
-    /// All workspaces that are not isolated.
+    /// All workspaces, none of which is isolated.
     Shared,
+    /// All workspaces beside those that are isolated, with the digest of their names.
+    SharedBeside(&'a str),
     /// One isolated workspace.
     Isolated(&'a str),
 }
 
-impl<'a> CacheScope<'a> {
-    /// Returns the scope of a request of a workspace, or of a request without one.
-    pub fn of(workspace: Option<&'a Workspace>) -> Self {
-        let isolated = workspace.filter(|workspace| workspace.is_isolated);
-        isolated.map_or(Self::Shared, |workspace| Self::Isolated(&workspace.name))
-    }
-
+impl CacheScope<'_> {
     /// Returns the scope as one or two fields without a slash in them; different scopes give different texts.
     ///
     /// ```
     /// use gateway::CacheScope;
     ///
     /// assert_eq!(CacheScope::Shared.text(), "all");
+    /// assert_eq!(CacheScope::SharedBeside("5c1e07a2").text(), "all/5c1e07a2");
     /// assert_eq!(CacheScope::Isolated("all").text(), "one/all");
     /// assert_eq!(CacheScope::Isolated("a/b").text(), "one/a%2Fb");
     /// ```
     pub fn text(self) -> String {
         match self {
             Self::Shared => SHARED.to_owned(),
+            Self::SharedBeside(digest) => format!("{SHARED}/{}", escape(digest)),
             Self::Isolated(name) => format!("{ISOLATED}/{}", escape(name)),
         }
     }
@@ -61,8 +58,19 @@
     (of == escape(model)).then(|| weights.parse().ok())?
 }
 
+/// Returns the text of a salt's scope.
+///
+/// ```
+/// assert_eq!(gateway::scope_of_salt("one/mill/m/3"), Some("one/mill"));
+/// assert_eq!(gateway::scope_of_salt("mill"), None);
+/// ```
+pub fn scope_of_salt(salt: &str) -> Option<&str> {
+    let (rest, _) = salt.rsplit_once('/')?;
+    rest.rsplit_once('/').map(|(scope, _)| scope)
+}
+
 /// Percent-encodes a name, so that it holds no slash and can be sent in a header.
-fn escape(name: &str) -> String {
+pub(super) fn escape(name: &str) -> String {
     let mut text = String::with_capacity(name.len());
     for byte in name.bytes() {
         match byte {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -77,8 +77,9 @@
 pub use freshness::{OldWeightsPolicy, old_weights_policy, weights_wait_left};
 pub use host::{Bounds, HostSettings};
 pub use kept::{
-    CachePlan, CacheScope, KeptCache, KeptEvent, PartKey, PlanRequest, RegionStore, StoreChanges,
-    StoreDirectory, StoreList, StoreUpdate, salt_of, weights_of_salt,
+    AbandonedScopes, CachePlan, CacheScope, IsolatedWorkspaces, KeptCache, KeptEvent, PartKey, PlanRequest,
+    RegionStore, StoreChanges, StoreDirectory, StoreList, StoreUpdate, salt_of, scope_of_salt,
+    weights_of_salt,
 };
 pub use load::{LoadEstimate, ReportedLoad, SendOutcome, Work};
 pub use lost_rows::LostRow;
--- a/components/gateway/src/traffic/outgoing.rs
+++ b/components/gateway/src/traffic/outgoing.rs
@@ -29,11 +29,12 @@
 ) -> Option<Request<http_io::Body>> {
     let mut headers = call.headers.clone();
     strip_connection_headers(&mut headers);
+    let view = cx.view.load();
     let facts = SendFacts {
         time_left,
         instance: placed.target.instance.clone(),
         workspace: call.workspace.as_ref().map(|w| w.name.clone()),
-        cache_salt: call.cache_salt(placed.weights),
+        cache_salt: call.cache_salt(view.declared.as_deref(), placed.weights),
         weights: placed.weights,
         priority: call.priority(),
         resume_after,
--- a/components/gateway/src/traffic/pipeline.rs
+++ b/components/gateway/src/traffic/pipeline.rs
@@ -209,7 +209,7 @@
             }
         };
         cx.telemetry.placed(&call, &placed, attempts.sends + 1);
-        if let (Some(session), true) = (call.session_key(), attempts.possible_runs == 0) {
+        if let (Some(session), true) = (placed.session, attempts.possible_runs == 0) {
             let now = cx.now();
             let session = session_for_weights(session, placed.weights);
             cx.routing()
--- a/components/gateway/src/traffic/place.rs
+++ b/components/gateway/src/traffic/place.rs
@@ -35,6 +35,8 @@
     pub target: Arc<Target>,
     /// Weight version that the target is expected to have.
     pub weights: Option<u64>,
+    /// Key of the prompt part that later requests share.
+    pub session: Option<SessionKey>,
     /// Index and estimates of the chosen candidate.
     pub choice: Choice,
     /// Version of the declarations that decided.
@@ -75,7 +77,7 @@
     };
     let context = PlacementContext::new(cx, &view, &routing, call, rules);
     let mut targets = context.targets();
-    let session = call.session_key();
+    let session = call.session_key(view.declared.as_deref());
     if let Some(session) = session {
         sort_by_owner(&mut targets, session);
     }
@@ -127,6 +129,7 @@
         permit: permit.ok_or(PlacementError::NoTarget(Some(Exclusion::ColdQuotaUsed)))?,
         limit_permit: limit_permit.ok_or(PlacementError::NoTarget(Some(Exclusion::LimitUsed)))?,
         weights,
+        session,
         target,
         choice,
         declared: view.declared.as_ref().map_or(0, |declared| declared.version),
@@ -293,9 +296,13 @@
         self.stores.get(&*target.domain).map_or(&[], Vec::as_slice)
     }
 
+    fn cache_salt(&self, weights: Option<u64>) -> Option<String> {
+        self.call.cache_salt(self.view.declared.as_deref(), weights)
+    }
+
     /// Whether a store in the target's region holds the session's part.
     fn is_stored(&self, target: &Target, weights: Option<u64>) -> bool {
-        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
+        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.cache_salt(weights)) else {
             return false;
         };
         let has_newest_weights = self.has_newest_weights(prompt, weights);
@@ -320,7 +327,7 @@
         owner: Option<&Arc<Target>>,
         fetch_limit: Duration,
     ) -> CachePlan {
-        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.call.cache_salt(weights)) else {
+        let (Some(prompt), Some(salt)) = (&self.call.prompt, self.cache_salt(weights)) else {
             return CachePlan::default();
         };
         let region_of = |domain: &str| self.cx.settings.regions.get(domain);
--- a/components/gateway/src/traffic/request.rs
+++ b/components/gateway/src/traffic/request.rs
@@ -120,23 +120,32 @@
         }
     }
 
+    /// Returns the scope of the request's cache under the newest declaration. A workspace that was isolated when the request
+    /// was admitted stays so.
+    fn cache_scope<'a>(&'a self, newest: Option<&'a Declared>) -> CacheScope<'a> {
+        let workspace = self.workspace.as_deref();
+        let name = workspace.map(|workspace| &*workspace.name);
+        match (workspace, newest) {
+            (Some(workspace), _) if workspace.is_isolated => CacheScope::Isolated(&workspace.name),
+            (_, Some(newest)) => newest.isolated().scope_of(name),
+            (_, None) => CacheScope::Shared,
+        }
+    }
+
     /// Returns the key of the prompt part that later requests share, within the workspace if it is isolated.
-    pub(crate) fn session_key(&self) -> Option<SessionKey> {
+    pub(crate) fn session_key(&self, newest: Option<&Declared>) -> Option<SessionKey> {
         let prompt = self.prompt.as_ref()?;
         let part = prompt.session()?;
-        let scope = CacheScope::of(self.workspace.as_deref()).text();
+        let scope = self.cache_scope(newest).text();
         let text = format!("{scope}\n{}\n{}", prompt.model, part.id);
         Some(utils::digest(text.as_bytes()).first_u64())
     }
 
     /// Returns the salt for kept cache. Requests share kept cache only under the same salt: the workspace if
-    /// it is isolated, the model, and the weight version.
-    pub(crate) fn cache_salt(&self, weights: Option<u64>) -> Option<String> {
-        Some(salt_of(
-            CacheScope::of(self.workspace.as_deref()),
-            self.model()?,
-            weights.unwrap_or(0),
-        ))
+    /// it is isolated, else those that are, the model, and the weight version.
+    pub(crate) fn cache_salt(&self, newest: Option<&Declared>, weights: Option<u64>) -> Option<String> {
+        let scope = self.cache_scope(newest);
+        Some(salt_of(scope, self.model()?, weights.unwrap_or(0)))
     }
 
     /// Returns the priority at the target: the workspace's if it has one, else the route's.
--- a/components/gateway/tests/kept.rs
+++ b/components/gateway/tests/kept.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use gateway::{
-    KeptCache, KeptEvent, PartKey, PlanRequest, PromptPart, PromptShape, RegionStore, StoreChanges,
-    StoreDirectory, StoreList,
+    AbandonedScopes, IsolatedWorkspaces, KeptCache, KeptEvent, PartKey, PlanRequest, PromptPart, PromptShape,
+    RegionStore, StoreChanges, StoreDirectory, StoreList,
 };
 use support::ms;
 
@@ -277,3 +277,36 @@
     assert!(!other.holds(&key("gone"), ms(300)));
     assert_eq!(other.tokens(), 50 * 8_000);
 }
+
+/// Time after which no host fetches the parts of a scope that is no longer in use.
+const DROP_DELAY_MS: u64 = 5_400;
+
+// Guards against a store that fills up with parts that workspaces shared with one that is isolated now, and against parts that
+// are dropped while other hosts fetch them: by a host that does not know the newest declaration, or just after it was made.
+#[test]
+fn parts_of_a_scope_that_no_request_uses_are_dropped_once_no_host_fetches_them() {
+    let isolated: IsolatedWorkspaces = ["mill".into()].into_iter().collect();
+    let none = IsolatedWorkspaces::default();
+    let shared = format!("{}/m/1", isolated.scope_of(Some("farm")).text());
+    let (all, mill) = ("all/m/1", "one/mill/m/1");
+    let salts = || [all, &shared, mill].into_iter();
+    let mut scopes = AbandonedScopes::default();
+    // This host has not learned of the isolation: what the others save must stay.
+    for now in (1_000..20_000).step_by(1_000) {
+        scopes.update(salts(), &none, Some(ms(900)), ms(now));
+        assert!(!salts().any(|salt| scopes.may_drop(salt, ms(now))), "{now}");
+    }
+    // It learns of it, and a moment later that its declarations are current.
+    scopes.update(salts(), &isolated, Some(ms(900)), ms(20_000));
+    scopes.update(salts(), &isolated, Some(ms(20_500)), ms(21_000));
+    assert!(!scopes.may_drop(all, ms(21_000 + DROP_DELAY_MS - 1)));
+    let end = ms(21_000 + DROP_DELAY_MS);
+    let dropped: Vec<_> = salts().filter(|salt| scopes.may_drop(salt, end)).collect();
+    assert_eq!(dropped, [all]);
+    // While its declarations are old, others may use the scope again.
+    scopes.update(salts(), &isolated, Some(ms(20_500)), end);
+    assert!(!scopes.may_drop(all, end));
+    // The isolation ends: the parts of all are in use again.
+    scopes.update(salts(), &none, Some(end), end);
+    assert!(!scopes.may_drop(all, end + end));
+}
--- a/components/gateway/tests/scopes.rs
+++ b/components/gateway/tests/scopes.rs
@@ -1,6 +1,8 @@
 //! Cache scopes: no two workspaces that must not share cache ever use one salt.
 
-use gateway::{CacheScope, salt_of, weights_of_salt};
+use std::collections::{BTreeMap, BTreeSet};
+
+use gateway::{CacheScope, IsolatedWorkspaces, salt_of, weights_of_salt};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -50,7 +52,8 @@
 #[test]
 fn the_weights_of_a_salt_are_found_for_any_model() {
     for model in ["m", "org/model-7", "a%2Fb", "modèle"] {
-        for scope in [CacheScope::Shared, CacheScope::Isolated("a/b")] {
+        let digest = CacheScope::SharedBeside("5c1e07a2");
+        for scope in [CacheScope::Shared, digest, CacheScope::Isolated("a/b")] {
             let salt = salt_of(scope, model, 4);
             assert_eq!(weights_of_salt(&salt, model), Some(4), "{salt}");
             assert_eq!(weights_of_salt(&salt, "other"), None, "{salt}");
@@ -78,6 +81,38 @@
         prop_assert_eq!(scope(&one.0).text() == scope(&other.0).text(), one.0 == other.0);
     }
 
+    // Guards against parts that a workspace has left in the cache of all and that others use while it is isolated, and against
+    // those of others that it uses itself, whatever was declared in between and however far hosts lag behind.
+    #[test]
+    fn no_request_uses_parts_of_a_workspace_when_one_of_the_two_is_isolated(
+        names in proptest::collection::btree_set(name(), 4),
+        declared in proptest::collection::vec((0..16u8, 0..2usize), 1..12),
+    ) {
+        let names: Vec<String> = names.into_iter().collect();
+        let set_of = |bits: u8| -> BTreeSet<&str> {
+            let isolated = names.iter().enumerate().filter(|(i, _)| bits & (1 << i) != 0);
+            isolated.map(|(_, name)| name.as_str()).collect()
+        };
+        let mut makers: BTreeMap<String, BTreeSet<&str>> = BTreeMap::new();
+        for (step, (bits, lag)) in declared.iter().enumerate() {
+            // What a host that lags behind makes is there for all.
+            let behind = declared[step.saturating_sub(*lag)].0;
+            for bits in [behind, *bits] {
+                let isolated: IsolatedWorkspaces = set_of(bits).into_iter().map(Into::into).collect();
+                for name in &names {
+                    let scope = isolated.scope_of(Some(name)).text();
+                    let used = makers.entry(scope.clone()).or_default();
+                    let is_isolated = |name: &str| set_of(bits).contains(name);
+                    let is_foreign = |maker: &&&str| **maker != name.as_str();
+                    let forbidden = used.iter().find(|maker| is_foreign(maker) && (is_isolated(name) || is_isolated(maker)));
+                    prop_assert_eq!(forbidden, None, "{:?} of {:?}", name, scope);
+                    prop_assert!(isolated.is_current(&scope));
+                    used.insert(name);
+                }
+            }
+        }
+    }
+
     #[test]
     fn a_salt_can_be_sent_in_a_header(workspace in name(), model in name()) {
         let salt = salt_of(CacheScope::Isolated(&workspace), &model, 1);
