Keep the weight versions of those models only that a target lists

Change: an answer counts for a model that the entry of the target lists. Found by reading the change again; no test, as nothing outside shows the map.

--- a/components/gateway/src/traffic/exchange.rs
+++ b/components/gateway/src/traffic/exchange.rs
@@ -113,12 +113,16 @@
             let pace = routing.paces.entry(service.clone()).or_default();
             pace.observe(&self.expected, elapsed);
         }
+        // Callers can give any name.
+        let listed = call
+            .model()
+            .filter(|model| self.target.weights_of(model).is_some());
         self.cx.with_slot(&self.target, |slot| {
             slot.load.record_first_byte(prefill_tokens, self.sent_at);
             if let Some(load) = facts.load {
                 slot.load.record_answer_load(load, now);
             }
-            if let (Some(model), Some(version)) = (call.model(), facts.weights) {
+            if let Some((model, version)) = listed.zip(facts.weights) {
                 slot.observe_weights(model, version);
             }
             let outcome = match status {
