Log and count answers that are given up while they arrive

AnswerProgress shows how much of an answer has arrived; queries to other hosts go through HostClient. No call is given up sooner or later than before.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -387,6 +387,16 @@
         "load_slot_given_up",
         "An engine with a slot for loading weights has not answered for so long that no order to it can have an effect any more; others get the slot.",
     );
+    pub const ANSWER_ABANDONED: Event = event(
+        5038,
+        "answer_abandoned",
+        "A call to the platform's store or to another host was given up while its answer arrived; gives the bytes received.",
+    );
+    pub const LARGE_ANSWER: Event = event(
+        5039,
+        "large_answer",
+        "A large answer with rows was received from the platform's store; gives the bytes of the rows and the time since the call.",
+    );
     pub const BODY_EVICTED: Event = event(
         5040,
         "body_evicted",
@@ -604,6 +614,8 @@
     events::REFUSAL_UNPROVEN,
     events::LOAD_SLOT_RESERVED,
     events::LOAD_SLOT_GIVEN_UP,
+    events::ANSWER_ABANDONED,
+    events::LARGE_ANSWER,
     events::BODY_EVICTED,
     events::NO_MEMORY,
     events::CONNECTIONS_CLOSED,
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use errors::events;
 use futures_lite::future;
 use http_io::HttpError;
-use slog::warn;
+use slog::{info, warn};
 use utils::Monotonic;
 
 use super::baselines::has_current_list;
@@ -21,6 +21,8 @@
 const FOLLOW_SHARED_WAIT: Duration = Duration::from_secs(15);
 /// Pause after a read that was older than the cached table.
 const STALE_READ_PAUSE: Duration = Duration::from_millis(150);
+/// Size from which an answer with rows is logged, in bytes.
+const LARGE_ANSWER_BYTES: usize = 64 << 10;
 /// Time between two ticks from which on the process was suspended.
 const MAX_TICK_GAP: Duration = Duration::from_secs(2);
 /// Age up to which the answer of another host shows which targets are listed. Some hosts may not answer.
@@ -48,12 +50,14 @@
             smol::Timer::after(relayed_for).await;
             continue;
         }
+        let called_at = control.traffic.now();
         let fetched = fetch(&control, table, &pace, needs_full_read).await;
         if matches!(fetched, Ok(Fetched::Restored)) {
             continue;
         }
         control.record_store_call(fetched.is_ok());
         let now = control.traffic.now();
+        log_size(&control, table, &fetched, now.saturating_sub(called_at));
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
                 let position = snapshot.position;
@@ -74,7 +78,7 @@
             Err(e) => {
                 if !matches!(
                     e.current_context(),
-                    StoreError::Rejected(_) | StoreError::NoResponse
+                    StoreError::Rejected(_) | StoreError::NoResponse | StoreError::Incomplete(_)
                 ) {
                     log_ignored(&control, table, e.current_context());
                 }
@@ -117,6 +121,31 @@
     }
 }
 
+/// Logs the size of a large answer, or how much had arrived of one that was given up.
+fn log_size(
+    control: &Control,
+    table: Table,
+    fetched: &Result<Fetched, Report<StoreError>>,
+    elapsed: Duration,
+) {
+    let log = &control.traffic.log;
+    let table = format!("{table:?}");
+    match fetched {
+        Ok(Fetched::Whole(rows) | Fetched::Changed(rows)) if rows.value_bytes() >= LARGE_ANSWER_BYTES => {
+            info!(log, "large answer of the store"; events::LARGE_ANSWER, "table" => table,
+                "bytes" => rows.value_bytes(), "ms" => elapsed.as_millis());
+        }
+        Err(e) => {
+            if let StoreError::Incomplete(bytes) = *e.current_context() {
+                control.traffic.telemetry.abandoned("store", bytes);
+                warn!(log, "answer of the store given up"; events::ANSWER_ABANDONED, "source" => "store",
+                    "table" => table, "bytes" => bytes, "ms" => elapsed.as_millis());
+            }
+        }
+        Ok(_) => {}
+    }
+}
+
 /// Logs an answer of the store that is not used.
 fn log_ignored(control: &Control, table: Table, reason: &dyn std::fmt::Display) {
     let held = control.cached_state().complete_position(table);
--- /dev/null
+++ b/components/gateway/src/control/host_client.rs
@@ -0,0 +1,72 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::events;
+use futures_lite::FutureExt;
+use http_io::{AnswerProgress, Client, ClientConfig, full_body};
+use hyper::{Method, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::warn;
+
+use super::Control;
+use super::peers::{ANSWER_TIMEOUT, MAX_MESSAGE_BYTES, pack};
+use crate::traffic::Traffic;
+
+/// Client of other hosts, with one idle connection to each.
+#[derive(Clone)]
+pub(super) struct HostClient {
+    client: Client,
+    /// Where calls are logged and counted.
+    traffic: Arc<Traffic>,
+}
+
+impl HostClient {
+    pub(super) fn new(control: &Control) -> Self {
+        let cfg = ClientConfig {
+            response_timeout: ANSWER_TIMEOUT,
+            idle_per_address: 1,
+            ..ClientConfig::default()
+        };
+        Self {
+            client: Client::with_memory(control.ex.clone(), cfg, control.memory.clone()),
+            traffic: control.traffic.clone(),
+        }
+    }
+
+    /// Sends a query to a host. Returns `None` if no readable answer arrives in time.
+    pub(super) async fn query<A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        query: &impl Serialize,
+    ) -> Option<A> {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header("host", peer.to_string())
+            .body(full_body(pack(query)?))
+            .ok()?;
+        let progress = AnswerProgress::default();
+        let answer = async {
+            let res = self.client.send(peer, req).await.ok()?;
+            let held = res.into_body().read_whole(MAX_MESSAGE_BYTES, &progress).await;
+            let (bytes, _charge) = held.ok()?.join().ok()?;
+            postcard::from_bytes(&bytes).ok()
+        };
+        let late = async {
+            smol::Timer::after(ANSWER_TIMEOUT).await;
+            self.log_abandoned(peer, path, &progress);
+            None
+        };
+        answer.or(late).await
+    }
+
+    /// Logs an answer that is given up although a part of it has arrived.
+    fn log_abandoned(&self, peer: SocketAddr, path: &str, progress: &AnswerProgress) {
+        let Some(bytes) = progress.received() else { return };
+        self.traffic.telemetry.abandoned("host", bytes);
+        warn!(self.traffic.log, "answer of a host given up"; events::ANSWER_ABANDONED, "source" => "host",
+            "peer" => %peer, "path" => path, "bytes" => bytes);
+    }
+}
--- a/components/gateway/src/control/kept_updates.rs
+++ b/components/gateway/src/control/kept_updates.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_io::Client;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use utils::{Incarnation, RegionId};
 
 use super::Control;
-use super::peers::send_query;
+use super::host_client::HostClient;
 use super::stores::{declared_stores, region_of, watchers};
 use crate::View;
 use crate::jitter::jittered;
@@ -144,7 +143,7 @@
 
 /// Polls other hosts for changes of the stores that this host does not follow itself.
 pub(crate) async fn poll_watchers(control: Arc<Control>) {
-    let client = control.host_client();
+    let client = HostClient::new(&control);
     let mut sources: BTreeMap<RegionId, Source> = BTreeMap::new();
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.1)).await;
@@ -181,7 +180,7 @@
 
 impl Source {
     /// Polls for changes. Returns false if there is no answer, in which case another host is polled next.
-    async fn poll(&mut self, control: &Control, client: &Client, view: &View, region: &RegionId) -> bool {
+    async fn poll(&mut self, control: &Control, client: &HostClient, view: &View, region: &RegionId) -> bool {
         let Some(peer) = self.watcher.or_else(|| choose_watcher(control, view, region)) else {
             return false;
         };
@@ -191,7 +190,7 @@
             from: self.from.take(),
         };
         let sent_at = control.traffic.now();
-        let Some(answer) = send_query::<_, KeptAnswer>(client, peer, PATH, &query).await else {
+        let Some(answer) = client.query::<KeptAnswer>(peer, PATH, &query).await else {
             return false;
         };
         self.from = Some(answer.next);
--- a/components/gateway/src/control/loads.rs
+++ b/components/gateway/src/control/loads.rs
@@ -6,7 +6,7 @@
 use utils::{HostId, Monotonic, RegionId, TargetId};
 
 use super::Control;
-use super::peers::send_query;
+use super::host_client::HostClient;
 use crate::jitter::jittered;
 use crate::load::ReportedLoad;
 use crate::{Target, View, is_sole_owner};
@@ -102,7 +102,7 @@
 
 /// Queries the hosts that poll engines for the load reports.
 pub(crate) async fn poll_reporters(control: Arc<Control>) {
-    let client = control.host_client();
+    let client = HostClient::new(&control);
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
@@ -115,7 +115,7 @@
             let (control, client, peer) = (control.clone(), client.clone(), host.peers);
             control.clone().ex.spawn(async move {
                 let sent_at = control.traffic.now();
-                let answer = send_query::<_, LoadsAnswer>(&client, peer, PATH, &LoadsQuery).await;
+                let answer = client.query::<LoadsAnswer>(peer, PATH, &LoadsQuery).await;
                 for (run, load, age) in answer.into_iter().flat_map(|answer| answer.reports) {
                     control
                         .traffic
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod declared_times;
 mod follow;
+mod host_client;
 mod kept_updates;
 mod limits;
 mod list_checks;
@@ -24,7 +25,7 @@
 
 use errors::events;
 use event_listener::Event;
-use http_io::{Client, ClientConfig, Executor, MemoryAccount, Shutdown};
+use http_io::{Executor, MemoryAccount, Shutdown};
 use slog::{info, warn};
 use utils::{Incarnation, Monotonic, TargetId};
 
@@ -147,16 +148,6 @@
         self.shortages.log_new(log, now);
     }
 
-    /// Returns a client for other hosts that keeps one idle connection to each.
-    pub(crate) fn host_client(&self) -> Client {
-        let cfg = ClientConfig {
-            response_timeout: peers::ANSWER_TIMEOUT,
-            idle_per_address: 1,
-            ..ClientConfig::default()
-        };
-        Client::with_memory(self.ex.clone(), cfg, self.memory.clone())
-    }
-
     /// Locks the host's cached state.
     pub(crate) fn cached_state(&self) -> MutexGuard<'_, CachedState> {
         self.cached_state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/components/gateway/src/control/origin_copies.rs
+++ b/components/gateway/src/control/origin_copies.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use errors::events;
-use http_io::Client;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use utils::rendezvous_order;
 
 use super::Control;
-use super::peers::send_query;
+use super::host_client::HostClient;
 use crate::host::Distance;
 use crate::software::StreamOrigin;
 use crate::view::HostEntry;
@@ -39,7 +38,7 @@
 
 /// Copies the origins of this host's streams to one other host, and to the next one if that fails.
 pub(crate) async fn copy_origins(control: Arc<Control>) {
-    let client = control.host_client();
+    let client = HostClient::new(&control);
     let mut failures = 0;
     loop {
         let origins = &control.traffic.origins;
@@ -64,8 +63,8 @@
     }
 }
 
-async fn send(client: &Client, keeper: &HostEntry, copies: &OriginCopies) -> bool {
-    let taken: Option<OriginCopiesTaken> = send_query(client, keeper.peers, PATH, copies).await;
+async fn send(client: &HostClient, keeper: &HostEntry, copies: &OriginCopies) -> bool {
+    let taken: Option<OriginCopiesTaken> = client.query(keeper.peers, PATH, copies).await;
     taken.is_some()
 }
 
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -3,20 +3,19 @@
 use std::time::Duration;
 
 use errors::events;
-use futures_lite::FutureExt;
 use http_io::{
-    Body, Client, Handler, HandlerFuture, HeldBody, HttpError, MemoryHolder, Server, Shutdown, empty_body,
-    full_body, read_request,
+    Body, Handler, HandlerFuture, HeldBody, HttpError, MemoryHolder, Server, Shutdown, empty_body,
+    read_request,
 };
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use rand::seq::IndexedRandom;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use utils::Monotonic;
 
+use super::host_client::HostClient;
 use super::{Control, kept_updates, loads, origin_copies, relays};
 use crate::jitter::jittered;
 use crate::ports::Table;
@@ -33,7 +32,7 @@
 /// `Retry-After` of a message for which the host has no memory, in seconds.
 const NO_MEMORY_RETRY_AFTER: &str = "0.5";
 /// Longest message, in bytes.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub(super) const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Tables that hosts forward to each other.
 const REPLICATED_TABLES: [Table; 3] = [Table::Declared, Table::Targets, Table::Shared];
 
@@ -135,7 +134,7 @@
     res
 }
 
-fn pack(message: &impl Serialize) -> Option<Vec<u8>> {
+pub(super) fn pack(message: &impl Serialize) -> Option<Vec<u8>> {
     postcard::to_allocvec(message).ok()
 }
 
@@ -168,7 +167,7 @@
 
 /// Queries other hosts for changes while the store does not answer, or until this host can serve requests.
 pub(crate) async fn poll_peers(control: Arc<Control>) {
-    let client = control.host_client();
+    let client = HostClient::new(&control);
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.2)).await;
         let lacks_state = !control.traffic.view.load().can_serve();
@@ -190,7 +189,7 @@
 /// Asks another host for the changes after this host's positions.
 pub(super) async fn query_changes(
     control: &Control,
-    client: &Client,
+    client: &HostClient,
     peer: SocketAddr,
 ) -> Option<ChangesAnswer> {
     let held_position = |table: Table| {
@@ -201,12 +200,12 @@
         known: REPLICATED_TABLES.map(held_position).into(),
     };
     let sent_at = control.traffic.now();
-    let answer = send_query(client, peer, CHANGES_PATH, &query).await;
+    let answer = client.query(peer, CHANGES_PATH, &query).await;
     // A host of the version before refuses the path at once. A host that hangs is not asked twice.
     if answer.is_some() || control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
         return answer;
     }
-    let changes = send_query(client, peer, CHANGES_2_PATH, &query).await?;
+    let changes = client.query(peer, CHANGES_2_PATH, &query).await?;
     Some(ChangesAnswer {
         changes,
         shared_age: None,
@@ -223,32 +222,6 @@
     peers.choose(&mut rand::rng()).copied()
 }
 
-/// Sends a query to a host. Returns `None` if no readable answer arrives in time.
-pub(super) async fn send_query<Q: Serialize, A: DeserializeOwned>(
-    client: &Client,
-    peer: SocketAddr,
-    path: &str,
-    query: &Q,
-) -> Option<A> {
-    let req = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header("host", peer.to_string())
-        .body(full_body(pack(query)?))
-        .ok()?;
-    let answer = async {
-        let res = client.send(peer, req).await.ok()?;
-        let held = res.into_body().read_whole(MAX_MESSAGE_BYTES).await.ok()?;
-        let (bytes, _charge) = held.join().ok()?;
-        postcard::from_bytes(&bytes).ok()
-    };
-    let late = async {
-        smol::Timer::after(ANSWER_TIMEOUT).await;
-        None
-    };
-    answer.or(late).await
-}
-
 /// Applies the answer to a query that was sent at `sent_at`.
 pub(super) fn apply_answer(control: &Control, peer: SocketAddr, answer: ChangesAnswer, sent_at: Monotonic) {
     let now = control.traffic.now();
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_io::Client;
 use rand::seq::IndexedRandom;
 use utils::HostId;
 
 use super::Control;
+use super::host_client::HostClient;
 use super::peers;
 use crate::View;
 use crate::jitter::jittered;
@@ -21,7 +21,7 @@
 
 /// Queries the relays of this host's region, unless the region is small or the host is a relay itself.
 pub(crate) async fn follow_relays(control: Arc<Control>) {
-    let client = control.host_client();
+    let client = HostClient::new(&control);
     loop {
         let is_updated = poll_relay(&control, &client).await;
         let pause = match is_updated {
@@ -53,7 +53,7 @@
 }
 
 /// Queries a random relay. Returns `None` if the host has no relay, and whether the answer was usable.
-async fn poll_relay(control: &Control, client: &Client) -> Option<bool> {
+async fn poll_relay(control: &Control, client: &HostClient) -> Option<bool> {
     let view = control.traffic.view.load_full();
     let relays = relays(control, &view);
     let is_follower = view.can_serve() && !relays.contains(&control.traffic.settings.name);
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -61,6 +61,14 @@
     pub store_time: Option<Duration>,
 }
 
+impl Snapshot {
+    /// Returns the total size of the values.
+    pub(crate) fn value_bytes(&self) -> usize {
+        let values = self.records.iter().filter_map(|record| record.value.as_ref());
+        values.map(Vec::len).sum()
+    }
+}
+
 /// Result of waiting for changes of a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Changes {
@@ -133,6 +141,9 @@
     /// No connection or no answer in time; a write may have been applied.
     #[error("the store did not answer")]
     NoResponse,
+    /// Only this many bytes of an answer in time; a write may have been applied.
+    #[error("the store's answer was given up after {0} bytes")]
+    Incomplete(usize),
     /// The answer can not be parsed.
     #[error("the store's answer can not be read")]
     Malformed,
--- a/components/gateway/src/telemetry.rs
+++ b/components/gateway/src/telemetry.rs
@@ -60,6 +60,8 @@
     pressure: Gauge<f64>,
     /// Calls to the platform's store by result.
     store_calls: Counter<u64>,
+    /// Bytes of answers that were received in part and given up, by who sent them.
+    abandoned_bytes: Counter<u64>,
     /// Time since the platform's store last answered, in seconds.
     store_age: Gauge<f64>,
     /// Requests in flight.
@@ -168,6 +170,7 @@
             limited_targets: meter.u64_gauge("laburnumtally.limited.targets").build(),
             pressure: meter.f64_gauge("laburnumtally.capacity.pressure").build(),
             store_calls: meter.u64_counter("laburnumtally.store.calls").build(),
+            abandoned_bytes: meter.u64_counter("laburnumtally.abandoned.bytes").build(),
             store_age: meter.f64_gauge("laburnumtally.store.age").with_unit("s").build(),
             in_flight: meter.u64_gauge("laburnumtally.route.open").build(),
             declared: meter.u64_gauge("laburnumtally.declared.version").build(),
@@ -254,6 +257,12 @@
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts the bytes of an answer that was given up before its end.
+    pub(crate) fn abandoned(&self, source: &'static str, bytes: usize) {
+        self.abandoned_bytes
+            .add(bytes as u64, &[KeyValue::new("source", source)]);
+    }
+
     /// Records whether this host holds the lease to order engines to load weights.
     pub(crate) fn lease(&self, is_held: bool) {
         self.lease.record(u64::from(is_held), &[]);
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -16,8 +16,10 @@
 
 use crate::body::json_body;
 use crate::pool::Pool;
+use crate::progress::Counted;
 use crate::{
-    Body, Executor, HeldBody, HttpError, MemoryAccount, OutgoingConnection, empty_body, read_answer,
+    AnswerProgress, Body, Executor, HeldBody, HttpError, MemoryAccount, OutgoingConnection, empty_body,
+    read_answer,
 };
 
 /// Timeouts and limits of a [`Client`].
@@ -72,14 +74,19 @@
 
 impl PooledBody {
     /// Reads the whole body, at most `limit` bytes, and charges it to the client's account. The connection of a body that
-    /// is longer is closed.
+    /// is longer is closed. `progress` shows how much has arrived.
     ///
     /// # Errors
     /// As [`read_answer`].
-    pub async fn read_whole(self, limit: usize) -> Result<HeldBody, Report<HttpError>> {
+    pub async fn read_whole(
+        self,
+        limit: usize,
+        progress: &AnswerProgress,
+    ) -> Result<HeldBody, Report<HttpError>> {
         let holder = self.pooled.as_ref().map(|(_, _, conn)| conn.memory().clone());
         let holder = holder.ok_or(HttpError::Interrupted)?;
-        read_answer(self, limit, &holder).await
+        progress.begin();
+        read_answer(Counted::new(self, progress), limit, &holder).await
     }
 }
 
@@ -167,7 +174,11 @@
             return Err(Report::new(HttpError::Status(res.status().as_u16())));
         }
         let read = async {
-            let held = res.into_body().read_whole(self.cfg.max_json_bytes).await?;
+            let progress = AnswerProgress::default();
+            let held = res
+                .into_body()
+                .read_whole(self.cfg.max_json_bytes, &progress)
+                .await?;
             let (bytes, _charge) = held.join()?;
             serde_json::from_slice(&bytes).change_context(HttpError::Malformed)
         };
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -12,6 +12,7 @@
 mod metered;
 mod outgoing;
 mod pool;
+mod progress;
 mod server;
 mod sse;
 mod tls;
@@ -25,6 +26,7 @@
 pub use error::HttpError;
 pub use held::{HeldBody, read_answer, read_held, read_request};
 pub use outgoing::OutgoingConnection;
+pub use progress::AnswerProgress;
 pub use server::{
     Handler, HandlerFuture, Server, ServerConfig, Shutdown, serve_connection, shutdown_channel,
 };
--- /dev/null
+++ b/components/http/src/progress.rs
@@ -0,0 +1,84 @@
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// Value before the head of an answer has arrived.
+const NO_HEAD: usize = usize::MAX;
+
+/// How much of an answer has arrived, for whoever waits for it.
+///
+/// ```
+/// let progress = http_io::AnswerProgress::default();
+/// assert_eq!(progress.received(), None);
+/// ```
+#[derive(Debug)]
+pub struct AnswerProgress(AtomicUsize);
+
+impl Default for AnswerProgress {
+    fn default() -> Self {
+        Self(AtomicUsize::new(NO_HEAD))
+    }
+}
+
+impl AnswerProgress {
+    /// Returns the number of bytes of the body that have arrived; `None` before the head has.
+    pub fn received(&self) -> Option<usize> {
+        let received = self.0.load(Ordering::Relaxed);
+        (received != NO_HEAD).then_some(received)
+    }
+
+    /// Records the head.
+    pub(crate) fn begin(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    /// Records bytes of the body.
+    pub(crate) fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// A body whose bytes are recorded as they are read.
+pub(crate) struct Counted<'a, B> {
+    body: B,
+    progress: &'a AnswerProgress,
+}
+
+impl<'a, B> Counted<'a, B> {
+    /// Records the head of the answer, whose body follows.
+    pub(crate) fn new(body: B, progress: &'a AnswerProgress) -> Self {
+        progress.begin();
+        Self { body, progress }
+    }
+}
+
+impl<B> Body for Counted<'_, B>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            this.progress.add(frame.data_ref().map_or(0, Bytes::len));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/components/http/tests/memory.rs
+++ b/components/http/tests/memory.rs
@@ -6,8 +6,9 @@
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_io::{
-    Client, ClientConfig, ConnectionLimits, Executor, Handler, HttpError, MemoryAccount, MemoryHolder,
-    Server, ServerConfig, Shortage, empty_body, full_body, read_held, read_request, shutdown_channel,
+    AnswerProgress, Client, ClientConfig, ConnectionLimits, Executor, Handler, HttpError, MemoryAccount,
+    MemoryHolder, Server, ServerConfig, Shortage, empty_body, full_body, read_held, read_request,
+    shutdown_channel,
 };
 use hyper::{Request, Response};
 use policy::MemoryBudget;
@@ -284,7 +285,10 @@
     let client = Client::with_memory(ex.clone(), ClientConfig::default(), memory.clone());
     let read = async |limit| {
         let answer = client.send(addr, Request::new(empty_body())).await.unwrap();
-        answer.into_body().read_whole(limit).await
+        answer
+            .into_body()
+            .read_whole(limit, &AnswerProgress::default())
+            .await
     };
     smol::block_on(ex.run(async {
         let first = read(500_000).await.unwrap();
