Pause after a large change of the declarations

Change: after a change a host waits 1 us for each byte of it, at most 0.3 of the bound; the next call asks the store to wait that much less, so the sum with a lost answer stays within the bound (test in virtual time for bounds of 2.5, 4 and 6 s).

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -72,7 +72,12 @@
                 }
             }
             Ok(Fetched::Changed(changed)) => {
-                smol::Timer::after(apply_changes(&control, table, changed, now)).await;
+                let read_pause = match table {
+                    Table::Declared => pace.after_change(changed.value_bytes()),
+                    _ => Duration::ZERO,
+                };
+                let pause = apply_changes(&control, table, changed, now);
+                smol::Timer::after(pause.max(read_pause)).await;
             }
             Ok(Fetched::Compacted | Fetched::Restored) => needs_full_read = true,
             Err(e) => {
--- a/components/gateway/src/follow_pace.rs
+++ b/components/gateway/src/follow_pace.rs
@@ -19,6 +19,11 @@
 const MIN_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait of a relay, whose state ages meanwhile for the hosts that follow it.
 const RELAY_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which the next read waits for each byte of the last one, so that changes in quick succession do not fill a
+/// link with reads of a large table.
+const PAUSE_PER_BYTE: Duration = Duration::from_micros(1);
+/// Largest share of the bound for that pause.
+const MAX_READ_PAUSE_SHARE: f64 = 0.3;
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -50,6 +55,8 @@
     pause: Duration,
     /// Whether the last call for this table failed.
     has_failed: bool,
+    /// Pause after the last change, which is part of the time within which the next one must be in force.
+    read_pause: Duration,
 }
 
 impl FollowPace {
@@ -59,6 +66,7 @@
             bound,
             pause: FIRST_PAUSE,
             has_failed: false,
+            read_pause: Duration::ZERO,
         }
     }
 
@@ -68,7 +76,7 @@
         if is_store_down || self.has_failed {
             return Duration::ZERO;
         }
-        let spent = STORE_ANSWER_TIMEOUT + longest(FIRST_PAUSE) + RESERVE;
+        let spent = STORE_ANSWER_TIMEOUT + longest(FIRST_PAUSE) + RESERVE + self.read_pause;
         let wait = self.bound.saturating_sub(spent).clamp(MIN_WAIT, MAX_WAIT);
         if is_relay { wait.min(RELAY_WAIT) } else { wait }
     }
@@ -87,6 +95,23 @@
         pause
     }
 
+    /// Returns the pause after a change of so many bytes. The next call waits that much less.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use gateway::FollowPace;
+    ///
+    /// let mut pace = FollowPace::new(Duration::from_secs(4));
+    /// assert_eq!(pace.after_change(0), Duration::ZERO);
+    /// assert!(pace.after_change(usize::MAX) < Duration::from_secs(2));
+    /// ```
+    pub fn after_change(&mut self, bytes: usize) -> Duration {
+        let longest = self.bound.mul_f64(MAX_READ_PAUSE_SHARE);
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        self.read_pause = PAUSE_PER_BYTE.saturating_mul(bytes).min(longest);
+        self.read_pause
+    }
+
     /// Returns how long after `now` a host still relies on relays that have shown it the state of the store at
     /// `confirmed_at`; zero for a host that must follow the store itself.
     pub fn relayed_for(&self, confirmed_at: Monotonic, now: Monotonic) -> Duration {
--- a/components/gateway/tests/follow_pace.rs
+++ b/components/gateway/tests/follow_pace.rs
@@ -22,6 +22,21 @@
     Answered,
 }
 
+// Guards against a pause after a large change that adds to the time of a lost answer.
+#[test]
+fn a_change_is_in_force_in_time_when_the_answer_after_a_large_change_is_lost() {
+    for bound in BOUNDS_MS.map(Duration::from_millis) {
+        for bytes in [0, 100_000, 1 << 20, 64 << 20] {
+            let mut pace = FollowPace::new(bound);
+            let paused = pace.after_change(bytes);
+            pace.answered();
+            let lost = pace.wait(false, false) + STORE_ANSWER_TIMEOUT;
+            let delay = paused + lost + pace.failed().mul_f64(1.0 + PAUSE_JITTER) + STEP;
+            assert!(delay <= bound, "{delay:?} of {bound:?} after {bytes} bytes");
+        }
+    }
+}
+
 /// Returns how long after the end of a loss a host knows of a change that was acknowledged at that moment. Its first call
 /// begins `before` the loss; calls that are open or begin during the loss get no answer.
 fn delay(bound: Duration, before: Duration, loss: Duration, others: OtherCalls) -> Duration {
