Pack the content of a row as one piece in messages between hosts

What callers saw: after a change of a large configuration, hosts that ask a relay or another host were answered late, and served by the old declaration meanwhile. Cause: a row's content is a list of bytes to serde, so it was packed and unpacked byte by byte, for each host that asked. Change: the content is (de)serialized as bytes.

--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -37,6 +37,7 @@
     /// Key of the row.
     pub key: String,
     /// Content; `None` for a removed row.
+    #[serde(with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
     /// Position of the last write; increases over all tables.
     pub position: Position,
