Hosts list the rate of their link

What callers saw: nothing yet. Cause: limits.link_mbps of the platform's settings was not read. Change: it becomes HostSettings::link and the optional field `link` of the rows host/NAME, {"bits_per_second": N}. Missing figures, text, 0, negative ones, NaN and more than 1e9 Mbit/s mean unknown and stop no start. Between versions: a row without the rate, or with one of an unknown form, is that of a host whose link is unknown; the version before ignores the field (HostEntry does not deny unknown ones).

--- a/components/gateway/src/control/register.rs
+++ b/components/gateway/src/control/register.rs
@@ -31,6 +31,7 @@
         name: settings.name.clone(),
         domain: settings.domain.clone(),
         peers: settings.peers,
+        link: settings.link,
     };
     let value = serde_json::to_vec(&entry).unwrap_or_default();
     loop {
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -4,6 +4,7 @@
 
 use utils::{FailureDomainId, HostId, RegionId};
 
+use crate::LinkRate;
 use crate::cold::ColdBound;
 
 /// Bounds set by the deployment.
@@ -58,6 +59,8 @@
     pub sockets: usize,
     /// Memory of the machine, in bytes.
     pub memory: usize,
+    /// Rate of the machine's network link; `None` if it is unknown.
+    pub link: Option<LinkRate>,
     /// Bounds set by the deployment.
     pub bounds: Bounds,
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod host;
 mod jitter;
 mod kept;
+mod link_rate;
 mod load;
 mod lost_rows;
 mod named_services;
@@ -81,6 +82,7 @@
     RegionStore, StoreChanges, StoreDirectory, StoreList, StoreUpdate, salt_of, scope_of_salt,
     weights_of_salt,
 };
+pub use link_rate::LinkRate;
 pub use load::{LoadEstimate, ReportedLoad, SendOutcome, Work};
 pub use lost_rows::LostRow;
 pub use placement::{Candidate, Choice, Decision, Demand, decide, fetch_limit};
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -12,7 +12,7 @@
 use crate::software::{RecordNeed, ServiceSoftware};
 use crate::suspects::{PartFingerprint, SuspectParts};
 use crate::weights_history::{Replacement, WeightsHistory};
-use crate::{Declared, Target};
+use crate::{Declared, LinkRate, Target, link_rate};
 
 /// An entry host, as registered in the shared table.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +24,10 @@
     pub domain: FailureDomainId,
     /// Address on which the host listens for other entry hosts.
     pub peers: SocketAddr,
+    /// Rate of the host's network link; `None` if it is unknown.
+    #[serde(default, deserialize_with = "link_rate::deserialize_known")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkRate>,
 }
 
 /// Number of relays of a region.
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -1,7 +1,7 @@
 //! Assignment of duties for a region: all hosts compute the same owners, and each task of a store's followers
 //! has exactly one owner.
 
-use gateway::{HostEntry, Regions, View, is_sole_owner};
+use gateway::{HostEntry, LinkRate, Regions, View, is_sole_owner};
 use utils::HostId;
 
 /// Returns a view of `count` hosts that alternate between two regions.
@@ -13,6 +13,7 @@
             name: name.clone(),
             domain: if number % 2 == 0 { "a" } else { "b" }.into(),
             peers: ([127, 0, 0, 1], 1).into(),
+            link: None,
         };
         view.hosts.insert(name, entry);
     }
@@ -20,6 +21,11 @@
     (view, regions)
 }
 
+/// Returns the rate of a link, in Mbit/s.
+fn link(mbps: u64) -> Option<LinkRate> {
+    LinkRate::from_bits_per_second(mbps * 1_000_000)
+}
+
 #[test]
 fn a_large_region_is_served_by_its_own_hosts() {
     let (view, regions) = view(80);
@@ -69,3 +75,18 @@
     assert!(view.relays(&regions, &"north".into()).is_empty());
     assert!(view.relays(&regions, &"south".into()).is_empty());
 }
+
+// Guards against hosts that can not read each other's rows, or write their own again and again, after an upgrade.
+#[test]
+fn rows_of_hosts_of_other_versions_stay_readable() {
+    let decode = |row: &str| serde_json::from_str::<HostEntry>(row).unwrap();
+    let row = r#"{"name":"one","domain":"a","peers":"10.1.0.20:8582"}"#;
+    let mut entry = decode(row);
+    assert_eq!(entry.link, None);
+    assert_eq!(serde_json::to_string(&entry).unwrap(), row);
+    for odd in ["null", "-1", r#""fast""#, r#"{"bits_per_second":0}"#] {
+        assert_eq!(decode(&row.replace('}', &format!(r#","link":{odd}}}"#))), entry);
+    }
+    entry.link = link(200);
+    assert_eq!(decode(&serde_json::to_string(&entry).unwrap()), entry);
+}
