Pack rows against earlier values that both hosts hold

A changed configuration row (0.4 to 1.1 MB) is sent whole and uncompressed to each follower of a relay, for every change.

`packed` compresses a value, against a base where the receiver holds one, with its length and digest; unpacking checks the length before it allocates. `Rows` keeps the last 8 earlier values of a row of 16 KiB and more, 4 MiB a table, by the position of their write, era included.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -13,6 +13,7 @@
 use crate::evacuations::Evacuations;
 use crate::lost_rows::{LostRow, LostRows};
 use crate::named_services::NamedServices;
+use crate::packed::Base;
 use crate::ports::{DeclaredRecord, Decode, Record, Snapshot, Table, UnusableRecord};
 use crate::rows::{Replaced, Rows, TableUpdate};
 use crate::software::{BASELINE_PREFIX, BaselineWrite, Baselines};
@@ -130,6 +131,17 @@
         self.tables.get(&table)?.position_of(key)
     }
 
+    /// Returns the positions of the large rows of a table and of their earlier values, of each row the newest first.
+    pub fn base_positions(&self, table: Table) -> impl Iterator<Item = (&str, Position)> {
+        let rows = self.tables.get(&table).into_iter();
+        rows.flat_map(Rows::base_positions)
+    }
+
+    /// Returns the value that the write at `position` gave to a row, if it is the present one or a kept earlier one.
+    pub fn base(&self, table: Table, key: &str, position: Position) -> Option<Base> {
+        self.tables.get(&table)?.base(key, position)
+    }
+
     /// Returns the newest era of the store in which a table was read.
     pub fn era(&self) -> u64 {
         let complete = self.tables.values().filter_map(Rows::complete_position);
--- a/components/gateway/src/rows.rs
+++ b/components/gateway/src/rows.rs
@@ -1,10 +1,13 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use utils::Monotonic;
 
 use crate::Position;
+use crate::earlier_values::{EarlierValues, is_large};
+use crate::packed::Base;
 use crate::ports::{Record, Snapshot};
 
 /// How long a tombstone is kept for updates to other hosts. A host that is further behind receives the whole
@@ -50,6 +53,8 @@
 pub(crate) struct Rows {
     /// Existing rows by key.
     live: BTreeMap<String, Record>,
+    /// Earlier values of large rows.
+    earlier: EarlierValues,
     /// Tombstones of recently removed rows by key, with the time at which this host received the removal.
     tombstones: BTreeMap<String, (Record, Monotonic)>,
     /// Newest position received.
@@ -72,6 +77,26 @@
         self.live.get(key).map(|row| row.position)
     }
 
+    /// Returns the positions of the large rows and of their earlier values, of each row the newest first.
+    pub(crate) fn base_positions(&self) -> impl Iterator<Item = (&str, Position)> {
+        let is_large_row = |row: &&Record| row.value.as_deref().is_some_and(is_large);
+        self.live.values().filter(is_large_row).flat_map(|row| {
+            let earlier = self.earlier.of_row(&row.key).map(|base| base.position);
+            let positions = std::iter::once(row.position).chain(earlier);
+            positions.map(|position| (&*row.key, position))
+        })
+    }
+
+    /// Returns the value that the write at `position` gave to a row, if it is the present one or a kept earlier one.
+    pub(crate) fn base(&self, key: &str, position: Position) -> Option<Base> {
+        let live = self.live.get(key).filter(|row| row.position == position);
+        let live = live.and_then(|row| row.value.as_deref()).map(|value| Base {
+            position,
+            value: Bytes::copy_from_slice(value),
+        });
+        live.or_else(|| self.earlier.find(key, position).cloned())
+    }
+
     /// Returns the update from `position` to the current position: the changed rows, or the whole table if removals
     /// after `position` are unknown. Returns `None` if `position` is of a later era.
     pub(crate) fn changes_since(&self, position: Position) -> Option<TableUpdate> {
@@ -181,7 +206,9 @@
         let key = record.key.clone();
         if record.value.is_some() {
             self.tombstones.remove(&key);
-            self.live.insert(key, record);
+            if let Some(replaced) = self.live.insert(key, record) {
+                self.earlier.add(replaced);
+            }
         } else {
             self.live.remove(&key);
             self.tombstones.insert(key, (record, now));
