Send changed rows between hosts as differences (/changes/4)

Hosts of a region with 10 Mbit/s links read a changed configuration of 1 MB whole from their relay, and did so again for each change.

A query of `/changes/4` names the writes of the large rows that the host holds; the answer packs each changed large row against the newest of them that the answering host holds too. Packed values are cached, as many hosts ask for the same change within a second. An answer that can't be unpacked is logged (5110), and the next query names no values, so that the rows come complete. `/changes/3` is answered, and asked of hosts that refuse `/changes/4`; `/changes/2` is dropped. The messages move from peers.rs into changes.rs.

--- a/components/errors/src/event.rs
+++ b/components/errors/src/event.rs
@@ -532,6 +532,11 @@
         "baseline_unknown",
         "A stream of a service without a record can be of any software version from now on, and is refused if a caller resumes it.",
     );
+    pub const CHANGES_NOT_UNPACKED: Event = event(
+        5110,
+        "changes_not_unpacked",
+        "Changes from another host could not be unpacked; they are requested again, complete.",
+    );
 }
 
 /// All events, ordered by number.
@@ -643,6 +648,7 @@
     events::BASELINE_CONFIRMED,
     events::BASELINE_NOT_WRITTEN,
     events::BASELINE_UNKNOWN,
+    events::CHANGES_NOT_UNPACKED,
 ];
 
 /// Returns the catalogue of all events as a Markdown table. `docs/EVENTS.md` ends with the same text.
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! weights.
 
 mod baselines;
+mod changes;
 mod crashes;
 mod declared_times;
 mod follow;
@@ -14,18 +15,21 @@
 mod orders;
 mod origin_copies;
 mod origins;
+mod packed_cache;
 mod peers;
 mod register;
 mod relays;
 mod stores;
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use errors::events;
 use event_listener::Event;
 use http_io::{Executor, MemoryAccount, Shutdown};
+use packed_cache::PackedCache;
 use slog::{info, warn};
 use utils::{Incarnation, Monotonic, TargetId};
 
@@ -73,6 +77,10 @@
     relayed_confirmed_at: Mutex<Option<Monotonic>>,
     /// Time at which another host was last asked for changes that it gave.
     peer_asked_at: Mutex<Option<Monotonic>>,
+    /// Packed values for answers to other hosts.
+    packed: Mutex<PackedCache>,
+    /// Whether the last answer of another host could not be unpacked.
+    has_unpack_failed: AtomicBool,
 }
 
 impl Control {
@@ -100,6 +108,8 @@
             confirmed: Confirmations::default(),
             relayed_confirmed_at: Mutex::default(),
             peer_asked_at: Mutex::default(),
+            packed: Mutex::default(),
+            has_unpack_failed: AtomicBool::new(false),
         }
     }
 
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -11,62 +11,28 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use slog::{info, warn};
 use utils::Monotonic;
 
+use super::changes::{ChangesAnswer, ChangesQuery, PackedQuery};
 use super::host_client::HostClient;
-use super::{Control, kept_updates, loads, origin_copies, relays};
+use super::{Control, changes, kept_updates, loads, origin_copies, relays};
 use crate::jitter::jittered;
 use crate::ports::Table;
-use crate::{Position, TableUpdate};
 
 /// Path on which hosts exchange changes of the replicated tables. Its number is that of the message format.
-const CHANGES_PATH: &str = "/changes/3";
-/// Path of the format without the age of the shared table, for hosts of the version before.
-const CHANGES_2_PATH: &str = "/changes/2";
+const CHANGES_PATH: &str = "/changes/4";
+/// Path of the format without packed values, for hosts of the version before.
+const CHANGES_3_PATH: &str = "/changes/3";
 /// Interval between queries while the store does not answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time until an answer begins.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// `Retry-After` of a message for which the host has no memory, in seconds.
 const NO_MEMORY_RETRY_AFTER: &str = "0.5";
-/// Longest message, in bytes.
+/// Longest message, and most bytes of the values in one, in bytes.
 pub(super) const MAX_MESSAGE_BYTES: usize = 16 << 20;
-/// Tables that hosts forward to each other.
-const REPLICATED_TABLES: [Table; 3] = [Table::Declared, Table::Targets, Table::Shared];
-
-/// Requests the changes after the positions that a host has.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
-struct ChangesQuery {
-    /// Complete position of each table; the lowest for none.
-    known: Vec<(Table, Position)>,
-}
-
-/// Changes after the queried positions, with the age of the shared table.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
-pub(super) struct ChangesAnswer {
-    /// The changes.
-    pub changes: ReplicatedChanges,
-    /// Time since the store confirmed the shared table to the answering host itself; `None` if it has not, if the
-    /// querying host has seen a later era, or if the answering host does not say.
-    shared_age: Option<Duration>,
-}
-
-/// Changes after the queried positions.
-#[derive(Debug, Clone, Default)]
-#[derive(Serialize, Deserialize)]
-pub(super) struct ReplicatedChanges {
-    /// Update of each table. Tables whose changes the answering host can't determine are left out.
-    changes: Vec<(Table, TableUpdate)>,
-    /// Time on the store's clock, if the answering host knows it.
-    store_time: Option<Duration>,
-    /// Time since the store confirmed the declarations and the targets to the answering host itself; `None`
-    /// if it has not or did not answer the last call, or if the querying host has seen a later era.
-    pub store_age: Option<Duration>,
-}
 
 /// Answers queries from other hosts until `stop` resolves.
 pub(crate) async fn serve(control: Arc<Control>, stop: Shutdown) {
@@ -103,8 +69,11 @@
         return no_memory();
     }
     let answer = body.ok().and_then(|(bytes, _charge)| match path.as_str() {
-        CHANGES_PATH => pack(&answer_changes(control, &postcard::from_bytes(&bytes).ok()?)),
-        CHANGES_2_PATH => pack(&answer_changes(control, &postcard::from_bytes(&bytes).ok()?).changes),
+        CHANGES_PATH => pack(&changes::answer_packed(
+            control,
+            &postcard::from_bytes(&bytes).ok()?,
+        )),
+        CHANGES_3_PATH => pack(&changes::answer(control, &postcard::from_bytes(&bytes).ok()?)),
         kept_updates::PATH => pack(&kept_updates::answer(
             control,
             &postcard::from_bytes(&bytes).ok()?,
@@ -138,33 +107,6 @@
     postcard::to_allocvec(message).ok()
 }
 
-fn answer_changes(control: &Control, query: &ChangesQuery) -> ChangesAnswer {
-    let now = control.traffic.now();
-    let store_age = control.confirmed_age(now);
-    let shared_age = control.shared_age(now);
-    let state = control.cached_state();
-    let peer_position = |table: Table| {
-        let found = query.known.iter().find(|(t, _)| *t == table);
-        found.map_or(Position::default(), |(_, position)| *position)
-    };
-    let is_behind = query
-        .known
-        .iter()
-        .any(|(_, position)| position.era() > state.era());
-    let changes = REPLICATED_TABLES
-        .into_iter()
-        .filter_map(|table| Some((table, state.changes_since(table, peer_position(table))?)));
-    let changes = ReplicatedChanges {
-        changes: changes.collect(),
-        store_time: state.store_time(now),
-        store_age: store_age.filter(|_| !state.is_store_down() && !is_behind),
-    };
-    ChangesAnswer {
-        changes,
-        shared_age: shared_age.filter(|_| !is_behind),
-    }
-}
-
 /// Queries other hosts for changes while the store does not answer, or until this host can serve requests.
 pub(crate) async fn poll_peers(control: Arc<Control>) {
     let client = HostClient::new(&control);
@@ -192,24 +134,17 @@
     client: &HostClient,
     peer: SocketAddr,
 ) -> Option<ChangesAnswer> {
-    let held_position = |table: Table| {
-        let position = control.cached_state().complete_position(table);
-        (table, position.unwrap_or_default())
-    };
-    let query = ChangesQuery {
-        known: REPLICATED_TABLES.map(held_position).into(),
-    };
+    let query = PackedQuery::new(control);
     let sent_at = control.traffic.now();
-    let answer = client.query(peer, CHANGES_PATH, &query).await;
+    if let Some(answer) = client.query(peer, CHANGES_PATH, &query).await {
+        return changes::unpack(control, peer, answer);
+    }
     // A host of the version before refuses the path at once. A host that hangs is not asked twice.
-    if answer.is_some() || control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
-        return answer;
+    if control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
+        return None;
     }
-    let changes = client.query(peer, CHANGES_2_PATH, &query).await?;
-    Some(ChangesAnswer {
-        changes,
-        shared_age: None,
-    })
+    let query = ChangesQuery::new(control);
+    client.query(peer, CHANGES_3_PATH, &query).await
 }
 
 /// Chooses a random peer among the registered hosts and the seeds.
@@ -229,8 +164,8 @@
         changes: answer,
         shared_age,
     } = answer;
-    let rows: usize = answer.changes.iter().map(|(_, update)| update.row_count()).sum();
-    let whole = answer.changes.iter().filter(|(_, update)| update.is_whole());
+    let rows: usize = answer.updates.iter().map(|(_, update)| update.row_count()).sum();
+    let whole = answer.updates.iter().filter(|(_, update)| update.is_whole());
     let whole: Vec<Table> = whole.map(|(table, _)| *table).collect();
     if rows > 0 {
         info!(control.traffic.log, "received changes from another host"; events::PEER_READ,
@@ -239,7 +174,7 @@
     if let Some(store_time) = answer.store_time {
         control.cached_state().record_store_time(store_time, now);
     }
-    for (table, update) in answer.changes {
+    for (table, update) in answer.updates {
         control.update(|state| state.apply_update(table, update, now));
         if let (Table::Declared, Some(age)) = (table, answer.store_age) {
             control
--- a/components/gateway/src/packed.rs
+++ b/components/gateway/src/packed.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Returns the bytes of the value as it is sent.
+    pub(crate) fn packed_len(&self) -> usize {
+        match self {
+            Self::Plain(value) => value.len(),
+            Self::Compressed(packed) => packed.frame.len(),
+        }
+    }
+
     /// Unpacks the value.
     ///
     /// # Errors
--- a/components/gateway/src/rows.rs
+++ b/components/gateway/src/rows.rs
@@ -32,8 +32,19 @@
 
     /// Returns the number of rows.
     pub(crate) fn row_count(&self) -> usize {
+        self.snapshot().records.len()
+    }
+
+    /// Returns the rows.
+    pub(crate) fn snapshot(&self) -> &Snapshot {
+        let (Self::Newer(snapshot) | Self::All(snapshot)) = self;
+        snapshot
+    }
+
+    /// Returns the rows.
+    pub(crate) fn into_snapshot(self) -> Snapshot {
         let (Self::Newer(snapshot) | Self::All(snapshot)) = self;
-        snapshot.records.len()
+        snapshot
     }
 }
 
