Wait for a relay that is receiving a large change

Change: a relay says that a large answer of the store is arriving (it ends when the answer stalls); its followers wait for it instead. Rows of an answer that is too old to rely on are kept, so that the next one leaves them out; followers dropped them and asked again after 0.1 s.

--- a/components/gateway/src/control/changes.rs
+++ b/components/gateway/src/control/changes.rs
@@ -78,7 +78,14 @@
 /// An answer with the values themselves.
 pub(super) type ChangesAnswer = Answer<TableUpdate>;
 /// An answer with packed values.
-pub(super) type PackedAnswer = Answer<PackedUpdate>;
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct PackedAnswer {
+    /// The answer.
+    answer: Answer<PackedUpdate>,
+    /// Whether the answering host is receiving a large change of the declarations from the store.
+    pub is_receiving: bool,
+}
 
 /// An update of a table with packed values.
 #[derive(Debug, Clone)]
@@ -182,7 +189,10 @@
     let Ok(answer) = answer.map_updates(|table, update| {
         Ok::<_, std::convert::Infallible>(PackedUpdate::pack(table, update, &bases, &mut cache))
     });
-    answer
+    PackedAnswer {
+        answer,
+        is_receiving: control.store.is_receiving(Table::Declared),
+    }
 }
 
 fn answer_from(control: &Control, state: &CachedState, query: &ChangesQuery) -> ChangesAnswer {
@@ -209,7 +219,7 @@
 
 /// Unpacks the answer of another host. Returns `None` if that fails, and the next query then names no bases.
 pub(super) fn unpack(control: &Control, peer: SocketAddr, answer: PackedAnswer) -> Option<ChangesAnswer> {
-    let unpacked = unpack_values(answer, |table, key, position| {
+    let unpacked = unpack_values(answer.answer, |table, key, position| {
         control.cached_state().base(table, key, position)
     });
     control
@@ -223,7 +233,7 @@
 }
 
 fn unpack_values(
-    answer: PackedAnswer,
+    answer: Answer<PackedUpdate>,
     find_base: impl Fn(Table, &str, Position) -> Option<Base>,
 ) -> Result<ChangesAnswer, Report<UnpackError>> {
     let rows = answer.changes.updates.iter().flat_map(|(_, update)| &update.rows);
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -75,6 +75,8 @@
     confirmed: Confirmations,
     /// Latest time for which a relay has shown the state of the store.
     relayed_confirmed_at: Mutex<Option<Monotonic>>,
+    /// Time at which a host was last asked that was receiving a large change of the declarations.
+    relay_receiving_at: Mutex<Option<Monotonic>>,
     /// Time at which another host was last asked for changes that it gave.
     peer_asked_at: Mutex<Option<Monotonic>>,
     /// Packed values for answers to other hosts.
@@ -107,6 +109,7 @@
             reports: Mutex::default(),
             confirmed: Confirmations::default(),
             relayed_confirmed_at: Mutex::default(),
+            relay_receiving_at: Mutex::default(),
             peer_asked_at: Mutex::default(),
             packed: Mutex::default(),
             has_unpack_failed: AtomicBool::new(false),
@@ -218,6 +221,20 @@
         *latest.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records a host, asked at `sent_at`, that is receiving a large change of the declarations from the store.
+    pub(crate) fn record_relay_receiving(&self, sent_at: Monotonic) {
+        let latest = self.relay_receiving_at.lock();
+        *latest.unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+    }
+
+    /// Returns the time at which a host was last asked that was receiving a large change of the declarations.
+    pub(crate) fn relay_receiving_at(&self) -> Option<Monotonic> {
+        *self
+            .relay_receiving_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records an answer of another host with its changes, which was asked at `sent_at`.
     pub(crate) fn record_peer_answer(&self, sent_at: Monotonic) {
         let latest = self.peer_asked_at.lock();
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -15,7 +15,7 @@
 use slog::{info, warn};
 use utils::Monotonic;
 
-use super::changes::{ChangesAnswer, ChangesQuery, PackedQuery};
+use super::changes::{ChangesAnswer, ChangesQuery, PackedAnswer, PackedQuery};
 use super::host_client::HostClient;
 use super::{Control, changes, kept_updates, loads, origin_copies, relays};
 use crate::jitter::jittered;
@@ -122,29 +122,46 @@
         };
         let sent_at = control.traffic.now();
         if let Some(answer) = query_changes(&control, &client, peer).await {
-            apply_answer(&control, peer, answer, sent_at);
+            apply_answer(&control, peer, answer.changes, sent_at);
             control.record_peer_answer(sent_at);
         }
     }
 }
 
+/// What another host has answered.
+pub(super) struct QueriedChanges {
+    /// The changes.
+    pub changes: ChangesAnswer,
+    /// Whether it is receiving a large change of the declarations from the store.
+    pub is_receiving: bool,
+}
+
 /// Asks another host for the changes after this host's positions.
 pub(super) async fn query_changes(
     control: &Control,
     client: &HostClient,
     peer: SocketAddr,
-) -> Option<ChangesAnswer> {
+) -> Option<QueriedChanges> {
     let query = PackedQuery::new(control);
     let sent_at = control.traffic.now();
-    if let Some(answer) = client.query(peer, CHANGES_PATH, &query).await {
-        return changes::unpack(control, peer, answer);
+    if let Some(answer) = client.query::<PackedAnswer>(peer, CHANGES_PATH, &query).await {
+        let is_receiving = answer.is_receiving;
+        let changes = changes::unpack(control, peer, answer)?;
+        return Some(QueriedChanges {
+            changes,
+            is_receiving,
+        });
     }
     // A host of the version before refuses the path at once. A host that hangs is not asked twice.
     if control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
         return None;
     }
     let query = ChangesQuery::new(control);
-    client.query(peer, CHANGES_3_PATH, &query).await
+    let changes = client.query(peer, CHANGES_3_PATH, &query).await?;
+    Some(QueriedChanges {
+        changes,
+        is_receiving: false,
+    })
 }
 
 /// Chooses a random peer among the registered hosts and the seeds.
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use utils::HostId;
+use utils::{HostId, Monotonic};
 
 use super::Control;
 use super::host_client::HostClient;
@@ -16,6 +16,8 @@
 
 /// Interval between queries to a relay. Well below the time within which a declaration must be in force.
 const POLL_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which a host waits for a relay that is receiving a large change; until the answer to the next query.
+const RECEIVING_RELIANCE: Duration = Duration::from_millis(1_500);
 /// Pause after a query without a usable answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,7 +40,15 @@
     let now = control.traffic.now();
     let pace = control.pace(Table::Declared);
     let confirmed_at = control.relayed_confirmed_at();
-    confirmed_at.map_or(Duration::ZERO, |at| pace.relayed_for(at, now))
+    let relayed_for = confirmed_at.map_or(Duration::ZERO, |at| pace.relayed_for(at, now));
+    relayed_for.max(receiving_for(control, now))
+}
+
+/// Returns for how much longer this host waits for a relay that is receiving a large change. A read of its own would take
+/// from the link that the relay needs.
+fn receiving_for(control: &Control, now: Monotonic) -> Duration {
+    let asked_at = control.relay_receiving_at();
+    asked_at.map_or(Duration::ZERO, |at| (at + RECEIVING_RELIANCE).saturating_sub(now))
 }
 
 /// Whether this host relies on relays instead of following the store itself.
@@ -63,13 +73,17 @@
     let Some(answer) = peers::query_changes(control, client, peer).await else {
         return Some(false);
     };
+    if answer.is_receiving {
+        control.record_relay_receiving(sent_at);
+    }
     let max_age = control.pace(Table::Declared).max_relay_age();
-    let Some(age) = answer.changes.store_age.filter(|age| *age <= max_age) else {
-        return Some(false);
-    };
-    peers::apply_answer(control, peer, answer, sent_at);
-    control.record_relayed(sent_at.saturating_sub(age), sent_at);
-    Some(true)
+    let recent_age = answer.changes.changes.store_age.filter(|age| *age <= max_age);
+    // What has arrived need not be sent again, whatever its age.
+    peers::apply_answer(control, peer, answer.changes, sent_at);
+    if let Some(age) = recent_age {
+        control.record_relayed(sent_at.saturating_sub(age), sent_at);
+    }
+    Some(recent_age.is_some() || answer.is_receiving)
 }
 
 fn relays(control: &Control, view: &View) -> Vec<HostId> {
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -169,6 +169,11 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<Changes, Report<StoreError>>>;
 
+    /// Whether a large answer about a table is arriving.
+    fn is_receiving(&self, _table: Table) -> bool {
+        false
+    }
+
     /// Writes a row.
     fn write(&self, write: RecordWrite) -> BoxFuture<'_, Result<RecordWritten, Report<StoreError>>>;
 }
--- a/components/http/src/progress.rs
+++ b/components/http/src/progress.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Forgets an earlier answer.
+    pub fn reset(&self) {
+        self.0.store(NO_HEAD, Ordering::Relaxed);
+    }
+
     /// Records the head.
     pub(crate) fn begin(&self) {
         self.0.store(0, Ordering::Relaxed);
