Keep the position in the changes of kept cache when an answer is lost

What callers saw: on a busy link, hosts that do not follow the stores themselves found no kept cache, and added to the load. Cause: a poll that got no answer in time dropped the position, so the next one asked another host for the whole content of all stores of the region, which is longer and fails sooner, again and again. Change: the position stays until another host has answered. After a failed poll another host is asked as before; if that fails as well, the one that answered last is asked for its changes again. A type without I/O decides it. Not measured on a busy link.

--- a/components/gateway/src/control/kept_updates.rs
+++ b/components/gateway/src/control/kept_updates.rs
@@ -12,7 +12,7 @@
 use super::stores::{declared_stores, region_of, watchers};
 use crate::View;
 use crate::jitter::jittered;
-use crate::kept::{KeptEvent, PartKey, StoreUpdate};
+use crate::kept::{KeptEvent, PartKey, PollSource, StoreUpdate};
 
 /// Path on which hosts that follow stores of kept cache forward changes to other hosts.
 pub(super) const PATH: &str = "/kept";
@@ -144,15 +144,13 @@
 /// Polls other hosts for changes of the stores that this host does not follow itself.
 pub(crate) async fn poll_watchers(control: Arc<Control>) {
     let client = HostClient::new(&control);
-    let mut sources: BTreeMap<RegionId, Source> = BTreeMap::new();
+    let mut sources: BTreeMap<RegionId, PollSource<Cursor>> = BTreeMap::new();
     loop {
         smol::Timer::after(jittered(POLL_INTERVAL, 0.1)).await;
         let view = control.traffic.view.load_full();
         for region in unwatched(&control, &view) {
             let source = sources.entry(region.clone()).or_default();
-            if !source.poll(&control, &client, &view, &region).await {
-                *source = Source::default();
-            }
+            poll(&control, &client, &view, &region, source).await;
         }
     }
 }
@@ -171,39 +169,35 @@
     regions
 }
 
-/// The host that is polled for a region's stores and the position reached.
-#[derive(Default)]
-struct Source {
-    watcher: Option<SocketAddr>,
-    from: Option<Cursor>,
-}
-
-impl Source {
-    /// Polls for changes. Returns false if there is no answer, in which case another host is polled next.
-    async fn poll(&mut self, control: &Control, client: &HostClient, view: &View, region: &RegionId) -> bool {
-        let Some(peer) = self.watcher.or_else(|| choose_watcher(control, view, region)) else {
-            return false;
-        };
-        self.watcher = Some(peer);
-        let query = KeptQuery {
-            region: region.clone(),
-            from: self.from.take(),
-        };
-        let sent_at = control.traffic.now();
-        let Some(answer) = client.query::<KeptAnswer>(peer, PATH, &query).await else {
-            return false;
-        };
-        self.from = Some(answer.next);
-        let now = control.traffic.now();
-        let mut kept = control.traffic.kept();
-        if let Some(clock_ms) = answer.clock_ms {
-            kept.record_clock(clock_ms, now);
-        }
-        for (address, update) in answer.stores {
-            kept.store(&address)
-                .apply_update(unpack(update, &answer.salts), sent_at, now);
-        }
-        true
+/// Polls for the changes of a region's stores.
+async fn poll(
+    control: &Control,
+    client: &HostClient,
+    view: &View,
+    region: &RegionId,
+    source: &mut PollSource<Cursor>,
+) {
+    let Some((peer, from)) = source.next(|| choose_watcher(control, view, region)) else {
+        return;
+    };
+    let query = KeptQuery {
+        region: region.clone(),
+        from,
+    };
+    let sent_at = control.traffic.now();
+    let Some(answer) = client.query::<KeptAnswer>(peer, PATH, &query).await else {
+        source.failed();
+        return;
+    };
+    source.answered(peer, answer.next);
+    let now = control.traffic.now();
+    let mut kept = control.traffic.kept();
+    if let Some(clock_ms) = answer.clock_ms {
+        kept.record_clock(clock_ms, now);
+    }
+    for (address, update) in answer.stores {
+        kept.store(&address)
+            .apply_update(unpack(update, &answer.salts), sent_at, now);
     }
 }
 
--- a/components/gateway/src/kept.rs
+++ b/components/gateway/src/kept.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod isolated;
 mod plan;
+mod poll_source;
 mod salt;
 
 pub use abandoned::AbandonedScopes;
@@ -16,4 +17,5 @@
 pub(crate) use plan::OLD_WEIGHTS_DROP_DELAY;
 pub(crate) use plan::region_stores;
 pub use plan::{CachePlan, KeptCache, PlanRequest, RegionStore};
+pub use poll_source::PollSource;
 pub use salt::{CacheScope, salt_of, scope_of_salt, weights_of_salt};
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -81,7 +81,7 @@
 pub use host::{Bounds, HostSettings};
 pub use kept::{
     AbandonedScopes, CachePlan, CacheScope, IsolatedWorkspaces, KeptCache, KeptEvent, PartKey, PlanRequest,
-    RegionStore, StoreChanges, StoreDirectory, StoreList, StoreUpdate, salt_of, scope_of_salt,
+    PollSource, RegionStore, StoreChanges, StoreDirectory, StoreList, StoreUpdate, salt_of, scope_of_salt,
     weights_of_salt,
 };
 pub use link_rate::LinkRate;
--- a/components/gateway/tests/kept.rs
+++ b/components/gateway/tests/kept.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use gateway::{
-    AbandonedScopes, IsolatedWorkspaces, KeptCache, KeptEvent, PartKey, PlanRequest, PromptPart, PromptShape,
-    RegionStore, StoreChanges, StoreDirectory, StoreList,
+    AbandonedScopes, IsolatedWorkspaces, KeptCache, KeptEvent, PartKey, PlanRequest, PollSource, PromptPart,
+    PromptShape, RegionStore, StoreChanges, StoreDirectory, StoreList,
 };
 use support::ms;
 
@@ -310,3 +310,18 @@
     scopes.update(salts(), &none, Some(end), end);
     assert!(!scopes.may_drop(all, end + end));
 }
+
+// Guards against the whole content of the stores that is sent again for each answer that is lost.
+#[test]
+fn a_host_that_answered_last_is_asked_for_changes_only() {
+    let [first, other] = [1, 2].map(|host| ([10, 0, 0, host], 80).into());
+    let mut source = PollSource::default();
+    source.answered(first, 7);
+    source.failed();
+    assert_eq!(source.next(|| Some(first)), Some((first, Some(7))));
+    assert_eq!(source.next(|| Some(other)), Some((other, None)));
+    source.failed();
+    assert_eq!(source.next(|| Some(other)), Some((first, Some(7))));
+    source.answered(other, 3);
+    assert_eq!(source.next(|| Some(first)), Some((other, Some(3))));
+}
