--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -45,7 +45,7 @@
     let mut pace = control.pace(table);
     let mut needs_full_read = false;
     loop {
-        let relayed_for = relays::relayed_for(&control);
+        let relayed_for = relays::relayed_for(&control, table);
         if !relayed_for.is_zero() {
             smol::Timer::after(relayed_for).await;
             continue;
@@ -55,7 +55,9 @@
         if matches!(fetched, Ok(Fetched::Restored)) {
             continue;
         }
-        control.record_store_call(fetched.is_ok());
+        // A store whose answer stalls is not away.
+        let is_answered = fetched.as_ref().map_or_else(is_incomplete, |_| true);
+        control.record_store_call(is_answered);
         let now = control.traffic.now();
         log_size(&control, table, &fetched, now.saturating_sub(called_at));
         match fetched {
@@ -102,6 +104,11 @@
     state.complete_position(table) > Some(position) || state.era() > position.era()
 }
 
+/// Whether an answer of the store began to arrive.
+fn is_incomplete(error: &Report<StoreError>) -> bool {
+    matches!(error.current_context(), StoreError::Incomplete(_))
+}
+
 /// Whether an answer of the store had more bytes than the host reads.
 fn is_too_large(error: &Report<StoreError>) -> bool {
     let cause = error.downcast_ref::<HttpError>();
--- a/components/gateway/src/control/host_client.rs
+++ b/components/gateway/src/control/host_client.rs
@@ -4,7 +4,7 @@
 use errors::events;
 use futures_lite::FutureExt;
 use http_io::{AnswerProgress, Client, ClientConfig, full_body};
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::warn;
@@ -21,6 +21,14 @@
     traffic: Arc<Traffic>,
 }
 
+/// Answer of a host that may not know a query.
+pub(super) enum Answered<A> {
+    /// The answer to the query.
+    Message(A),
+    /// The host has a version that does not know the query.
+    UnknownQuery,
+}
+
 impl HostClient {
     pub(super) fn new(control: &Control) -> Self {
         let cfg = ClientConfig {
@@ -41,6 +49,19 @@
         path: &str,
         query: &impl Serialize,
     ) -> Option<A> {
+        match self.ask(peer, path, query).await? {
+            Answered::Message(message) => Some(message),
+            Answered::UnknownQuery => None,
+        }
+    }
+
+    /// Sends a query as [`HostClient::query`] does, to a host that may not know it.
+    pub(super) async fn ask<A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        query: &impl Serialize,
+    ) -> Option<Answered<A>> {
         let req = Request::builder()
             .method(Method::POST)
             .uri(path)
@@ -53,6 +74,9 @@
             None
         };
         let res = head.or(late).await?;
+        if res.status() == StatusCode::BAD_REQUEST {
+            return Some(Answered::UnknownQuery);
+        }
         let progress = AnswerProgress::default();
         let body = async {
             res.into_body()
@@ -66,7 +90,7 @@
             None
         };
         let (bytes, _charge) = body.or(stalled).await?.join().ok()?;
-        postcard::from_bytes(&bytes).ok()
+        postcard::from_bytes(&bytes).ok().map(Answered::Message)
     }
 
     /// Logs an answer that is given up although a part of it has arrived.
--- a/components/gateway/src/control/peers.rs
+++ b/components/gateway/src/control/peers.rs
@@ -16,7 +16,7 @@
 use utils::Monotonic;
 
 use super::changes::{ChangesAnswer, ChangesQuery, PackedAnswer, PackedQuery};
-use super::host_client::HostClient;
+use super::host_client::{Answered, HostClient};
 use super::{Control, changes, kept_updates, loads, origin_copies, relays};
 use crate::jitter::jittered;
 use crate::ports::Table;
@@ -143,8 +143,7 @@
     peer: SocketAddr,
 ) -> Option<QueriedChanges> {
     let query = PackedQuery::new(control);
-    let sent_at = control.traffic.now();
-    if let Some(answer) = client.query::<PackedAnswer>(peer, CHANGES_PATH, &query).await {
+    if let Answered::Message(answer) = client.ask::<PackedAnswer>(peer, CHANGES_PATH, &query).await? {
         let is_receiving = answer.is_receiving;
         let changes = changes::unpack(control, peer, answer)?;
         return Some(QueriedChanges {
@@ -152,10 +151,7 @@
             is_receiving,
         });
     }
-    // A host of the version before refuses the path at once. A host that hangs is not asked twice.
-    if control.traffic.now() >= sent_at + ANSWER_TIMEOUT {
-        return None;
-    }
+    // The whole rows are many times as long, so a call that failed is not sent again like this.
     let query = ChangesQuery::new(control);
     let changes = client.query(peer, CHANGES_3_PATH, &query).await?;
     Some(QueriedChanges {
--- a/components/gateway/src/control/relays.rs
+++ b/components/gateway/src/control/relays.rs
@@ -16,8 +16,6 @@
 
 /// Interval between queries to a relay. Well below the time within which a declaration must be in force.
 const POLL_INTERVAL: Duration = Duration::from_millis(700);
-/// Time for which a host waits for a relay that is receiving a large change; until the answer to the next query.
-const RECEIVING_RELIANCE: Duration = Duration::from_millis(1_500);
 /// Pause after a query without a usable answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -34,26 +32,34 @@
     }
 }
 
-/// Returns for how much longer the state that relays have shown is recent enough; zero for a host that must follow the
-/// store itself.
-pub(super) fn relayed_for(control: &Control) -> Duration {
+/// Returns for how much longer this host does not follow a table of the store itself; zero if it must.
+pub(super) fn relayed_for(control: &Control, table: Table) -> Duration {
     let now = control.traffic.now();
+    let recent_for = recent_for(control, now);
+    match table {
+        Table::Declared => recent_for.max(receiving_for(control, now)),
+        _ => recent_for,
+    }
+}
+
+/// Whether the state that relays have shown is recent enough for a host that does not follow the store itself.
+pub(super) fn is_relayed(control: &Control) -> bool {
+    !recent_for(control, control.traffic.now()).is_zero()
+}
+
+fn recent_for(control: &Control, now: Monotonic) -> Duration {
     let pace = control.pace(Table::Declared);
     let confirmed_at = control.relayed_confirmed_at();
-    let relayed_for = confirmed_at.map_or(Duration::ZERO, |at| pace.relayed_for(at, now));
-    relayed_for.max(receiving_for(control, now))
+    confirmed_at.map_or(Duration::ZERO, |at| pace.relayed_for(at, now))
 }
 
 /// Returns for how much longer this host waits for a relay that is receiving a large change. A read of its own would take
 /// from the link that the relay needs.
 fn receiving_for(control: &Control, now: Monotonic) -> Duration {
-    let asked_at = control.relay_receiving_at();
-    asked_at.map_or(Duration::ZERO, |at| (at + RECEIVING_RELIANCE).saturating_sub(now))
-}
-
-/// Whether this host relies on relays instead of following the store itself.
-pub(super) fn is_relayed(control: &Control) -> bool {
-    !relayed_for(control).is_zero()
+    let pace = control.pace(Table::Declared);
+    let until = control.relay_receiving_at().zip(control.relayed_confirmed_at());
+    let until = until.map(|(asked_at, confirmed_at)| pace.receiving_until(asked_at, confirmed_at));
+    until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
 }
 
 /// Whether this host follows the store for others.
--- a/components/gateway/src/follow_pace.rs
+++ b/components/gateway/src/follow_pace.rs
@@ -24,6 +24,8 @@
 const PAUSE_PER_BYTE: Duration = Duration::from_micros(1);
 /// Largest share of the bound for that pause.
 const MAX_READ_PAUSE_SHARE: f64 = 0.3;
+/// Time for which a host waits for a relay that is receiving a large change.
+const RECEIVING_RELIANCE: Duration = Duration::from_millis(1_500);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -78,7 +80,12 @@
         }
         let spent = STORE_ANSWER_TIMEOUT + longest(FIRST_PAUSE) + RESERVE + self.read_pause;
         let wait = self.bound.saturating_sub(spent).clamp(MIN_WAIT, MAX_WAIT);
-        if is_relay { wait.min(RELAY_WAIT) } else { wait }
+        let longest_of_relay = RELAY_WAIT.saturating_sub(self.read_pause).max(MIN_WAIT);
+        if is_relay {
+            wait.min(longest_of_relay)
+        } else {
+            wait
+        }
     }
 
     /// Records an answered call.
@@ -118,6 +125,12 @@
         (confirmed_at + self.max_relay_age()).saturating_sub(now)
     }
 
+    /// Returns until when a host waits for a relay, asked at `asked_at`, that is receiving a large change; until the answer to
+    /// the next query, but not for long after the state at `confirmed_at`, the last that relays have shown.
+    pub fn receiving_until(&self, asked_at: Monotonic, confirmed_at: Monotonic) -> Monotonic {
+        (asked_at + RECEIVING_RELIANCE).min(confirmed_at + self.bound * 2)
+    }
+
     /// Returns the largest age at which the state of a relay is used.
     pub fn max_relay_age(&self) -> Duration {
         self.bound.saturating_sub(RELAY_RESERVE)
--- a/components/http/src/progress.rs
+++ b/components/http/src/progress.rs
@@ -8,8 +8,10 @@
 
 /// Interval in which a part of a body has to arrive.
 const STALL_INTERVAL: Duration = Duration::from_millis(450);
-/// Bytes that have to arrive in each interval, so that an answer of single bytes comes to an end.
+/// Bytes that have to arrive in an interval, so that an answer of single bytes comes to an end.
 const MIN_INTERVAL_BYTES: usize = 4 << 10;
+/// Number of intervals in a row without them after which a body has stalled. A late retransmission can empty one.
+const STALLED_INTERVALS: usize = 2;
 
 /// Value before the head of an answer has arrived.
 const NO_HEAD: usize = usize::MAX;
@@ -45,12 +47,12 @@
     /// ```
     pub async fn stalled(&self) {
         let mut seen = 0;
-        loop {
+        let mut empty = 0;
+        while empty < STALLED_INTERVALS {
             smol::Timer::after(STALL_INTERVAL).await;
             let received = self.received().unwrap_or(0);
-            if received < seen + MIN_INTERVAL_BYTES {
-                return;
-            }
+            let is_empty = received < seen + MIN_INTERVAL_BYTES;
+            empty = if is_empty { empty + 1 } else { 0 };
             seen = received;
         }
     }
