Count rows as confirmed when their answer began, not when it ended

What callers could see: 401 or 404 for what had been declared seconds before, from hosts that took old declarations for current ones. Cause: since a body is read while it makes progress, it may take seconds, and the rows counted as confirmed at its end; paged reads took the position of the first page and the time of the last.

--- a/components/gateway/src/cached_state.rs
+++ b/components/gateway/src/cached_state.rs
@@ -220,15 +220,16 @@
         source: UpdateSource,
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
-        if let Some(store_time) = snapshot.store_time {
-            self.record_store_time(store_time, now);
-        }
         let store_time = snapshot.store_time;
+        let read_at = now.saturating_sub(snapshot.transfer_time);
+        if let Some(store_time) = store_time {
+            self.record_store_time(store_time, read_at);
+        }
         let Some(mut replaced) = self.tables.entry(table).or_default().replace(snapshot, now) else {
             return Vec::new();
         };
         if let Some(store_time) = store_time.filter(|_| replaced.is_restored) {
-            self.store_clock.restart(store_time, now);
+            self.store_clock.restart(store_time, read_at);
         }
         // An empty snapshot is a change as well: it makes the table complete.
         self.is_changed = true;
@@ -291,7 +292,7 @@
         now: Monotonic,
     ) -> Vec<Report<UnusableRecord>> {
         if let Some(store_time) = changed.store_time {
-            self.record_store_time(store_time, now);
+            self.record_store_time(store_time, now.saturating_sub(changed.transfer_time));
         }
         let applied = self.tables.entry(table).or_default().apply(changed, now);
         let unusable = self.apply_records(table, applied, source, now);
--- a/components/gateway/src/control/changes.rs
+++ b/components/gateway/src/control/changes.rs
@@ -282,6 +282,7 @@
             records: records.collect::<Result<_, _>>()?,
             position: self.position,
             store_time: None,
+            transfer_time: Duration::ZERO,
         };
         Ok(match self.is_whole {
             true => TableUpdate::All(snapshot),
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -36,8 +36,8 @@
     Changed(Snapshot),
     /// No rows; the table must be read in full.
     Compacted,
-    /// Nothing; the store was restored while the call waited.
-    Restored,
+    /// Nothing; the store was restored while the call waited, or another host has given the table.
+    Superseded,
 }
 
 /// Keeps the host's replica of a table up to date.
@@ -52,7 +52,7 @@
         }
         let called_at = control.traffic.now();
         let fetched = fetch(&control, table, &pace, needs_full_read).await;
-        if matches!(fetched, Ok(Fetched::Restored)) {
+        if matches!(fetched, Ok(Fetched::Superseded)) {
             continue;
         }
         // A store whose answer stalls is not away.
@@ -63,6 +63,7 @@
         match fetched {
             Ok(Fetched::Whole(snapshot)) => {
                 let position = snapshot.position;
+                let read_at = now.saturating_sub(snapshot.transfer_time);
                 control.update(|state| state.replace(table, snapshot, UpdateSource::Store, now));
                 needs_full_read = is_stale(&control.cached_state(), table, position);
                 if needs_full_read {
@@ -70,7 +71,7 @@
                     log_ignored(&control, table, &"the table is older than the cached one");
                     smol::Timer::after(jittered(STALE_READ_PAUSE, 0.5)).await;
                 } else {
-                    control.record_confirmed(table, now);
+                    control.record_confirmed(table, read_at);
                 }
             }
             Ok(Fetched::Changed(changed)) => {
@@ -81,7 +82,7 @@
                 let pause = apply_changes(&control, table, changed, now);
                 smol::Timer::after(pause.max(read_pause)).await;
             }
-            Ok(Fetched::Compacted | Fetched::Restored) => needs_full_read = true,
+            Ok(Fetched::Compacted | Fetched::Superseded) => needs_full_read = true,
             Err(e) => {
                 if !matches!(
                     e.current_context(),
@@ -122,10 +123,11 @@
     let pause = pause_after(table, &changed, false);
     let renewed_pause = pause_after(table, &changed, true);
     let position = changed.position;
+    let read_at = now.saturating_sub(changed.transfer_time);
     let is_changed = control.update(|state| state.apply(table, changed, UpdateSource::Store, now));
     // Changes of another era are ignored.
     if control.cached_state().complete_position(table) == Some(position) {
-        control.record_confirmed(table, now);
+        control.record_confirmed(table, read_at);
     }
     match !is_changed && control.traffic.are_cold(&names) {
         true => renewed_pause,
@@ -179,6 +181,15 @@
         _ => pace.wait(is_store_down, relays::is_relay(control)),
     };
     let followed = followed_position(&control.cached_state(), table);
+    if followed.is_none() {
+        let read = async { Some(control.store.read(table).await) };
+        let given = async {
+            control.wait_for_table(table).await;
+            None
+        };
+        let read = future::or(read, given).await.transpose()?;
+        return Ok(read.map_or(Fetched::Superseded, Fetched::Whole));
+    }
     let Some(after) = followed.filter(|_| !needs_full_read) else {
         return Ok(Fetched::Whole(control.store.read(table).await?));
     };
@@ -191,13 +202,13 @@
     Ok(match future::or(call, restored).await.transpose()? {
         Some(Changes::Delta(changed)) => Fetched::Changed(changed),
         Some(Changes::Compacted) => Fetched::Compacted,
-        None => Fetched::Restored,
+        None => Fetched::Superseded,
     })
 }
 
 /// Returns the position after which changes of a table can be asked for. One of an earlier era of the store says nothing of
 /// what it has now.
-fn followed_position(state: &CachedState, table: Table) -> Option<Position> {
+pub(super) fn followed_position(state: &CachedState, table: Table) -> Option<Position> {
     let position = state.complete_position(table)?;
     (position.era() >= state.era()).then_some(position)
 }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -69,6 +69,8 @@
     cached_state: Mutex<CachedState>,
     /// Notified when the newest era of the store that the host knows has risen.
     era_risen: Event,
+    /// Notified when the state has changed.
+    state_changed: Event,
     /// Last report of each engine that this host polls, with its time.
     reports: Mutex<HashMap<TargetId, (ReportedLoad, Monotonic)>>,
     /// Confirmations of each table by the store itself.
@@ -106,6 +108,7 @@
             ex,
             cached_state: Mutex::new(cached_state),
             era_risen: Event::new(),
+            state_changed: Event::new(),
             reports: Mutex::default(),
             confirmed: Confirmations::default(),
             relayed_confirmed_at: Mutex::default(),
@@ -274,6 +277,7 @@
         let limits = state.take_limit_reports();
         self.traffic.record_shared_limits(&limits);
         let Some(view) = state.publish() else { return false };
+        self.state_changed.notify(usize::MAX);
         for found in state.take_superseded() {
             warn!(self.traffic.log, "address of a target taken over"; events::ADDRESS_TAKEN_OVER,
                 "target" => &*found.run, "successor" => &*found.successor, "service" => &*found.service);
@@ -306,6 +310,17 @@
         }
     }
 
+    /// Waits until the host has a table whose changes can be followed.
+    pub(crate) async fn wait_for_table(&self, table: Table) {
+        loop {
+            let changed = self.state_changed.listen();
+            if follow::followed_position(&self.cached_state(), table).is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Logs the evacuations that begin or end.
     fn log_evacuations(&self, before: &View, after: &View) {
         let log = &self.traffic.log;
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -60,6 +60,9 @@
     pub position: Position,
     /// Time on the store's steady clock when the rows were read, if the answer came from the store itself.
     pub store_time: Option<Duration>,
+    /// Time since the rows were read, in which the answer arrived. The table may have changed meanwhile.
+    #[serde(skip)]
+    pub transfer_time: Duration,
 }
 
 impl Snapshot {
--- a/components/gateway/src/rows.rs
+++ b/components/gateway/src/rows.rs
@@ -118,6 +118,7 @@
             records: rows.cloned().collect(),
             position: self.position,
             store_time: None,
+            transfer_time: Duration::ZERO,
         };
         let is_earlier_era = position != Position::default() && position.era() < self.position.era();
         if position < self.unknown_until || is_earlier_era {
--- a/components/gateway/tests/messages.rs
+++ b/components/gateway/tests/messages.rs
@@ -1,5 +1,7 @@
 //! The form in which hosts send each other rows of the store.
 
+use std::time::Duration;
+
 use gateway::ports::Record;
 use gateway::{Position, TableUpdate};
 use postcard::ser_flavors::{AllocVec, Flavor};
@@ -41,6 +43,7 @@
         records: vec![row],
         position: Position::new(1, 9),
         store_time: None,
+        transfer_time: Duration::ZERO,
     })
 }
 
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -163,6 +163,7 @@
         records: records.into(),
         position: at(version),
         store_time: None,
+        transfer_time: Duration::ZERO,
     }
 }
 
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -189,7 +189,7 @@
 #[test]
 fn messages_from_hosts_stay_within_the_memory() {
     let host = Host::start(SMALL);
-    let head = head("/changes/2", "Content-Length: 4000000");
+    let head = head("/changes/4", "Content-Length: 4000000");
     let crowd = members(MEMBERS / 2, &head, &vec![b'x'; 4_000_000], usize::MAX);
     let open = drive(host.peer_address(), crowd);
     host.check("messages between hosts", open);
