--- a/components/gateway/tests/follow_pace.rs
+++ b/components/gateway/tests/follow_pace.rs
@@ -107,3 +107,26 @@
     let next_answer = confirmed_at + oldest + QUERY_INTERVAL + STEP;
     assert!(!pace.relayed_for(confirmed_at, next_answer).is_zero());
 }
+
+// Guards against a host that waits without end for a relay that never has the whole of a change.
+#[test]
+fn a_host_does_not_wait_without_end_for_a_relay_that_is_receiving() {
+    for bound in BOUNDS_MS.map(Duration::from_millis) {
+        let pace = FollowPace::new(bound);
+        let confirmed_at = Duration::from_secs(10);
+        for asked_at in (0..100).map(|query| confirmed_at + query * QUERY_INTERVAL) {
+            assert!(pace.receiving_until(asked_at, confirmed_at) <= confirmed_at + 2 * bound);
+        }
+    }
+}
+
+// Guards against followers that read a change themselves because the pause of their relay adds to its wait.
+#[test]
+fn a_host_relies_on_relays_that_pause_after_a_large_change() {
+    for bytes in [0, 100_000, 1 << 20, 64 << 20] {
+        let mut pace = FollowPace::new(Duration::from_secs(4));
+        let paused = pace.after_change(bytes);
+        let age = paused + pace.wait(false, true) + QUERY_INTERVAL + STEP;
+        assert!(age <= pace.max_relay_age(), "{age:?} after {bytes} bytes");
+    }
+}
